--- /dev/null
+++ b/Libraries/LibCore/Json.cpp
@@ -0,0 +1,82 @@
+#include <LibCore/Error.h>
+#include <LibCore/Json.h>
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+#include <memory>
+
+namespace Core::Json {
+
+static constexpr int maximumDepth = 64;
+
+::Json::Value parse(std::string_view text, const std::string &peer)
+{
+    if (text.size() > maximumTextBytes)
+        throw FormatError("parse JSON", peer, "the text is too long");
+    ::Json::CharReaderBuilder builder;
+    ::Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder["stackLimit"] = maximumDepth;
+    const std::unique_ptr<::Json::CharReader> reader(builder.newCharReader());
+    ::Json::Value value;
+    std::string errors;
+    try {
+        if (reader->parse(text.data(), text.data() + text.size(), &value, &errors))
+            return value;
+    } catch (const ::Json::Exception &exception) {
+        // The reader throws instead of reporting when the nesting exceeds its limit.
+        errors = exception.what();
+    }
+    throw FormatError("parse JSON", peer, errors);
+}
+
+std::string write(const ::Json::Value &value)
+{
+    ::Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return ::Json::writeString(builder, value);
+}
+
+static const ::Json::Value &member(const ::Json::Value &object, const char *name)
+{
+    if (!object.isObject())
+        throw FormatError("read JSON", name, "the enclosing value is no object");
+    const ::Json::Value &value = object[name];
+    if (value.isNull())
+        throw FormatError("read JSON", name, "the member is missing");
+    return value;
+}
+
+std::string stringMember(const ::Json::Value &object, const char *name)
+{
+    const ::Json::Value &value = member(object, name);
+    if (!value.isString())
+        throw FormatError("read JSON", name, "the member is no string");
+    return value.asString();
+}
+
+std::int64_t integerMember(const ::Json::Value &object, const char *name)
+{
+    const ::Json::Value &value = member(object, name);
+    if (!value.isInt64())
+        throw FormatError("read JSON", name, "the member is no integer");
+    return value.asInt64();
+}
+
+bool booleanMember(const ::Json::Value &object, const char *name)
+{
+    const ::Json::Value &value = member(object, name);
+    if (!value.isBool())
+        throw FormatError("read JSON", name, "the member is no boolean");
+    return value.asBool();
+}
+
+const ::Json::Value &arrayMember(const ::Json::Value &object, const char *name)
+{
+    const ::Json::Value &value = member(object, name);
+    if (!value.isArray())
+        throw FormatError("read JSON", name, "the member is no array");
+    return value;
+}
+
+} // namespace Core::Json
--- /dev/null
+++ b/include/LibCore/Json.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <json/value.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Core::Json {
+
+/// The largest JSON text that we read from anybody, in bytes.
+inline constexpr std::size_t maximumTextBytes = 4 * 1024 * 1024;
+
+/// Parses \p text strictly. \p peer names its origin in errors.
+/// \throws FormatError if the text is no JSON document, too deep or too long.
+::Json::Value parse(std::string_view text, const std::string &peer);
+
+/// Writes \p value on one line.
+std::string write(const ::Json::Value &value);
+
+/// Typed access to the members of an object. \throws FormatError naming the member.
+std::string stringMember(const ::Json::Value &object, const char *name);
+std::int64_t integerMember(const ::Json::Value &object, const char *name);
+bool booleanMember(const ::Json::Value &object, const char *name);
+const ::Json::Value &arrayMember(const ::Json::Value &object, const char *name);
+
+} // namespace Core::Json
--- /dev/null
+++ b/include/LibCore/Resources.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <ostream>
+#include <string>
+
+namespace Core {
+
+/// An amount of each dimension that a worker has or a task needs.
+struct Resources
+{
+    std::int64_t milliCores = 0;
+    std::int64_t mebibytes = 0;
+    std::int64_t accelerators = 0;
+
+    bool operator==(const Resources &) const = default;
+
+    /// True if every dimension is at most that of \p available.
+    bool fitsIn(const Resources &available) const;
+
+    /// The name of the first dimension that exceeds \p available; empty if all fit.
+    std::string firstDimensionAbove(const Resources &available) const;
+
+    Resources operator+(const Resources &other) const;
+    Resources operator-(const Resources &other) const;
+};
+
+std::ostream &operator<<(std::ostream &stream, const Resources &resources);
+
+} // namespace Core
