--- /dev/null
+++ b/Libraries/LibRules/RuleSetBuilder.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "RuleLine.h"
+
+#include <LibRules/RuleSet.h>
+#include <LibRules/RulesError.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Rules {
+
+/// Collects the rules and the mistakes of one file, line by line.
+class RuleSetBuilder
+{
+public:
+    void addLine(const RuleLine &line);
+    /// Checks what needs the whole file, such as classes that a rule names but none defines.
+    void checkWhole();
+
+    const RuleSet &rules() const { return m_rules; }
+    const std::vector<Mistake> &mistakes() const { return m_mistakes; }
+
+private:
+    void addTeam(const RuleLine &line);
+    void addClass(const RuleLine &line);
+    void addPlace(const RuleLine &line);
+    void addSlots(const RuleLine &line);
+    void addDomain(const RuleLine &line);
+    /// The name that the rule is about; an empty text, with a mistake, if there is none.
+    std::string subject(const RuleLine &line);
+    void addMistake(int line, int column, const std::string &message);
+
+    RuleSet m_rules;
+    std::vector<Mistake> m_mistakes;
+    /// The line on which each subject was first given a rule, to name it when a second one comes.
+    std::map<std::string, int> m_firstLines;
+    std::map<Core::TaskClassId, RuleLine> m_placeLines;
+};
+
+} // namespace Rules
