--- a/include/LibPlatform/LogService.h
+++ b/include/LibPlatform/LogService.h
@@ -2,6 +2,8 @@
 
 #include <LibCore/Time.h>
 
+#include <utility>
+
 #include <boost/asio/awaitable.hpp>
 
 #include <compare>
