LibCore: Read the steady clock as an Instant

The daemon's shell needs one place that turns the clock into the time base of the decision modules, and a deadline back into a timer's time point.

--- /dev/null
+++ b/include/LibCore/SteadyClock.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <chrono>
+
+namespace Core {
+
+/// The current time of the steady clock. Only the shell reads it; decision modules get the time as
+/// an argument.
+Instant steadyNow();
+
+/// The same moment as the standard library's steady clock counts it, for timers.
+std::chrono::steady_clock::time_point toSteadyTimePoint(Instant instant);
+
+} // namespace Core
