--- /dev/null
+++ b/Libraries/LibPlatform/Http/HttpClient.cpp
@@ -0,0 +1,178 @@
+#include "Http/HttpClient.h"
+
+#include "Http/HttpConnection.h"
+
+#include <LibCore/Error.h>
+#include <LibCore/SteadyClock.h>
+
+#include <vector>
+
+namespace Platform {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+/// The unused connections of a client, and a count of all. Calls share it, so that it outlives
+/// those which are under way when the client is destroyed.
+class HttpClient::Pool : public std::enable_shared_from_this<Pool>
+{
+public:
+    Pool(asio::any_io_executor executor, const HttpEndpoint &endpoint);
+
+    asio::awaitable<std::string> call(HttpRequest request, Core::Instant deadline);
+
+private:
+    using ConnectionPtr = std::unique_ptr<HttpConnection>;
+
+    ConnectionPtr takeIdle();
+    asio::awaitable<HttpAnswer> exchange(ConnectionPtr connection, const HttpRequest &request,
+                                         Core::Instant deadline);
+    asio::awaitable<HttpAnswer> exchangeOnNew(const HttpRequest &request, Core::Instant deadline);
+    /// Sets \p isInDoubt if a sending failed without a whole answer and another followed.
+    asio::awaitable<HttpAnswer> exchangeOnAny(const HttpRequest &request, Core::Instant deadline,
+                                              bool &isInDoubt);
+    asio::awaitable<std::string> callOnce(const HttpRequest &request, Core::Instant deadline,
+                                          bool &isInDoubt);
+    void giveBack(ConnectionPtr connection);
+
+    asio::any_io_executor m_executor;
+    asio::ip::tcp::endpoint m_endpoint;
+    std::string m_peer;
+    std::vector<ConnectionPtr> m_idle;
+    std::size_t m_callsUnderWay = 0;
+};
+
+static asio::ip::tcp::endpoint parseEndpoint(const HttpEndpoint &endpoint)
+{
+    error_code error;
+    const auto address = asio::ip::make_address(endpoint.address, error);
+    if (error)
+        throw Core::FormatError("read endpoint", endpoint.address, "the address is no IP number");
+    return { address, endpoint.port };
+}
+
+HttpClient::Pool::Pool(asio::any_io_executor executor, const HttpEndpoint &endpoint)
+    : m_executor(std::move(executor))
+    , m_endpoint(parseEndpoint(endpoint))
+    , m_peer(endpoint.address + ":" + std::to_string(endpoint.port))
+{
+}
+
+asio::awaitable<std::string> HttpClient::Pool::call(HttpRequest request, Core::Instant deadline)
+{
+    if (deadline <= Core::steadyNow())
+        throw Core::NotDoneError(request.step, m_peer, "the deadline has passed");
+    if (m_callsUnderWay >= maximumConnections)
+        throw Core::NotDoneError(request.step, m_peer, "too many calls are under way");
+
+    struct CallCount
+    {
+        explicit CallCount(std::size_t &calls)
+            : count(calls)
+        {
+            ++count;
+        }
+        CallCount(const CallCount &) = delete;
+        CallCount &operator=(const CallCount &) = delete;
+        ~CallCount() { --count; }
+        std::size_t &count;
+    };
+    const CallCount callCount(m_callsUnderWay);
+
+    bool isInDoubt = false;
+    try {
+        co_return co_await callOnce(request, deadline, isInDoubt);
+    } catch (const Core::NotDoneError &error) {
+        // The second sending wasn't carried out, but the first may have been.
+        if (isInDoubt)
+            throw Core::OutcomeUnknownError(request.step, m_peer, error.what());
+        throw;
+    }
+}
+
+asio::awaitable<std::string> HttpClient::Pool::callOnce(const HttpRequest &request,
+                                                        Core::Instant deadline, bool &isInDoubt)
+{
+    HttpAnswer answer = co_await exchangeOnAny(request, deadline, isInDoubt);
+    if (answer.status >= 200 && answer.status < 300)
+        co_return std::move(answer.body);
+    const std::string reason = "status " + std::to_string(answer.status) + ": " + answer.body;
+    if (answer.status >= 400 && answer.status < 500)
+        throw Core::NotDoneError(request.step, m_peer, reason);
+    throw Core::OutcomeUnknownError(request.step, m_peer, reason);
+}
+
+asio::awaitable<HttpAnswer> HttpClient::Pool::exchangeOnAny(const HttpRequest &request,
+                                                            Core::Instant deadline, bool &isInDoubt)
+{
+    ConnectionPtr idle = takeIdle();
+    if (!idle)
+        co_return co_await exchangeOnNew(request, deadline);
+    try {
+        co_return co_await exchange(std::move(idle), request, deadline);
+    } catch (const Core::NotDoneError &) {
+        // Nothing was sent: a new connection may do better.
+    } catch (const Core::OutcomeUnknownError &) {
+        if (!request.isIdempotent || Core::steadyNow() >= deadline)
+            throw;
+        isInDoubt = true;
+    }
+    co_return co_await exchangeOnNew(request, deadline);
+}
+
+asio::awaitable<HttpAnswer> HttpClient::Pool::exchangeOnNew(const HttpRequest &request,
+                                                            Core::Instant deadline)
+{
+    auto connection = std::make_unique<HttpConnection>(m_executor);
+    co_await connection->connect(m_endpoint, request, m_peer, deadline);
+    co_return co_await exchange(std::move(connection), request, deadline);
+}
+
+asio::awaitable<HttpAnswer> HttpClient::Pool::exchange(ConnectionPtr connection,
+                                                       const HttpRequest &request,
+                                                       Core::Instant deadline)
+{
+    try {
+        HttpAnswer answer = co_await connection->exchange(request, m_peer, deadline);
+        if (answer.isReusable)
+            giveBack(std::move(connection));
+        co_return answer;
+    } catch (const Core::Error &) {
+        // Whatever silenced or broke this connection may have done the same to the unused ones.
+        m_idle.clear();
+        throw;
+    }
+}
+
+HttpClient::Pool::ConnectionPtr HttpClient::Pool::takeIdle()
+{
+    while (!m_idle.empty()) {
+        // The one used last is the least likely to have gone silent.
+        ConnectionPtr connection = std::move(m_idle.back());
+        m_idle.pop_back();
+        if (connection->isQuiet())
+            return connection;
+    }
+    return nullptr;
+}
+
+void HttpClient::Pool::giveBack(ConnectionPtr connection)
+{
+    if (m_idle.size() < maximumIdleConnections)
+        m_idle.push_back(std::move(connection));
+}
+
+HttpClient::HttpClient(const asio::any_io_executor &executor, const HttpEndpoint &endpoint)
+    : m_pool(std::make_shared<Pool>(executor, endpoint))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+asio::awaitable<std::string> HttpClient::call(HttpRequest request, Core::Instant deadline)
+{
+    const std::shared_ptr<Pool> pool = m_pool;
+    co_return co_await pool->call(std::move(request), deadline);
+}
+
+} // namespace Platform
--- /dev/null
+++ b/Libraries/LibPlatform/Http/HttpConnection.cpp
@@ -0,0 +1,111 @@
+#include "Http/HttpConnection.h"
+
+#include <LibCore/Error.h>
+#include <LibCore/SteadyClock.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+
+namespace Platform {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+static auto awaitInto(error_code &error)
+{
+    return asio::redirect_error(asio::use_awaitable, error);
+}
+
+static http::request<http::string_body> encode(const HttpRequest &request, const std::string &peer)
+{
+    const auto verb = request.method == HttpMethod::Get ? http::verb::get : http::verb::post;
+    http::request<http::string_body> message { verb, request.target, 11 };
+    message.set(http::field::host, peer);
+    if (request.method == HttpMethod::Post) {
+        message.set(http::field::content_type, "application/json");
+        message.body() = request.encodeBody();
+    }
+    message.prepare_payload();
+    return message;
+}
+
+HttpConnection::HttpConnection(const asio::any_io_executor &executor)
+    : m_stream(executor)
+{
+}
+
+HttpConnection::~HttpConnection()
+{
+    error_code ignored;
+    m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    m_stream.socket().close(ignored);
+}
+
+asio::awaitable<void> HttpConnection::connect(const asio::ip::tcp::endpoint &endpoint,
+                                              const HttpRequest &request, const std::string &peer,
+                                              Core::Instant deadline)
+{
+    error_code error;
+    m_stream.expires_at(Core::toSteadyTimePoint(deadline));
+    co_await m_stream.async_connect(endpoint, awaitInto(error));
+    if (error)
+        throw Core::NotDoneError(request.step, peer, "connect: " + error.message());
+    m_stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+}
+
+asio::awaitable<HttpAnswer> HttpConnection::exchange(const HttpRequest &request,
+                                                     const std::string &peer,
+                                                     Core::Instant deadline)
+{
+    m_stream.expires_at(Core::toSteadyTimePoint(deadline));
+    co_await send(request, peer);
+    HttpAnswer answer = co_await receive(request, peer);
+    m_stream.expires_never();
+    co_return answer;
+}
+
+asio::awaitable<void> HttpConnection::send(const HttpRequest &request, const std::string &peer)
+{
+    error_code error;
+    const auto message = encode(request, peer);
+    const std::size_t sentBytes = co_await http::async_write(m_stream, message, awaitInto(error));
+    if (!error)
+        co_return;
+    if (sentBytes == 0)
+        throw Core::NotDoneError(request.step, peer, "send: " + error.message());
+    throw Core::OutcomeUnknownError(request.step, peer, "send: " + error.message());
+}
+
+asio::awaitable<HttpAnswer> HttpConnection::receive(const HttpRequest &request,
+                                                    const std::string &peer)
+{
+    error_code error;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(HttpClient::maximumBodyBytes);
+    co_await http::async_read(m_stream, m_buffer, parser, awaitInto(error));
+    if (error)
+        throw Core::OutcomeUnknownError(request.step, peer, "receive: " + error.message());
+    // A body that only ends with the connection could be cut short without anybody noticing.
+    if (parser.get().need_eof())
+        throw Core::OutcomeUnknownError(request.step, peer, "the answer announces no length");
+    HttpAnswer answer;
+    answer.status = parser.get().result_int();
+    answer.isReusable = parser.get().keep_alive() && m_buffer.size() == 0;
+    answer.body = std::move(parser.get().body());
+    co_return answer;
+}
+
+bool HttpConnection::isQuiet()
+{
+    error_code error;
+    std::array<char, 1> byte {};
+    m_stream.socket().non_blocking(true, error);
+    m_stream.socket().receive(asio::buffer(byte), asio::socket_base::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+} // namespace Platform
--- /dev/null
+++ b/include/LibPlatform/Http/HttpLogService.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <LibPlatform/Http/HttpEndpoint.h>
+#include <LibPlatform/LogService.h>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <memory>
+
+namespace Platform {
+
+class HttpClient;
+
+/// The log service over HTTP; docs/design/PLATFORM.md has the format. It must outlive its calls and
+/// is used from one thread only.
+class HttpLogService final : public LogService
+{
+public:
+    /// \throws Core::FormatError if the endpoint's address is no IP number.
+    HttpLogService(const boost::asio::any_io_executor &executor, const HttpEndpoint &endpoint);
+    ~HttpLogService() override;
+
+    boost::asio::awaitable<Offset> append(std::string stream, std::vector<std::string> bodies,
+                                          Core::Instant deadline) override;
+    boost::asio::awaitable<LogPage> read(std::string stream, Offset from,
+                                         std::size_t maximumRecords,
+                                         Core::Instant deadline) override;
+
+private:
+    std::unique_ptr<HttpClient> m_client;
+};
+
+} // namespace Platform
--- /dev/null
+++ b/include/LibPlatform/Http/HttpVmDirectory.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <LibPlatform/Http/HttpEndpoint.h>
+#include <LibPlatform/VmDirectory.h>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <memory>
+
+namespace Platform {
+
+class HttpClient;
+
+/// The list of VMs over HTTP; docs/design/PLATFORM.md has the format. It must outlive its calls and
+/// is used from one thread only.
+class HttpVmDirectory final : public VmDirectory
+{
+public:
+    /// \throws Core::FormatError if the endpoint's address is no IP number.
+    HttpVmDirectory(const boost::asio::any_io_executor &executor, const HttpEndpoint &endpoint);
+    ~HttpVmDirectory() override;
+
+    boost::asio::awaitable<std::vector<VmEntry>> list(Core::Instant deadline) override;
+
+private:
+    std::unique_ptr<HttpClient> m_client;
+};
+
+} // namespace Platform
