LibSettings, LibSupervision: Check settings whole and restart failed parts

Cause: the daemon needs its addresses from a file whose every mistake is told at once, and parts that may fail without taking the others along.

Ruled out: INIReader (it can't list keys, so an unknown key would pass); inih's parser with our own table of keys instead. Restarting by building a new object (the parts share the VM's state): run() sets up anew on the same object.

Conclusion: the daemon can be put together from supervised parts.

--- a/Libraries/LibRules/RuleValues.cpp
+++ b/Libraries/LibCore/TextValues.cpp
@@ -1,10 +1,10 @@
-#include "RuleValues.h"
+#include <LibCore/TextValues.h>
 
 #include <algorithm>
 #include <charconv>
 #include <cstddef>
 
-namespace Rules {
+namespace Core {
 
 static constexpr std::int64_t largestNumber = 1'000'000'000;
 static constexpr std::size_t longestName = 64;
@@ -40,7 +40,7 @@
     }
 }
 
-std::optional<Core::Duration> parseDuration(std::string_view text)
+std::optional<Duration> parseDuration(std::string_view text)
 {
     const std::size_t digits = std::min(text.find_first_not_of("0123456789"), text.size());
     const auto number = parseNumber(text.substr(0, digits), 0, largestNumber);
@@ -69,4 +69,4 @@
     });
 }
 
-} // namespace Rules
+} // namespace Core
--- a/Libraries/LibRules/RuleSetBuilder.cpp
+++ b/Libraries/LibRules/RuleSetBuilder.cpp
@@ -1,8 +1,7 @@
 #include "RuleSetBuilder.h"
 
 #include "RuleOptions.h"
-#include "RuleValues.h"
-
+#include <LibCore/TextValues.h>
 #include <LibRules/RuleSet.h>
 
 #include <algorithm>
@@ -23,7 +22,7 @@
 /// A parser of whole numbers within bounds, for `RuleOptions::value`.
 auto numberFrom(std::int64_t least, std::int64_t most)
 {
-    return [least, most](std::string_view text) { return parseNumber(text, least, most); };
+    return [least, most](std::string_view text) { return Core::parseNumber(text, least, most); };
 }
 
 std::optional<TaskKind> parseKind(std::string_view text)
@@ -85,8 +84,8 @@
     rule.team = Core::TeamId(name);
     rule.quota.milliCores = milliCoresPerCore
         * options.value<std::int64_t>("cores", numberFrom(0, mostCores), "0 to 1000000");
-    rule.quota.mebibytes
-        = options.value<std::int64_t>("memory", parseMebibytes, "a size such as 512M or 800G");
+    rule.quota.mebibytes = options.value<std::int64_t>("memory", Core::parseMebibytes,
+                                                       "a size such as 512M or 800G");
     rule.quota.accelerators = options.value<std::int64_t>(
         "accelerators", numberFrom(0, mostAccelerators), "0 to 100000", 0);
     rule.weight = static_cast<int>(
@@ -106,9 +105,9 @@
         options.value<std::int64_t>("priority", numberFrom(0, highestPriority), "0 to 1000"));
     rule.cutOffPolicy
         = options.value<CutOffPolicy>("cut-off", parseCutOff, "stay, move", CutOffPolicy::Stay);
-    rule.cutOffAfter
-        = options.value<Core::Duration>("after", parseDuration, "a time such as 500ms, 30s or 5m",
-                                        Core::Duration(std::chrono::seconds(120)));
+    rule.cutOffAfter = options.value<Core::Duration>("after", Core::parseDuration,
+                                                     "a time such as 500ms, 30s or 5m",
+                                                     Core::Duration(std::chrono::seconds(120)));
     rule.requestedBy = line.requestedBy;
     m_rules.classes.emplace(rule.taskClass, rule);
 }
@@ -129,7 +128,7 @@
     while (begin <= list.text.size()) {
         const std::size_t end = std::min(list.text.find(',', begin), list.text.size());
         const std::string domain = list.text.substr(begin, end - begin);
-        if (!isName(domain))
+        if (!Core::isName(domain))
             addMistake(line.number, list.column + static_cast<int>(begin),
                        "'" + domain + "' is no name of a failure domain");
         rule.failureDomains.insert(Core::FailureDomainId(domain));
@@ -172,7 +171,7 @@
 std::string RuleSetBuilder::subject(const RuleLine &line)
 {
     const std::string &kind = line.words.front().text;
-    if (line.words.size() < 2 || !isName(line.words[1].text)) {
+    if (line.words.size() < 2 || !Core::isName(line.words[1].text)) {
         const int column = line.words.size() < 2 ? line.commentColumn : line.words[1].column;
         addMistake(line.number, column, "a name must follow '" + kind + "'");
         return {};
--- /dev/null
+++ b/Libraries/LibSupervision/RestartPolicy.cpp
@@ -0,0 +1,20 @@
+#include <LibSupervision/RestartPolicy.h>
+
+#include <algorithm>
+
+namespace Supervision {
+
+std::optional<Core::Instant> RestartPolicy::onFailure(Core::Instant now)
+{
+    while (!m_failures.empty() && now - m_failures.front() > m_limits.window)
+        m_failures.pop_front();
+    m_failures.push_back(now);
+    if (m_failures.size() > m_limits.mostFailures)
+        return std::nullopt;
+    Core::Duration backOff = m_limits.firstBackOff;
+    for (std::size_t failure = 1; failure < m_failures.size(); ++failure)
+        backOff = std::min(backOff * 2, m_limits.longestBackOff);
+    return now + backOff;
+}
+
+} // namespace Supervision
--- /dev/null
+++ b/include/LibSettings/KnownPeer.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <LibCore/Identifier.h>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace Settings {
+
+/// Another entry VM, as the settings name it: `ID@DOMAIN@ADDRESS:PEERPORT:DOORPORT`.
+struct KnownPeer
+{
+    Core::VmId id;
+    Core::FailureDomainId failureDomain;
+    std::string address;
+    std::uint16_t peerPort = 0;
+    std::uint16_t doorPort = 0;
+
+    auto operator<=>(const KnownPeer &) const = default;
+};
+
+} // namespace Settings
--- /dev/null
+++ b/include/LibSupervision/Supervisor.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <LibSupervision/Part.h>
+#include <LibSupervision/RestartPolicy.h>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Supervision {
+
+/// Runs parts, restarts those that fail, and stops them in reverse order. A supervisor is a part
+/// itself, so supervisors form a tree; one whose part fails too often fails in turn.
+class Supervisor final : public Part
+{
+public:
+    using Report = std::function<void(const std::string &part, const std::string &event)>;
+
+    /// \p report is told of each start, failure and stop, for the log.
+    Supervisor(std::string name, boost::asio::any_io_executor executor, const RestartLimits &limits,
+               Report report);
+    ~Supervisor() override;
+
+    /// Adds a part that outlives the supervisor's run; parts start in the order in which they were
+    /// added.
+    void add(Part &part);
+
+    std::string name() const override { return m_name; }
+    boost::asio::awaitable<void> run() override;
+    void requestStop() override;
+
+private:
+    struct Child;
+
+    boost::asio::awaitable<void> runChild(Child &child);
+    /// Runs the part once; true if it returned by itself or on request.
+    boost::asio::awaitable<bool> runOnce(Child &child);
+    boost::asio::awaitable<void> waitUntil(Core::Instant instant);
+    boost::asio::awaitable<void> stopChildren();
+
+    std::string m_name;
+    boost::asio::any_io_executor m_executor;
+    RestartLimits m_limits;
+    Report m_report;
+    std::vector<std::unique_ptr<Child>> m_children;
+    /// Fires when a stop is requested, a child ends or a failure is escalated.
+    boost::asio::steady_timer m_changed;
+    bool m_isStopping = false;
+    std::string m_escalated;
+};
+
+} // namespace Supervision
