--- a/Tests/LibSupervision/TestSupervisor.cpp
+++ b/Tests/LibSupervision/TestSupervisor.cpp
@@ -85,7 +85,7 @@
         FlakyPart second(context, "second", 2, stops);
         root.add(first);
         root.add(second);
-        asio::co_spawn(context, root.run(), [&](std::exception_ptr e) { failure = e; });
+        asio::co_spawn(context, root.run(), [&](const std::exception_ptr &e) { failure = e; });
         while (second.runs() < 3)
             context.run_one();
         root.requestStop();
@@ -100,7 +100,7 @@
         FlakyPart second(context, "second", 100, stops);
         root.add(first);
         root.add(second);
-        asio::co_spawn(context, root.run(), [&](std::exception_ptr e) { failure = e; });
+        asio::co_spawn(context, root.run(), [&](const std::exception_ptr &e) { failure = e; });
         context.run();
         CHECK(failure);
         CHECK(second.runs() == 4);
