LibPeer: Add JSON-RPC calls between entry VMs

The server's side hands them to libjsonrpccpp's protocol handler, which validates, dispatches and answers.

--- /dev/null
+++ b/Libraries/LibPeer/PeerDispatcher.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <LibPeer/PeerServer.h>
+
+#include <jsonrpccpp/server/iclientconnectionhandler.h>
+#include <jsonrpccpp/server/iprocedureinvokationhandler.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Peer {
+
+/// Feeds messages to libjsonrpccpp's protocol handler, which validates them, finds the method and
+/// writes the answer.
+class PeerDispatcher final : public jsonrpc::IProcedureInvokationHandler
+{
+public:
+    PeerDispatcher();
+    ~PeerDispatcher() override;
+
+    void addMethod(const std::string &name, PeerServer::Method method);
+
+    /// Carries out the request \p frame and returns the answer, empty for a notification.
+    /// \throws Core::FormatError if the frame is no JSON object.
+    std::string handle(const std::string &frame);
+
+    void HandleMethodCall(jsonrpc::Procedure &procedure, const Json::Value &input,
+                          Json::Value &output) override;
+    void HandleNotificationCall(jsonrpc::Procedure &procedure, const Json::Value &input) override;
+
+private:
+    std::unique_ptr<jsonrpc::IProtocolHandler> m_protocol;
+    std::map<std::string, PeerServer::Method> m_methods;
+};
+
+} // namespace Peer
