--- /dev/null
+++ b/Libraries/LibLease/LeaseMachineClaims.cpp
@@ -0,0 +1,112 @@
+// How a LeaseMachine takes over from a holder that has died or stopped.
+
+#include <LibLease/LeaseMachine.h>
+
+#include <algorithm>
+
+namespace Lease {
+
+/// The distance of intents against a holder that lives but isn't in our reach.
+static constexpr Core::Duration intentInterval = std::chrono::seconds(30);
+
+void LeaseMachine::considerClaim(Core::Instant now, std::vector<LeaseAction> &actions)
+{
+    // A witness withdraws only while it reaches the log: in an outage it would stop the holder and
+    // help nobody.
+    if (!m_register.isFounded() || !isLogFresh(now))
+        return;
+    if (now < m_nextAppend || now < m_noClaimBefore)
+        return;
+    if (now < claimTime()) {
+        announceTakeover(now, actions);
+        return;
+    }
+    m_nextAppend = now + m_settings.appendRetryDelay;
+    const ClaimRecord claim = makeClaim();
+    m_claimsInDoubt.emplace(claim.id, claim.baseVersion);
+    actions.emplace_back(AppendRecord { claim });
+}
+
+Core::Instant LeaseMachine::claimTime() const
+{
+    const LeaseState &state = m_register.state();
+    if (state.epoch == 0)
+        return std::max(m_stateSeenAt, m_holderHeardAt) + m_settings.claimDelay + claimStagger();
+    // The holder may have given commands that are valid until its last lease would have lapsed.
+    if (state.end != LeaseEnd::None)
+        return m_stateSeenAt + drifted(m_settings.leaseLength) + claimStagger();
+    if (isWitness())
+        return witnessClaimTime();
+    if (m_intentSeenAt)
+        return *m_intentSeenAt + drifted(m_settings.logSilenceBound) + claimStagger();
+    return Core::Instant::max();
+}
+
+Core::Instant LeaseMachine::witnessClaimTime() const
+{
+    // A witness that never promised waits as long, so that the holder can ask it first.
+    const Core::Instant heardAt = std::max(m_holderHeardAt, m_stateSeenAt);
+    Core::Instant time = heardAt + drifted(m_settings.leaseLength);
+    if (m_promise.epoch >= epoch())
+        time = std::max(time, m_promise.until);
+    return time + claimStagger();
+}
+
+bool LeaseMachine::isWitness() const
+{
+    if (!m_guards.onlyWitnessesClaim)
+        return true;
+    return std::any_of(witnessSet().begin(), witnessSet().end(),
+                       [&](const Incarnation &witness) { return isSelf(witness); });
+}
+
+Core::Duration LeaseMachine::claimStagger() const
+{
+    int rank = 0;
+    for (const Incarnation &peer : reachablePeers())
+        rank += peer < m_settings.self ? 1 : 0;
+    return m_settings.claimDelay * rank;
+}
+
+void LeaseMachine::announceTakeover(Core::Instant now, std::vector<LeaseAction> &actions)
+{
+    const LeaseState &state = m_register.state();
+    if (state.epoch == 0 || state.end != LeaseEnd::None || state.hasOpenIntent || isWitness())
+        return;
+    const Core::Instant heardAt = std::max(m_holderHeardAt, m_stateSeenAt);
+    if (now < heardAt + drifted(m_settings.leaseLength) + claimStagger() || now < m_nextIntent)
+        return;
+    if (hasReachableElector())
+        return;
+    m_nextAppend = now + m_settings.appendRetryDelay;
+    m_nextIntent = now + intentInterval;
+    actions.emplace_back(AppendRecord { TakeoverIntentRecord {
+        nextRecordId(), m_settings.self, state.epoch, state.view.version } });
+}
+
+bool LeaseMachine::hasReachableElector() const
+{
+    const LeaseState &state = m_register.state();
+    const std::vector<Incarnation> peers = reachablePeers();
+    return std::any_of(peers.begin(), peers.end(), [&](const Incarnation &peer) {
+        return peer == state.holder || state.hasWitness(peer);
+    });
+}
+
+ClaimRecord LeaseMachine::makeClaim()
+{
+    const LeaseState &state = m_register.state();
+    const std::vector<Core::VmId> &seats = state.view.seats;
+    std::size_t seatCount = seats.size();
+    std::vector<Incarnation> witnesses;
+    for (const Incarnation &peer : reachablePeers()) {
+        const bool hasSeat = std::count(seats.begin(), seats.end(), peer.vm) > 0;
+        if (!hasSeat && seatCount + 1 >= m_settings.maximumSeats)
+            continue;
+        seatCount += hasSeat ? 0 : 1;
+        witnesses.push_back(peer);
+    }
+    return { nextRecordId(), m_settings.self, state.epoch + 1, state.view.version, witnesses };
+}
+
+} // namespace Lease
--- /dev/null
+++ b/Libraries/LibLease/LeaseMachineHolder.cpp
@@ -0,0 +1,145 @@
+// What a LeaseMachine does while the log names it as the holder.
+
+#include <LibLease/LeaseMachine.h>
+
+#include <algorithm>
+
+namespace Lease {
+
+/// Enough rounds for every answer that can still extend the lease.
+static constexpr std::size_t maximumRounds = 16;
+
+void LeaseMachine::renew(Core::Instant now, std::vector<LeaseAction> &actions)
+{
+    if (now < m_nextRenewal)
+        return;
+    m_nextRenewal = now + m_settings.renewInterval;
+    ++m_sequence;
+    m_rounds.push_back({ m_sequence, now });
+    if (m_rounds.size() > maximumRounds)
+        m_rounds.pop_front();
+
+    // Newcomers are asked too, so that naming them as witnesses doesn't interrupt the lease.
+    std::vector<Incarnation> receivers = neededWitnesses();
+    const std::vector<Incarnation> peers = reachablePeers();
+    receivers.insert(receivers.end(), peers.begin(), peers.end());
+    std::sort(receivers.begin(), receivers.end());
+    receivers.erase(std::unique(receivers.begin(), receivers.end()), receivers.end());
+    for (const Incarnation &receiver : receivers) {
+        PromiseRequest request;
+        request.to = receiver;
+        request.holder = m_settings.self;
+        request.epoch = epoch();
+        request.version = m_register.state().view.version;
+        request.sequence = m_sequence;
+        request.leaseLength = m_settings.leaseLength;
+        actions.emplace_back(SendPromiseRequest { receiver, request });
+    }
+}
+
+void LeaseMachine::changeWitnesses(Core::Instant now, std::vector<LeaseAction> &actions)
+{
+    if (!isLogFresh(now) || now < m_nextAppend)
+        return;
+    const LeaseState &state = m_register.state();
+    const std::vector<Incarnation> desired = desiredWitnesses(now);
+    const std::vector<Core::VmId> releasedSeats = seatsToRelease();
+    const bool isSettled = desired == state.witnesses && m_pendingChanges.empty();
+    if (isSettled && !state.hasOpenIntent && releasedSeats.empty())
+        return;
+
+    m_nextAppend = now + m_settings.appendRetryDelay;
+    const WitnessSetRecord record { nextRecordId(),     m_settings.self, state.epoch,
+                                    state.view.version, desired,         releasedSeats };
+    m_pendingChanges.push_back({ record.id, record.baseVersion, record.witnesses });
+    actions.emplace_back(AppendRecord { record });
+}
+
+std::vector<Incarnation> LeaseMachine::desiredWitnesses(Core::Instant now) const
+{
+    std::vector<Incarnation> desired;
+    for (const Incarnation &witness : witnessSet()) {
+        if (!isLost(witness, now))
+            desired.push_back(witness);
+    }
+    const std::vector<Core::VmId> &seats = m_register.state().view.seats;
+    std::size_t seatCount = seats.size();
+    for (const Incarnation &candidate : reachablePeers()) {
+        if (!mayJoin(candidate, now))
+            continue;
+        const bool hasSeat = std::count(seats.begin(), seats.end(), candidate.vm) > 0;
+        if (!hasSeat && seatCount >= m_settings.maximumSeats)
+            continue;
+        seatCount += hasSeat ? 0 : 1;
+        desired.push_back(candidate);
+    }
+    std::sort(desired.begin(), desired.end());
+    return desired;
+}
+
+bool LeaseMachine::isLost(const Incarnation &witness, Core::Instant now) const
+{
+    const auto peer = m_peers.find(witness);
+    if (peer == m_peers.end())
+        return now - m_epochSeenAt > m_settings.dropAfter;
+    if (peer->second.hasRefused || !peer->second.isCandidate)
+        return true;
+    return now - std::max(peer->second.lastAnswer, m_epochSeenAt) > m_settings.dropAfter;
+}
+
+bool LeaseMachine::mayJoin(const Incarnation &candidate, Core::Instant now) const
+{
+    if (m_register.state().hasWitness(candidate))
+        return false;
+    const PeerState &peer = m_peers.at(candidate);
+    if (peer.hasRefused || now - peer.inReachSince < m_settings.joinDelay)
+        return false;
+    if (promiseDeadline(candidate) <= now)
+        return false;
+    // Commands may already carry the present deadline; the newcomer must not claim before it.
+    return promiseDeadline(candidate) >= leaseDeadline() || !m_guards.newcomerCoversDeadline;
+}
+
+std::vector<Incarnation> LeaseMachine::reachablePeers() const
+{
+    std::vector<Incarnation> peers;
+    for (const auto &[incarnation, peer] : m_peers) {
+        if (peer.isCandidate)
+            peers.push_back(incarnation);
+    }
+    return peers;
+}
+
+std::vector<Core::VmId> LeaseMachine::seatsToRelease() const
+{
+    const DomainView &view = m_register.state().view;
+    std::vector<Core::VmId> seats;
+    for (const Core::VmId &seat : m_releasableSeats) {
+        const bool isSeated = std::count(view.seats.begin(), view.seats.end(), seat) > 0;
+        if (isSeated && !view.hasMember(seat))
+            seats.push_back(seat);
+    }
+    return seats;
+}
+
+void LeaseMachine::writeSnapshot(Core::Instant now, std::vector<LeaseAction> &actions)
+{
+    if (!isHolder(now) || !isLogFresh(now) || now < m_nextSnapshot)
+        return;
+    m_nextSnapshot = now + m_settings.snapshotInterval;
+    actions.emplace_back(
+        AppendRecord { LeaseSnapshotRecord { nextRecordId(), m_appliedEnd, m_register.state() } });
+}
+
+void LeaseMachine::writeRelease(Core::Instant now, std::vector<LeaseAction> &actions)
+{
+    const LeaseState &state = m_register.state();
+    const bool isNamed = m_register.isFounded() && state.holder == m_settings.self;
+    if (!isNamed || state.end != LeaseEnd::None || !isLogFresh(now) || now < m_nextAppend)
+        return;
+    m_nextAppend = now + m_settings.appendRetryDelay;
+    actions.emplace_back(
+        AppendRecord { ReleaseRecord { nextRecordId(), m_settings.self, state.epoch } });
+}
+
+} // namespace Lease
--- /dev/null
+++ b/Libraries/LibLease/LeaseMessageCodec.cpp
@@ -0,0 +1,107 @@
+#include "JsonForms.h"
+
+#include <LibCore/Error.h>
+#include <LibCore/Json.h>
+#include <LibLease/LeaseMessageCodec.h>
+
+namespace Lease {
+
+using Core::Json::integerMember;
+
+static Json::Value toJson(Core::Instant instant)
+{
+    return static_cast<Json::Int64>(instant.time_since_epoch().count());
+}
+
+static Core::Instant instantMember(const Json::Value &object, const char *name)
+{
+    return Core::Instant(Core::Duration(integerMember(object, name)));
+}
+
+static Json::Value toJson(const MemberGrant &grant)
+{
+    Json::Value value;
+    value["version"] = toJson(grant.version);
+    value["settled"] = toJson(grant.settledVersion);
+    if (grant.stamp)
+        value["stamp"] = toJson(*grant.stamp);
+    for (const DomainView &view : grant.views)
+        value["views"].append(toJson(view));
+    return value;
+}
+
+static MemberGrant grantFromJson(const Json::Value &value)
+{
+    MemberGrant grant;
+    grant.version = countMember(value, "version");
+    grant.settledVersion = countMember(value, "settled");
+    if (value.isMember("stamp"))
+        grant.stamp = instantMember(value, "stamp");
+    if (!value.isMember("views"))
+        return grant;
+    for (const Json::Value &view : Core::Json::arrayMember(value, "views"))
+        grant.views.push_back(viewFromJson(view));
+    return grant;
+}
+
+Json::Value LeaseMessageCodec::encode(const PromiseRequest &request)
+{
+    Json::Value value;
+    value["to"] = toJson(request.to);
+    value["holder"] = toJson(request.holder);
+    value["epoch"] = toJson(request.epoch);
+    value["version"] = toJson(request.version);
+    value["sequence"] = toJson(request.sequence);
+    value["length"] = static_cast<Json::Int64>(request.leaseLength.count());
+    if (request.grant)
+        value["grant"] = toJson(*request.grant);
+    return value;
+}
+
+Json::Value LeaseMessageCodec::encode(const PromiseAnswer &answer)
+{
+    Json::Value value;
+    value["from"] = toJson(answer.from);
+    value["epoch"] = toJson(answer.epoch);
+    value["sequence"] = toJson(answer.sequence);
+    value["granted"] = answer.isGranted;
+    if (!answer.acknowledgement)
+        return value;
+    value["stamp"] = toJson(answer.acknowledgement->stamp);
+    value["version"] = toJson(answer.acknowledgement->version);
+    value["drained"] = toJson(answer.acknowledgement->drainedVersion);
+    return value;
+}
+
+PromiseRequest LeaseMessageCodec::decodeRequest(const Json::Value &value)
+{
+    PromiseRequest request;
+    request.to = incarnationMember(value, "to");
+    request.holder = incarnationMember(value, "holder");
+    request.epoch = countMember(value, "epoch");
+    request.version = countMember(value, "version");
+    request.sequence = countMember(value, "sequence");
+    request.leaseLength = Core::Duration(integerMember(value, "length"));
+    if (request.leaseLength > longestLease || request.leaseLength < Core::Duration::zero())
+        throw Core::FormatError("read JSON", "length", "the lease length is out of range");
+    if (value.isMember("grant"))
+        request.grant = grantFromJson(value["grant"]);
+    return request;
+}
+
+PromiseAnswer LeaseMessageCodec::decodeAnswer(const Json::Value &value)
+{
+    PromiseAnswer answer;
+    answer.from = incarnationMember(value, "from");
+    answer.epoch = countMember(value, "epoch");
+    answer.sequence = countMember(value, "sequence");
+    answer.isGranted = Core::Json::booleanMember(value, "granted");
+    if (!value.isMember("stamp"))
+        return answer;
+    answer.acknowledgement = MemberAcknowledgement { instantMember(value, "stamp"),
+                                                     countMember(value, "version"),
+                                                     countMember(value, "drained") };
+    return answer;
+}
+
+} // namespace Lease
--- /dev/null
+++ b/Libraries/LibLease/LeaseRegister.cpp
@@ -0,0 +1,137 @@
+#include <LibLease/LeaseRegister.h>
+
+#include <algorithm>
+
+namespace Lease {
+
+void LeaseRegister::start(std::uint64_t firstOffset)
+{
+    m_firstOffset = firstOffset;
+    m_isFounded = firstOffset == 0;
+    m_state = {};
+    m_views = { m_state.view };
+    m_unfounded.clear();
+}
+
+bool LeaseRegister::apply(std::uint64_t offset, const LeaseRecord &record)
+{
+    const auto *snapshot = std::get_if<LeaseSnapshotRecord>(&record);
+    if (snapshot != nullptr)
+        return !m_isFounded && found(*snapshot);
+    if (m_isFounded)
+        return applyToState(record);
+    m_unfounded.emplace_back(offset, record);
+    return false;
+}
+
+bool LeaseRegister::found(const LeaseSnapshotRecord &snapshot)
+{
+    // Records between the snapshot's end and our first one would be missing.
+    if (snapshot.end < m_firstOffset)
+        return false;
+    m_isFounded = true;
+    m_state = snapshot.state;
+    m_views = { m_state.view };
+    for (const auto &[offset, record] : m_unfounded) {
+        if (offset >= snapshot.end)
+            applyToState(record);
+    }
+    m_unfounded.clear();
+    return true;
+}
+
+bool LeaseRegister::applyToState(const LeaseRecord &record)
+{
+    if (const auto *claim = std::get_if<ClaimRecord>(&record))
+        return apply(*claim);
+    if (const auto *witnessSet = std::get_if<WitnessSetRecord>(&record))
+        return apply(*witnessSet);
+    if (const auto *intent = std::get_if<TakeoverIntentRecord>(&record))
+        return apply(*intent);
+    if (const auto *takeover = std::get_if<OperatorTakeoverRecord>(&record))
+        return apply(*takeover);
+    if (const auto *release = std::get_if<ReleaseRecord>(&record))
+        return apply(*release);
+    return false;
+}
+
+bool LeaseRegister::apply(const ClaimRecord &record)
+{
+    if (record.epoch != m_state.epoch + 1 || record.baseVersion != m_state.view.version)
+        return false;
+    m_state.epoch = record.epoch;
+    m_state.end = LeaseEnd::None;
+    setMembers(record.holder, record.witnesses, {});
+    return true;
+}
+
+bool LeaseRegister::apply(const WitnessSetRecord &record)
+{
+    if (record.epoch != m_state.epoch || record.holder != m_state.holder)
+        return false;
+    if (record.baseVersion != m_state.view.version || m_state.end != LeaseEnd::None)
+        return false;
+    setMembers(record.holder, record.witnesses, record.releasedSeats);
+    return true;
+}
+
+bool LeaseRegister::apply(const TakeoverIntentRecord &record)
+{
+    if (record.epoch != m_state.epoch || record.baseVersion != m_state.view.version)
+        return false;
+    if (m_state.hasOpenIntent)
+        return false;
+    m_state.hasOpenIntent = true;
+    return true;
+}
+
+bool LeaseRegister::apply(const OperatorTakeoverRecord &record)
+{
+    if (record.epoch != m_state.epoch || record.baseVersion != m_state.view.version)
+        return false;
+    if (m_state.end != LeaseEnd::None)
+        return false;
+    m_state.end = LeaseEnd::OperatorTakeover;
+    return true;
+}
+
+bool LeaseRegister::apply(const ReleaseRecord &record)
+{
+    if (record.epoch != m_state.epoch || record.holder != m_state.holder)
+        return false;
+    if (m_state.end != LeaseEnd::None)
+        return false;
+    m_state.end = LeaseEnd::Released;
+    return true;
+}
+
+void LeaseRegister::setMembers(const Incarnation &holder, const std::vector<Incarnation> &witnesses,
+                               const std::vector<Core::VmId> &releasedSeats)
+{
+    m_state.holder = holder;
+    m_state.witnesses = witnesses;
+    std::sort(m_state.witnesses.begin(), m_state.witnesses.end());
+    m_state.hasOpenIntent = false;
+
+    DomainView &view = m_state.view;
+    ++view.version;
+    view.members = { holder.vm };
+    for (const Incarnation &witness : witnesses)
+        view.members.push_back(witness.vm);
+    std::sort(view.members.begin(), view.members.end());
+    const auto duplicates = std::unique(view.members.begin(), view.members.end());
+    view.members.erase(duplicates, view.members.end());
+
+    std::erase_if(view.seats, [&](const Core::VmId &seat) {
+        return std::count(releasedSeats.begin(), releasedSeats.end(), seat) > 0;
+    });
+    for (const Core::VmId &member : view.members) {
+        if (std::count(view.seats.begin(), view.seats.end(), member) == 0)
+            view.seats.push_back(member);
+    }
+    m_views.push_back(view);
+    if (m_views.size() > maximumViews)
+        m_views.pop_front();
+}
+
+} // namespace Lease
--- /dev/null
+++ b/Libraries/LibLease/MembershipMachineHolder.cpp
@@ -0,0 +1,132 @@
+// What a MembershipMachine does while its VM holds the domain's lease.
+
+#include <LibLease/MembershipMachine.h>
+
+#include <algorithm>
+
+namespace Lease {
+
+void MembershipMachine::noteHeldEpoch(Core::Instant now)
+{
+    if (m_heldEpoch == m_lease.epoch())
+        return;
+    // What the former holder granted is unknown, but it ended before this moment.
+    m_heldEpoch = m_lease.epoch();
+    m_heldSince = now;
+    m_members.clear();
+}
+
+void MembershipMachine::grantToSelf(Core::Instant now)
+{
+    MemberState &state = m_members[m_lease.self()];
+    state.lastStamp = now;
+    const std::optional<MemberGrant> grant = makeGrant(m_lease.self(), now);
+    if (!grant)
+        return;
+    applyGrant(*grant, now);
+    applyAcknowledgement(m_lease.self(), { now, m_latestVersion, m_drainedVersion }, now);
+}
+
+std::optional<MemberGrant> MembershipMachine::makeGrant(const Incarnation &member,
+                                                        Core::Instant now)
+{
+    const LeaseState &lease = m_lease.leaseRegister().state();
+    const bool isNamed = member == m_lease.self() || lease.hasWitness(member);
+    if (!m_lease.isHolder(now) || !isNamed)
+        return std::nullopt;
+
+    MemberState &state = m_members[member];
+    MemberGrant grant { lease.view.version, m_settledVersion, state.lastStamp, {} };
+    const std::uint64_t firstUnknown = std::max(m_settledVersion, state.version + 1);
+    for (const DomainView &view : m_lease.leaseRegister().views()) {
+        if (view.version >= firstUnknown)
+            grant.views.push_back(view);
+    }
+    if (grant.stamp)
+        state.lastGrant = now;
+    return grant;
+}
+
+void MembershipMachine::applyAcknowledgement(const Incarnation &member,
+                                             const MemberAcknowledgement &answer, Core::Instant now)
+{
+    MemberState &state = m_members[member];
+    state.lastStamp = std::max(state.lastStamp.value_or(answer.stamp), answer.stamp);
+    if (answer.version > state.version) {
+        state.version = answer.version;
+        state.versionSince = now;
+    }
+    state.drainedVersion = std::max(state.drainedVersion, answer.drainedVersion);
+}
+
+void MembershipMachine::settle(Core::Instant now)
+{
+    const std::uint64_t version = m_lease.leaseRegister().state().view.version;
+    if (version <= m_settledVersion)
+        return;
+    const std::deque<DomainView> &views = m_lease.leaseRegister().views();
+    // Members of views that we never read may still use shares that a former holder granted.
+    if (views.front().version > m_settledVersion && now < unknownGrantsEnd())
+        return;
+    for (const DomainView &view : views) {
+        if (view.version < m_settledVersion)
+            continue;
+        const bool isObeyed = std::all_of(
+            view.members.begin(), view.members.end(),
+            [&](const Core::VmId &member) { return obeysView(member, version, now); });
+        if (!isObeyed)
+            return;
+    }
+    m_settledVersion = version;
+    grantToSelf(now);
+}
+
+bool MembershipMachine::obeysView(const Core::VmId &vm, std::uint64_t version,
+                                  Core::Instant now) const
+{
+    for (const auto &[member, state] : m_members) {
+        if (member.vm != vm || state.version < version)
+            continue;
+        const bool isDrained = state.drainedVersion >= version && m_guards.waitsForRequests;
+        if (isDrained || now >= state.versionSince + withDrift(longestRequest()))
+            return true;
+    }
+    const Core::Duration untilUnused = withDrift(m_settings.memberLease + longestRequest());
+    return now >= lastGrantTo(vm) + untilUnused;
+}
+
+Core::Instant MembershipMachine::unknownGrantsEnd() const
+{
+    return m_heldSince + withDrift(m_settings.memberLease + longestRequest());
+}
+
+Core::Instant MembershipMachine::lastGrantTo(const Core::VmId &vm) const
+{
+    Core::Instant lastGrant = m_heldSince;
+    for (const auto &[member, state] : m_members) {
+        if (member.vm == vm)
+            lastGrant = std::max(lastGrant, state.lastGrant);
+    }
+    return lastGrant;
+}
+
+std::vector<Core::VmId> MembershipMachine::releasableSeats(Core::Instant now) const
+{
+    const Core::Duration untilUnused = m_guards.reservesFloors
+        ? withDrift(m_settings.floorLength + longestRequest())
+        : Core::Duration::zero();
+    const DomainView &view = m_lease.leaseRegister().state().view;
+    std::vector<Core::VmId> seats;
+    for (const Core::VmId &seat : view.seats) {
+        if (!view.hasMember(seat) && now >= lastGrantTo(seat) + untilUnused)
+            seats.push_back(seat);
+    }
+    return seats;
+}
+
+Core::Duration MembershipMachine::withDrift(Core::Duration length) const
+{
+    return m_lease.settings().withDrift(length);
+}
+
+} // namespace Lease
--- /dev/null
+++ b/Libraries/LibLease/SlotShares.cpp
@@ -0,0 +1,72 @@
+#include <LibCore/StableHash.h>
+#include <LibLease/SlotShares.h>
+
+#include <algorithm>
+
+namespace Lease {
+
+SlotShares::SlotShares(const MembershipMachine &membership)
+    : m_membership(membership)
+{
+}
+
+/// The floor of \p vm; a VM that was seated when no floor was left has none.
+static int floorShare(const DomainView &view, const Core::VmId &vm, int total, int floor)
+{
+    if (floor <= 0)
+        return 0;
+    const auto seat = std::find(view.seats.begin(), view.seats.end(), vm);
+    const auto position = static_cast<int>(seat - view.seats.begin());
+    const bool hasFloor = seat != view.seats.end() && position < total / floor;
+    return hasFloor ? floor : 0;
+}
+
+static int remainderShare(const DomainView &view, const Core::VmId &vm,
+                          const Core::VmId &backendServer, int total, int floor)
+{
+    const auto member = std::lower_bound(view.members.begin(), view.members.end(), vm);
+    if (member == view.members.end() || *member != vm)
+        return 0;
+    const int floorCount
+        = floor > 0 ? std::min(static_cast<int>(view.seats.size()), total / floor) : 0;
+    const int remainder = total - floorCount * floor;
+    const auto memberCount = static_cast<int>(view.members.size());
+    const auto position = static_cast<std::uint64_t>(member - view.members.begin());
+    // What doesn't divide evenly goes to other members at other backend servers.
+    const std::uint64_t turn
+        = (position + Core::stableHash(backendServer.text())) % view.members.size();
+    const bool hasExtra = static_cast<int>(turn) < remainder % memberCount;
+    return remainder / memberCount + (hasExtra ? 1 : 0);
+}
+
+int SlotShares::share(const DomainView &view, const Core::VmId &vm, const Core::VmId &backendServer,
+                      int total, int floor)
+{
+    return floorShare(view, vm, total, floor)
+        + remainderShare(view, vm, backendServer, total, floor);
+}
+
+ShareLimit SlotShares::limitFor(const Core::VmId &backendServer, int slots, int connections,
+                                Core::Instant now) const
+{
+    const MembershipSettings &settings = m_membership.settings();
+    const Core::VmId &self = m_membership.self();
+    const std::vector<DomainView> views = m_membership.bindingViews(now);
+    if (views.empty())
+        return {};
+    const bool isReduced = m_membership.isReducedToFloor(now);
+    const auto partOf = [&](const DomainView &view, int total, int floor) {
+        if (isReduced)
+            return floorShare(view, self, total, floor);
+        return share(view, self, backendServer, total, floor);
+    };
+    ShareLimit limit { slots, connections };
+    for (const DomainView &view : views) {
+        limit.slots = std::min(limit.slots, partOf(view, slots, settings.floorSlots));
+        limit.connections
+            = std::min(limit.connections, partOf(view, connections, settings.floorConnections));
+    }
+    return limit;
+}
+
+} // namespace Lease
--- /dev/null
+++ b/include/LibLease/MembershipSettings.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <LibCore/Time.h>
+
+namespace Lease {
+
+/// The settings of a MembershipMachine; the same on all entry VMs of a failure domain.
+struct MembershipSettings
+{
+    /// How long a member may use its share of the remainder after its last acknowledgement.
+    Core::Duration memberLease = std::chrono::milliseconds(3000);
+    /// How long a member that is cut off may serve from its floor.
+    Core::Duration floorLength = std::chrono::minutes(10);
+    /// The longest time that a backend server works on a request whose entry VM died.
+    Core::Duration longestRequest = std::chrono::seconds(30);
+    /// The part of each backend server's limits that a member keeps while it is cut off.
+    int floorSlots = 1;
+    int floorConnections = 8;
+};
+
+} // namespace Lease
