--- a/Libraries/LibLease/LeaseMachine.cpp
+++ b/Libraries/LibLease/LeaseMachine.cpp
@@ -114,9 +114,9 @@
 {
     if (!isRecordedHolder() || answer.epoch != epoch())
         return;
-    const auto round
-        = std::find_if(m_rounds.begin(), m_rounds.end(),
-                       [&](const Round &sent) { return sent.sequence == answer.sequence; });
+    const auto round = std::find_if(m_rounds.begin(), m_rounds.end(), [&](const Round &sent) {
+        return sent.sequence == answer.sequence;
+    });
     if (round == m_rounds.end())
         return;
     PeerState &peer = m_peers[answer.from];
@@ -241,8 +241,8 @@
 bool LeaseMachine::isRecordedHolder() const
 {
     const LeaseState &state = m_register.state();
-    return !m_isReleased && m_register.isFounded() && state.epoch > 0
-        && state.end == LeaseEnd::None && state.holder == m_settings.self;
+    return !m_isReleased && m_register.isFounded() && state.epoch > 0 && state.end == LeaseEnd::None
+        && state.holder == m_settings.self;
 }
 
 bool LeaseMachine::isSelf(const Incarnation &incarnation) const
--- a/Libraries/LibLease/LeaseMachineClaims.cpp
+++ b/Libraries/LibLease/LeaseMachineClaims.cpp
@@ -80,8 +80,8 @@
         return;
     m_nextAppend = now + m_settings.appendRetryDelay;
     m_nextIntent = now + intentInterval;
-    actions.emplace_back(AppendRecord { TakeoverIntentRecord {
-        nextRecordId(), m_settings.self, state.epoch, state.view.version } });
+    actions.emplace_back(AppendRecord { TakeoverIntentRecord { nextRecordId(), m_settings.self,
+                                                               state.epoch, state.view.version } });
 }
 
 bool LeaseMachine::hasReachableElector() const
--- a/Libraries/LibLease/LeaseMessageCodec.cpp
+++ b/Libraries/LibLease/LeaseMessageCodec.cpp
@@ -98,9 +98,9 @@
     answer.isGranted = Core::Json::booleanMember(value, "granted");
     if (!value.isMember("stamp"))
         return answer;
-    answer.acknowledgement = MemberAcknowledgement { instantMember(value, "stamp"),
-                                                     countMember(value, "version"),
-                                                     countMember(value, "drained") };
+    answer.acknowledgement
+        = MemberAcknowledgement { instantMember(value, "stamp"), countMember(value, "version"),
+                                  countMember(value, "drained") };
     return answer;
 }
 
--- a/Libraries/LibLease/LeaseRecordCodec.cpp
+++ b/Libraries/LibLease/LeaseRecordCodec.cpp
@@ -156,7 +156,8 @@
                                         countMember(value, "baseVersion") };
     }
     if (type == releaseType)
-        return ReleaseRecord { id, incarnationMember(value, "holder"), countMember(value, "epoch") };
+        return ReleaseRecord { id, incarnationMember(value, "holder"),
+                               countMember(value, "epoch") };
     if (type == snapshotType)
         return decodeSnapshot(value);
     return std::nullopt;
--- a/Libraries/LibLease/MembershipMachineHolder.cpp
+++ b/Libraries/LibLease/MembershipMachineHolder.cpp
@@ -71,9 +71,10 @@
     for (const DomainView &view : views) {
         if (view.version < m_settledVersion)
             continue;
-        const bool isObeyed = std::all_of(
-            view.members.begin(), view.members.end(),
-            [&](const Core::VmId &member) { return obeysView(member, version, now); });
+        const bool isObeyed
+            = std::all_of(view.members.begin(), view.members.end(), [&](const Core::VmId &member) {
+                  return obeysView(member, version, now);
+              });
         if (!isObeyed)
             return;
     }
@@ -87,7 +88,7 @@
     for (const auto &[member, state] : m_members) {
         if (member.vm != vm || state.version < version)
             continue;
-        const bool isDrained = state.drainedVersion >= version && m_guards.waitsForRequests;
+        const bool isDrained = state.drainedVersion >= version;
         if (isDrained || now >= state.versionSince + withDrift(longestRequest()))
             return true;
     }
--- a/include/LibLease/LeaseAction.h
+++ b/include/LibLease/LeaseAction.h
@@ -7,7 +7,8 @@
 
 namespace Lease {
 
-/// Append the record to the domain's stream and report the outcome by LeaseMachine::onAppendOutcome.
+/// Append the record to the domain's stream and report the outcome by
+/// LeaseMachine::onAppendOutcome.
 struct AppendRecord
 {
     LeaseRecord record;
--- a/include/LibLease/LeaseMachine.h
+++ b/include/LibLease/LeaseMachine.h
@@ -20,7 +20,8 @@
 ///
 /// The lease is valid while every recorded witness has promised, within the lease length, to claim
 /// nothing; a witness whose promise has lapsed may claim through the log. So no two VMs hold it at
-/// once, and a log outage alone ends no lease. docs/design/LEASE.md has the rules and their reasons.
+/// once, and a log outage alone ends no lease. docs/design/LEASE.md has the rules and their
+/// reasons.
 ///
 /// The machine is driven by the shell: records and stream ends from the log, messages from peers,
 /// and poll() at nextWakeUp() or after any input.
--- a/include/LibLease/LeaseRecords.h
+++ b/include/LibLease/LeaseRecords.h
@@ -71,8 +71,8 @@
     bool operator==(const ReleaseRecord &) const = default;
 };
 
-/// The state after all records before offset \c end, so that a reader doesn't need those that expired.
-/// True whoever writes it and whenever it lands.
+/// The state after all records before offset \c end, so that a reader doesn't need those that
+/// expired. True whoever writes it and whenever it lands.
 struct LeaseSnapshotRecord
 {
     std::string id;
--- a/include/LibLease/LeaseSettings.h
+++ b/include/LibLease/LeaseSettings.h
@@ -26,7 +26,8 @@
     /// Claims and changes are sent only if the end of the stream was read within this time.
     Core::Duration logFreshness = std::chrono::milliseconds(2000);
     /// A holder stops when it hasn't read the end of the stream for so long. It bounds the log
-    /// outage that a domain's work survives, and is the wait when holder and witnesses are all gone.
+    /// outage that a domain's work survives, and is the wait when holder and witnesses are all
+    /// gone.
     Core::Duration logSilenceBound = std::chrono::minutes(10);
     /// The distance of snapshot records; well below the log's retention.
     Core::Duration snapshotInterval = std::chrono::minutes(10);
