LibPlatform: Give StopMode a header free of Boost

The task placer is a pure module and names the stop mode in its actions; WorkerControl.h brings Asio with it. WorkerControl.h includes the new header, so its users see no change.

--- a/include/LibPlatform/WorkerControl.h
+++ b/include/LibPlatform/WorkerControl.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifier.h>
 #include <LibCore/Time.h>
+#include <LibPlatform/StopMode.h>
 #include <LibTask/AttemptReport.h>
 #include <LibTask/TaskSpec.h>
 
@@ -13,12 +14,6 @@
 
 namespace Platform {
 
-enum class StopMode {
-    /// Write a checkpoint first, then stop.
-    Checkpoint,
-    Kill,
-};
-
 struct StartCommand
 {
     Core::VmId worker;
