LibPlacement: Add the informed scheduler and two baselines

Cause: placement needs one policy for capacity, quotas, priorities, preemption, interference and failures behind the abstract Scheduler.

Change: small parts (CapacityLedger, WorkerIndex, QuotaLedger, WaitingQueue, Preemptor, UsageEstimator, InterferenceModel, WorkerHealth, RackSpread) that InformedScheduler composes; FirstFitScheduler and EvictOnAlarmScheduler as baselines.

--- /dev/null
+++ b/Libraries/LibPlacement/InformedScheduler.cpp
@@ -0,0 +1,292 @@
+#include <LibPlacement/InformedScheduler.h>
+
+#include <LibCore/Error.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Placement {
+
+namespace {
+
+constexpr Core::Duration drainSearchInterval = std::chrono::seconds(1);
+constexpr double usageSmoothing = 0.5;
+
+std::int64_t smoothed(std::int64_t before, std::int64_t observed)
+{
+    return before
+        + static_cast<std::int64_t>(usageSmoothing * static_cast<double>(observed - before));
+}
+
+Core::Resources smoothed(const Core::Resources &before, const Core::Resources &observed)
+{
+    return { smoothed(before.milliCores, observed.milliCores),
+             smoothed(before.mebibytes, observed.mebibytes), observed.accelerators };
+}
+
+void require(bool condition, const std::string &setting)
+{
+    if (!condition)
+        throw Core::Error("create scheduler", "settings", setting + " is out of its range");
+}
+
+} // namespace
+
+std::unique_ptr<InformedScheduler> InformedScheduler::create(const SchedulerSettings &settings)
+{
+    require(settings.failureDomainCount > 0, "failureDomainCount");
+    require(settings.workersPerDrain > 0, "workersPerDrain");
+    require(settings.failedSearchesPerCall > 0, "failedSearchesPerCall");
+    require(settings.evacuationInterval > Core::Duration::zero(), "evacuationInterval");
+    require(settings.returnStartInterval > Core::Duration::zero(), "returnStartInterval");
+    const InterferenceSettings &interference = settings.interference;
+    require(interference.calmSlowdown < interference.alarmSlowdown, "calmSlowdown");
+    require(interference.throttlePercent > 0 && interference.throttlePercent < 100,
+            "throttlePercent");
+    require(interference.evictionBurstPerDomain > 0, "evictionBurstPerDomain");
+    require(settings.health.failedJobsToQuarantine > 0, "failedJobsToQuarantine");
+    require(settings.health.failedWorkersToHold > 0, "failedWorkersToHold");
+    return std::unique_ptr<InformedScheduler>(new InformedScheduler(settings));
+}
+
+InformedScheduler::InformedScheduler(const SchedulerSettings &settings)
+    : m_settings(settings)
+    , m_returnStarts(settings.returnStartInterval, 1)
+    , m_evacuations(settings.evacuationInterval, 1)
+    , m_drainSearches(drainSearchInterval, 1)
+    , m_queue(settings.agingPerPriority)
+    , m_health(settings.health)
+    , m_interference(settings.interference)
+    , m_search(m_fleet, m_interference, m_health, settings.seed)
+{
+}
+
+void InformedScheduler::setRules(const Rules::RuleSet &rules)
+{
+    if (rules == m_rules)
+        return;
+    m_rules = rules;
+    const bool wasOut = std::exchange(m_isOut, rules.isOut(m_settings.failureDomain));
+    m_isReturning = wasOut && !m_isOut;
+    const int domainsOut = static_cast<int>(rules.domainsOut.size());
+    m_fleet.setRules(rules, std::max(1, m_settings.failureDomainCount - domainsOut));
+    const std::vector<WaitingTask> waiting = m_queue.tasks();
+    m_queue = WaitingQueue(m_settings.agingPerPriority);
+    for (const WaitingTask &task : waiting)
+        enqueue(task);
+    for (WorkerSlot worker = 0; worker < m_fleet.workers(); ++worker) {
+        for (RunningAttempt *attempt : m_fleet.attempts().onWorker(worker)) {
+            const bool isCritical
+                = kindOf(attempt->spec.taskClass) == Rules::TaskKind::LatencyCritical;
+            m_fleet.setLatencyCritical(*attempt, isCritical);
+        }
+    }
+    requeueForbiddenClaims();
+    planEvacuation();
+}
+
+void InformedScheduler::setWorkers(const std::vector<Platform::VmEntry> &workers)
+{
+    for (const WorkerSlot withdrawn : m_fleet.setWorkers(workers))
+        requeueClaimsOn(withdrawn);
+    m_capacities.clear();
+    for (const Platform::VmEntry &entry : workers) {
+        const bool isKnownSize = std::find(m_capacities.begin(), m_capacities.end(), entry.capacity)
+            != m_capacities.end();
+        if (entry.kind == Platform::VmKind::Worker && !isKnownSize)
+            m_capacities.push_back(entry.capacity);
+    }
+}
+
+void InformedScheduler::addWaiting(const WaitingTask &task)
+{
+    if (isKnown(task.spec.id))
+        return;
+    m_held.erase(task.spec.id);
+    if (m_health.failuresOfJob(task.spec.id) > 0)
+        m_failedBefore.insert(task.spec.id);
+    enqueue(task);
+}
+
+void InformedScheduler::removeWaiting(const Core::TaskId &task)
+{
+    m_queue.remove(task);
+    m_fleet.unclaim(task);
+    m_failedBefore.erase(task);
+    m_held.erase(task);
+}
+
+void InformedScheduler::adopt(const PlacedAttempt &attempt)
+{
+    const RunningAttempt *adopted = m_fleet.adopt(runningFrom(attempt));
+    if (adopted && !isAllowedHere(attempt.spec.taskClass))
+        m_toEvacuate.push_back(adopted->attempt);
+}
+
+void InformedScheduler::attemptStarted(const PlacedAttempt &attempt)
+{
+    if (m_fleet.attempts().find(attempt.attempt))
+        return;
+    RunningAttempt *pending = m_fleet.attempts().find({ attempt.spec.id, 0 });
+    const bool isExpected = pending && m_fleet.idOf(pending->worker) == attempt.worker;
+    if (!isExpected) {
+        // What was started counts, whatever was decided.
+        m_fleet.release({ attempt.spec.id, 0 });
+        adopt(attempt);
+        return;
+    }
+    m_fleet.rename(*pending, attempt.attempt);
+    pending->progressSavedAt = attempt.startedAt;
+    if (!isAllowedHere(attempt.spec.taskClass))
+        m_toEvacuate.push_back(attempt.attempt);
+}
+
+void InformedScheduler::startAbandoned(const Core::TaskId &task)
+{
+    const std::optional<RunningAttempt> pending = m_fleet.release({ task, 0 });
+    if (pending)
+        addWaiting({ pending->spec, pending->submittedAt, pending->endedAttempts });
+}
+
+void InformedScheduler::attemptEnded(const Task::AttemptId &attempt, Task::AttemptPhase phase,
+                                     Core::Instant now)
+{
+    const std::optional<RunningAttempt> ended = m_fleet.release(attempt);
+    if (!ended)
+        return;
+    if (phase == Task::AttemptPhase::Finished)
+        m_health.succeeded(attempt.task, ended->worker, now);
+    if (phase == Task::AttemptPhase::Failed)
+        m_health.failed(attempt.task, ended->worker, now);
+}
+
+void InformedScheduler::observe(const Task::AttemptReport &report, Core::Instant now)
+{
+    RunningAttempt *attempt = m_fleet.attempts().find(report.attempt);
+    if (!attempt || report.phase != Task::AttemptPhase::Running)
+        return;
+    attempt->used = smoothed(attempt->used, report.used);
+    if (!report.checkpoint.empty() && report.checkpoint != attempt->checkpoint) {
+        attempt->checkpoint = report.checkpoint;
+        attempt->progressSavedAt = now;
+    }
+    m_usage.observe(attempt->spec, attempt->used);
+    m_fleet.setExcess(*attempt,
+                      UsageEstimator::observedExcess(attempt->spec.declared, attempt->used));
+    if (attempt->isLatencyCritical)
+        learnInterference(*attempt, report.slowdown, now);
+}
+
+std::vector<Decision> InformedScheduler::decide(Core::Instant now, std::size_t maximumStarts)
+{
+    if (std::exchange(m_isReturning, false))
+        m_rampUntil = now + m_settings.returnRamp;
+    Pass pass { now, maximumStarts, m_settings.failedSearchesPerCall * effortOfSearch, {}, {} };
+    updateHealth(pass);
+    holdBadJobs(pass);
+    evacuate(pass);
+    relieveInterference(pass);
+    expireClaims(pass);
+    startClaimed(pass);
+    startWaiting(pass);
+    return std::move(pass.decisions);
+}
+
+Rules::TaskKind InformedScheduler::kindOf(const Core::TaskClassId &taskClass) const
+{
+    const auto rule = m_rules.classes.find(taskClass);
+    return rule == m_rules.classes.end() ? Rules::TaskKind::Batch : rule->second.kind;
+}
+
+int InformedScheduler::priorityOf(const Core::TaskClassId &taskClass) const
+{
+    const auto rule = m_rules.classes.find(taskClass);
+    return rule == m_rules.classes.end() ? 0 : rule->second.priority;
+}
+
+bool InformedScheduler::isAllowedHere(const Core::TaskClassId &taskClass) const
+{
+    return !m_isOut && m_rules.mayRunIn(taskClass, m_settings.failureDomain);
+}
+
+bool InformedScheduler::isKnown(const Core::TaskId &task) const
+{
+    return m_queue.find(task) || m_fleet.claims().find(task)
+        || m_fleet.attempts().find({ task, 0 });
+}
+
+void InformedScheduler::enqueue(const WaitingTask &task)
+{
+    WaitingTask withoutPayload = task;
+    withoutPayload.spec.payload.clear();
+    m_queue.add(withoutPayload, kindOf(task.spec.taskClass), priorityOf(task.spec.taskClass));
+}
+
+void InformedScheduler::requeueClaimsOn(WorkerSlot worker)
+{
+    for (const Core::TaskId &task : m_fleet.claims().onWorker(worker))
+        requeueClaim(task);
+}
+
+void InformedScheduler::requeueClaim(const Core::TaskId &task)
+{
+    const std::optional<Claim> claim = m_fleet.unclaim(task);
+    if (claim)
+        enqueue(claim->task);
+}
+
+void InformedScheduler::requeueForbiddenClaims()
+{
+    std::vector<Core::TaskId> forbidden;
+    for (const auto &[task, claim] : m_fleet.claims().all()) {
+        if (!isAllowedHere(claim.task.spec.taskClass))
+            forbidden.push_back(task);
+    }
+    for (const Core::TaskId &task : forbidden)
+        requeueClaim(task);
+}
+
+void InformedScheduler::planEvacuation()
+{
+    m_toEvacuate.clear();
+    for (WorkerSlot worker = 0; worker < m_fleet.workers(); ++worker) {
+        for (const RunningAttempt *attempt : m_fleet.attempts().onWorker(worker)) {
+            if (attempt->isNamed() && !isAllowedHere(attempt->spec.taskClass))
+                m_toEvacuate.push_back(attempt->attempt);
+        }
+    }
+    // Latency-critical work has people waiting for it, so it moves first.
+    const auto isUrgent = [this](const Task::AttemptId &attempt) {
+        return m_fleet.attempts().find(attempt)->isLatencyCritical;
+    };
+    std::stable_partition(m_toEvacuate.begin(), m_toEvacuate.end(), isUrgent);
+}
+
+RunningAttempt InformedScheduler::runningFrom(const PlacedAttempt &placed)
+{
+    RunningAttempt running;
+    running.spec = placed.spec;
+    running.spec.payload.clear();
+    running.attempt = placed.attempt;
+    running.worker = m_fleet.slotOf(placed.worker);
+    running.classIndex = m_classes.indexOf(placed.spec.taskClass);
+    running.isLatencyCritical = kindOf(placed.spec.taskClass) == Rules::TaskKind::LatencyCritical;
+    running.progressSavedAt = placed.startedAt;
+    running.submittedAt = placed.startedAt;
+    return running;
+}
+
+void InformedScheduler::learnInterference(const RunningAttempt &attempt, double slowdown,
+                                          Core::Instant now)
+{
+    m_interference.observe(attempt.worker, attempt.classIndex, slowdown, now);
+    const double cores = static_cast<double>(m_fleet.ledger().capacity(attempt.worker).milliCores);
+    for (const RunningAttempt *neighbour : m_fleet.attempts().onWorker(attempt.worker)) {
+        if (neighbour->isLatencyCritical)
+            continue;
+        const double part = static_cast<double>(neighbour->used.milliCores) / std::max(1.0, cores);
+        m_interference.blame(neighbour->classIndex, slowdown, part);
+    }
+}
+
+} // namespace Placement
--- /dev/null
+++ b/Libraries/LibPlacement/QuotaLedger.cpp
@@ -0,0 +1,98 @@
+#include <LibPlacement/QuotaLedger.h>
+
+#include <algorithm>
+
+namespace Placement {
+
+namespace {
+
+Core::Resources dividedBy(const Core::Resources &resources, int parts)
+{
+    // Rounded up, so that a quota of one accelerator is worth one in some failure domain.
+    const auto divide = [parts](std::int64_t amount) { return (amount + parts - 1) / parts; };
+    return { divide(resources.milliCores), divide(resources.mebibytes),
+             divide(resources.accelerators) };
+}
+
+Core::Resources positivePart(const Core::Resources &resources)
+{
+    return { std::max<std::int64_t>(0, resources.milliCores),
+             std::max<std::int64_t>(0, resources.mebibytes),
+             std::max<std::int64_t>(0, resources.accelerators) };
+}
+
+double part(std::int64_t used, std::int64_t capacity)
+{
+    return capacity > 0 ? static_cast<double>(used) / static_cast<double>(capacity) : 0.0;
+}
+
+} // namespace
+
+void QuotaLedger::setRules(const Rules::RuleSet &rules, int failureDomains)
+{
+    for (auto &[team, state] : m_teams) {
+        state.quota = {};
+        state.weight = 1;
+    }
+    for (const auto &[team, rule] : rules.teams) {
+        TeamState &state = m_teams[team];
+        state.quota = dividedBy(rule.quota, std::max(1, failureDomains));
+        state.weight = std::max(1, rule.weight);
+    }
+}
+
+void QuotaLedger::add(const Core::TeamId &team, const Core::Resources &size)
+{
+    TeamState &state = m_teams[team];
+    state.used = state.used + size;
+}
+
+void QuotaLedger::remove(const Core::TeamId &team, const Core::Resources &size)
+{
+    TeamState &state = m_teams[team];
+    state.used = state.used - size;
+}
+
+Core::Resources QuotaLedger::used(const Core::TeamId &team) const
+{
+    const auto found = m_teams.find(team);
+    return found == m_teams.end() ? Core::Resources {} : found->second.used;
+}
+
+Core::Resources QuotaLedger::quota(const Core::TeamId &team) const
+{
+    const auto found = m_teams.find(team);
+    return found == m_teams.end() ? Core::Resources {} : found->second.quota;
+}
+
+bool QuotaLedger::wouldBorrow(const Core::TeamId &team, const Core::Resources &size) const
+{
+    const auto found = m_teams.find(team);
+    if (found == m_teams.end())
+        return true;
+    return !(found->second.used + size).fitsIn(found->second.quota);
+}
+
+std::map<Core::TeamId, Core::Resources> QuotaLedger::usedAboveQuota() const
+{
+    std::map<Core::TeamId, Core::Resources> above;
+    for (const auto &[team, state] : m_teams) {
+        if (!state.used.fitsIn(state.quota))
+            above.emplace(team, positivePart(state.used - state.quota));
+    }
+    return above;
+}
+
+double QuotaLedger::weightedShare(const Core::TeamId &team) const
+{
+    const auto found = m_teams.find(team);
+    if (found == m_teams.end())
+        return 0.0;
+    const TeamState &state = found->second;
+    const double share = std::max({ part(state.used.milliCores, m_capacity.milliCores),
+                                    part(state.used.mebibytes, m_capacity.mebibytes),
+                                    part(state.used.accelerators, m_capacity.accelerators) });
+    return share / state.weight;
+}
+
+} // namespace Placement
--- /dev/null
+++ b/Libraries/LibPlacement/WaitingQueue.cpp
@@ -0,0 +1,59 @@
+#include <LibPlacement/WaitingQueue.h>
+
+namespace Placement {
+
+bool WaitingQueue::ItemOrder::operator()(const Item *left, const Item *right) const
+{
+    if (left->order != right->order)
+        return left->order < right->order;
+    return left->task.spec.id < right->task.spec.id;
+}
+
+WaitingQueue::WaitingQueue(Core::Duration agingPerPriority)
+    : m_agingPerPriority(agingPerPriority)
+{
+}
+
+bool WaitingQueue::add(const WaitingTask &task, Rules::TaskKind kind, int priority)
+{
+    const Core::Instant order = task.submittedAt - priority * m_agingPerPriority;
+    Item item { task, { kind, task.spec.team }, order };
+    const auto [position, isNew] = m_items.try_emplace(task.spec.id, std::move(item));
+    if (!isNew)
+        return false;
+    m_lanes[position->second.lane].insert(&position->second);
+    return true;
+}
+
+std::optional<WaitingTask> WaitingQueue::remove(const Core::TaskId &task)
+{
+    const auto found = m_items.find(task);
+    if (found == m_items.end())
+        return std::nullopt;
+    const auto lane = m_lanes.find(found->second.lane);
+    lane->second.erase(&found->second);
+    if (lane->second.empty())
+        m_lanes.erase(lane);
+    WaitingTask removed = std::move(found->second.task);
+    m_items.erase(found);
+    return removed;
+}
+
+const WaitingQueue::Item *WaitingQueue::find(const Core::TaskId &task) const
+{
+    const auto found = m_items.find(task);
+    return found == m_items.end() ? nullptr : &found->second;
+}
+
+std::vector<WaitingTask> WaitingQueue::tasks() const
+{
+    std::vector<WaitingTask> tasks;
+    tasks.reserve(m_items.size());
+    for (const auto &[lane, items] : m_lanes) {
+        for (const Item *item : items)
+            tasks.push_back(item->task);
+    }
+    return tasks;
+}
+
+} // namespace Placement
--- /dev/null
+++ b/include/LibPlacement/AttemptHash.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibTask/TaskSpec.h>
+
+#include <cstddef>
+#include <functional>
+
+namespace Placement {
+
+/// Lets attempts be keys of unordered containers.
+struct AttemptHash
+{
+    std::size_t operator()(const Task::AttemptId &attempt) const noexcept
+    {
+        constexpr std::size_t oddMultiplier = 0x9e3779b97f4a7c15U;
+        return std::hash<Core::TaskId>()(attempt.task) ^ (attempt.number * oddMultiplier);
+    }
+};
+
+} // namespace Placement
