--- /dev/null
+++ b/Libraries/LibRouting/Rendezvous.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <LibCore/Identifier.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Routing {
+
+/// The hash of one member for a team's key. Stable across processes, releases and machines.
+std::uint64_t rendezvousHash(const std::string &member, const Core::TeamId &team,
+                             const std::string &key);
+
+/// The member with the highest hash for a team's key; empty if there are none. Adding or removing
+/// a member moves only the keys that it gains or loses.
+template<typename Id>
+Id rendezvousOwner(const std::vector<Id> &members, const Core::TeamId &team, const std::string &key)
+{
+    Id owner;
+    std::uint64_t highest = 0;
+    for (const Id &member : members) {
+        const std::uint64_t hash = rendezvousHash(member.text(), team, key);
+        const bool isHigher
+            = owner.isEmpty() || hash > highest || (hash == highest && member < owner);
+        if (!isHigher)
+            continue;
+        owner = member;
+        highest = hash;
+    }
+    return owner;
+}
+
+} // namespace Routing
--- a/include/LibRouting/KeyOwnership.h
+++ b/include/LibRouting/KeyOwnership.h
@@ -37,6 +37,8 @@
     Core::VmId m_self;
     Core::FailureDomainId m_ownDomain;
     Core::Duration m_keyLifetime;
+    /// What this process saw before its first view isn't known.
+    Core::Instant m_knownSince;
     /// Oldest first. Kept for a key's lifetime, as older ones say nothing that matters.
     std::deque<MembershipView> m_views;
 };
--- a/include/LibRouting/KeyTable.h
+++ b/include/LibRouting/KeyTable.h
@@ -48,7 +48,8 @@
     void finishNotRun(const Core::TeamId &team, const std::string &key,
                       const Core::RequestId &request);
 
-    /// The entry VM that ran the request is gone and can't report: its end stays unknown.
+    /// The entry VM that ran the request is gone or silent: its end is unknown, unless it reports
+    /// after all.
     void giveUp(const Core::TeamId &team, const std::string &key, const Core::RequestId &request,
                 Core::Instant now);
 
@@ -64,20 +65,19 @@
         Core::RequestId request;
         bool isFinished = false;
         StoredOutcome outcome;
-        Core::Instant touchedAt;
+        std::multimap<Core::Instant, std::string>::iterator position;
     };
+    using Entries = std::unordered_map<std::string, Entry>;
 
-    std::optional<std::string> refusalForUnseen(const Core::TeamId &team, const std::string &key,
+    static KeyDecision decisionForSeen(const Entry &entry, const Core::RequestId &request);
+    std::optional<std::string> refusalForUnseen(Core::Instant ownedSince,
                                                 std::optional<Core::Instant> issuedAt,
-                                                const KeyOwnership &ownership,
                                                 Core::Instant now) const;
-    Entry *unfinished(const Core::TeamId &team, const std::string &key,
-                      const Core::RequestId &request);
-    void touch(const std::string &name, Entry &entry, Core::Instant now);
-    void erase(const std::string &name);
+    void erase(Entries::iterator entry);
 
     KeyTableSettings m_settings;
-    std::unordered_map<std::string, Entry> m_entries;
+    Entries m_entries;
+    /// By the instant of the first use, or of its end.
     std::multimap<Core::Instant, std::string> m_byTouch;
     std::unordered_map<Core::TeamId, std::size_t> m_keysPerTeam;
 };
--- a/include/LibRouting/RequestRouter.h
+++ b/include/LibRouting/RequestRouter.h
@@ -58,7 +58,8 @@
     /// The other door refused as "not run" and said when to come back.
     RouteActions onSpillRefused(const Core::RequestId &request, int attempt,
                                 Core::Instant retryAfter, Core::Instant now);
-    /// The other door answered. `onAttemptNotSent` and `onAttemptBroken` serve spilled attempts too.
+    /// The other door answered. `onAttemptNotSent` and `onAttemptBroken` serve spilled attempts
+    /// too.
     RouteActions onSpillAnswer(const Core::RequestId &request, int attempt, int status,
                                Core::Instant now);
 
--- a/include/LibRouting/RouterSettings.h
+++ b/include/LibRouting/RouterSettings.h
@@ -57,8 +57,12 @@
     /// A backend server works on no request longer than this, counted from a sign of life. Until
     /// then an abandoned attempt keeps its slot and its connection.
     Core::Duration longestServiceTime = std::chrono::seconds(10);
+    /// How long a backend server keeps a connection on which nothing comes.
+    Core::Duration serverIdleTimeout = std::chrono::seconds(60);
 
     Core::Duration longestRetryAfter = std::chrono::seconds(30);
+    /// A request is passed on to another failure domain if our queue costs so much more time.
+    Core::Duration spillOverMargin = std::chrono::milliseconds(5);
 
     bool operator==(const RouterSettings &) const = default;
 };
--- /dev/null
+++ b/include/LibRouting/SlotLimiter.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <LibCore/Identifier.h>
+#include <LibCore/Time.h>
+
+#include <optional>
+#include <vector>
+
+namespace Routing {
+
+/// Counts what one backend server may hold of ours: requests in work and connections, as the
+/// server sees them. What we have given up on keeps counting until the server has surely ended
+/// it: its end was seen, or the bound has passed since a later sign of life. A frozen server gives
+/// no sign of life, so nothing is freed however long it stays frozen.
+class SlotLimiter
+{
+public:
+    /// \p longestServiceTime bounds a request's work after a sign of life; \p idleTimeout is how
+    /// long a server keeps a connection on which nothing comes.
+    SlotLimiter(Core::Duration longestServiceTime, Core::Duration idleTimeout);
+
+    void setShare(int slots, int connections);
+    int slots() const { return m_slots; }
+
+    /// True if one more request may be sent without going above a share.
+    bool hasFreeSlot() const;
+    /// True if one more connection may be opened for a probe.
+    bool hasFreeConnection() const;
+    int inWork() const { return m_inWork; }
+    int abandoned() const { return static_cast<int>(m_abandoned.size()); }
+    /// True if the server holds nothing of ours.
+    bool isUnused() const { return connectionsWith(0) == 0; }
+    /// How many idle connections have to be closed to come down to the share.
+    int surplusConnections() const;
+
+    void onSent() { ++m_inWork; }
+    /// The attempt has ended at the server, or never reached it.
+    void onEnded() { --m_inWork; }
+    void onAbandoned(const Core::RequestId &request, int attempt, Core::Instant now);
+    /// True if the attempt was one of ours.
+    bool onAbandonedEnded(const Core::RequestId &request, int attempt);
+
+    void onProbeSent() { ++m_probes; }
+    void onProbeEnded() { --m_probes; }
+    void onConnectionOpened() { ++m_open; }
+    void onConnectionClosed(bool isKnownToServer, Core::Instant now);
+
+    /// The server answered something that was sent at \p sentAt.
+    void onSignOfLife(Core::Instant sentAt, Core::Instant now);
+    /// True if only a sign of life can free an abandoned attempt's slot.
+    bool needsSignOfLife() const;
+    void release(Core::Instant now);
+    std::optional<Core::Instant> nextRelease() const;
+
+private:
+    struct AbandonedAttempt
+    {
+        Core::RequestId request;
+        int attempt = 0;
+        Core::Instant abandonedAt;
+        std::optional<Core::Instant> releaseAt;
+    };
+
+    int connectionsWith(int added) const;
+
+    Core::Duration m_longestServiceTime;
+    Core::Duration m_idleTimeout;
+    int m_slots = 0;
+    int m_connections = 0;
+    int m_inWork = 0;
+    int m_probes = 0;
+    int m_open = 0;
+    std::vector<AbandonedAttempt> m_abandoned;
+    /// When each connection that we closed without the server's knowledge is gone there too.
+    std::vector<Core::Instant> m_uncertainUntil;
+};
+
+} // namespace Routing
