StandIns: Add the platform's and the backend servers' stand-ins

Two small programs take the outside world's place in tests: the platform (log with retention, workers with leases in real time, lagging list of VMs) and many backend servers in one process. They carry out whatever they are told, count what must never happen, and misbehave on command: down, slow, frozen, answers lost after the effect, bodies cut short, open connections gone silent, all failing fast.

--- /dev/null
+++ b/Tests/StandIns/Platform/Violations.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <json/value.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace StandIn {
+
+/// Counts what must never happen, by kind, and keeps the first few in words.
+class Violations
+{
+public:
+    void add(const std::string &kind, const std::string &detail);
+    int count(const std::string &kind) const;
+    Json::Value report() const;
+
+private:
+    static constexpr std::size_t maximumDetails = 50;
+
+    std::map<std::string, int> m_counts;
+    std::vector<std::string> m_details;
+};
+
+} // namespace StandIn
