--- /dev/null
+++ b/Tests/LibPeer/TestPeerServer.cpp
@@ -0,0 +1,152 @@
+#include <Common/Await.h>
+#include <LibCore/Error.h>
+#include <LibPeer/PeerServer.h>
+#include <LibPeer/RemoteError.h>
+#include <LibPeer/TcpPeerLink.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <rapidcheck/catch.h>
+
+#include <optional>
+
+namespace asio = boost::asio;
+using Peer::PeerServer;
+using StandIn::amply;
+using StandIn::await;
+
+namespace {
+
+const Core::VmId peer("e2");
+
+/// A server with a method that counts its calls, and a link to it.
+struct ServerFixture
+{
+    asio::io_context context;
+    std::optional<PeerServer> server;
+    int count = 0;
+    Peer::TcpPeerLink link { context.get_executor() };
+
+    ServerFixture()
+    {
+        listen(0);
+        link.setPeers({ { peer, "127.0.0.1", server->port() } });
+    }
+
+    void listen(std::uint16_t port)
+    {
+        server.emplace(context.get_executor(), "127.0.0.1", port);
+        server->addMethod("count", [this](const Json::Value &) { return Json::Value(++count); });
+        server->addMethod("echo", [](const Json::Value &parameters) { return parameters; });
+        server->addMethod("fail", [](const Json::Value &) -> Json::Value {
+            throw Core::Error("apply", "e2", "refused");
+        });
+    }
+
+    Json::Value call(const std::string &method, const Json::Value &parameters = {})
+    {
+        return await(context, link.call(peer, method, parameters, amply()));
+    }
+
+    /// Sends \p bytes on a connection of their own and reads until the server ends it. Returns what
+    /// it answered.
+    asio::awaitable<std::string> sendRaw(std::string bytes)
+    {
+        boost::system::error_code ignored;
+        asio::ip::tcp::socket socket(context);
+        co_await socket.async_connect({ asio::ip::address_v4::loopback(), server->port() },
+                                      asio::use_awaitable);
+        co_await asio::async_write(socket, asio::buffer(bytes),
+                                   asio::redirect_error(asio::use_awaitable, ignored));
+        socket.shutdown(asio::socket_base::shutdown_send, ignored);
+        std::string answer;
+        co_await asio::async_read(socket, asio::dynamic_buffer(answer),
+                                  asio::redirect_error(asio::use_awaitable, ignored));
+        co_return answer;
+    }
+};
+
+int errorCode(ServerFixture &fixture, const std::string &method)
+{
+    try {
+        fixture.call(method);
+        return 0;
+    } catch (const Peer::RemoteError &error) {
+        return error.code();
+    }
+}
+
+} // namespace
+
+TEST_CASE("A server answers its peers' calls")
+{
+    ServerFixture fixture;
+    Json::Value parameters;
+    parameters["epoch"] = Json::Int64(1) << 60;
+    CHECK(fixture.call("echo", parameters) == parameters);
+    SECTION("a method's exception is an error of the call, and of nothing else")
+    {
+        CHECK(errorCode(fixture, "fail") == -32603);
+        CHECK(errorCode(fixture, "unknown") == -32601);
+        CHECK(fixture.call("count") == 1);
+    }
+    SECTION("while it is stopped nothing is done")
+    {
+        const std::uint16_t port = fixture.server->port();
+        fixture.server.reset();
+        CHECK_THROWS_AS(fixture.call("count"), Core::Error);
+        CHECK_THROWS_AS(fixture.call("count"), Core::NotDoneError);
+        CHECK(fixture.count == 0);
+        SECTION("once restarted it is found again")
+        {
+            fixture.listen(port);
+            const Core::Instant limit = amply();
+            while (fixture.count == 0 && Core::steadyNow() < limit) {
+                try {
+                    fixture.call("count");
+                } catch (const Core::NotDoneError &) {
+                    fixture.context.run_one();
+                }
+            }
+            CHECK(fixture.count == 1);
+        }
+    }
+    SECTION("a peer that was removed isn't called")
+    {
+        fixture.link.setPeers({});
+        CHECK_THROWS_AS(fixture.call("count"), Core::NotDoneError);
+    }
+}
+
+TEST_CASE("Whatever bytes come, a server carries out only what was asked for")
+{
+    ServerFixture fixture;
+    SECTION("a message that is too long ends its connection only")
+    {
+        await(fixture.context, fixture.sendRaw(std::string(3 * 1024 * 1024, ' ')));
+        CHECK(fixture.call("count") == 1);
+    }
+    SECTION("a well-formed request by hand is carried out")
+    {
+        const std::string request = R"({"jsonrpc":"2.0","id":7,"method":"count"})";
+        CHECK(await(fixture.context, fixture.sendRaw(request + '\n'))
+              == "{\"id\":7,\"jsonrpc\":\"2.0\",\"result\":1}\n");
+    }
+    rc::prop("bytes that don't name the method never call it", [&](const std::string &garbage) {
+        const int before = fixture.count;
+        await(fixture.context, fixture.sendRaw(garbage + '\n'));
+        RC_ASSERT(fixture.count == before);
+        RC_ASSERT(fixture.call("count") == before + 1);
+    });
+    rc::prop("a request that was cut short is never carried out", [&] {
+        const std::string request = R"({"jsonrpc":"2.0","id":7,"method":"count"})";
+        const auto length = *rc::gen::inRange<std::size_t>(0, request.size());
+        const int before = fixture.count;
+        await(fixture.context, fixture.sendRaw(request.substr(0, length) + '\n'));
+        await(fixture.context, fixture.sendRaw(request.substr(0, length)));
+        RC_ASSERT(fixture.count == before);
+    });
+}
