--- a/Libraries/LibRouting/ServerPool.cpp
+++ b/Libraries/LibRouting/ServerPool.cpp
@@ -145,7 +145,7 @@
     if (!found)
         return;
     found->limiter.onEnded();
-    found->limiter.onSignOfLife(sentAt, now);
+    onSignOfLife(*found, now, actions);
     found->notSentInARow = 0;
     if (!isFailure) {
         found->breaker.onSuccess();
@@ -215,7 +215,7 @@
         return;
     const Core::Instant sentAt = *found->probeSentAt;
     endProbe(*found);
-    found->limiter.onSignOfLife(sentAt, now);
+    onSignOfLife(*found, now, actions);
     found->breaker.onProbeAnswered();
     found->isSuspect = false;
     if (!found->isDoubtPending)
@@ -279,6 +279,12 @@
     return next;
 }
 
+void ServerPool::onSignOfLife(BackendServer &server, Core::Instant now, RouteActions &actions)
+{
+    for (const auto &ended : server.limiter.onSignOfLife(now))
+        actions.push_back(CloseAbandoned { ended.request, ended.attempt, server.id });
+}
+
 BackendServer *ServerPool::find(const Core::VmId &server)
 {
     const auto found = m_servers.find(server);
@@ -344,8 +350,8 @@
         return server.lastProbeAt;
     if (server.breaker.state() == CircuitBreaker::State::Open)
         return server.breaker.probeAt();
-    if (server.limiter.needsSignOfLife())
-        return server.lastProbeAt + probeInterval;
+    if (server.limiter.abandoned() > 0)
+        return std::max(server.lastProbeAt, server.limiter.lastSignOfLife()) + probeInterval;
     return std::nullopt;
 }
 
--- a/Libraries/LibRouting/ServerPool.h
+++ b/Libraries/LibRouting/ServerPool.h
@@ -53,6 +53,7 @@
 private:
     enum class Availability { Excluded, Trial, Normal };
 
+    void onSignOfLife(BackendServer &server, Core::Instant now, RouteActions &actions);
     BackendServer *find(const Core::VmId &server);
     Availability availability(const BackendServer &server, bool isIdempotent,
                               Core::Instant now) const;
--- a/Libraries/LibRouting/SlotLimiter.cpp
+++ b/Libraries/LibRouting/SlotLimiter.cpp
@@ -35,7 +35,7 @@
 void SlotLimiter::onAbandoned(const Core::RequestId &request, int attempt, Core::Instant now)
 {
     --m_inWork;
-    m_abandoned.push_back({ request, attempt, now, std::nullopt });
+    m_abandoned.push_back({ request, attempt, now, m_longestServiceTime });
 }
 
 bool SlotLimiter::onAbandonedEnded(const Core::RequestId &request, int attempt)
@@ -54,40 +54,32 @@
         m_uncertainUntil.push_back(now + m_idleTimeout);
 }
 
-void SlotLimiter::onSignOfLife(Core::Instant sentAt, Core::Instant now)
+std::vector<SlotLimiter::AbandonedAttempt> SlotLimiter::onSignOfLife(Core::Instant now)
 {
-    for (AbandonedAttempt &entry : m_abandoned) {
-        if (!entry.releaseAt && entry.abandonedAt <= sentAt)
-            entry.releaseAt = now + m_longestServiceTime;
-    }
-}
-
-bool SlotLimiter::needsSignOfLife() const
-{
-    return std::any_of(m_abandoned.begin(), m_abandoned.end(),
-                       [](const AbandonedAttempt &entry) { return !entry.releaseAt; });
+    const Core::Duration sinceLast = now - m_lastSignOfLife;
+    m_lastSignOfLife = now;
+    if (sinceLast > longestGap)
+        return {};
+    for (AbandonedAttempt &entry : m_abandoned)
+        entry.remaining -= std::min(sinceLast, now - entry.abandonedAt);
+    const auto firstEnded = std::stable_partition(
+        m_abandoned.begin(), m_abandoned.end(),
+        [](const AbandonedAttempt &entry) { return entry.remaining > Core::Duration(0); });
+    std::vector<AbandonedAttempt> ended(firstEnded, m_abandoned.end());
+    m_abandoned.erase(firstEnded, m_abandoned.end());
+    return ended;
 }
 
 void SlotLimiter::release(Core::Instant now)
 {
-    std::erase_if(m_abandoned, [&](const AbandonedAttempt &entry) {
-        return entry.releaseAt && *entry.releaseAt <= now;
-    });
     std::erase_if(m_uncertainUntil, [&](Core::Instant until) { return until <= now; });
 }
 
 std::optional<Core::Instant> SlotLimiter::nextRelease() const
 {
-    std::optional<Core::Instant> next;
-    const auto consider
-        = [&](Core::Instant instant) { next = next ? std::min(*next, instant) : instant; };
-    for (const AbandonedAttempt &entry : m_abandoned) {
-        if (entry.releaseAt)
-            consider(*entry.releaseAt);
-    }
-    for (const Core::Instant until : m_uncertainUntil)
-        consider(until);
-    return next;
+    if (m_uncertainUntil.empty())
+        return std::nullopt;
+    return *std::min_element(m_uncertainUntil.begin(), m_uncertainUntil.end());
 }
 
 int SlotLimiter::connectionsWith(int added) const
--- a/include/LibRouting/RequestRouter.h
+++ b/include/LibRouting/RequestRouter.h
@@ -16,9 +16,9 @@
 
 /// Whether a backend server surely knows that a connection has ended.
 enum class ConnectionEnd {
-    /// It closed the connection, or the connection is healthy and our closing will reach it.
+    /// The server closed it, or refused it, or we closed it right after an answer had come on it.
     KnownToServer,
-    /// Our closing may be lost, as on a silent connection.
+    /// We closed it; on a connection that has gone silent the server doesn't learn of that.
     Uncertain,
 };
 
--- a/include/LibRouting/RouteAction.h
+++ b/include/LibRouting/RouteAction.h
@@ -34,6 +34,16 @@
     bool operator==(const Abandon &) const = default;
 };
 
+/// The server has surely ended an abandoned attempt: close its connection if it is still open.
+struct CloseAbandoned
+{
+    Core::RequestId request;
+    int attempt = 0;
+    Core::VmId server;
+
+    bool operator==(const CloseAbandoned &) const = default;
+};
+
 /// Pass the request on to the callers' door of another failure domain, marked as spilled over.
 struct SpillOver
 {
@@ -84,8 +94,8 @@
     bool operator==(const CloseIdleConnections &) const = default;
 };
 
-using RouteAction = std::variant<Send, Abandon, SpillOver, Finish, ProbeServer, DoubtConnections,
-                                 CloseIdleConnections>;
+using RouteAction = std::variant<Send, Abandon, CloseAbandoned, SpillOver, Finish, ProbeServer,
+                                 DoubtConnections, CloseIdleConnections>;
 using RouteActions = std::vector<RouteAction>;
 
 } // namespace Routing
--- a/include/LibRouting/RouterSettings.h
+++ b/include/LibRouting/RouterSettings.h
@@ -54,8 +54,8 @@
     Core::Duration breakerShortestPause = std::chrono::seconds(1);
     Core::Duration breakerLongestPause = std::chrono::seconds(30);
 
-    /// A backend server works on no request longer than this, counted from a sign of life. Until
-    /// then an abandoned attempt keeps its slot and its connection.
+    /// A backend server that is alive works on no request longer than this. Until then an
+    /// abandoned attempt keeps its slot and its connection.
     Core::Duration longestServiceTime = std::chrono::seconds(10);
     /// How long a backend server keeps a connection on which nothing comes.
     Core::Duration serverIdleTimeout = std::chrono::seconds(60);
--- a/include/LibRouting/SlotLimiter.h
+++ b/include/LibRouting/SlotLimiter.h
@@ -10,13 +10,25 @@
 
 /// Counts what one backend server may hold of ours: requests in work and connections, as the
 /// server sees them. What we have given up on keeps counting until the server has surely ended
-/// it: its end was seen, or the bound has passed since a later sign of life. A frozen server gives
-/// no sign of life, so nothing is freed however long it stays frozen.
+/// it: its end was seen, or the server has been seen alive for as long as a request can take. Time
+/// in which it gave no sign of life doesn't count, as it may have been frozen.
 class SlotLimiter
 {
 public:
-    /// \p longestServiceTime bounds a request's work after a sign of life; \p idleTimeout is how
-    /// long a server keeps a connection on which nothing comes.
+    /// An attempt that nobody waits for any more.
+    struct AbandonedAttempt
+    {
+        Core::RequestId request;
+        int attempt = 0;
+        Core::Instant abandonedAt;
+        /// How much longer the server may be at work on it.
+        Core::Duration remaining {};
+
+        bool operator==(const AbandonedAttempt &) const = default;
+    };
+
+    /// \p longestServiceTime bounds a request's work at a server that is alive; \p idleTimeout is
+    /// how long a server keeps a connection on which nothing comes.
     SlotLimiter(Core::Duration longestServiceTime, Core::Duration idleTimeout);
 
     void setShare(int slots, int connections);
@@ -45,21 +57,16 @@
     void onConnectionOpened() { ++m_open; }
     void onConnectionClosed(bool isKnownToServer, Core::Instant now);
 
-    /// The server answered something that was sent at \p sentAt.
-    void onSignOfLife(Core::Instant sentAt, Core::Instant now);
-    /// True if only a sign of life can free an abandoned attempt's slot.
-    bool needsSignOfLife() const;
+    /// The server answered something. Returns the abandoned attempts that it has surely ended.
+    std::vector<AbandonedAttempt> onSignOfLife(Core::Instant now);
+    Core::Instant lastSignOfLife() const { return m_lastSignOfLife; }
+    /// Forgets connections that are gone by now.
     void release(Core::Instant now);
     std::optional<Core::Instant> nextRelease() const;
 
 private:
-    struct AbandonedAttempt
-    {
-        Core::RequestId request;
-        int attempt = 0;
-        Core::Instant abandonedAt;
-        std::optional<Core::Instant> releaseAt;
-    };
+    /// A server that is silent for longer may have been frozen in between.
+    static constexpr Core::Duration longestGap = std::chrono::seconds(2);
 
     int connectionsWith(int added) const;
 
@@ -70,6 +77,7 @@
     int m_inWork = 0;
     int m_probes = 0;
     int m_open = 0;
+    Core::Instant m_lastSignOfLife;
     std::vector<AbandonedAttempt> m_abandoned;
     /// When each connection that we closed without the server's knowledge is gone there too.
     std::vector<Core::Instant> m_uncertainUntil;
