LibLease: Measure slot shares under skew and after a death

BenchmarkSlotShares holds a fixed split of 2 slots each against the leased shares; TestSlotShares shows that cut-off members keep their floor, that a log outage changes nothing and that nothing is withheld for good.

--- /dev/null
+++ b/Benchmarks/lease/BenchmarkSlotShares.cpp
@@ -0,0 +1,132 @@
+#include "LeaseWorld.h"
+#include "SkewedLoad.h"
+
+#include <LibLease/SlotShares.h>
+
+#include <array>
+#include <cstdio>
+#include <string>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+using namespace Lease;
+
+constexpr int serverCount = 50;
+constexpr int slotsPerServer = 8;
+constexpr int vmCount = 3;
+
+DomainView wholeView()
+{
+    DomainView view;
+    for (int vm = 1; vm <= vmCount; ++vm)
+        view.members.emplace_back("vm" + std::to_string(vm));
+    view.seats = view.members;
+    return view;
+}
+
+int slotsOf(const DomainView &view, const Core::VmId &vm)
+{
+    int slots = 0;
+    for (int server = 0; server < serverCount; ++server) {
+        const Core::VmId name("worker" + std::to_string(server));
+        slots += SlotShares::share(view, vm, name, slotsPerServer, MembershipSettings().floorSlots);
+    }
+    return slots;
+}
+
+/// The part of the offered requests that is served when each VM has the given slots.
+double servedPart(const std::array<double, vmCount> &arrivals, double load,
+                  const std::array<int, vmCount> &slots)
+{
+    const double capacity = serverCount * slotsPerServer / LoadSettings().serviceSeconds;
+    LoadResult sum;
+    for (int vm = 0; vm < vmCount; ++vm) {
+        LoadSettings settings;
+        settings.arrivalsPerSecond = capacity * load * arrivals[vm];
+        settings.slots = slots[vm];
+        settings.seed = vm + 1;
+        const LoadResult result = simulateLoad(settings);
+        sum.offered += result.offered;
+        sum.served += result.served;
+    }
+    return static_cast<double>(sum.served) / static_cast<double>(sum.offered);
+}
+
+void printSkew()
+{
+    const DomainView view = wholeView();
+    std::array<int, vmCount> leased {};
+    for (int vm = 0; vm < vmCount; ++vm)
+        leased[vm] = slotsOf(view, view.members[vm]);
+    constexpr int fixedSlots = serverCount * (slotsPerServer / vmCount);
+    const std::array<int, vmCount> fixed { fixedSlots, fixedSlots, fixedSlots };
+    std::printf("slots of the 3 entry VMs: fixed split %d each, leased grants %d %d %d, of %d\n",
+                fixedSlots, leased[0], leased[1], leased[2], serverCount * slotsPerServer);
+
+    const std::array<std::array<double, vmCount>, 3> skews {
+        { { 1. / 3, 1. / 3, 1. / 3 }, { 0.5, 0.3, 0.2 }, { 0.8, 0.1, 0.1 } }
+    };
+    std::printf("arrivals at the VMs   load  fixed split  leased grants  one pool (bound)\n");
+    for (const auto &skew : skews) {
+        for (const double load : { 0.5, 0.7, 0.9 }) {
+            // One pool is what owner forwarding could reach at best; its hop isn't counted.
+            const double pooled
+                = servedPart({ 1, 0, 0 }, load, { serverCount * slotsPerServer, 0, 0 });
+            std::printf("  %.0f%% %.0f%% %.0f%%         %.1f  %10.1f%%  %12.1f%%  %15.1f%%\n",
+                        100 * skew[0], 100 * skew[1], 100 * skew[2], load,
+                        100 * servedPart(skew, load, fixed), 100 * servedPart(skew, load, leased),
+                        100 * pooled);
+        }
+    }
+}
+
+int usableSlots(const LeaseWorld &world, int deadPosition)
+{
+    int slots = 0;
+    for (int position = 0; position < vmCount; ++position)
+        slots += position == deadPosition ? 0 : world.limit(position).slots;
+    return slots;
+}
+
+void printDeath(const char *who, int offset)
+{
+    WorldSettings settings;
+    settings.positions = vmCount;
+    settings.logLatency = 20ms;
+    settings.readInterval = 200ms;
+    LeaseWorld world(settings, 1);
+    world.advance(60s);
+    const int dead = (world.holder() + offset) % vmCount;
+    const int before = usableSlots(world, -1);
+    world.kill(dead);
+
+    constexpr int seconds = 900;
+    int lostSlotSeconds = 0;
+    int last = before;
+    std::printf("%s dies; a server's slots that the others may use (of %d, fixed split %d):", who,
+                before, 2 * (slotsPerServer / vmCount));
+    for (int second = 0; second < seconds; ++second) {
+        const int usable = usableSlots(world, dead);
+        if (usable != last)
+            std::printf(" %d from %d s", usable, second);
+        last = usable;
+        lostSlotSeconds += slotsPerServer - usable;
+        world.advance(1s);
+    }
+    const int lostByFixed = seconds * (slotsPerServer - 2 * (slotsPerServer / vmCount));
+    std::printf("\n  slot seconds lost in %d s: leased grants %d, fixed split %d, ratio %.2f\n",
+                seconds, lostSlotSeconds, lostByFixed,
+                static_cast<double>(lostSlotSeconds) / lostByFixed);
+}
+
+} // namespace
+
+int main()
+{
+    printSkew();
+    printDeath("the holder", 0);
+    printDeath("a witness", 1);
+    return 0;
+}
--- a/Tests/LibLease/TestLeaseProperties.cpp
+++ b/Tests/LibLease/TestLeaseProperties.cpp
@@ -24,6 +24,15 @@
     RC_LOG(world.violation());
     RC_ASSERT(world.violation().empty());
     RC_ASSERT(world.holder() >= 0);
+
+    // Seats of the dead are free by then, and nothing is withheld.
+    world.advance(2 * settings.membership.floorLength + 5s);
+    ShareLimit sum;
+    for (int position = 0; position < settings.positions; ++position) {
+        sum.slots += world.limit(position).slots;
+        sum.connections += world.limit(position).connections;
+    }
+    RC_ASSERT(sum == (ShareLimit { 8, 64 }));
 }
 
 TEST_CASE("At most one VM of a failure domain places, and shares stay within limits")
--- /dev/null
+++ b/Tests/LibLease/TestSlotShares.cpp
@@ -0,0 +1,106 @@
+#include "LeaseWorld.h"
+
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <string>
+
+using namespace std::chrono_literals;
+
+namespace Lease {
+
+static DomainView arbitraryView()
+{
+    DomainView view;
+    const int seatCount = *rc::gen::inRange(1, 12);
+    for (int seat = 0; seat < seatCount; ++seat) {
+        view.seats.emplace_back("vm" + std::to_string(seat * 7 % 12));
+        if (seat == 0 || *rc::gen::arbitrary<bool>())
+            view.members.push_back(view.seats.back());
+    }
+    std::sort(view.members.begin(), view.members.end());
+    return view;
+}
+
+TEST_CASE("A backend server's slots are divided among the seats and members of a view")
+{
+    rc::prop("never more than there are, and all of them if no seat is idle", [] {
+        const DomainView view = arbitraryView();
+        const int total = *rc::gen::inRange(1, 65);
+        const int floor = *rc::gen::inRange(0, 9);
+        const Core::VmId server("worker" + std::to_string(*rc::gen::inRange(0, 100)));
+        int sum = 0;
+        for (const Core::VmId &seat : view.seats)
+            sum += SlotShares::share(view, seat, server, total, floor);
+        RC_ASSERT(sum <= total);
+        RC_ASSERT(sum == total || view.members.size() < view.seats.size());
+    });
+    SECTION("what doesn't divide evenly goes to each member in turn")
+    {
+        const std::vector<Core::VmId> vms { Core::VmId("a"), Core::VmId("b"), Core::VmId("c") };
+        const DomainView view { 1, vms, vms };
+        for (const Core::VmId &vm : vms) {
+            int slots = 0;
+            for (int server = 0; server < 300; ++server)
+                slots
+                    += SlotShares::share(view, vm, Core::VmId("w" + std::to_string(server)), 8, 1);
+            CHECK(std::abs(slots - 800) < 50);
+        }
+    }
+}
+
+TEST_CASE("Shares follow the members")
+{
+    LeaseWorld world({}, 1);
+    world.advance(60s);
+    const int holder = world.holder();
+    const int member = (holder + 1) % 3;
+    const int other = (holder + 2) % 3;
+    const auto slots = [&] {
+        return world.limit(holder).slots + world.limit(member).slots + world.limit(other).slots;
+    };
+    REQUIRE(slots() == 8);
+
+    SECTION("a member that is cut off serves from its floor, the others from the rest")
+    {
+        world.cutPeers(1U << member);
+        world.advance(60s);
+        CHECK(world.limit(member) == ShareLimit { 1, 8 });
+        CHECK(slots() == 8);
+        SECTION("it gets its share back when it is in reach again")
+        {
+            world.heal();
+            world.advance(40s);
+            CHECK(world.limit(member).slots > 1);
+            CHECK(slots() == 8);
+        }
+        SECTION("the floor ends, and the others get it")
+        {
+            world.advance(11min);
+            CHECK(world.limit(member) == ShareLimit {});
+            CHECK(slots() == 8);
+        }
+    }
+    SECTION("a log outage changes nothing")
+    {
+        const ShareLimit before = world.limit(member);
+        world.setLogOutage(true);
+        world.advance(9min);
+        CHECK(world.limit(member) == before);
+        CHECK(slots() == 8);
+    }
+    SECTION("they outlive the holder")
+    {
+        world.kill(holder);
+        for (int step = 0; step < 600; ++step) {
+            world.advance(100ms);
+            REQUIRE(world.limit(member).slots >= 1);
+            REQUIRE(world.limit(other).slots >= 1);
+        }
+        // The dead VM's floor stays reserved.
+        CHECK(world.limit(member).slots + world.limit(other).slots == 7);
+    }
+    CHECK(world.violation().empty());
+}
+
+} // namespace Lease
