LibTask: Prove a batch by all of its records, and refuse by the list of workers at hand

Cause 1: the append queue took one record read back as proof of its whole batch. Ruled out: records lost by the fake log, and a deposed holder's answers (the failing tenure was the only one of its stream).

--- a/Libraries/LibTask/AppendQueue.cpp
+++ b/Libraries/LibTask/AppendQueue.cpp
@@ -1,6 +1,5 @@
 #include "AppendQueue.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace Task {
@@ -43,10 +42,12 @@
         m_batch.push_back(std::move(m_waiting.front()));
         m_waiting.pop_front();
     }
-    if (m_snapshotParts.empty())
-        return;
-    m_batch.push_back(std::move(m_snapshotParts.front()));
-    m_snapshotParts.pop_front();
+    if (!m_snapshotParts.empty()) {
+        m_batch.push_back(std::move(m_snapshotParts.front()));
+        m_snapshotParts.pop_front();
+    }
+    for (const TaskRecord &record : m_batch)
+        m_unseen.insert(record.id);
 }
 
 std::vector<TaskRecord> AppendQueue::onOutcome(std::uint64_t batchId, AppendOutcome outcome,
@@ -65,15 +66,16 @@
 {
     if (m_state == State::Idle)
         return {};
-    const bool isOurs = std::ranges::any_of(
-        m_batch, [&recordId](const TaskRecord &record) { return record.id == recordId; });
-    // A batch lands as a whole, so one record proves all.
-    return isOurs ? takeBatch() : std::vector<TaskRecord> {};
+    // One record doesn't prove the batch: it may be the late copy of a repeated record that an
+    // earlier batch held too.
+    m_unseen.erase(recordId);
+    return m_unseen.empty() ? takeBatch() : std::vector<TaskRecord> {};
 }
 
 std::vector<TaskRecord> AppendQueue::takeBatch()
 {
     m_state = State::Idle;
+    m_unseen.clear();
     return std::exchange(m_batch, {});
 }
 
--- a/Libraries/LibTask/AppendQueue.h
+++ b/Libraries/LibTask/AppendQueue.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,7 +35,8 @@
     /// Returns the records that have landed by this answer.
     std::vector<TaskRecord> onOutcome(std::uint64_t batchId, AppendOutcome outcome,
                                       Core::Instant now);
-    /// A record with \p recordId was read from the stream. Returns the records that have landed.
+    /// A record with \p recordId was read from the stream. Returns the records that have landed by
+    /// this being the last of their batch.
     std::vector<TaskRecord> onSeen(const std::string &recordId);
 
     std::optional<Core::Instant> nextWakeUp(Core::Instant now) const;
@@ -56,6 +58,8 @@
     State m_state = State::Idle;
     std::uint64_t m_batchId = 0;
     std::vector<TaskRecord> m_batch;
+    /// The ids of the batch that weren't read from the stream since it was sent.
+    std::set<std::string> m_unseen;
     Core::Instant m_retryAt;
 };
 
--- a/Libraries/LibTask/DomainPlacer.cpp
+++ b/Libraries/LibTask/DomainPlacer.cpp
@@ -14,6 +14,7 @@
 DomainPlacer::DomainPlacer(const SchedulerFactory &schedulers, PlacerSettings settings)
     : m_settings(std::move(settings))
     , m_schedulers(schedulers)
+    , m_table(rememberedEndedTasks, m_settings.tableGuards)
     , m_snapshots(std::make_unique<SnapshotTracker>())
     , m_inputs(std::make_unique<PlacerInputs>())
 {
--- a/Libraries/LibTask/Tenure.cpp
+++ b/Libraries/LibTask/Tenure.cpp
@@ -279,6 +279,7 @@
                 orderStop(*task, Platform::StopMode::Checkpoint, "its worker is leaving", now);
         }
     }
+    updateSchedulerWorkers();
     refuseWhatNeverFits();
 }
 
--- a/include/LibTask/PlacerSettings.h
+++ b/include/LibTask/PlacerSettings.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifier.h>
 #include <LibCore/Time.h>
+#include <LibTask/TaskTable.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -81,6 +82,7 @@
     std::uint64_t snapshotEveryRecords = 20000;
 
     PlacerGuards guards;
+    TableGuards tableGuards;
 
     bool operator==(const PlacerSettings &) const = default;
 };
--- a/include/LibTask/TaskRecord.h
+++ b/include/LibTask/TaskRecord.h
@@ -22,7 +22,7 @@
     /// number isn't above the known one is a repetition.
     std::uint32_t transferNumber = 0;
     /// Where a task that was handed over resumes; empty if it starts afresh.
-    std::string checkpoint;
+    std::string checkpoint {};
     /// The newest attempt in earlier failure domains; attempt numbers go on from it.
     std::uint32_t lastAttempt = 0;
     /// How many attempts have ended in earlier failure domains.
