LibTask: Follow the scheduler's book-keeping, and keep numbers unique across placers

Cause, found by reading InformedScheduler and PlainScheduler: startAbandoned releases only a start that attemptStarted hasn't named yet. The placer named the attempt when it planned it, so an abandoned attempt kept its room for good. It is now named when the start is sent; a start that the worker refused ends by attemptEnded. The tests' fake scheduler is now as strict and throws. The daemon replaces its placer when it falls behind retention; the new one counted its batches and renewals from 1 again, so late outcomes could be mistaken. Numbers now begin at the epoch shifted by 32 bits. Evictions of work that must leave the failure domain are the placer's: it knows what the other failure domains can take, so it passes over the scheduler's.

--- a/Libraries/LibTask/DomainPlacer.cpp
+++ b/Libraries/LibTask/DomainPlacer.cpp
@@ -11,6 +11,12 @@
 
 namespace Task {
 
+namespace {
+
+constexpr unsigned tenureNumberBits = 32;
+
+} // namespace
+
 DomainPlacer::DomainPlacer(const SchedulerFactory &schedulers, PlacerSettings settings)
     : m_settings(std::move(settings))
     , m_schedulers(schedulers)
@@ -66,6 +72,9 @@
                           "epoch " + std::to_string(epoch) + " is not the newest that was read, "
                               + std::to_string(m_table.epoch()));
     }
+    // Numbers stay unique even if this placer replaces another one in the same process, so that a
+    // late outcome of an earlier tenure isn't mistaken for one of this.
+    m_lastNumber = std::max(m_lastNumber, epoch << tenureNumberBits);
     m_tenure = std::make_unique<Tenure>(m_settings, m_table, *m_inputs, m_schedulers.create(),
                                         Tenure::Lease { epoch, leaseDeadline }, m_lastNumber, now);
 }
--- a/Libraries/LibTask/Tenure.cpp
+++ b/Libraries/LibTask/Tenure.cpp
@@ -238,7 +238,7 @@
     switch (task.stage) {
     case Stage::Planning:
     case Stage::Recorded:
-        abandon(task, "cancelled");
+        abandon(task, "cancelled", now);
         [[fallthrough]];
     case Stage::Waiting:
     case Stage::Closing:
--- a/Libraries/LibTask/Tenure.h
+++ b/Libraries/LibTask/Tenure.h
@@ -99,7 +99,7 @@
     void startRecorded(std::vector<PlacerAction> &actions, Core::Instant now);
     std::string reasonNotToStart(const TenureTask &task, Core::Instant now) const;
     StartAttempt start(TenureTask &task, Core::Instant now);
-    void abandon(TenureTask &task, const std::string &reason);
+    void abandon(TenureTask &task, const std::string &reason, Core::Instant now);
 
     // TenureWorkers.cpp
     void renewWorkers(std::vector<PlacerAction> &actions, Core::Instant now);
--- a/Libraries/LibTask/TenureStarts.cpp
+++ b/Libraries/LibTask/TenureStarts.cpp
@@ -73,7 +73,6 @@
     task.worker = decision.worker;
     task.reason = decision.reason;
     m_workers.line(task.worker, now).attempts.insert(task.attempt());
-    m_scheduler->attemptStarted({ task.spec, task.attempt(), task.worker, now });
     push(AttemptPlanned { task.attempt(), task.worker });
     if (m_settings.guards.isRecordedBeforeStart)
         return;
@@ -84,12 +83,13 @@
 void Tenure::evict(const Placement::EvictDecision &decision, Core::Instant now)
 {
     TenureTask *task = taskOfOpenAttempt(decision.attempt);
-    if (!task)
+    // What must leave the failure domain runs on until another one has room for it.
+    if (!task || isMisplaced(*task))
         return;
     if (task->stage == Stage::Started)
         orderStop(*task, Platform::StopMode::Checkpoint, decision.reason, now);
     else
-        abandon(*task, decision.reason);
+        abandon(*task, decision.reason, now);
 }
 
 void Tenure::throttle(const Placement::ThrottleDecision &decision,
@@ -123,7 +123,7 @@
         if (reason.empty())
             actions.emplace_back(start(task, now));
         else
-            abandon(task, reason);
+            abandon(task, reason, now);
     }
 }
 
@@ -149,17 +149,22 @@
     task.latestLapse = {};
     const Core::Instant leaseDeadline = grantFor(task, now).value();
     extendLapse(task, leaseDeadline);
+    m_scheduler->attemptStarted({ task.spec, task.attempt(), task.worker, now });
     return { task.spec,       task.attempt(), task.worker,        m_lease.epoch,
              task.checkpoint, leaseDeadline,  task.startNotAfter, task.reason };
 }
 
-void Tenure::abandon(TenureTask &task, const std::string &reason)
+void Tenure::abandon(TenureTask &task, const std::string &reason, Core::Instant now)
 {
     push(AttemptAbandoned { task.attempt(), reason });
     if (WorkerLine *line = m_workers.find(task.worker))
         line->attempts.erase(task.attempt());
-    m_scheduler->startAbandoned(task.spec.id);
-    task.isInScheduler = true;
+    if (task.stage == Stage::Started) {
+        m_scheduler->attemptEnded(task.attempt(), AttemptPhase::Stopped, now);
+    } else {
+        m_scheduler->startAbandoned(task.spec.id);
+        task.isInScheduler = true;
+    }
     setWaiting(task);
 }
 
@@ -181,7 +186,7 @@
         line->isHeard = false;
     m_areSchedulerWorkersOutdated = true;
     const bool isCancelled = task->isCancelRequested;
-    abandon(*task, "the worker didn't start it");
+    abandon(*task, "the worker didn't start it", now);
     if (isCancelled)
         cancel(*task, now);
 }
--- a/Tests/LibTask/FakeScheduler.cpp
+++ b/Tests/LibTask/FakeScheduler.cpp
@@ -45,8 +45,8 @@
 void FakeScheduler::startAbandoned(const Core::TaskId &task)
 {
     const auto found = m_reservations.find(task);
-    if (found == m_reservations.end())
-        throw std::logic_error("no reservation to abandon: " + task.text());
+    if (found == m_reservations.end() || found->second.attempt.number != 0)
+        throw std::logic_error("no start to abandon: " + task.text());
     m_waiting.emplace(task, found->second.task);
     m_reservations.erase(found);
 }
--- a/include/LibTask/DomainPlacer.h
+++ b/include/LibTask/DomainPlacer.h
@@ -101,7 +101,7 @@
     std::unique_ptr<PlacerInputs> m_inputs;
     bool m_hasReachedEnd = false;
     std::unique_ptr<Tenure> m_tenure;
-    /// Never reused, so that late outcomes of an earlier tenure aren't mistaken.
+    /// The newest number of an append or a renewal.
     std::uint64_t m_lastNumber = 0;
 };
 
