LibPlacement: Learn which batch classes disturb, and count what a worker uses as a whole

Counting each attempt's excess by itself left room unused.

Change: stopping attempts no longer count for their team and claims do; the room of a worker is its capacity less the larger of what is reserved and what is used; a least-mean-squares step learns each batch class's noise, which steers throttling, and keeps noisy work from workers where it would disturb latency-critical tasks while quiet work fills the room; latency-critical work has a team's quota first; reclaiming is limited in rate; preemption weighs progress lost by room freed.

--- a/Libraries/LibPlacement/CandidateSearch.cpp
+++ b/Libraries/LibPlacement/CandidateSearch.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::size_t candidateLimit = 6;
-constexpr std::size_t preemptionCandidateLimit = 4;
+constexpr std::size_t preemptionCandidateLimit = 6;
 constexpr std::size_t rackLimit = 6;
 
 constexpr double costPerClassmateOnWorker = 4.0;
@@ -71,8 +71,7 @@
             candidates.push_back(*worker);
     }
     m_freePosition = cursor.position;
-    const bool isCertainlyFull = !hasFit && cursor.visitsLeft > 0;
-    return { cheapest(request, candidates, now), isCertainlyFull };
+    return { cheapest(request, candidates, now), hasFit };
 }
 
 std::optional<PreemptionChoice> CandidateSearch::findPreemption(const PlacementRequest &request,
@@ -127,7 +126,12 @@
         return false;
     if (request.isLatencyCritical)
         return m_fleet.condition(worker) == WorkerCondition::Sound;
-    return !m_interference.isUnderPressure(worker, now);
+    // Quiet work fills what noisy work must leave, so that no room is wasted.
+    if (m_interference.isQuiet(request.classIndex) || !m_fleet.hasLatencyCritical(worker))
+        return true;
+    const double part = m_fleet.partOf(worker, request.need);
+    return !m_interference.isUnderPressure(worker, now)
+        && m_interference.isHarmless(worker, request.classIndex, part);
 }
 
 std::vector<WorkerSlot> CandidateSearch::candidatesInRacks(const PlacementRequest &request,
@@ -157,11 +161,16 @@
                                             Core::Instant now) const
 {
     int classmates = 0;
+    double pressure = 0.0;
     for (const RunningAttempt *attempt : m_fleet.attempts().onWorker(worker)) {
-        if (attempt->isLatencyCritical && attempt->classIndex == request.classIndex)
+        if (!attempt->isLatencyCritical)
+            pressure += m_interference.noise(attempt->classIndex)
+                * m_fleet.partOf(worker, attempt->used);
+        else if (attempt->classIndex == request.classIndex)
             ++classmates;
     }
-    const double slowdown = m_interference.expectedSlowdown(worker, request.classIndex, now) - 1.0;
+    const double slowdown = std::max(
+        pressure, m_interference.expectedSlowdown(worker, request.classIndex, now) - 1.0);
     const Core::Resources room = m_fleet.freeIndex().room(worker) - request.need;
     return costPerClassmateOnWorker * classmates
         + costPerClassmateInRack
@@ -174,7 +183,7 @@
 {
     const Core::Resources room = m_fleet.freeIndex().room(worker) - request.need;
     const bool wastes = room.accelerators > 0 && request.need.accelerators == 0;
-    const double noise = m_interference.noise(request.classIndex) - 1.0;
+    const double noise = m_interference.noise(request.classIndex);
     const double slowdown = m_interference.worstSlowdown(worker, now) - 1.0;
     return (wastes ? costOfWastedAccelerators : 0.0) + costOfSlowdown * slowdown * (1.0 + noise)
         + costOfNoise * noise * slowdown + freePart(room, m_fleet.ledger().capacity(worker));
--- a/Libraries/LibPlacement/CapacityLedger.cpp
+++ b/Libraries/LibPlacement/CapacityLedger.cpp
@@ -1,5 +1,6 @@
 #include <LibPlacement/CapacityLedger.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Placement {
@@ -22,22 +23,24 @@
 bool CapacityLedger::adopt(const Task::AttemptId &attempt, WorkerSlot worker,
                            const Core::Resources &size)
 {
-    const bool isNew = m_reservations.try_emplace(attempt, Reservation { worker, size, {} }).second;
+    const bool isNew
+        = m_reservations.try_emplace(attempt, Reservation { worker, size, size }).second;
     if (!isNew)
         return false;
     WorkerTotals &totals = m_workers.at(worker);
     totals.reserved = totals.reserved + size;
+    totals.used = totals.used + size;
     return true;
 }
 
-void CapacityLedger::setExcess(const Task::AttemptId &attempt, const Core::Resources &excess)
+void CapacityLedger::setUsed(const Task::AttemptId &attempt, const Core::Resources &used)
 {
     const auto found = m_reservations.find(attempt);
     if (found == m_reservations.end())
         return;
     WorkerTotals &totals = m_workers.at(found->second.worker);
-    totals.excess = totals.excess - found->second.excess + excess;
-    found->second.excess = excess;
+    totals.used = totals.used - found->second.used + used;
+    found->second.used = used;
 }
 
 void CapacityLedger::rename(const Task::AttemptId &from, const Task::AttemptId &to)
@@ -58,7 +61,7 @@
         return false;
     WorkerTotals &totals = m_workers.at(found->second.worker);
     totals.reserved = totals.reserved - found->second.size;
-    totals.excess = totals.excess - found->second.excess;
+    totals.used = totals.used - found->second.used;
     m_reservations.erase(found);
     return true;
 }
@@ -72,7 +75,11 @@
 Core::Resources CapacityLedger::room(WorkerSlot worker) const
 {
     const WorkerTotals &totals = m_workers.at(worker);
-    return totals.capacity - totals.reserved - totals.excess;
+    const Core::Resources taken { std::max(totals.reserved.milliCores, totals.used.milliCores),
+                                  std::max(totals.reserved.mebibytes, totals.used.mebibytes),
+                                  std::max(totals.reserved.accelerators,
+                                           totals.used.accelerators) };
+    return totals.capacity - taken;
 }
 
 } // namespace Placement
--- a/Libraries/LibPlacement/Fleet.cpp
+++ b/Libraries/LibPlacement/Fleet.cpp
@@ -56,6 +56,12 @@
     m_attempts.rename(attempt, name);
 }
 
+void Fleet::markStopping(RunningAttempt &attempt)
+{
+    if (!std::exchange(attempt.isStopping, true))
+        m_quotas.remove(attempt.spec.team, attempt.kind(), attempt.spec.declared);
+}
+
 std::optional<RunningAttempt> Fleet::release(const Task::AttemptId &attempt)
 {
     const RunningAttempt *found = m_attempts.find(attempt);
@@ -64,7 +70,8 @@
     RunningAttempt released = *found;
     m_attempts.remove(attempt);
     m_ledger.release(attempt);
-    m_quotas.remove(released.spec.team, released.spec.declared);
+    if (!released.isStopping)
+        m_quotas.remove(released.spec.team, released.kind(), released.spec.declared);
     if (released.isLatencyCritical)
         m_spread.remove(released.classIndex, rackOf(released.worker));
     countBatch(released, false);
@@ -72,12 +79,12 @@
     return released;
 }
 
-void Fleet::setExcess(const RunningAttempt &attempt, const Core::Resources &excess)
+void Fleet::setUsed(const RunningAttempt &attempt, const Core::Resources &used)
 {
     const Reservation *reservation = m_ledger.find(attempt.attempt);
-    if (!reservation || reservation->excess == excess)
+    if (!reservation || reservation->used == used)
         return;
-    m_ledger.setExcess(attempt.attempt, excess);
+    m_ledger.setUsed(attempt.attempt, used);
     refresh(attempt.worker);
 }
 
@@ -86,7 +93,11 @@
     if (attempt.isLatencyCritical == isLatencyCritical)
         return;
     countBatch(attempt, false);
+    if (!attempt.isStopping)
+        m_quotas.remove(attempt.spec.team, attempt.kind(), attempt.spec.declared);
     attempt.isLatencyCritical = isLatencyCritical;
+    if (!attempt.isStopping)
+        m_quotas.add(attempt.spec.team, attempt.kind(), attempt.spec.declared);
     countBatch(attempt, true);
     if (isLatencyCritical)
         m_spread.add(attempt.classIndex, rackOf(attempt.worker));
@@ -98,14 +109,17 @@
 void Fleet::claim(const Claim &claim)
 {
     m_claims.add(claim);
+    m_quotas.add(claim.task.spec.team, claim.taskKind, claim.task.spec.declared);
     refresh(claim.worker);
 }
 
 std::optional<Claim> Fleet::unclaim(const Core::TaskId &task)
 {
     std::optional<Claim> claim = m_claims.remove(task);
-    if (claim)
-        refresh(claim->worker);
+    if (!claim)
+        return claim;
+    m_quotas.remove(claim->task.spec.team, claim->taskKind, claim->task.spec.declared);
+    refresh(claim->worker);
     return claim;
 }
 
@@ -139,6 +153,19 @@
         && state.condition != WorkerCondition::Quarantined;
 }
 
+double Fleet::partOf(WorkerSlot worker, const Core::Resources &size) const
+{
+    const std::int64_t capacity = m_workers[worker].entry.capacity.milliCores;
+    if (capacity <= 0)
+        return 0.0;
+    return static_cast<double>(size.milliCores) / static_cast<double>(capacity);
+}
+
+bool Fleet::hasLatencyCritical(WorkerSlot worker) const
+{
+    return m_ledger.reserved(worker) != m_workers[worker].batch;
+}
+
 void Fleet::updateEntry(WorkerSlot worker, const Platform::VmEntry &entry)
 {
     Worker &state = m_workers[worker];
@@ -186,7 +213,7 @@
 
 RunningAttempt *Fleet::account(const RunningAttempt &attempt)
 {
-    m_quotas.add(attempt.spec.team, attempt.spec.declared);
+    m_quotas.add(attempt.spec.team, attempt.kind(), attempt.spec.declared);
     if (attempt.isLatencyCritical)
         m_spread.add(attempt.classIndex, rackOf(attempt.worker));
     countBatch(attempt, true);
--- a/Libraries/LibPlacement/InformedScheduler.cpp
+++ b/Libraries/LibPlacement/InformedScheduler.cpp
@@ -38,6 +38,7 @@
     require(settings.workersPerDrain > 0, "workersPerDrain");
     require(settings.failedSearchesPerCall > 0, "failedSearchesPerCall");
     require(settings.evacuationInterval > Core::Duration::zero(), "evacuationInterval");
+    require(settings.reclaimInterval > Core::Duration::zero(), "reclaimInterval");
     require(settings.returnStartInterval > Core::Duration::zero(), "returnStartInterval");
     const InterferenceSettings &interference = settings.interference;
     require(interference.calmSlowdown < interference.alarmSlowdown, "calmSlowdown");
@@ -54,6 +55,7 @@
     , m_returnStarts(settings.returnStartInterval, 1)
     , m_evacuations(settings.evacuationInterval, 1)
     , m_drainSearches(drainSearchInterval, 1)
+    , m_reclaims(settings.reclaimInterval, 1)
     , m_queue(settings.agingPerPriority)
     , m_health(settings.health)
     , m_interference(settings.interference)
@@ -70,10 +72,10 @@
     m_isReturning = wasOut && !m_isOut;
     const int domainsOut = static_cast<int>(rules.domainsOut.size());
     m_fleet.setRules(rules, std::max(1, m_settings.failureDomainCount - domainsOut));
-    const std::vector<WaitingTask> waiting = m_queue.tasks();
+    const std::vector<WaitingQueue::Item> waiting = m_queue.items();
     m_queue = WaitingQueue(m_settings.agingPerPriority);
-    for (const WaitingTask &task : waiting)
-        enqueue(task);
+    for (const WaitingQueue::Item &item : waiting)
+        enqueue(item.task, item.waitingSince);
     for (WorkerSlot worker = 0; worker < m_fleet.workers(); ++worker) {
         for (RunningAttempt *attempt : m_fleet.attempts().onWorker(worker)) {
             const bool isCritical
@@ -105,7 +107,7 @@
     m_held.erase(task.spec.id);
     if (m_health.failuresOfJob(task.spec.id) > 0)
         m_failedBefore.insert(task.spec.id);
-    enqueue(task);
+    enqueue(task, std::max(task.submittedAt, m_now));
 }
 
 void InformedScheduler::removeWaiting(const Core::TaskId &task)
@@ -151,6 +153,7 @@
 void InformedScheduler::attemptEnded(const Task::AttemptId &attempt, Task::AttemptPhase phase,
                                      Core::Instant now)
 {
+    m_now = std::max(m_now, now);
     const std::optional<RunningAttempt> ended = m_fleet.release(attempt);
     if (!ended)
         return;
@@ -171,8 +174,7 @@
         attempt->progressSavedAt = now;
     }
     m_usage.observe(attempt->spec, attempt->used);
-    m_fleet.setExcess(*attempt,
-                      UsageEstimator::observedExcess(attempt->spec.declared, attempt->used));
+    m_fleet.setUsed(*attempt, attempt->used);
     if (attempt->isLatencyCritical)
         learnInterference(*attempt, report.slowdown, now);
 }
@@ -181,6 +183,7 @@
 {
     if (std::exchange(m_isReturning, false))
         m_rampUntil = now + m_settings.returnRamp;
+    m_now = std::max(m_now, now);
     Pass pass { now, maximumStarts, m_settings.failedSearchesPerCall * effortOfSearch, {}, {} };
     updateHealth(pass);
     holdBadJobs(pass);
@@ -215,11 +218,12 @@
         || m_fleet.attempts().find({ task, 0 });
 }
 
-void InformedScheduler::enqueue(const WaitingTask &task)
+void InformedScheduler::enqueue(const WaitingTask &task, Core::Instant waitingSince)
 {
     WaitingTask withoutPayload = task;
     withoutPayload.spec.payload.clear();
-    m_queue.add(withoutPayload, kindOf(task.spec.taskClass), priorityOf(task.spec.taskClass));
+    m_queue.add(withoutPayload, kindOf(task.spec.taskClass), priorityOf(task.spec.taskClass),
+                waitingSince);
 }
 
 void InformedScheduler::requeueClaimsOn(WorkerSlot worker)
@@ -232,7 +236,7 @@
 {
     const std::optional<Claim> claim = m_fleet.unclaim(task);
     if (claim)
-        enqueue(claim->task);
+        enqueue(claim->task, claim->waitingSince);
 }
 
 void InformedScheduler::requeueForbiddenClaims()
@@ -271,6 +275,7 @@
     running.worker = m_fleet.slotOf(placed.worker);
     running.classIndex = m_classes.indexOf(placed.spec.taskClass);
     running.isLatencyCritical = kindOf(placed.spec.taskClass) == Rules::TaskKind::LatencyCritical;
+    running.used = placed.spec.declared;
     running.progressSavedAt = placed.startedAt;
     running.submittedAt = placed.startedAt;
     return running;
@@ -281,12 +286,13 @@
 {
     m_interference.observe(attempt.worker, attempt.classIndex, slowdown, now);
     const double cores = static_cast<double>(m_fleet.ledger().capacity(attempt.worker).milliCores);
+    std::vector<double> parts(m_classes.size());
     for (const RunningAttempt *neighbour : m_fleet.attempts().onWorker(attempt.worker)) {
-        if (neighbour->isLatencyCritical)
-            continue;
-        const double part = static_cast<double>(neighbour->used.milliCores) / std::max(1.0, cores);
-        m_interference.blame(neighbour->classIndex, slowdown, part);
+        if (!neighbour->isLatencyCritical)
+            parts[neighbour->classIndex]
+                += static_cast<double>(neighbour->used.milliCores) / std::max(1.0, cores);
     }
+    m_interference.blame(attempt.worker, slowdown, parts);
 }
 
 } // namespace Placement
--- a/Libraries/LibPlacement/InformedSchedulerExplain.cpp
+++ b/Libraries/LibPlacement/InformedSchedulerExplain.cpp
@@ -142,7 +142,7 @@
     const auto ahead = std::distance(lane->second.begin(), lane->second.find(&item));
     if (ahead > 0)
         text += "; " + std::to_string(ahead) + " tasks of team " + spec.team.text() + " go first";
-    if (m_fleet.quotas().wouldBorrow(spec.team, spec.declared))
+    if (m_fleet.quotas().wouldBorrow(spec.team, item.lane.kind, spec.declared))
         text += "; the team would borrow beyond its quota";
     const std::size_t failures = m_health.failuresOfJob(spec.id);
     if (failures > 0)
--- a/Libraries/LibPlacement/InformedSchedulerRelief.cpp
+++ b/Libraries/LibPlacement/InformedSchedulerRelief.cpp
@@ -9,6 +9,7 @@
 
 /// What a class without known noise is blamed for, so that larger attempts still come first.
 constexpr double baseNoise = 0.05;
+constexpr std::size_t reliefsPerCall = 4;
 constexpr int unlimitedPercent = 100;
 
 } // namespace
@@ -51,7 +52,7 @@
 
 void InformedScheduler::relieveInterference(Pass &pass)
 {
-    for (const WorkerSlot worker : std::set<WorkerSlot>(m_interference.watched()))
+    for (const WorkerSlot worker : m_interference.takeDue(pass.now, reliefsPerCall))
         relieve(pass, worker);
 }
 
@@ -90,7 +91,7 @@
         return disturbance(*left) > disturbance(*right);
     };
     std::stable_sort(attempts.begin(), attempts.end(), isNoisier);
-    // The half that disturbs most; the rest follows if that doesn't help.
+    // At most the half that disturbs most; the next step takes more if that didn't help.
     double covered = 0.0;
     for (RunningAttempt *attempt : attempts) {
         if (covered >= total / 2)
@@ -116,20 +117,24 @@
 
 void InformedScheduler::relaxQuietest(Pass &pass, WorkerSlot worker)
 {
-    RunningAttempt *quietest = nullptr;
+    std::vector<RunningAttempt *> throttled;
     for (RunningAttempt *attempt : m_fleet.attempts().onWorker(worker)) {
-        if (attempt->throttlePercent == unlimitedPercent)
-            continue;
-        if (!quietest || disturbance(*attempt) < disturbance(*quietest))
-            quietest = attempt;
+        if (attempt->throttlePercent != unlimitedPercent)
+            throttled.push_back(attempt);
     }
-    if (quietest)
-        throttle(pass, *quietest, unlimitedPercent, "the worker has been calm");
+    const auto isQuieter = [this](const RunningAttempt *left, const RunningAttempt *right) {
+        return disturbance(*left) < disturbance(*right);
+    };
+    std::stable_sort(throttled.begin(), throttled.end(), isQuieter);
+    // Half of them at a time, so that a relapse throttles few again.
+    throttled.resize((throttled.size() + 1) / 2);
+    for (RunningAttempt *attempt : throttled)
+        throttle(pass, *attempt, unlimitedPercent, "the worker has been calm");
 }
 
 void InformedScheduler::evict(Pass &pass, RunningAttempt &attempt, std::string reason)
 {
-    attempt.isStopping = true;
+    m_fleet.markStopping(attempt);
     pass.decisions.emplace_back(
         EvictDecision { attempt.attempt, m_fleet.idOf(attempt.worker), std::move(reason) });
 }
@@ -144,7 +149,7 @@
 
 double InformedScheduler::disturbance(const RunningAttempt &attempt) const
 {
-    const double noise = m_interference.noise(attempt.classIndex) - 1.0 + baseNoise;
+    const double noise = m_interference.noise(attempt.classIndex) + baseNoise;
     return noise * static_cast<double>(std::max<std::int64_t>(1, attempt.used.milliCores));
 }
 
--- a/Libraries/LibPlacement/InformedSchedulerStarts.cpp
+++ b/Libraries/LibPlacement/InformedSchedulerStarts.cpp
@@ -77,7 +77,7 @@
 void InformedScheduler::rank(LaneCursor &cursor) const
 {
     const Core::Resources &need = (*cursor.next)->task.spec.declared;
-    cursor.isBorrowing = m_fleet.quotas().wouldBorrow(cursor.id.team, need);
+    cursor.isBorrowing = m_fleet.quotas().wouldBorrow(cursor.id.team, cursor.id.kind, need);
     cursor.share = m_fleet.quotas().weightedShare(cursor.id.team);
 }
 
@@ -174,7 +174,8 @@
         request.need = declared;
         result = m_search.findFree(request, pass.now);
     }
-    if (result.isCertainlyFull && request.need == declared)
+    // Even if the search was cut short, a larger task would hardly fare better in this call.
+    if (!result.hasFit && request.need == declared)
         pass.misfits.push_back(request);
     return result.worker;
 }
@@ -198,10 +199,14 @@
     attempt.progressSavedAt = pass.now;
     attempt.submittedAt = task.submittedAt;
     attempt.endedAttempts = task.endedAttempts;
+    // Without a report yet, it counts as using its declared size or what its class exceeds it by.
+    attempt.used = task.spec.declared + m_usage.expectedExcess(task.spec);
     const RunningAttempt *reserved = m_fleet.reserve(attempt);
     if (!reserved)
         return false;
-    m_fleet.setExcess(*reserved, m_usage.expectedExcess(reserved->spec));
+    m_fleet.setUsed(*reserved, reserved->used);
+    if (!reserved->isLatencyCritical)
+        m_interference.expect(worker, reserved->classIndex, m_fleet.partOf(worker, reserved->used));
     m_queue.remove(reserved->spec.id);
     m_failedBefore.erase(reserved->spec.id);
     --pass.startsLeft;
@@ -215,9 +220,11 @@
 bool InformedScheduler::tryPreempt(Pass &pass, const WaitingQueue::Item &item,
                                    const PlacementRequest &request)
 {
-    const bool wouldBorrow = m_fleet.quotas().wouldBorrow(item.lane.team, request.need);
-    const bool hasWaited = pass.now - item.task.submittedAt >= m_settings.reclaimAfter;
-    if (!request.isLatencyCritical && (wouldBorrow || !hasWaited))
+    const bool wouldBorrow
+        = m_fleet.quotas().wouldBorrow(item.lane.team, item.lane.kind, request.need);
+    const bool hasWaited = pass.now - item.waitingSince >= m_settings.reclaimAfter;
+    const bool mayReclaim = !wouldBorrow && hasWaited && m_reclaims.isReady(pass.now);
+    if (!request.isLatencyCritical && !mayReclaim)
         return false;
     const bool mayTakeAll = request.isLatencyCritical && !wouldBorrow;
     const auto scope = mayTakeAll ? Preemptor::Scope::AllBatch : Preemptor::Scope::BorrowedRoom;
@@ -227,9 +234,11 @@
         = m_search.findPreemption(request, preemptor, pass.now);
     if (!choice)
         return false;
+    if (!request.isLatencyCritical)
+        m_reclaims.tryTake(pass.now);
     const Core::TaskId task = item.task.spec.id;
     m_fleet.claim({ item.task, choice->worker, ClaimKind::Preemption, item.lane.kind,
-                    pass.now + preemptionLifetime });
+                    item.waitingSince, pass.now + preemptionLifetime });
     m_queue.remove(task);
     const std::string reason = "gives way to " + task.text();
     for (const PreemptionVictim &victim : choice->plan.victims)
@@ -240,7 +249,7 @@
 bool InformedScheduler::tryDrain(Pass &pass, const WaitingQueue::Item &item,
                                  const PlacementRequest &request)
 {
-    if (pass.now - item.task.submittedAt < m_settings.drainAfter)
+    if (pass.now - item.waitingSince < m_settings.drainAfter)
         return false;
     const std::size_t limit
         = std::max<std::size_t>(1, m_fleet.listedWorkers() / m_settings.workersPerDrain);
@@ -253,7 +262,7 @@
     if (!worker)
         return false;
     const Core::TaskId task = item.task.spec.id;
-    m_fleet.claim({ item.task, *worker, ClaimKind::Drain, item.lane.kind,
+    m_fleet.claim({ item.task, *worker, ClaimKind::Drain, item.lane.kind, item.waitingSince,
                     pass.now + m_settings.claimLifetime });
     m_queue.remove(task);
     return true;
--- a/Libraries/LibPlacement/PlainScheduler.cpp
+++ b/Libraries/LibPlacement/PlainScheduler.cpp
@@ -5,6 +5,17 @@
 
 namespace Placement {
 
+namespace {
+
+bool isLargerThanAny(const WaitingTask &task, const std::vector<Core::Resources> &misfits)
+{
+    return std::any_of(misfits.begin(), misfits.end(), [&](const Core::Resources &misfit) {
+        return misfit.fitsIn(task.spec.declared);
+    });
+}
+
+} // namespace
+
 PlainScheduler::PlainScheduler(Core::FailureDomainId failureDomain)
     : m_failureDomain(std::move(failureDomain))
 {
@@ -81,13 +92,17 @@
     if (m_rules.isOut(m_failureDomain))
         return decisions;
     std::deque<WaitingTask> stillWaiting;
+    std::vector<Core::Resources> misfits;
     std::size_t starts = 0;
     for (const WaitingTask &task : std::exchange(m_waiting, {})) {
-        const bool isStarted = starts < maximumStarts && tryStart(task, decisions);
-        if (isStarted)
+        const bool isTried = starts < maximumStarts && !isLargerThanAny(task, misfits);
+        if (isTried && tryStart(task, decisions)) {
             ++starts;
-        else
-            stillWaiting.push_back(task);
+            continue;
+        }
+        if (isTried)
+            misfits.push_back(task.spec.declared);
+        stillWaiting.push_back(task);
     }
     m_waiting = std::move(stillWaiting);
     return decisions;
--- a/Libraries/LibPlacement/Preemptor.cpp
+++ b/Libraries/LibPlacement/Preemptor.cpp
@@ -19,11 +19,30 @@
         || (missing.accelerators > 0 && size.accelerators > 0);
 }
 
-bool losesLess(const PreemptionVictim &left, const PreemptionVictim &right)
+/// What restoring a checkpoint takes, about.
+constexpr Core::Duration restoreTime = std::chrono::seconds(20);
+
+double partCovered(std::int64_t size, std::int64_t missing)
+{
+    if (missing <= 0)
+        return 0.0;
+    return std::min(1.0, static_cast<double>(size) / static_cast<double>(missing));
+}
+
+/// The cost of an eviction for each part of the missing room that it covers.
+double relativeCost(const PreemptionVictim &victim, const Core::Resources &missing)
+{
+    const double covered = partCovered(victim.size.milliCores, missing.milliCores)
+        + partCovered(victim.size.mebibytes, missing.mebibytes)
+        + partCovered(victim.size.accelerators, missing.accelerators);
+    constexpr double leastPart = 1e-6;
+    const auto cost = static_cast<double>((victim.lostProgress + restoreTime).count());
+    return cost / std::max(leastPart, covered);
+}
+
+Core::Duration totalCost(const PreemptionPlan &plan)
 {
-    if (left.lostProgress != right.lostProgress)
-        return left.lostProgress < right.lostProgress;
-    return left.attempt < right.attempt;
+    return plan.lostProgress + restoreTime * static_cast<std::int64_t>(plan.victims.size());
 }
 
 } // namespace
@@ -32,7 +51,7 @@
 {
     if (victimsWithinQuota != other.victimsWithinQuota)
         return victimsWithinQuota < other.victimsWithinQuota;
-    return lostProgress < other.lostProgress;
+    return totalCost(*this) < totalCost(other);
 }
 
 Preemptor::Preemptor(Scope scope, std::map<Core::TeamId, Core::Resources> usedAboveQuota)
@@ -42,9 +61,15 @@
 }
 
 std::vector<Preemptor::Choice>
-Preemptor::orderedChoices(std::vector<PreemptionVictim> victims) const
+Preemptor::orderedChoices(const Core::Resources &missing,
+                          std::vector<PreemptionVictim> victims) const
 {
-    std::sort(victims.begin(), victims.end(), losesLess);
+    const auto isCheaper = [&missing](const PreemptionVictim &left, const PreemptionVictim &right) {
+        const double leftCost = relativeCost(left, missing);
+        const double rightCost = relativeCost(right, missing);
+        return leftCost != rightCost ? leftCost < rightCost : left.attempt < right.attempt;
+    };
+    std::sort(victims.begin(), victims.end(), isCheaper);
     auto above = m_usedAboveQuota;
     std::vector<Choice> choices;
     for (PreemptionVictim &victim : victims) {
@@ -67,7 +92,7 @@
 {
     Core::Resources missing = need - room;
     std::vector<Choice> chosen;
-    for (Choice &choice : orderedChoices(std::move(victims))) {
+    for (Choice &choice : orderedChoices(missing, std::move(victims))) {
         if (!isLacking(missing))
             break;
         if (!helps(choice.victim.size, missing))
--- a/Libraries/LibPlacement/QuotaLedger.cpp
+++ b/Libraries/LibPlacement/QuotaLedger.cpp
@@ -41,16 +41,21 @@
     }
 }
 
-void QuotaLedger::add(const Core::TeamId &team, const Core::Resources &size)
+void QuotaLedger::add(const Core::TeamId &team, Rules::TaskKind kind, const Core::Resources &size)
 {
     TeamState &state = m_teams[team];
     state.used = state.used + size;
+    if (kind == Rules::TaskKind::LatencyCritical)
+        state.usedByLatencyCritical = state.usedByLatencyCritical + size;
 }
 
-void QuotaLedger::remove(const Core::TeamId &team, const Core::Resources &size)
+void QuotaLedger::remove(const Core::TeamId &team, Rules::TaskKind kind,
+                         const Core::Resources &size)
 {
     TeamState &state = m_teams[team];
     state.used = state.used - size;
+    if (kind == Rules::TaskKind::LatencyCritical)
+        state.usedByLatencyCritical = state.usedByLatencyCritical - size;
 }
 
 Core::Resources QuotaLedger::used(const Core::TeamId &team) const
@@ -65,12 +70,16 @@
     return found == m_teams.end() ? Core::Resources {} : found->second.quota;
 }
 
-bool QuotaLedger::wouldBorrow(const Core::TeamId &team, const Core::Resources &size) const
+bool QuotaLedger::wouldBorrow(const Core::TeamId &team, Rules::TaskKind kind,
+                              const Core::Resources &size) const
 {
     const auto found = m_teams.find(team);
     if (found == m_teams.end())
         return true;
-    return !(found->second.used + size).fitsIn(found->second.quota);
+    const TeamState &state = found->second;
+    const bool isLatencyCritical = kind == Rules::TaskKind::LatencyCritical;
+    const Core::Resources &used = isLatencyCritical ? state.usedByLatencyCritical : state.used;
+    return !(used + size).fitsIn(state.quota);
 }
 
 std::map<Core::TeamId, Core::Resources> QuotaLedger::usedAboveQuota() const
--- a/Libraries/LibPlacement/UsageEstimator.cpp
+++ b/Libraries/LibPlacement/UsageEstimator.cpp
@@ -8,8 +8,6 @@
 
 constexpr double smoothing = 0.05;
 constexpr double largestRatio = 2.0;
-constexpr std::int64_t milliCoresPerStep = 100;
-constexpr std::int64_t mebibytesPerStep = 64;
 
 void learn(double &ratio, std::int64_t used, std::int64_t declared)
 {
@@ -24,11 +22,6 @@
     return static_cast<std::int64_t>(std::max(0.0, ratio - 1.0) * static_cast<double>(declared));
 }
 
-std::int64_t stepsAbove(std::int64_t used, std::int64_t declared, std::int64_t step)
-{
-    return std::max<std::int64_t>(0, (used - declared) / step) * step;
-}
-
 } // namespace
 
 void UsageEstimator::observe(const Task::TaskSpec &spec, const Core::Resources &used)
@@ -47,11 +40,4 @@
              excessOf(found->second.mebibytes, spec.declared.mebibytes), 0 };
 }
 
-Core::Resources UsageEstimator::observedExcess(const Core::Resources &declared,
-                                               const Core::Resources &used)
-{
-    return { stepsAbove(used.milliCores, declared.milliCores, milliCoresPerStep),
-             stepsAbove(used.mebibytes, declared.mebibytes, mebibytesPerStep), 0 };
-}
-
 } // namespace Placement
--- a/Libraries/LibPlacement/WaitingQueue.cpp
+++ b/Libraries/LibPlacement/WaitingQueue.cpp
@@ -14,10 +14,11 @@
 {
 }
 
-bool WaitingQueue::add(const WaitingTask &task, Rules::TaskKind kind, int priority)
+bool WaitingQueue::add(const WaitingTask &task, Rules::TaskKind kind, int priority,
+                       Core::Instant waitingSince)
 {
     const Core::Instant order = task.submittedAt - priority * m_agingPerPriority;
-    Item item { task, { kind, task.spec.team }, order };
+    Item item { task, { kind, task.spec.team }, order, waitingSince };
     const auto [position, isNew] = m_items.try_emplace(task.spec.id, std::move(item));
     if (!isNew)
         return false;
@@ -25,18 +26,17 @@
     return true;
 }
 
-std::optional<WaitingTask> WaitingQueue::remove(const Core::TaskId &task)
+bool WaitingQueue::remove(const Core::TaskId &task)
 {
     const auto found = m_items.find(task);
     if (found == m_items.end())
-        return std::nullopt;
+        return false;
     const auto lane = m_lanes.find(found->second.lane);
     lane->second.erase(&found->second);
     if (lane->second.empty())
         m_lanes.erase(lane);
-    WaitingTask removed = std::move(found->second.task);
     m_items.erase(found);
-    return removed;
+    return true;
 }
 
 const WaitingQueue::Item *WaitingQueue::find(const Core::TaskId &task) const
@@ -45,15 +45,15 @@
     return found == m_items.end() ? nullptr : &found->second;
 }
 
-std::vector<WaitingTask> WaitingQueue::tasks() const
+std::vector<WaitingQueue::Item> WaitingQueue::items() const
 {
-    std::vector<WaitingTask> tasks;
-    tasks.reserve(m_items.size());
-    for (const auto &[lane, items] : m_lanes) {
-        for (const Item *item : items)
-            tasks.push_back(item->task);
+    std::vector<Item> items;
+    items.reserve(m_items.size());
+    for (const auto &[id, lane] : m_lanes) {
+        for (const Item *item : lane)
+            items.push_back(*item);
     }
-    return tasks;
+    return items;
 }
 
 } // namespace Placement
--- a/include/LibPlacement/CandidateSearch.h
+++ b/include/LibPlacement/CandidateSearch.h
@@ -25,8 +25,8 @@
 struct SearchResult
 {
     std::optional<WorkerSlot> worker;
-    /// True if no worker has room, not merely none that was looked at.
-    bool isCertainlyFull = false;
+    /// True if some worker has room, even if it isn't allowed.
+    bool hasFit = false;
 
     bool operator==(const SearchResult &) const = default;
 };
--- a/include/LibPlacement/CapacityLedger.h
+++ b/include/LibPlacement/CapacityLedger.h
@@ -14,15 +14,16 @@
 {
     WorkerSlot worker = 0;
     Core::Resources size;
-    /// What the attempt is seen or expected to use beyond its size. It only lowers the room.
-    Core::Resources excess;
+    /// What the attempt is seen or expected to use.
+    Core::Resources used;
 
     bool operator==(const Reservation &) const = default;
 };
 
 /// Counts what is reserved on each worker. A worker's reservations never exceed its capacity,
 /// except by adopting what already runs or by a capacity that shrinks; such a worker then has no
-/// room until it fits again.
+/// room until it fits again. Where the attempts of a worker together use more than they reserved,
+/// what they use counts; what they leave unused is never given to others.
 class CapacityLedger
 {
 public:
@@ -33,7 +34,8 @@
     bool reserve(const Task::AttemptId &attempt, WorkerSlot worker, const Core::Resources &size);
     /// Reserves even if it doesn't fit; false if the attempt has a reservation already.
     bool adopt(const Task::AttemptId &attempt, WorkerSlot worker, const Core::Resources &size);
-    void setExcess(const Task::AttemptId &attempt, const Core::Resources &excess);
+    /// Until it is set, an attempt counts as using its size.
+    void setUsed(const Task::AttemptId &attempt, const Core::Resources &used);
     /// Hands the reservation of \p from to \p to.
     void rename(const Task::AttemptId &from, const Task::AttemptId &to);
     /// False if there was no reservation, so that it is freed only once.
@@ -52,7 +54,7 @@
     {
         Core::Resources capacity;
         Core::Resources reserved;
-        Core::Resources excess;
+        Core::Resources used;
     };
 
     std::vector<WorkerTotals> m_workers;
--- a/include/LibPlacement/Claim.h
+++ b/include/LibPlacement/Claim.h
@@ -19,6 +19,7 @@
     WorkerSlot worker = 0;
     ClaimKind kind = ClaimKind::Drain;
     Rules::TaskKind taskKind = Rules::TaskKind::Batch;
+    Core::Instant waitingSince;
     /// When another worker is tried.
     Core::Instant deadline;
 
--- a/include/LibPlacement/Fleet.h
+++ b/include/LibPlacement/Fleet.h
@@ -33,11 +33,14 @@
     /// Reserves even if it doesn't fit; null if the attempt is known already.
     RunningAttempt *adopt(const RunningAttempt &attempt);
     void rename(RunningAttempt &attempt, const Task::AttemptId &name);
+    /// The attempt's eviction is decided: its room stays reserved, but its team no longer uses it.
+    void markStopping(RunningAttempt &attempt);
     /// Frees the room of the attempt; nothing if there is no such attempt.
     std::optional<RunningAttempt> release(const Task::AttemptId &attempt);
-    void setExcess(const RunningAttempt &attempt, const Core::Resources &excess);
+    void setUsed(const RunningAttempt &attempt, const Core::Resources &used);
     void setLatencyCritical(RunningAttempt &attempt, bool isLatencyCritical);
 
+    /// A claim counts as used by its team.
     void claim(const Claim &claim);
     std::optional<Claim> unclaim(const Core::TaskId &task);
 
@@ -55,6 +58,9 @@
 
     /// What is physically free, whether or not it is claimed.
     Core::Resources room(WorkerSlot worker) const { return m_ledger.room(worker); }
+    /// Which part of the worker's processors \p size is.
+    double partOf(WorkerSlot worker, const Core::Resources &size) const;
+    bool hasLatencyCritical(WorkerSlot worker) const;
     const CapacityLedger &ledger() const { return m_ledger; }
     const AttemptTable &attempts() const { return m_attempts; }
     AttemptTable &attempts() { return m_attempts; }
--- a/include/LibPlacement/InformedScheduler.h
+++ b/include/LibPlacement/InformedScheduler.h
@@ -87,7 +87,7 @@
     int priorityOf(const Core::TaskClassId &taskClass) const;
     bool isAllowedHere(const Core::TaskClassId &taskClass) const;
     bool isKnown(const Core::TaskId &task) const;
-    void enqueue(const WaitingTask &task);
+    void enqueue(const WaitingTask &task, Core::Instant waitingSince);
     void requeueClaimsOn(WorkerSlot worker);
     void requeueClaim(const Core::TaskId &task);
     void requeueForbiddenClaims();
@@ -140,6 +140,7 @@
     RateLimiter m_returnStarts;
     RateLimiter m_evacuations;
     RateLimiter m_drainSearches;
+    RateLimiter m_reclaims;
     std::deque<Task::AttemptId> m_toEvacuate;
     ClassTable m_classes;
     Fleet m_fleet;
@@ -150,6 +151,8 @@
     CandidateSearch m_search;
     std::vector<Core::Resources> m_capacities;
     std::set<WorkerSlot> m_claimsToCheck;
+    /// The latest time that any call has named.
+    Core::Instant m_now = Core::Instant::min();
     /// Where the next call goes on in a lane whose head doesn't fit.
     std::map<LaneId, Core::TaskId> m_resumeAt;
     /// Waiting tasks that have failed before.
--- a/include/LibPlacement/InterferenceModel.h
+++ b/include/LibPlacement/InterferenceModel.h
@@ -5,6 +5,7 @@
 #include <LibPlacement/SchedulerSettings.h>
 #include <LibPlacement/WorkerSlot.h>
 
+#include <compare>
 #include <optional>
 #include <set>
 #include <vector>
@@ -44,19 +45,29 @@
 
     /// A latency-critical task of \p taskClass was seen with \p slowdown on \p worker.
     void observe(WorkerSlot worker, ClassIndex taskClass, double slowdown, Core::Instant now);
-    /// A batch task of \p batchClass ran beside an observed one, using \p part of the worker.
-    void blame(ClassIndex batchClass, double slowdown, double part);
+    /// Learns from one observation what each batch class beside it contributes. \p parts holds the
+    /// part of the worker's processors that each class uses, by class index.
+    void blame(WorkerSlot worker, double slowdown, const std::vector<double> &parts);
+    /// A batch task that will use \p part of the worker is placed there.
+    void expect(WorkerSlot worker, ClassIndex batchClass, double part);
 
     /// 1 if nothing is known.
     double expectedSlowdown(WorkerSlot worker, ClassIndex taskClass, Core::Instant now) const;
     /// The worst smoothed slowdown among recently observed classes; 1 if there is none.
     double worstSlowdown(WorkerSlot worker, Core::Instant now) const;
     bool isUnderPressure(WorkerSlot worker, Core::Instant now) const;
-    /// How much slowdown goes with the presence of a batch class; 1 if nothing is known.
+    /// The slowdown that a batch class would add if it used a whole worker; never negative.
     double noise(ClassIndex batchClass) const;
+    /// The slowdown that the batch work on the worker is expected to add.
+    double predictedPressure(WorkerSlot worker) const;
+    /// True if adding \p part of a worker in use by \p batchClass should leave the worker calm.
+    bool isHarmless(WorkerSlot worker, ClassIndex batchClass, double part) const;
+    /// True if the class is known to disturb much less than the noisiest one.
+    bool isQuiet(ClassIndex batchClass) const;
 
-    /// The workers for which nextStep() may answer something.
-    const std::set<WorkerSlot> &watched() const { return m_watched; }
+    /// At most \p limit workers for which nextStep() is to be asked now. The limit bounds the cost
+    /// of a call however many workers are under pressure.
+    std::vector<WorkerSlot> takeDue(Core::Instant now, std::size_t limit);
     PressureStep nextStep(WorkerSlot worker, Core::Instant now, const PressureOptions &options);
 
 private:
@@ -70,12 +81,24 @@
     struct WorkerState
     {
         std::vector<ClassState> classes;
+        double predictedPressure = 0.0;
         Core::Instant nextActionAt = Core::Instant::min();
         std::optional<Core::Instant> calmSince;
+        bool isWatched = false;
         RateLimiter evictions;
     };
 
+    struct Watch
+    {
+        Core::Instant dueAt;
+        WorkerSlot worker = 0;
+
+        auto operator<=>(const Watch &) const = default;
+    };
+
+    WorkerState &stateFor(WorkerSlot worker);
     const WorkerState *stateOf(WorkerSlot worker) const;
+    void watch(WorkerSlot worker, Core::Instant dueAt);
     PressureStep stepUnderPressure(WorkerState &state, Core::Instant now,
                                    const PressureOptions &options);
     PressureStep stepWhenCalm(WorkerState &state, Core::Instant now,
@@ -86,7 +109,9 @@
     RateLimiter m_domainEvictions;
     std::vector<WorkerState> m_workers;
     std::vector<double> m_noise;
-    std::set<WorkerSlot> m_watched;
+    /// What slowdown is there without any batch work; below zero if some of it disturbs nobody.
+    double m_baseSlowdown = 0.0;
+    std::set<Watch> m_watches;
 };
 
 } // namespace Placement
--- a/include/LibPlacement/Preemptor.h
+++ b/include/LibPlacement/Preemptor.h
@@ -33,11 +33,13 @@
 
     bool operator==(const PreemptionPlan &) const = default;
 
+    /// True if it takes less room within quotas or, that being equal, costs less progress. Every
+    /// eviction also costs the time to restore the checkpoint.
     bool isCheaperThan(const PreemptionPlan &other) const;
 };
 
 /// Chooses which batch attempts of one worker give way: those on borrowed room first, then those
-/// that lose the least progress, and none that isn't needed.
+/// that lose the least progress for what they free, and none that isn't needed.
 class Preemptor
 {
 public:
@@ -62,7 +64,8 @@
         bool isBorrowed = false;
     };
 
-    std::vector<Choice> orderedChoices(std::vector<PreemptionVictim> victims) const;
+    std::vector<Choice> orderedChoices(const Core::Resources &missing,
+                                       std::vector<PreemptionVictim> victims) const;
 
     Scope m_scope;
     std::map<Core::TeamId, Core::Resources> m_usedAboveQuota;
--- a/include/LibPlacement/QuotaLedger.h
+++ b/include/LibPlacement/QuotaLedger.h
@@ -19,13 +19,15 @@
     /// What the workers of the failure domain offer together.
     void setCapacity(const Core::Resources &capacity) { m_capacity = capacity; }
 
-    void add(const Core::TeamId &team, const Core::Resources &size);
-    void remove(const Core::TeamId &team, const Core::Resources &size);
+    void add(const Core::TeamId &team, Rules::TaskKind kind, const Core::Resources &size);
+    void remove(const Core::TeamId &team, Rules::TaskKind kind, const Core::Resources &size);
 
     Core::Resources used(const Core::TeamId &team) const;
     Core::Resources quota(const Core::TeamId &team) const;
-    /// True if the team would use more than its quota with \p size added.
-    bool wouldBorrow(const Core::TeamId &team, const Core::Resources &size) const;
+    /// True if the team would use more than its quota with \p size added. Latency-critical work has
+    /// the quota before the team's own batch work, which isn't counted against it.
+    bool wouldBorrow(const Core::TeamId &team, Rules::TaskKind kind,
+                     const Core::Resources &size) const;
     /// By how much each borrowing team exceeds its quota; zero in the other dimensions.
     std::map<Core::TeamId, Core::Resources> usedAboveQuota() const;
     /// The largest part that the team uses of any dimension, divided by its weight.
@@ -36,6 +38,7 @@
     {
         Core::Resources quota;
         Core::Resources used;
+        Core::Resources usedByLatencyCritical;
         int weight = 1;
     };
 
--- a/include/LibPlacement/RunningAttempt.h
+++ b/include/LibPlacement/RunningAttempt.h
@@ -2,6 +2,7 @@
 
 #include <LibPlacement/ClassTable.h>
 #include <LibPlacement/WorkerSlot.h>
+#include <LibRules/RuleSet.h>
 #include <LibTask/TaskSpec.h>
 
 #include <string>
@@ -32,6 +33,10 @@
     bool operator==(const RunningAttempt &) const = default;
 
     bool isNamed() const { return attempt.number != 0; }
+    Rules::TaskKind kind() const
+    {
+        return isLatencyCritical ? Rules::TaskKind::LatencyCritical : Rules::TaskKind::Batch;
+    }
     bool isEvictable() const { return !isLatencyCritical && !isStopping && isNamed(); }
 };
 
--- a/include/LibPlacement/SchedulerSettings.h
+++ b/include/LibPlacement/SchedulerSettings.h
@@ -12,7 +12,7 @@
 struct InterferenceSettings
 {
     /// Above this smoothed slowdown of a latency-critical class the worker is under pressure.
-    double alarmSlowdown = 1.5;
+    double alarmSlowdown = 1.8;
     /// Below it the worker is calm; between the two nothing changes.
     double calmSlowdown = 1.2;
     /// The weight of a new observation, from 0 to 1.
@@ -20,7 +20,7 @@
     /// How long an action is given to show in the lagging measurements.
     Core::Duration settleTime = std::chrono::seconds(20);
     /// How long a worker must be calm before a limit is lifted.
-    Core::Duration calmTime = std::chrono::seconds(60);
+    Core::Duration calmTime = std::chrono::seconds(30);
     /// Observations older than this no longer count as pressure.
     Core::Duration observationLifetime = std::chrono::seconds(90);
     Core::Duration evictionIntervalPerWorker = std::chrono::seconds(300);
@@ -58,7 +58,9 @@
     /// A task of priority p goes before one of priority 0 that has waited up to p times this.
     Core::Duration agingPerPriority = std::chrono::seconds(1);
     /// A batch task within its team's quota takes borrowed room back after waiting this long.
-    Core::Duration reclaimAfter = std::chrono::seconds(30);
+    Core::Duration reclaimAfter = std::chrono::seconds(60);
+    /// Reclaiming batch tasks: one per interval, so that borrowed room isn't emptied at a stroke.
+    Core::Duration reclaimInterval = std::chrono::seconds(2);
     /// A task that has waited this long has a worker kept free for it.
     Core::Duration drainAfter = std::chrono::seconds(120);
     /// How long a worker is kept free before another one is tried.
@@ -66,7 +68,7 @@
     /// One worker in this many, and at least one, may be kept free at a time.
     std::size_t workersPerDrain = 32;
     /// How many tasks that don't fit one call looks at.
-    int failedSearchesPerCall = 24;
+    int failedSearchesPerCall = 48;
     /// Attempts that leave an out-of-service failure domain: one per interval.
     Core::Duration evacuationInterval = std::chrono::milliseconds(50);
     /// Starts after the failure domain's return: one per interval during the ramp.
--- a/include/LibPlacement/UsageEstimator.h
+++ b/include/LibPlacement/UsageEstimator.h
@@ -17,9 +17,6 @@
 
     /// What a new task should be expected to use beyond its declared size.
     Core::Resources expectedExcess(const Task::TaskSpec &spec) const;
-    /// What a running task uses beyond its declared size, in steps that damp small changes.
-    static Core::Resources observedExcess(const Core::Resources &declared,
-                                          const Core::Resources &used);
 
 private:
     struct Key
--- a/include/LibPlacement/WaitingQueue.h
+++ b/include/LibPlacement/WaitingQueue.h
@@ -4,7 +4,6 @@
 
 #include <compare>
 #include <map>
-#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -32,6 +31,8 @@
         WaitingTask task;
         LaneId lane;
         Core::Instant order;
+        /// When it last began to wait: its submission, or the end of its last attempt.
+        Core::Instant waitingSince;
     };
 
     struct ItemOrder
@@ -44,14 +45,16 @@
     explicit WaitingQueue(Core::Duration agingPerPriority);
 
     /// False if the task waits already.
-    bool add(const WaitingTask &task, Rules::TaskKind kind, int priority);
-    /// The removed task, if it waited.
-    std::optional<WaitingTask> remove(const Core::TaskId &task);
+    bool add(const WaitingTask &task, Rules::TaskKind kind, int priority,
+             Core::Instant waitingSince);
+    /// False if the task didn't wait.
+    bool remove(const Core::TaskId &task);
 
     const Item *find(const Core::TaskId &task) const;
     const std::map<LaneId, Lane> &lanes() const { return m_lanes; }
     std::size_t size() const { return m_items.size(); }
-    std::vector<WaitingTask> tasks() const;
+    /// All waiting tasks, lane by lane.
+    std::vector<Item> items() const;
 
 private:
     Core::Duration m_agingPerPriority;
