--- a/Libraries/LibRouting/ServerPool.cpp
+++ b/Libraries/LibRouting/ServerPool.cpp
@@ -254,8 +254,6 @@
 {
     for (auto &[id, server] : m_servers) {
         server->limiter.release(now);
-        if (server->probeSentAt && now >= *server->probeSentAt + m_settings.probeTimeout)
-            onProbeFailed(id, now);
         if (isProbeWanted(*server, now))
             probe(*server, now, actions);
     }
@@ -266,8 +264,6 @@
     std::optional<Core::Instant> next;
     for (const auto &[id, server] : m_servers) {
         keepEarlier(next, server->limiter.nextRelease());
-        if (server->probeSentAt)
-            keepEarlier(next, *server->probeSentAt + m_settings.probeTimeout);
         keepEarlier(next, probeWantedAt(*server));
         // Idempotent requests find a due trial by themselves; this is for all others.
         const bool isTrialPossible = server->takesNew && !server->isSuspect
--- a/Tests/LibRouting/VirtualEntry.h
+++ b/Tests/LibRouting/VirtualEntry.h
@@ -192,9 +192,9 @@
         take(connection, send);
         m_events.after(linkDelay * 2, [this, connection] {
             whenAwake([this, connection] {
-                if (!connection->isOpen)
+                if (!connection->isOpen || connection->isSilent)
                     return;
-                if (connection->server->isAlive())
+                if (isUp(connection))
                     write(connection);
                 else
                     onRefused(connection);
@@ -217,7 +217,9 @@
         connection->incarnation = connection->server->incarnation();
         connection->openedAt = now();
         m_connections[server].push_back(connection);
-        connection->server->onConnectionOpened();
+        m_events.after(linkDelay, [connection] {
+            connection->server->onConnectionOpened(connection->incarnation);
+        });
         perform(m_router.onConnectionOpened(server, now()));
         return connection;
     }
@@ -239,7 +241,7 @@
     {
         if (connection->isAbandoned) {
             // Nothing was written yet, so the server has nothing to end.
-            endAbandoned(connection);
+            endAbandoned(connection, ConnectionEnd::Uncertain);
             return;
         }
         connection->isWritten = true;
@@ -248,7 +250,7 @@
         if (connection->isSilent)
             return;
         m_events.after(linkDelay, [this, connection, origin] {
-            if (!connection->server->isAlive()) {
+            if (!isUp(connection)) {
                 m_events.after(linkDelay, [this, connection] { onBroken(connection); });
                 return;
             }
@@ -263,6 +265,13 @@
         });
     }
 
+    /// True if the process that the connection leads to still lives.
+    static bool isUp(const ConnectionPointer &connection)
+    {
+        return connection->server->isAlive()
+            && connection->server->incarnation() == connection->incarnation;
+    }
+
     void onRefused(const ConnectionPointer &connection)
     {
         const bool isAbandoned = connection->isAbandoned;
@@ -297,10 +306,10 @@
 
     void onAnswer(const ConnectionPointer &connection, const std::string &answerOf, int status)
     {
-        if (!connection->isOpen)
+        if (!connection->isOpen || connection->isSilent)
             return;
         if (connection->isAbandoned) {
-            endAbandoned(connection);
+            endAbandoned(connection, ConnectionEnd::KnownToServer);
             return;
         }
         connection->isBusy = false;
@@ -313,12 +322,12 @@
         perform(m_router.onAnswer(request, attempt, status, now()));
     }
 
-    void endAbandoned(const ConnectionPointer &connection)
+    void endAbandoned(const ConnectionPointer &connection, ConnectionEnd end)
     {
         const Core::RequestId request = connection->request;
         const int attempt = connection->attempt;
         connection->isAbandoned = false;
-        close(connection, ConnectionEnd::KnownToServer);
+        close(connection, end);
         perform(m_router.onAbandonedEnded(request, attempt, now()));
     }
 
@@ -439,7 +448,7 @@
     void checkProbe(const ConnectionPointer &connection)
     {
         whenAwake([this, connection] {
-            if (!connection->isOpen)
+            if (!connection->isOpen || connection->isSilent)
                 return;
             const auto &server = *connection->server;
             if (server.isAlive() && server.isFrozen())
--- a/Tests/LibRouting/VirtualServer.h
+++ b/Tests/LibRouting/VirtualServer.h
@@ -43,7 +43,11 @@
     void setSlowness(double slowness) { m_slowness = slowness; }
     void setFailing(bool isFailing) { m_isFailing = isFailing; }
 
-    void onConnectionOpened() { m_mostConnections = std::max(m_mostConnections, ++m_connections); }
+    void onConnectionOpened(int incarnation)
+    {
+        if (incarnation == m_incarnation)
+            m_mostConnections = std::max(m_mostConnections, ++m_connections);
+    }
     void onConnectionEnded(int incarnation)
     {
         if (incarnation == m_incarnation)
@@ -61,9 +65,11 @@
     /// Nothing proceeds for \p duration, and then everything goes on.
     void freeze(Core::Duration duration)
     {
-        m_frozenUntil = std::max(m_frozenUntil, m_events.now() + duration);
+        const Core::Instant thawAt = std::max(m_frozenUntil, m_events.now() + duration);
+        const Core::Duration added = thawAt - std::max(m_frozenUntil, m_events.now());
+        m_frozenUntil = thawAt;
         for (const auto &work : m_running)
-            work->finishAt += duration;
+            work->finishAt += added;
         m_events.at(m_frozenUntil, [this] { startWaiting(); });
     }
 
--- a/include/LibRouting/RouteAction.h
+++ b/include/LibRouting/RouteAction.h
@@ -65,8 +65,8 @@
     bool operator==(const Finish &) const = default;
 };
 
-/// Open a new connection, ask for the health page, close it, and report `onProbeAnswered` or
-/// `onProbeFailed`. A probe takes no slot.
+/// Open a new connection, ask for the health page, close it, and then report `onProbeAnswered` or
+/// `onProbeFailed`: exactly one of them, at the deadline at the latest. A probe takes no slot.
 struct ProbeServer
 {
     Core::VmId server;
