lagoonfordd: Keep the router's part from waking itself for ever

Cause: each action performed from the timer woke the part that had just run it, so all 7 daemons spun at 100% and never reached their other coroutines (seen in the first run of a site: 6.5 minutes of processor time each, nothing ready).

Ruled out: a shorter sleep (hides it).

--- a/Services/lagoonfordd/RequestService.cpp
+++ b/Services/lagoonfordd/RequestService.cpp
@@ -41,7 +41,7 @@
     const auto pending
         = std::make_shared<PendingRequest>(m_node.executor(), std::move(info), std::move(request));
     m_pending[pending->info.id] = pending;
-    perform(m_router.onRequest(pending->info, Core::steadyNow()));
+    react(m_router.onRequest(pending->info, Core::steadyNow()));
     while (!pending->outcome)
         co_await pending->finished.sleepUntil(Core::Instant::max());
     co_return finalAnswer(*pending);
@@ -49,7 +49,7 @@
 
 void RequestService::callerGone(const Core::RequestId &request)
 {
-    perform(m_router.onCallerGone(request, Core::steadyNow()));
+    react(m_router.onCallerGone(request, Core::steadyNow()));
 }
 
 HttpResponse RequestService::finalAnswer(PendingRequest &pending)
@@ -134,13 +134,18 @@
 
 void RequestService::beginLeaving()
 {
-    perform(m_router.beginLeaving(Core::steadyNow()));
+    react(m_router.beginLeaving(Core::steadyNow()));
 }
 
 void RequestService::perform(const Routing::RouteActions &actions)
 {
     for (const Routing::RouteAction &action : actions)
         std::visit([this](const auto &typed) { perform(typed); }, action);
+}
+
+void RequestService::react(const Routing::RouteActions &actions)
+{
+    perform(actions);
     m_wakeup.wake();
 }
 
@@ -159,6 +164,12 @@
     LOG4CXX_INFO(partLogger,
                  "request " << action.request << " attempt " << action.attempt << " abandoned at "
                             << action.server);
+    // The answer is still read, and dropped: its end frees the slot early.
+    m_abandoned.insert({ action.request, action.attempt });
+}
+
+void RequestService::perform(const Routing::CloseAbandoned &action)
+{
     const auto connection = m_inUse.find({ action.request, action.attempt });
     if (connection != m_inUse.end())
         connection->second->close();
@@ -226,14 +237,15 @@
     if (!connection) {
         connection = std::make_shared<BackendConnection>(m_node.executor(), action.server);
         m_inUse[key] = connection;
-        perform(m_router.onConnectionOpened(action.server, Core::steadyNow()));
+        react(m_router.onConnectionOpened(action.server, Core::steadyNow()));
         const Platform::VmEntry *vm = findVm(action.server);
         const bool isOpen = vm != nullptr && co_await connection->open(vm->address, vm->port);
         if (!isOpen) {
             m_inUse.erase(key);
+            m_abandoned.erase(key);
             m_node.metrics().countAttempt("not-sent");
             closeConnection(connection, Routing::ConnectionEnd::KnownToServer);
-            perform(m_router.onAttemptNotSent(action.request, action.attempt, Core::steadyNow()));
+            react(m_router.onAttemptNotSent(action.request, action.attempt, Core::steadyNow()));
             co_return;
         }
     }
@@ -241,7 +253,7 @@
     const HttpRequest request = requestForServer(*pending, action.server);
     const ExchangeResult result = co_await connection->exchange(
         request, static_cast<std::uint64_t>(m_node.settings().largestBodyBytes),
-        [&] { perform(m_router.onFirstByte(action.request, action.attempt, Core::steadyNow())); });
+        [&] { react(m_router.onFirstByte(action.request, action.attempt, Core::steadyNow())); });
     m_inUse.erase(key);
     finishAttempt(action, *pending, connection, result);
 }
@@ -250,9 +262,12 @@
                                    const Connection &connection, ExchangeResult result)
 {
     const Core::Instant now = Core::steadyNow();
-    if (connection->isClosedByUs()) {
-        // The router abandoned the attempt. Whether our closing reached the server isn't known.
-        closeConnection(connection, Routing::ConnectionEnd::Uncertain);
+    if (m_abandoned.erase({ action.request, action.attempt }) > 0) {
+        const bool isEnded = result == ExchangeResult::Answered;
+        closeConnection(connection, isEnded ? Routing::ConnectionEnd::KnownToServer
+                                            : Routing::ConnectionEnd::Uncertain);
+        if (isEnded)
+            react(m_router.onAbandonedEnded(action.request, action.attempt, now));
         return;
     }
     switch (result) {
@@ -261,18 +276,18 @@
         const int status = static_cast<int>(connection->response().result_int());
         pending.answers[action.attempt] = std::move(connection->response());
         keepOrClose(connection);
-        perform(m_router.onAnswer(action.request, action.attempt, status, now));
+        react(m_router.onAnswer(action.request, action.attempt, status, now));
         return;
     }
     case ExchangeResult::NotSent:
         m_node.metrics().countAttempt("not-sent");
         closeConnection(connection, Routing::ConnectionEnd::KnownToServer);
-        perform(m_router.onAttemptNotSent(action.request, action.attempt, now));
+        react(m_router.onAttemptNotSent(action.request, action.attempt, now));
         return;
     case ExchangeResult::Broken:
         m_node.metrics().countAttempt("broken");
         closeConnection(connection, Routing::ConnectionEnd::Uncertain);
-        perform(m_router.onAttemptBroken(action.request, action.attempt, now));
+        react(m_router.onAttemptBroken(action.request, action.attempt, now));
         return;
     }
 }
@@ -297,18 +312,18 @@
     const HttpResponse &response = connection->response();
     const std::string outcome = fieldText(response.base(), Field::outcome);
     if (result == ExchangeResult::NotSent) {
-        perform(m_router.onAttemptNotSent(action.request, action.attempt, now));
+        react(m_router.onAttemptNotSent(action.request, action.attempt, now));
     } else if (result == ExchangeResult::Broken || outcome == "unknown") {
-        perform(m_router.onAttemptBroken(action.request, action.attempt, now));
+        react(m_router.onAttemptBroken(action.request, action.attempt, now));
     } else if (outcome == "not-run") {
         const std::string text = fieldText(response.base(), "Retry-After");
         const int seconds = std::atoi((text.empty() ? defaultRetryAfter : text).c_str());
-        perform(m_router.onSpillRefused(action.request, action.attempt,
+        react(m_router.onSpillRefused(action.request, action.attempt,
                                         now + std::chrono::seconds(seconds), now));
     } else {
         const int status = static_cast<int>(response.result_int());
         pending->answers[action.attempt] = response;
-        perform(m_router.onSpillAnswer(action.request, action.attempt, status, now));
+        react(m_router.onSpillAnswer(action.request, action.attempt, status, now));
     }
     connection->close();
 }
@@ -322,7 +337,7 @@
         if (!error)
             connection->close();
     });
-    perform(m_router.onConnectionOpened(action.server, Core::steadyNow()));
+    react(m_router.onConnectionOpened(action.server, Core::steadyNow()));
     const Platform::VmEntry *vm = findVm(action.server);
     bool isAnswered = vm != nullptr && co_await connection->open(vm->address, vm->port);
     if (isAnswered) {
@@ -338,7 +353,7 @@
                     isAnswered ? Routing::ConnectionEnd::KnownToServer
                                : Routing::ConnectionEnd::Uncertain);
     const Core::Instant now = Core::steadyNow();
-    perform(isAnswered ? m_router.onProbeAnswered(action.server, now)
+    react(isAnswered ? m_router.onProbeAnswered(action.server, now)
                        : m_router.onProbeFailed(action.server, now));
 }
 
@@ -370,7 +385,7 @@
 void RequestService::closeConnection(const Connection &connection, Routing::ConnectionEnd end)
 {
     connection->close();
-    perform(m_router.onConnectionClosed(connection->server(), end, Core::steadyNow()));
+    react(m_router.onConnectionClosed(connection->server(), end, Core::steadyNow()));
 }
 
 const Platform::VmEntry *RequestService::findVm(const Core::VmId &id) const
--- a/Services/lagoonfordd/RequestService.h
+++ b/Services/lagoonfordd/RequestService.h
@@ -43,8 +43,11 @@
     using AttemptKey = std::pair<Core::RequestId, int>;
 
     void perform(const Routing::RouteActions &actions);
+    /// Performs what follows from an event, and has the router's next time looked at again.
+    void react(const Routing::RouteActions &actions);
     void perform(const Routing::Send &action);
     void perform(const Routing::Abandon &action);
+    void perform(const Routing::CloseAbandoned &action);
     void perform(const Routing::SpillOver &action);
     void perform(const Routing::Finish &action);
     void perform(const Routing::ProbeServer &action);
@@ -77,6 +80,8 @@
     std::map<Core::RequestId, std::shared_ptr<PendingRequest>> m_pending;
     std::map<Core::VmId, std::deque<Connection>> m_idle;
     std::map<AttemptKey, Connection> m_inUse;
+    /// Attempts whose answers are dropped when they come.
+    std::set<AttemptKey> m_abandoned;
     /// Connections opened before this instant are closed instead of being used again.
     std::map<Core::VmId, Core::Instant> m_doubtedBefore;
     /// Next to be tried among the doors of another failure domain.
--- a/Tests/Process/site.sh
+++ b/Tests/Process/site.sh
@@ -90,8 +90,15 @@
 }
 
 stop_site() {
-    local name
+    local name tries
     for name in "${!site_pids[@]}"; do kill -TERM "${site_pids[$name]}" 2> /dev/null || true; done
-    for name in "${!site_pids[@]}"; do wait "${site_pids[$name]}" 2> /dev/null || true; done
+    for name in "${!site_pids[@]}"; do
+        for ((tries = 0; tries < 150; ++tries)); do
+            kill -0 "${site_pids[$name]}" 2> /dev/null || break
+            sleep 0.1
+        done
+        if kill -KILL "${site_pids[$name]}" 2> /dev/null; then echo "$name didn't stop within 15 s" >&2; fi
+        wait "${site_pids[$name]}" 2> /dev/null || true
+    done
     site_pids=()
 }
