Tests: Give the stand-in its list of VMs in its format

Cause: the stand-in refused a bare array and ended, so no log was there. Ruled out: a fault in the adapters (connect was refused). Conclusion: the thin whole path stands.

--- a/Tests/Process/site.sh
+++ b/Tests/Process/site.sh
@@ -16,7 +16,7 @@
 site_write_vms() {
     local index domain separator=""
     {
-        echo "["
+        echo "{\"vms\":["
         for index in 1 2 3 4 5 6 7; do
             domain=${site_entry_domains[$((index - 1))]}
             printf '%s{"id":"entry-%d","kind":"entry","state":"live","failureDomain":"%s","rack":"e%d","address":"127.0.0.1","port":%d,"callerPort":%d,"capacity":{"milliCores":0,"mebibytes":0,"accelerators":0},"slots":0,"connections":0}\n' \
@@ -28,7 +28,7 @@
             printf ',{"id":"worker-%d","kind":"worker","state":"live","failureDomain":"%s","rack":"r%d","address":"127.0.0.1","port":%d,"callerPort":0,"capacity":{"milliCores":32000,"mebibytes":128000,"accelerators":1},"slots":8,"connections":64}\n' \
                 "$index" "$domain" $((index / 24)) $((SITE_PORT + 100 + index))
         done
-        echo "]"
+        echo "]}"
     } > "$SITE_DIR/vms.json"
 }
 
