--- a/Tests/LibPeer/TestPeerServer.cpp
+++ b/Tests/LibPeer/TestPeerServer.cpp
@@ -126,7 +126,9 @@
     ServerFixture fixture;
     SECTION("a message that is too long ends its connection only")
     {
-        await(fixture.context, fixture.sendRaw(std::string(3 * 1024 * 1024, ' ')));
+        const std::string request = R"({"jsonrpc":"2.0","id":7,"method":"count"})";
+        await(fixture.context, fixture.sendRaw(std::string(3 * 1024 * 1024, ' ') + request + '\n'));
+        CHECK(fixture.count == 0);
         CHECK(fixture.call("count") == 1);
     }
     SECTION("a well-formed request by hand is carried out")
--- a/Tests/LibPlatform/TestHttpLogService.cpp
+++ b/Tests/LibPlatform/TestHttpLogService.cpp
@@ -35,6 +35,19 @@
         return await(context, log.append("rules", { body }, deadline));
     }
 
+    /// Opens as many connections as there are bodies.
+    void appendAtOnce(const std::vector<std::string> &bodies)
+    {
+        std::size_t done = 0;
+        for (const std::string &body : bodies)
+            boost::asio::co_spawn(
+                context, log.append("rules", { body }, amply()),
+                [&done](const std::exception_ptr &, Platform::Offset) { ++done; });
+        context.restart();
+        while (done < bodies.size())
+            context.run_one();
+    }
+
     std::vector<std::string> bodies()
     {
         const Json::Value page = platform.log().read("rules", 0, 10000);
@@ -94,11 +107,12 @@
         CHECK_THROWS_AS(fixture.append("second", Core::steadyNow()), Core::NotDoneError);
         CHECK(fixture.bodies().size() == 1);
     }
-    SECTION("a pooled connection that went silent costs one call its deadline")
+    SECTION("pooled connections that went silent cost one call its deadline")
     {
+        fixture.appendAtOnce({ "a", "b", "c" });
         fixture.server.silenceOpenConnections();
         CHECK_THROWS_AS(fixture.append("second", soon()), Core::OutcomeUnknownError);
-        CHECK(fixture.append("third", amply()) == 1);
+        CHECK(fixture.append("third", amply()) == 4);
     }
     SECTION("an answer that comes after the deadline doesn't reach the next call")
     {
--- a/Tests/LibPlatform/TestHttpWorkerControl.cpp
+++ b/Tests/LibPlatform/TestHttpWorkerControl.cpp
@@ -114,6 +114,14 @@
         CHECK_THROWS_AS(fixture.start(fixture.command()), Core::OutcomeUnknownError);
         CHECK(fixture.platform.workers().report()["running"] == 1);
     }
+    SECTION("a body shorter than announced is no answer even if nobody reads it")
+    {
+        fixture.start(fixture.command());
+        fixture.platform.faults().set("/workers", { .truncatesBodies = true });
+        CHECK_THROWS_AS(
+            await(fixture.context, fixture.control.throttle(fixture.worker, attempt, 50, amply())),
+            Core::OutcomeUnknownError);
+    }
     SECTION("an unknown worker certainly doesn't run it")
     {
         Platform::StartCommand command = fixture.command();
