--- /dev/null
+++ b/Libraries/LibTask/AppendQueue.cpp
@@ -0,0 +1,91 @@
+#include "AppendQueue.h"
+
+#include <utility>
+
+namespace Task {
+
+AppendQueue::AppendQueue(const PlacerSettings &settings)
+    : m_retryInterval(settings.appendRetryInterval)
+    , m_maximumRecords(settings.maximumBatchRecords)
+{
+}
+
+void AppendQueue::push(TaskRecord record)
+{
+    m_waiting.push_back(std::move(record));
+}
+
+void AppendQueue::pushSnapshot(std::vector<SnapshotPart> parts, std::uint64_t epoch)
+{
+    for (SnapshotPart &part : parts)
+        m_snapshotParts.push_back(TaskRecord::create(epoch, std::move(part)));
+}
+
+std::optional<AppendRecords> AppendQueue::poll(Core::Instant now, std::uint64_t &lastNumber)
+{
+    if (m_state == State::Sent)
+        return std::nullopt;
+    if (m_state == State::Retry && now < m_retryAt)
+        return std::nullopt;
+    if (m_state == State::Idle)
+        fillBatch();
+    if (m_batch.empty())
+        return std::nullopt;
+    m_state = State::Sent;
+    m_batchId = ++lastNumber;
+    return AppendRecords { m_batchId, m_batch };
+}
+
+void AppendQueue::fillBatch()
+{
+    while (!m_waiting.empty() && m_batch.size() < m_maximumRecords) {
+        m_batch.push_back(std::move(m_waiting.front()));
+        m_waiting.pop_front();
+    }
+    if (!m_snapshotParts.empty()) {
+        m_batch.push_back(std::move(m_snapshotParts.front()));
+        m_snapshotParts.pop_front();
+    }
+    for (const TaskRecord &record : m_batch)
+        m_unseen.insert(record.id);
+}
+
+std::vector<TaskRecord> AppendQueue::onOutcome(std::uint64_t batchId, AppendOutcome outcome,
+                                               Core::Instant now)
+{
+    if (m_state != State::Sent || batchId != m_batchId)
+        return {};
+    if (outcome == AppendOutcome::Landed)
+        return takeBatch();
+    m_state = State::Retry;
+    m_retryAt = now + m_retryInterval;
+    return {};
+}
+
+std::vector<TaskRecord> AppendQueue::onSeen(const std::string &recordId)
+{
+    if (m_state == State::Idle)
+        return {};
+    // One record doesn't prove the batch: it may be the late copy of a repeated record that an
+    // earlier batch held too.
+    m_unseen.erase(recordId);
+    return m_unseen.empty() ? takeBatch() : std::vector<TaskRecord> {};
+}
+
+std::vector<TaskRecord> AppendQueue::takeBatch()
+{
+    m_state = State::Idle;
+    m_unseen.clear();
+    return std::exchange(m_batch, {});
+}
+
+std::optional<Core::Instant> AppendQueue::nextWakeUp(Core::Instant now) const
+{
+    if (m_state == State::Retry)
+        return m_retryAt;
+    if (m_state == State::Idle && (!m_waiting.empty() || !m_snapshotParts.empty()))
+        return now;
+    return std::nullopt;
+}
+
+} // namespace Task
