--- a/Tests/StandIns/Common/HttpConnection.cpp
+++ b/Tests/StandIns/Common/HttpConnection.cpp
@@ -19,10 +19,6 @@
 
 static constexpr std::uint64_t maximumBodyBytes = 4 * 1024 * 1024;
 
-// GCC 12 inlines a coroutine's operator new but not its operator delete and then takes them for a
-// mismatch.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 static auto awaitInto(error_code &error)
 {
     return asio::redirect_error(asio::use_awaitable, error);
