--- a/Tests/LibTask/FakeWorker.cpp
+++ b/Tests/LibTask/FakeWorker.cpp
@@ -68,7 +68,8 @@
         if (attempt.phase != AttemptPhase::Running)
             continue;
         const Core::Instant finish = attempt.resumedAt + (attempt.workNeeded - attempt.workDone);
-        if (finish <= std::min(now, attempt.leaseEnd))
+        const bool runsUntilStopped = attempt.workNeeded.count() == 0;
+        if (!runsUntilStopped && finish <= std::min(now, attempt.leaseEnd))
             attempt.phase = AttemptPhase::Finished;
         else if (attempt.leaseEnd <= now)
             attempt.phase = AttemptPhase::Stopped;
