LibPlacement: Let a cut-short search of the worker index go on at the wrap

Cause: a search whose visits ran out exactly between its two ranges kept its old position, so the next one began there again and never saw the workers before it. Found by the property on bounded searches: falsified after 75 tests, found.has_value() == exists expanded to false == true.

Change: the position is set before each range. The property then passes 200 tests.

--- a/Libraries/LibPlacement/WorkerIndex.cpp
+++ b/Libraries/LibPlacement/WorkerIndex.cpp
@@ -47,9 +47,13 @@
     if (m_size == 0)
         return std::nullopt;
     const WorkerSlot start = cursor.position % m_size;
+    // Where the next search goes on if this one ends between the two ranges.
+    cursor.position = 0;
     std::optional<WorkerSlot> found = findInRange(need, start, m_size, cursor);
-    if (!found && cursor.visitsLeft > 0)
+    if (!found && cursor.visitsLeft > 0) {
+        cursor.position = start;
         found = findInRange(need, 0, start, cursor);
+    }
     if (found)
         cursor.position = (*found + 1) % m_size;
     return found;
