--- a/Libraries/LibRouting/SlotLimiter.cpp
+++ b/Libraries/LibRouting/SlotLimiter.cpp
@@ -23,7 +23,8 @@
 
 bool SlotLimiter::hasFreeConnection() const
 {
-    return connectionsWith(1) <= m_connections;
+    // A probe never takes an idle connection, as it is to show whether new ones work.
+    return connectionsWith(0) + 1 <= m_connections;
 }
 
 int SlotLimiter::surplusConnections() const
--- a/Tests/LibRouting/VirtualEntry.h
+++ b/Tests/LibRouting/VirtualEntry.h
@@ -5,6 +5,7 @@
 
 #include <LibRouting/RequestRouter.h>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -59,6 +60,8 @@
 
     Router &router() { return m_router; }
     void setDoors(FindDoor findDoor) { m_findDoor = std::move(findDoor); }
+    /// One way, to another failure domain.
+    void setDomainDelay(Core::Duration delay) { m_domainDelay = delay; }
     /// False lets the shell close abandoned connections at once instead of reading on.
     void setReadingOn(bool isReadingOn) { m_isReadingOn = isReadingOn; }
     /// True makes the shell reuse connections on which an answer may still come.
@@ -131,7 +134,6 @@
     using ConnectionEnd = Routing::ConnectionEnd;
 
     static constexpr Core::Duration linkDelay = std::chrono::microseconds(100);
-    static constexpr Core::Duration domainDelay = std::chrono::microseconds(500);
 
     struct Connection
     {
@@ -181,8 +183,11 @@
     {
         if (!m_takingNew.contains(send.server))
             ++m_violationsOfLeaving;
-        for (const auto &connection : m_connections[send.server]) {
-            if (connection->isBusy || connection->isDoubted)
+        auto &idle = m_idle[send.server];
+        while (!idle.empty()) {
+            const ConnectionPointer connection = idle.front();
+            idle.pop_front();
+            if (connection->isBusy || connection->isDoubted || !connection->isOpen)
                 continue;
             take(connection, send);
             write(connection);
@@ -210,6 +215,12 @@
         connection->attempt = send.attempt;
     }
 
+    void makeIdle(const ConnectionPointer &connection)
+    {
+        connection->isBusy = false;
+        m_idle[connection->server->id()].push_back(connection);
+    }
+
     ConnectionPointer open(const Core::VmId &server)
     {
         auto connection = std::make_shared<Connection>();
@@ -312,7 +323,7 @@
             endAbandoned(connection, ConnectionEnd::KnownToServer);
             return;
         }
-        connection->isBusy = false;
+        makeIdle(connection);
         if (connection->isDoubted || !m_takingNew.contains(connection->server->id()))
             close(connection, ConnectionEnd::KnownToServer);
         const Core::RequestId request = connection->request;
@@ -337,20 +348,22 @@
             abandonSpilled(abandon);
             return;
         }
-        const auto connections = m_connections[abandon.server];
-        for (const auto &connection : connections) {
-            const bool isIt = connection->isBusy && connection->request == abandon.request
-                && connection->attempt == abandon.attempt;
-            if (!isIt)
-                continue;
-            if (m_isReusingAbandoned) {
-                connection->isBusy = false;
-                continue;
-            }
-            connection->isAbandoned = true;
-            if (!m_isReadingOn)
-                close(connection, ConnectionEnd::Uncertain);
+        const auto &connections = m_connections[abandon.server];
+        const auto found = std::find_if(
+            connections.begin(), connections.end(), [&](const ConnectionPointer &connection) {
+                return connection->isBusy && connection->request == abandon.request
+                    && connection->attempt == abandon.attempt;
+            });
+        if (found == connections.end())
+            return;
+        const ConnectionPointer connection = *found;
+        if (m_isReusingAbandoned) {
+            makeIdle(connection);
+            return;
         }
+        connection->isAbandoned = true;
+        if (!m_isReadingOn)
+            close(connection, ConnectionEnd::Uncertain);
     }
 
     void perform(const Routing::CloseAbandoned &closing)
@@ -372,7 +385,7 @@
         VirtualEntry *entry = door->second;
         const Core::RequestId id = spilledId(abandon.request, abandon.attempt);
         m_spilled.erase(door);
-        m_events.after(domainDelay, [entry, id] { entry->callerGone(id); });
+        m_events.after(m_domainDelay, [entry, id] { entry->callerGone(id); });
     }
 
     static Core::RequestId spilledId(const Core::RequestId &request, int attempt)
@@ -384,7 +397,7 @@
     {
         VirtualEntry *door = m_findDoor ? m_findDoor(spill.failureDomain) : nullptr;
         if (!door) {
-            m_events.after(domainDelay * 2, [this, spill] {
+            m_events.after(m_domainDelay * 2, [this, spill] {
                 perform(m_router.onAttemptNotSent(spill.request, spill.attempt, now()));
             });
             return;
@@ -393,10 +406,10 @@
         Routing::RequestInfo info = m_records[originOf(spill.request)].info;
         info.id = spilledId(spill.request, spill.attempt);
         info.isSpilledOver = true;
-        m_events.after(domainDelay, [this, spill, door, info] {
+        m_events.after(m_domainDelay, [this, spill, door, info] {
             door->request(
                 info, [this, spill](const auto &outcome, const auto &answerOf, int status) {
-                    m_events.after(domainDelay, [=, this] {
+                    m_events.after(m_domainDelay, [=, this] {
                         whenAwake([=, this] { onSpillEnded(spill, outcome, answerOf, status); });
                     });
                 });
@@ -492,9 +505,12 @@
     bool m_isReusingAbandoned = false;
     int m_violationsOfLeaving = 0;
     Core::Instant m_frozenUntil;
+    Core::Duration m_domainDelay = std::chrono::microseconds(500);
     std::optional<Core::Instant> m_armedAt;
     std::set<Core::VmId> m_takingNew;
     std::unordered_map<Core::VmId, std::vector<ConnectionPointer>> m_connections;
+    /// May still hold connections that were closed or doubted since.
+    std::unordered_map<Core::VmId, std::deque<ConnectionPointer>> m_idle;
     std::unordered_map<Core::RequestId, OnFinish> m_callers;
     std::unordered_map<Core::RequestId, std::pair<std::string, int>> m_answers;
     std::map<std::pair<Core::RequestId, int>, VirtualEntry *> m_spilled;
