--- a/Services/lagoonfordd/KeyService.cpp
+++ b/Services/lagoonfordd/KeyService.cpp
@@ -53,12 +53,12 @@
 void KeyService::refresh(Core::Instant now)
 {
     m_table.expire(now);
-    const std::vector<Lease::DomainView> views = m_node.membership().bindingViews(now);
+    const std::vector<const Lease::DomainView *> views = m_node.membership().bindingViews(now);
     // Owners of an earlier view may still decide until all members have left that view behind.
     const bool isSettled = views.size() == 1 && m_node.membership().isMember(now);
     if (!isSettled)
         return;
-    const Lease::DomainView &view = views.front();
+    const Lease::DomainView &view = *views.front();
     if (view.version != m_settledVersion) {
         m_settledVersion = view.version;
         m_settledAt = now;
