LibPlacement: Bound what refused noisy work costs, and lift limits sooner

Change: a refusal is remembered for its class during the call; the base slowdown is left out; noisy work waits at most noisePatience; the calm threshold is 1.5.

--- a/Libraries/LibPlacement/CandidateSearch.cpp
+++ b/Libraries/LibPlacement/CandidateSearch.cpp
@@ -129,9 +129,10 @@
     // Quiet work fills what noisy work must leave, so that no room is wasted.
     if (m_interference.isQuiet(request.classIndex) || !m_fleet.hasLatencyCritical(worker))
         return true;
+    if (m_interference.isUnderPressure(worker, now))
+        return false;
     const double part = m_fleet.partOf(worker, request.need);
-    return !m_interference.isUnderPressure(worker, now)
-        && m_interference.isHarmless(worker, request.classIndex, part);
+    return request.hasWaited || m_interference.isHarmless(worker, request.classIndex, part);
 }
 
 std::vector<WorkerSlot> CandidateSearch::candidatesInRacks(const PlacementRequest &request,
--- a/Libraries/LibPlacement/InformedScheduler.cpp
+++ b/Libraries/LibPlacement/InformedScheduler.cpp
@@ -184,7 +184,7 @@
     if (std::exchange(m_isReturning, false))
         m_rampUntil = now + m_settings.returnRamp;
     m_now = std::max(m_now, now);
-    Pass pass { now, maximumStarts, m_settings.failedSearchesPerCall * effortOfSearch, {}, {} };
+    Pass pass { now, maximumStarts, m_settings.failedSearchesPerCall * effortOfSearch, {}, {}, {} };
     updateHealth(pass);
     holdBadJobs(pass);
     evacuate(pass);
--- a/Libraries/LibPlacement/InformedSchedulerStarts.cpp
+++ b/Libraries/LibPlacement/InformedSchedulerStarts.cpp
@@ -155,7 +155,8 @@
 {
     const bool isLatencyCritical = item.lane.kind == Rules::TaskKind::LatencyCritical;
     const ClassIndex classIndex = m_classes.indexOf(item.task.spec.taskClass);
-    return { item.task.spec.id, classIndex, isLatencyCritical, item.task.spec.declared };
+    const bool hasWaited = m_now - item.waitingSince >= m_settings.noisePatience;
+    return { item.task.spec.id, classIndex, isLatencyCritical, item.task.spec.declared, hasWaited };
 }
 
 std::optional<WorkerSlot> InformedScheduler::findFree(Pass &pass, const WaitingQueue::Item &item,
@@ -174,6 +175,8 @@
         request.need = declared;
         result = m_search.findFree(request, pass.now);
     }
+    if (!result.worker && result.hasFit && !request.isLatencyCritical)
+        pass.refusals.push_back(request);
     // Even if the search was cut short, a larger task would hardly fare better in this call.
     if (!result.hasFit && request.need == declared)
         pass.misfits.push_back(request);
@@ -184,7 +187,13 @@
 {
     const auto isNoLarger
         = [&request](const PlacementRequest &misfit) { return misfit.need.fitsIn(request.need); };
-    return std::any_of(pass.misfits.begin(), pass.misfits.end(), isNoLarger);
+    if (std::any_of(pass.misfits.begin(), pass.misfits.end(), isNoLarger))
+        return true;
+    const auto isSameClass = [&](const PlacementRequest &refusal) {
+        return refusal.classIndex == request.classIndex && refusal.hasWaited == request.hasWaited
+            && isNoLarger(refusal);
+    };
+    return std::any_of(pass.refusals.begin(), pass.refusals.end(), isSameClass);
 }
 
 bool InformedScheduler::start(Pass &pass, const WaitingTask &task, WorkerSlot worker,
--- a/Libraries/LibPlacement/InterferenceModel.cpp
+++ b/Libraries/LibPlacement/InterferenceModel.cpp
@@ -44,18 +44,20 @@
     if (parts.size() > m_noise.size())
         m_noise.resize(parts.size(), initialNoise);
     // A normalized least mean squares step: each class takes its part of the prediction error.
-    double predicted = m_baseSlowdown * basePart;
+    double pressure = 0.0;
     double power = basePart * basePart;
     for (ClassIndex batchClass = 0; batchClass < parts.size(); ++batchClass) {
-        predicted += m_noise[batchClass] * parts[batchClass];
+        pressure += m_noise[batchClass] * parts[batchClass];
         power += parts[batchClass] * parts[batchClass];
     }
     const double observed = std::clamp(slowdown, undisturbed, largestObservation) - undisturbed;
+    const double predicted = m_baseSlowdown * basePart + pressure;
     const double step = noiseSmoothing * (observed - predicted) / power;
     m_baseSlowdown += step * basePart;
     for (ClassIndex batchClass = 0; batchClass < parts.size(); ++batchClass)
         m_noise[batchClass] = std::max(0.0, m_noise[batchClass] + step * parts[batchClass]);
-    stateFor(worker).predictedPressure = std::max(0.0, predicted);
+    // What is there without batch work is left out: keeping batch work away wouldn't cure it.
+    stateFor(worker).predictedPressure = pressure;
 }
 
 void InterferenceModel::expect(WorkerSlot worker, ClassIndex batchClass, double part)
--- a/include/LibPlacement/CandidateSearch.h
+++ b/include/LibPlacement/CandidateSearch.h
@@ -17,6 +17,8 @@
     ClassIndex classIndex = 0;
     bool isLatencyCritical = false;
     Core::Resources need;
+    /// True if it has waited long enough to go where its class is expected to disturb.
+    bool hasWaited = false;
 
     bool operator==(const PlacementRequest &) const = default;
 };
--- a/include/LibPlacement/InformedScheduler.h
+++ b/include/LibPlacement/InformedScheduler.h
@@ -59,8 +59,10 @@
         /// A bound on the work spent on tasks that don't fit.
         int effortLeft = 0;
         std::vector<Decision> decisions;
-        /// Needs that certainly fit nowhere now; a larger one needn't be tried.
+        /// Needs that fit nowhere now; a larger one needn't be tried.
         std::vector<PlacementRequest> misfits;
+        /// Needs that fit only where their class would disturb, or where the task failed.
+        std::vector<PlacementRequest> refusals;
     };
 
     /// A position in one lane, with what decides between lanes.
--- a/include/LibPlacement/SchedulerSettings.h
+++ b/include/LibPlacement/SchedulerSettings.h
@@ -14,7 +14,7 @@
     /// Above this smoothed slowdown of a latency-critical class the worker is under pressure.
     double alarmSlowdown = 1.8;
     /// Below it the worker is calm; between the two nothing changes.
-    double calmSlowdown = 1.2;
+    double calmSlowdown = 1.5;
     /// The weight of a new observation, from 0 to 1.
     double smoothing = 0.4;
     /// How long an action is given to show in the lagging measurements.
@@ -57,6 +57,8 @@
     std::uint64_t seed = 1;
     /// A task of priority p goes before one of priority 0 that has waited up to p times this.
     Core::Duration agingPerPriority = std::chrono::seconds(1);
+    /// How long a batch task waits for a worker where its class isn't expected to disturb.
+    Core::Duration noisePatience = std::chrono::seconds(20);
     /// A batch task within its team's quota takes borrowed room back after waiting this long.
     Core::Duration reclaimAfter = std::chrono::seconds(60);
     /// Reclaiming batch tasks: one per interval, so that borrowed room isn't emptied at a stroke.
@@ -68,7 +70,7 @@
     /// One worker in this many, and at least one, may be kept free at a time.
     std::size_t workersPerDrain = 32;
     /// How many tasks that don't fit one call looks at.
-    int failedSearchesPerCall = 48;
+    int failedSearchesPerCall = 20;
     /// Attempts that leave an out-of-service failure domain: one per interval.
     Core::Duration evacuationInterval = std::chrono::milliseconds(50);
     /// Starts after the failure domain's return: one per interval during the ramp.
