--- a/Libraries/LibRouting/SlotLimiter.cpp
+++ b/Libraries/LibRouting/SlotLimiter.cpp
@@ -73,14 +73,15 @@
 
 void SlotLimiter::release(Core::Instant now)
 {
-    std::erase_if(m_uncertainUntil, [&](Core::Instant until) { return until <= now; });
+    while (!m_uncertainUntil.empty() && m_uncertainUntil.front() <= now)
+        m_uncertainUntil.pop_front();
 }
 
 std::optional<Core::Instant> SlotLimiter::nextRelease() const
 {
     if (m_uncertainUntil.empty())
         return std::nullopt;
-    return *std::min_element(m_uncertainUntil.begin(), m_uncertainUntil.end());
+    return m_uncertainUntil.front();
 }
 
 int SlotLimiter::connectionsWith(int added) const
--- a/include/LibRouting/SlotLimiter.h
+++ b/include/LibRouting/SlotLimiter.h
@@ -3,6 +3,7 @@
 #include <LibCore/Identifier.h>
 #include <LibCore/Time.h>
 
+#include <deque>
 #include <optional>
 #include <vector>
 
@@ -79,8 +80,9 @@
     int m_open = 0;
     Core::Instant m_lastSignOfLife;
     std::vector<AbandonedAttempt> m_abandoned;
-    /// When each connection that we closed without the server's knowledge is gone there too.
-    std::vector<Core::Instant> m_uncertainUntil;
+    /// When each connection that we closed without the server's knowledge is gone there too; the
+    /// earliest first.
+    std::deque<Core::Instant> m_uncertainUntil;
 };
 
 } // namespace Routing
