lagoonfordd: Send a job to the stream that its id names, and tell the scheduler its domain

Cause: after an unknown append a repetition at another entry VM went to that VM's own failure domain, so a job could have two owners; the scheduler was built without its failure domain, so quotas weren't split.

Ruled out: asking the other domains before each submission (fails just when they are cut off). What remains is a FIXME: a domain taken out between the two submissions.

--- a/Services/lagoonfordd/JobService.cpp
+++ b/Services/lagoonfordd/JobService.cpp
@@ -6,6 +6,7 @@
 
 #include <LibCore/Error.h>
 #include <LibCore/Json.h>
+#include <LibCore/StableHash.h>
 #include <LibCore/SteadyClock.h>
 #include <LibCore/TextValues.h>
 #include <LibTask/TaskRecordCodec.h>
@@ -96,7 +97,7 @@
         LOG4CXX_INFO(partLogger, "refused " << spec.id << ": " << reason);
         co_return errorResponse(http::status::unprocessable_entity, "not run: " + reason);
     }
-    const Core::FailureDomainId domain = chooseDomain(spec.taskClass);
+    const Core::FailureDomainId domain = chooseDomain(spec);
     if (domain.isEmpty())
         co_return notRunResponse("every failure domain where it may run is out",
                                  std::chrono::seconds(5));
@@ -241,19 +242,24 @@
     return value;
 }
 
-Core::FailureDomainId JobService::chooseDomain(const Core::TaskClassId &taskClass) const
+Core::FailureDomainId JobService::chooseDomain(const Task::TaskSpec &spec) const
 {
+    // FIXME: A submission of unknown outcome that is repeated after its failure domain was taken
+    // out
+    //        goes to another stream; if the first one landed late, the task has two owners.
     const Rules::RuleSet &rules = m_node.ruleBook().current().rules;
-    const auto isOpen = [&](const Core::FailureDomainId &domain) {
-        return !rules.isOut(domain) && rules.mayRunIn(taskClass, domain);
-    };
-    if (isOpen(m_node.settings().failureDomain))
-        return m_node.settings().failureDomain;
+    Core::FailureDomainId best;
+    std::uint64_t bestWeight = 0;
     for (const Core::FailureDomainId &domain : m_node.failureDomains()) {
-        if (isOpen(domain))
-            return domain;
+        if (rules.isOut(domain) || !rules.mayRunIn(spec.taskClass, domain))
+            continue;
+        const std::uint64_t weight = Core::stableHash(domain.text() + '/' + spec.id.text());
+        if (best.isEmpty() || weight > bestWeight) {
+            best = domain;
+            bestWeight = weight;
+        }
     }
-    return {};
+    return best;
 }
 
 std::string JobService::reasonNeverFits(const Task::TaskSpec &spec) const
--- a/Services/lagoonfordd/JobService.h
+++ b/Services/lagoonfordd/JobService.h
@@ -36,8 +36,9 @@
                                                 Json::Value success);
     /// Looks here, then in the other failure domains; null if nobody knows the task.
     boost::asio::awaitable<Json::Value> findAnywhere(Core::TaskId task);
-    /// Where a new task of \p taskClass goes; empty if it may run nowhere now.
-    Core::FailureDomainId chooseDomain(const Core::TaskClassId &taskClass) const;
+    /// Where a new task goes; empty if it may run nowhere now. It follows from the task's id and
+    /// the rules alone, so that a repetition at another entry VM goes to the same stream.
+    Core::FailureDomainId chooseDomain(const Task::TaskSpec &spec) const;
     /// Why no worker where the task may run could ever take it; empty if one could.
     std::string reasonNeverFits(const Task::TaskSpec &spec) const;
     Json::Value describe(const Core::TaskId &task) const;
--- a/Services/lagoonfordd/Node.cpp
+++ b/Services/lagoonfordd/Node.cpp
@@ -20,10 +20,22 @@
 class InformedSchedulerFactory final : public Task::SchedulerFactory
 {
 public:
+    explicit InformedSchedulerFactory(const Node &node)
+        : m_node(node)
+    {
+    }
+
     std::unique_ptr<Placement::Scheduler> create() const override
     {
-        return Placement::InformedScheduler::create({});
+        Placement::SchedulerSettings settings;
+        settings.failureDomain = m_node.settings().failureDomain;
+        // The quotas are shared by the failure domains that are known when the placer takes over.
+        settings.failureDomainCount = static_cast<int>(m_node.failureDomains().size());
+        return Placement::InformedScheduler::create(settings);
     }
+
+private:
+    const Node &m_node;
 };
 
 std::string drawRunWord()
@@ -95,7 +107,7 @@
     , m_lease(leaseSettings(settings, m_run), Core::steadyNow())
     , m_membership(m_lease, {}, Core::steadyNow())
     , m_shares(m_membership)
-    , m_schedulers(std::make_unique<InformedSchedulerFactory>())
+    , m_schedulers(std::make_unique<InformedSchedulerFactory>(*this))
     , m_leaseWakeup(executor)
     , m_placerWakeup(executor)
     , m_rulesWakeup(executor)
--- a/Services/lagoonfordd/RequestService.cpp
+++ b/Services/lagoonfordd/RequestService.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <variant>
 
@@ -24,6 +25,8 @@
 static constexpr Core::Duration hopLatency = std::chrono::milliseconds(2);
 /// A door with more requests waiting than this isn't asked to take others.
 static constexpr std::uint64_t mostQueuedAtOtherDoor = 50;
+/// The weight of the newest of ten values a second, so that the average spans some seconds.
+static constexpr double demandSmoothing = 0.05;
 static constexpr const char *servicePrefix = "/service";
 static constexpr const char *probePath = "/healthz";
 static constexpr const char *defaultRetryAfter = "1";
@@ -84,6 +87,8 @@
     m_router.setTeamWeights(weights);
     perform(m_router.setServers(servers(now), now));
     perform(m_router.setSpillOver(otherDoors(now), now));
+    m_demand += demandSmoothing * (static_cast<double>(m_router.inProgress()) - m_demand);
+    m_node.membership().noteDemand(static_cast<int>(std::ceil(m_demand)));
     m_node.setQueued(m_router.queued());
     m_node.metrics().setQueued(static_cast<double>(m_router.queued()));
 }
--- a/Services/lagoonfordd/RequestService.h
+++ b/Services/lagoonfordd/RequestService.h
@@ -84,6 +84,8 @@
     std::set<AttemptKey> m_abandoned;
     /// Connections opened before this instant are closed instead of being used again.
     std::map<Core::VmId, Core::Instant> m_doubtedBefore;
+    /// Requests in progress, averaged over some seconds.
+    double m_demand = 0;
     /// Next to be tried among the doors of another failure domain.
     mutable std::size_t m_nextDoor = 0;
 };
