LibPlatform: Read the list of VMs only when it has changed

Cause: measured on an idle site of 57 VMs, each daemon received 12.4 KB/s from the platform, nearly all of it the list, once a second; at 660 workers that would be over 140 KB/s against 3 KB/s. The peers' states cost another 4 KB/s each way.

Ruled out: reading the list less often (a leaving worker must get nothing within 3 s). Change: the list carries a version and is left out while the asker has it; peers are asked half as often; lint findings in the daemon mended.

Conclusion: traffic no longer grows with the number of workers while the list stands still.

--- a/Libraries/LibPlatform/Http/HttpVmDirectory.cpp
+++ b/Libraries/LibPlatform/Http/HttpVmDirectory.cpp
@@ -3,6 +3,10 @@
 #include "Http/HttpClient.h"
 #include "Http/WireFormat.h"
 
+#include <LibCore/Error.h>
+
+#include <utility>
+
 namespace Platform {
 
 HttpVmDirectory::HttpVmDirectory(const boost::asio::any_io_executor &executor,
@@ -15,9 +19,19 @@
 
 boost::asio::awaitable<std::vector<VmEntry>> HttpVmDirectory::list(Core::Instant deadline)
 {
-    HttpRequest request { "list VMs", HttpMethod::Get, "/vms", {}, true };
-    const std::string answer = co_await m_client->call(std::move(request), deadline);
-    co_return WireFormat::decodeVmEntries(answer, "list of VMs");
+    // The list is long and seldom changes, so it is only sent again when it has changed.
+    const std::string target
+        = m_version.empty() ? "/vms" : "/vms?unless=" + WireFormat::pathSegment(m_version);
+    HttpRequest request { "list VMs", HttpMethod::Get, target, {}, true };
+    const std::string text = co_await m_client->call(std::move(request), deadline);
+    WireFormat::VmListAnswer answer = WireFormat::decodeVmList(text, "list of VMs");
+    if (!answer.entries && answer.version != m_version)
+        throw Core::FormatError("list VMs", "platform", "the list is missing");
+    if (answer.entries) {
+        m_entries = std::move(*answer.entries);
+        m_version = answer.version;
+    }
+    co_return m_entries;
 }
 
 } // namespace Platform
--- a/Libraries/LibPlatform/Http/WireFormat.cpp
+++ b/Libraries/LibPlatform/Http/WireFormat.cpp
@@ -200,13 +200,19 @@
     return entry;
 }
 
-std::vector<VmEntry> decodeVmEntries(std::string_view text, const std::string &peer)
+VmListAnswer decodeVmList(std::string_view text, const std::string &peer)
 {
     const Value value = Core::Json::parse(text, peer);
-    std::vector<VmEntry> entries;
+    VmListAnswer answer;
+    if (value.isObject() && value.isMember("version"))
+        answer.version = stringMember(value, "version");
+    const bool isUnchanged = !answer.version.empty() && !value.isMember("vms");
+    if (isUnchanged)
+        return answer;
+    answer.entries.emplace();
     for (const Value &entry : arrayMember(value, "vms"))
-        entries.push_back(decodeVmEntry(entry));
-    return entries;
+        answer.entries->push_back(decodeVmEntry(entry));
+    return answer;
 }
 
 static Task::AttemptPhase decodePhase(const std::string &text)
--- a/Services/lagoonfordd/BackendConnection.cpp
+++ b/Services/lagoonfordd/BackendConnection.cpp
@@ -14,7 +14,6 @@
 namespace Daemon {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
 BackendConnection::BackendConnection(const asio::any_io_executor &executor, Core::VmId server)
--- a/Services/lagoonfordd/DirectoryPart.cpp
+++ b/Services/lagoonfordd/DirectoryPart.cpp
@@ -17,7 +17,7 @@
 
 static constexpr Core::Duration listInterval = std::chrono::seconds(1);
 static constexpr Core::Duration listTimeout = std::chrono::milliseconds(900);
-static constexpr Core::Duration peerInterval = std::chrono::milliseconds(300);
+static constexpr Core::Duration peerInterval = std::chrono::milliseconds(600);
 static constexpr Core::Duration peerTimeout = std::chrono::milliseconds(600);
 /// Peers in other failure domains are asked once in so many rounds.
 static constexpr unsigned roundsPerDistantPeer = 3;
--- a/Services/lagoonfordd/JobService.cpp
+++ b/Services/lagoonfordd/JobService.cpp
@@ -45,7 +45,7 @@
 
 static std::string nameMember(const Json::Value &value, const char *name)
 {
-    const std::string text = Core::Json::stringMember(value, name);
+    std::string text = Core::Json::stringMember(value, name);
     if (!Core::isName(text))
         throw Core::FormatError("read job", name,
                                 "allowed: letters, digits, '-', '_' and '.', at most 64");
--- a/Services/lagoonfordd/Node.cpp
+++ b/Services/lagoonfordd/Node.cpp
@@ -12,7 +12,7 @@
 namespace Daemon {
 
 /// A peer that hasn't answered for so long counts as out of reach.
-static constexpr Core::Duration reachPatience = std::chrono::milliseconds(1500);
+static constexpr Core::Duration reachPatience = std::chrono::milliseconds(2500);
 static constexpr int runWordDigits = 12;
 
 namespace {
@@ -205,6 +205,7 @@
     }
     m_lease.setCandidates(candidates, now);
     std::vector<Task::PeerDomain> peerDomains;
+    peerDomains.reserve(domains.size());
     for (const auto &[domain, peerDomain] : domains)
         peerDomains.push_back(peerDomain);
     m_placer->setPeerDomains(peerDomains);
--- a/Services/lagoonfordd/Wakeup.cpp
+++ b/Services/lagoonfordd/Wakeup.cpp
@@ -10,8 +10,8 @@
 
 namespace asio = boost::asio;
 
-Wakeup::Wakeup(asio::any_io_executor executor)
-    : m_timer(std::move(executor))
+Wakeup::Wakeup(const asio::any_io_executor &executor)
+    : m_timer(executor)
 {
 }
 
--- a/Services/lagoonfordd/Wakeup.h
+++ b/Services/lagoonfordd/Wakeup.h
@@ -13,7 +13,7 @@
 class Wakeup
 {
 public:
-    explicit Wakeup(boost::asio::any_io_executor executor);
+    explicit Wakeup(const boost::asio::any_io_executor &executor);
 
     boost::asio::awaitable<void> sleepUntil(Core::Instant instant);
     void wake();
--- a/Tests/StandIns/Platform/PlatformHandler.cpp
+++ b/Tests/StandIns/Platform/PlatformHandler.cpp
@@ -33,8 +33,11 @@
 {
     m_workers.advance(now());
     const std::vector<std::string> path = splitPath(request.path);
-    if (path.size() == 1 && path[0] == "vms")
-        co_return Reply::json(m_vms.shown(now()));
+    if (path.size() == 1 && path[0] == "vms") {
+        const auto unless = request.query.find("unless");
+        co_return Reply::json(
+            m_vms.shown(unless == request.query.end() ? "" : unless->second, now()));
+    }
     if (path.size() == 3 && path[0] == "log" && path[2] == "records")
         co_return handleLog(path[1], request);
     if (path.size() == 3 && path[0] == "workers")
--- a/Tests/StandIns/Platform/VmList.cpp
+++ b/Tests/StandIns/Platform/VmList.cpp
@@ -1,6 +1,7 @@
 #include "Platform/VmList.h"
 
 #include <LibCore/Json.h>
+#include <LibCore/StableHash.h>
 
 namespace StandIn {
 
@@ -71,12 +72,15 @@
     return ids;
 }
 
-Json::Value VmList::shown(Core::Instant now)
+Json::Value VmList::shown(const std::string &unlessVersion, Core::Instant now)
 {
     while (m_versions.size() > 1 && m_versions[1].visibleFrom <= now)
         m_versions.pop_front();
+    Json::Value vms = m_versions.empty() ? Json::Value(Json::arrayValue) : m_versions.front().vms;
     Json::Value value;
-    value["vms"] = m_versions.empty() ? Json::Value(Json::arrayValue) : m_versions.front().vms;
+    value["version"] = std::to_string(Core::stableHash(Core::Json::write(vms)));
+    if (value["version"].asString() != unlessVersion)
+        value["vms"] = vms;
     return value;
 }
 
--- a/Tests/StandIns/Platform/VmList.h
+++ b/Tests/StandIns/Platform/VmList.h
@@ -41,7 +41,7 @@
     std::vector<std::string> leavingWorkers() const;
 
     /// The list as it was some time ago, in the wire's format.
-    Json::Value shown(Core::Instant now);
+    Json::Value shown(const std::string &unlessVersion, Core::Instant now);
 
 private:
     struct Version
--- a/include/LibPlatform/Http/HttpVmDirectory.h
+++ b/include/LibPlatform/Http/HttpVmDirectory.h
@@ -6,6 +6,8 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace Platform {
 
@@ -24,6 +26,9 @@
 
 private:
     std::unique_ptr<HttpClient> m_client;
+    /// The latest list and the platform's name for its state.
+    std::vector<VmEntry> m_entries;
+    std::string m_version;
 };
 
 } // namespace Platform
