--- a/Services/lagoonfordd/RequestService.cpp
+++ b/Services/lagoonfordd/RequestService.cpp
@@ -126,6 +126,7 @@
         accepting[state.failureDomain] = accepting[state.failureDomain] || isAccepting;
     }
     std::vector<Routing::SpillOverOption> options;
+    options.reserve(accepting.size());
     for (const auto &[failureDomain, isAccepting] : accepting)
         options.push_back({ failureDomain, hopLatency, isAccepting });
     return options;
@@ -369,7 +370,7 @@
     std::deque<Connection> &idle = m_idle[server];
     while (!idle.empty()) {
         // The newest one is the least likely to have been closed or forgotten on the way.
-        const Connection connection = idle.back();
+        Connection connection = idle.back();
         idle.pop_back();
         if (connection->isReusable())
             return connection;
