lagoonfordd: Answer 500 instead of ending on an unforeseen exception

Cause: found in the read-through: the door caught our own errors only, so an exception of a library in one request would have ended the process and every other request in it. The wall clock was read by three copies of the same function. Ruled out: catching in each service (the door sees all of them). Change: one catch at the door; Core::unixMillisecondsNow. Conclusion: one bad request costs one answer.

--- a/Services/lagoonfordd/FrontDoor.cpp
+++ b/Services/lagoonfordd/FrontDoor.cpp
@@ -18,6 +18,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <exception>
+
 namespace Daemon {
 
 namespace asio = boost::asio;
@@ -135,8 +137,9 @@
         if (target == "/service" || target.starts_with("/service/"))
             co_return co_await answerService(std::move(request), std::move(socket));
         co_return errorResponse(http::status::not_found, "there is no such path");
-    } catch (const Core::Error &error) {
-        failure = error.what();
+    } catch (const std::exception &exception) {
+        // One request that can't be answered must not end the whole daemon.
+        failure = exception.what();
     }
     LOG4CXX_ERROR(partLogger, failure);
     co_return errorResponse(http::status::internal_server_error, failure);
--- a/Services/lagoonfordd/JobService.cpp
+++ b/Services/lagoonfordd/JobService.cpp
@@ -9,11 +9,11 @@
 #include <LibCore/StableHash.h>
 #include <LibCore/SteadyClock.h>
 #include <LibCore/TextValues.h>
+#include <LibCore/WallClock.h>
 #include <LibTask/TaskRecordCodec.h>
 
 #include <boost/asio/use_awaitable.hpp>
 
-#include <chrono>
 #include <map>
 #include <set>
 
@@ -27,12 +27,6 @@
 static constexpr std::size_t longestPayload = 16 * 1024;
 static const auto partLogger = logger("jobs");
 
-static std::int64_t unixMsNow()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 static std::int64_t amountMember(const Json::Value &value, const char *name, bool isOptional)
 {
     if (isOptional && !value.isMember(name))
@@ -107,7 +101,7 @@
     success["domain"] = domain.text();
     Task::Submitted submitted;
     submitted.spec = spec;
-    submitted.submittedAtUnixMs = unixMsNow();
+    submitted.submittedAtUnixMs = Core::unixMillisecondsNow();
     const Task::TaskRecord record = Task::TaskRecord::create(0, submitted);
     m_node.metrics().countJob("submitted");
     co_return co_await append(domain, record,
--- a/Services/lagoonfordd/KeyService.cpp
+++ b/Services/lagoonfordd/KeyService.cpp
@@ -6,11 +6,11 @@
 
 #include <LibCore/Error.h>
 #include <LibCore/SteadyClock.h>
+#include <LibCore/WallClock.h>
 
 #include <boost/asio/use_awaitable.hpp>
 
 #include <charconv>
-#include <chrono>
 
 namespace Daemon {
 
@@ -21,12 +21,6 @@
 static constexpr int mostQuestions = 3;
 static const auto partLogger = logger("keys");
 
-static std::int64_t unixMsNow()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 std::optional<std::int64_t> issueTimeOf(const std::string &key)
 {
     static constexpr std::size_t uuidLength = 36;
@@ -147,7 +141,8 @@
         return KeyRedirect { owner };
     std::optional<Core::Instant> issuedAt;
     if (begin.issuedAtUnixMs)
-        issuedAt = now - std::chrono::milliseconds(unixMsNow() - *begin.issuedAtUnixMs);
+        issuedAt
+            = now - std::chrono::milliseconds(Core::unixMillisecondsNow() - *begin.issuedAtUnixMs);
     return m_table.begin(begin.team, begin.key, begin.request, issuedAt, m_ownership, now);
 }
 
--- a/Utilities/lagoonload/LoadRun.cpp
+++ b/Utilities/lagoonload/LoadRun.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Json.h>
 #include <LibCore/StableHash.h>
 #include <LibCore/SteadyClock.h>
+#include <LibCore/WallClock.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -33,9 +34,7 @@
 void LoadRun::run()
 {
     m_start = Core::steadyNow();
-    m_startUnixMs = std::chrono::floor<std::chrono::milliseconds>(
-                        std::chrono::system_clock::now().time_since_epoch())
-                        .count();
+    m_startUnixMs = Core::unixMillisecondsNow();
     const Core::Duration length = m_events.empty() ? Core::Duration() : m_events.back().at;
     m_end = m_start + length + m_settings.jobWait;
     asio::co_spawn(m_context, m_balancer.watchHealth(m_start + length), asio::detached);
