LibHttp: Move the HTTP client, the log and the wake-up into libraries of their own

Cause: the program for the users' platform needs an HTTP client that shows every status and sends header fields, a log that never blocks, and a server; the client lived behind LibPlatform's workers and the rest inside the daemon. Ruled out: a second client beside the first, since one copy of each type is wanted. Change: Http::Client (with exchange()), Http::Server, Log with a bounded, non-blocking appender, Supervision::Wakeup; the daemon uses them.

--- a/Libraries/LibPlatform/Http/HttpClient.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -1,37 +1,36 @@
-#include "Http/HttpClient.h"
+#include <LibHttp/Client.h>
 
-#include "Http/HttpConnection.h"
+#include "Connection.h"
 
 #include <LibCore/Error.h>
 #include <LibCore/SteadyClock.h>
 
 #include <vector>
 
-namespace Platform {
+namespace Http {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
 
 /// The unused connections of a client, and a count of all. Calls share it, so that it outlives
 /// those which are under way when the client is destroyed.
-class HttpClient::Pool : public std::enable_shared_from_this<Pool>
+class Client::Pool : public std::enable_shared_from_this<Pool>
 {
 public:
-    Pool(asio::any_io_executor executor, const HttpEndpoint &endpoint);
+    Pool(asio::any_io_executor executor, const Endpoint &endpoint);
 
-    asio::awaitable<std::string> call(HttpRequest request, Core::Instant deadline);
+    asio::awaitable<std::string> call(Request request, Core::Instant deadline);
+    asio::awaitable<Answer> exchange(Request request, Core::Instant deadline);
 
 private:
-    using ConnectionPtr = std::unique_ptr<HttpConnection>;
+    using ConnectionPtr = std::unique_ptr<Connection>;
 
     ConnectionPtr takeIdle();
-    asio::awaitable<HttpAnswer> exchange(ConnectionPtr connection, const HttpRequest &request,
-                                         Core::Instant deadline);
-    asio::awaitable<HttpAnswer> exchangeOnNew(const HttpRequest &request, Core::Instant deadline);
+    asio::awaitable<Answer> exchange(ConnectionPtr connection, const Request &request,
+                                     Core::Instant deadline);
+    asio::awaitable<Answer> exchangeOnNew(const Request &request, Core::Instant deadline);
     /// Sets \p isInDoubt if a sending failed without a whole answer and another followed.
-    asio::awaitable<HttpAnswer> exchangeOnAny(const HttpRequest &request, Core::Instant deadline,
-                                              bool &isInDoubt);
-    asio::awaitable<std::string> callOnce(const HttpRequest &request, Core::Instant deadline,
+    asio::awaitable<Answer> exchangeOnAny(const Request &request, Core::Instant deadline,
                                           bool &isInDoubt);
     void giveBack(ConnectionPtr connection);
 
@@ -42,7 +41,7 @@
     std::size_t m_callsUnderWay = 0;
 };
 
-static asio::ip::tcp::endpoint parseEndpoint(const HttpEndpoint &endpoint)
+static asio::ip::tcp::endpoint parseEndpoint(const Endpoint &endpoint)
 {
     error_code error;
     const auto address = asio::ip::make_address(endpoint.address, error);
@@ -51,14 +50,19 @@
     return { address, endpoint.port };
 }
 
-HttpClient::Pool::Pool(asio::any_io_executor executor, const HttpEndpoint &endpoint)
+static std::string describe(const Answer &answer)
+{
+    return "status " + std::to_string(answer.status) + ": " + answer.body;
+}
+
+Client::Pool::Pool(asio::any_io_executor executor, const Endpoint &endpoint)
     : m_executor(std::move(executor))
     , m_endpoint(parseEndpoint(endpoint))
     , m_peer(endpoint.address + ":" + std::to_string(endpoint.port))
 {
 }
 
-asio::awaitable<std::string> HttpClient::Pool::call(HttpRequest request, Core::Instant deadline)
+asio::awaitable<Answer> Client::Pool::exchange(Request request, Core::Instant deadline)
 {
     if (deadline <= Core::steadyNow())
         throw Core::NotDoneError(request.step, m_peer, "the deadline has passed");
@@ -81,29 +85,31 @@
 
     bool isInDoubt = false;
     try {
-        co_return co_await callOnce(request, deadline, isInDoubt);
+        Answer answer = co_await exchangeOnAny(request, deadline, isInDoubt);
+        // The second sending was refused, but the first may have been carried out.
+        if (isInDoubt && !answer.isSuccess())
+            throw Core::OutcomeUnknownError(request.step, m_peer, describe(answer));
+        co_return answer;
     } catch (const Core::NotDoneError &error) {
-        // The second sending wasn't carried out, but the first may have been.
         if (isInDoubt)
             throw Core::OutcomeUnknownError(request.step, m_peer, error.what());
         throw;
     }
 }
 
-asio::awaitable<std::string> HttpClient::Pool::callOnce(const HttpRequest &request,
-                                                        Core::Instant deadline, bool &isInDoubt)
+asio::awaitable<std::string> Client::Pool::call(Request request, Core::Instant deadline)
 {
-    HttpAnswer answer = co_await exchangeOnAny(request, deadline, isInDoubt);
-    if (answer.status >= 200 && answer.status < 300)
+    const std::string step = request.step;
+    Answer answer = co_await exchange(std::move(request), deadline);
+    if (answer.isSuccess())
         co_return std::move(answer.body);
-    const std::string reason = "status " + std::to_string(answer.status) + ": " + answer.body;
     if (answer.status >= 400 && answer.status < 500)
-        throw Core::NotDoneError(request.step, m_peer, reason);
-    throw Core::OutcomeUnknownError(request.step, m_peer, reason);
+        throw Core::NotDoneError(step, m_peer, describe(answer));
+    throw Core::OutcomeUnknownError(step, m_peer, describe(answer));
 }
 
-asio::awaitable<HttpAnswer> HttpClient::Pool::exchangeOnAny(const HttpRequest &request,
-                                                            Core::Instant deadline, bool &isInDoubt)
+asio::awaitable<Answer> Client::Pool::exchangeOnAny(const Request &request, Core::Instant deadline,
+                                                    bool &isInDoubt)
 {
     ConnectionPtr idle = takeIdle();
     if (!idle)
@@ -120,20 +126,18 @@
     co_return co_await exchangeOnNew(request, deadline);
 }
 
-asio::awaitable<HttpAnswer> HttpClient::Pool::exchangeOnNew(const HttpRequest &request,
-                                                            Core::Instant deadline)
+asio::awaitable<Answer> Client::Pool::exchangeOnNew(const Request &request, Core::Instant deadline)
 {
-    auto connection = std::make_unique<HttpConnection>(m_executor);
+    auto connection = std::make_unique<Connection>(m_executor);
     co_await connection->connect(m_endpoint, request, m_peer, deadline);
     co_return co_await exchange(std::move(connection), request, deadline);
 }
 
-asio::awaitable<HttpAnswer> HttpClient::Pool::exchange(ConnectionPtr connection,
-                                                       const HttpRequest &request,
-                                                       Core::Instant deadline)
+asio::awaitable<Answer> Client::Pool::exchange(ConnectionPtr connection, const Request &request,
+                                               Core::Instant deadline)
 {
     try {
-        HttpAnswer answer = co_await connection->exchange(request, m_peer, deadline);
+        Answer answer = co_await connection->exchange(request, m_peer, deadline);
         if (answer.isReusable)
             giveBack(std::move(connection));
         co_return answer;
@@ -144,7 +148,7 @@
     }
 }
 
-HttpClient::Pool::ConnectionPtr HttpClient::Pool::takeIdle()
+Client::Pool::ConnectionPtr Client::Pool::takeIdle()
 {
     while (!m_idle.empty()) {
         // The one used last is the least likely to have gone silent.
@@ -156,23 +160,29 @@
     return nullptr;
 }
 
-void HttpClient::Pool::giveBack(ConnectionPtr connection)
+void Client::Pool::giveBack(ConnectionPtr connection)
 {
     if (m_idle.size() < maximumIdleConnections)
         m_idle.push_back(std::move(connection));
 }
 
-HttpClient::HttpClient(const asio::any_io_executor &executor, const HttpEndpoint &endpoint)
+Client::Client(const asio::any_io_executor &executor, const Endpoint &endpoint)
     : m_pool(std::make_shared<Pool>(executor, endpoint))
 {
 }
 
-HttpClient::~HttpClient() = default;
+Client::~Client() = default;
+
+asio::awaitable<Answer> Client::exchange(Request request, Core::Instant deadline)
+{
+    const std::shared_ptr<Pool> pool = m_pool;
+    co_return co_await pool->exchange(std::move(request), deadline);
+}
 
-asio::awaitable<std::string> HttpClient::call(HttpRequest request, Core::Instant deadline)
+asio::awaitable<std::string> Client::call(Request request, Core::Instant deadline)
 {
     const std::shared_ptr<Pool> pool = m_pool;
     co_return co_await pool->call(std::move(request), deadline);
 }
 
-} // namespace Platform
+} // namespace Http
--- a/Libraries/LibPlatform/Http/HttpConnection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -1,4 +1,4 @@
-#include "Http/HttpConnection.h"
+#include "Connection.h"
 
 #include <LibCore/Error.h>
 #include <LibCore/SteadyClock.h>
@@ -9,7 +9,7 @@
 
 #include <array>
 
-namespace Platform {
+namespace Http {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -20,34 +20,37 @@
     return asio::redirect_error(asio::use_awaitable, error);
 }
 
-static http::request<http::string_body> encode(const HttpRequest &request, const std::string &peer)
+static http::request<http::string_body> encode(const Request &request, const std::string &peer)
 {
-    const auto verb = request.method == HttpMethod::Get ? http::verb::get : http::verb::post;
+    const auto verb = request.method == Method::Get ? http::verb::get : http::verb::post;
     http::request<http::string_body> message { verb, request.target, 11 };
     message.set(http::field::host, peer);
-    if (request.method == HttpMethod::Post) {
-        message.set(http::field::content_type, "application/json");
-        message.body() = request.encodeBody();
+    for (const HeaderField &field : request.fields)
+        message.set(field.name, field.value);
+    if (request.method == Method::Post) {
+        message.set(http::field::content_type, request.contentType);
+        if (request.encodeBody)
+            message.body() = request.encodeBody();
     }
     message.prepare_payload();
     return message;
 }
 
-HttpConnection::HttpConnection(const asio::any_io_executor &executor)
+Connection::Connection(const asio::any_io_executor &executor)
     : m_stream(executor)
 {
 }
 
-HttpConnection::~HttpConnection()
+Connection::~Connection()
 {
     error_code ignored;
     m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
     m_stream.socket().close(ignored);
 }
 
-asio::awaitable<void> HttpConnection::connect(const asio::ip::tcp::endpoint &endpoint,
-                                              const HttpRequest &request, const std::string &peer,
-                                              Core::Instant deadline)
+asio::awaitable<void> Connection::connect(const asio::ip::tcp::endpoint &endpoint,
+                                          const Request &request, const std::string &peer,
+                                          Core::Instant deadline)
 {
     error_code error;
     m_stream.expires_at(Core::toSteadyTimePoint(deadline));
@@ -57,18 +60,17 @@
     m_stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
 }
 
-asio::awaitable<HttpAnswer> HttpConnection::exchange(const HttpRequest &request,
-                                                     const std::string &peer,
-                                                     Core::Instant deadline)
+asio::awaitable<Answer> Connection::exchange(const Request &request, const std::string &peer,
+                                             Core::Instant deadline)
 {
     m_stream.expires_at(Core::toSteadyTimePoint(deadline));
     co_await send(request, peer);
-    HttpAnswer answer = co_await receive(request, peer);
+    Answer answer = co_await receive(request, peer);
     m_stream.expires_never();
     co_return answer;
 }
 
-asio::awaitable<void> HttpConnection::send(const HttpRequest &request, const std::string &peer)
+asio::awaitable<void> Connection::send(const Request &request, const std::string &peer)
 {
     error_code error;
     const auto message = encode(request, peer);
@@ -80,26 +82,25 @@
     throw Core::OutcomeUnknownError(request.step, peer, "send: " + error.message());
 }
 
-asio::awaitable<HttpAnswer> HttpConnection::receive(const HttpRequest &request,
-                                                    const std::string &peer)
+asio::awaitable<Answer> Connection::receive(const Request &request, const std::string &peer)
 {
     error_code error;
     http::response_parser<http::string_body> parser;
-    parser.body_limit(HttpClient::maximumBodyBytes);
+    parser.body_limit(Client::maximumBodyBytes);
     co_await http::async_read(m_stream, m_buffer, parser, awaitInto(error));
     if (error)
         throw Core::OutcomeUnknownError(request.step, peer, "receive: " + error.message());
     // A body that only ends with the connection could be cut short without anybody noticing.
     if (parser.get().need_eof())
         throw Core::OutcomeUnknownError(request.step, peer, "the answer announces no length");
-    HttpAnswer answer;
+    Answer answer;
     answer.status = parser.get().result_int();
     answer.isReusable = parser.get().keep_alive() && m_buffer.size() == 0;
     answer.body = std::move(parser.get().body());
     co_return answer;
 }
 
-bool HttpConnection::isQuiet()
+bool Connection::isQuiet()
 {
     error_code error;
     std::array<char, 1> byte {};
@@ -108,4 +109,4 @@
     return error == asio::error::would_block;
 }
 
-} // namespace Platform
+} // namespace Http
--- a/Libraries/LibPlatform/Http/HttpConnection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -1,52 +1,44 @@
 #pragma once
 
-#include "Http/HttpClient.h"
+#include <LibHttp/Client.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
-namespace Platform {
-
-struct HttpAnswer
-{
-    unsigned status = 0;
-    std::string body;
-    /// True if the connection may serve another call.
-    bool isReusable = false;
-};
+namespace Http {
 
 /// One TCP connection to an HTTP endpoint, serving one call at a time.
-class HttpConnection
+class Connection
 {
 public:
-    explicit HttpConnection(const boost::asio::any_io_executor &executor);
+    explicit Connection(const boost::asio::any_io_executor &executor);
     /// Closes at once and discards what the system hasn't sent yet, so that a call given up on
     /// isn't delivered much later.
-    ~HttpConnection();
-    HttpConnection(const HttpConnection &) = delete;
-    HttpConnection &operator=(const HttpConnection &) = delete;
+    ~Connection();
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
 
     /// \throws Core::NotDoneError if there is no connection before \p deadline.
     boost::asio::awaitable<void> connect(const boost::asio::ip::tcp::endpoint &endpoint,
-                                         const HttpRequest &request, const std::string &peer,
+                                         const Request &request, const std::string &peer,
                                          Core::Instant deadline);
 
     /// Sends \p request and reads the whole answer.
     /// \throws Core::NotDoneError if nothing was sent.
     /// \throws Core::OutcomeUnknownError if no whole answer came before \p deadline.
-    boost::asio::awaitable<HttpAnswer> exchange(const HttpRequest &request, const std::string &peer,
-                                                Core::Instant deadline);
+    boost::asio::awaitable<Answer> exchange(const Request &request, const std::string &peer,
+                                            Core::Instant deadline);
 
     /// True if the server has neither closed the idle connection nor sent stray bytes on it.
     bool isQuiet();
 
 private:
-    boost::asio::awaitable<void> send(const HttpRequest &request, const std::string &peer);
-    boost::asio::awaitable<HttpAnswer> receive(const HttpRequest &request, const std::string &peer);
+    boost::asio::awaitable<void> send(const Request &request, const std::string &peer);
+    boost::asio::awaitable<Answer> receive(const Request &request, const std::string &peer);
 
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
 };
 
-} // namespace Platform
+} // namespace Http
--- /dev/null
+++ b/Libraries/LibLog/BoundedAppender.cpp
@@ -0,0 +1,56 @@
+#include "BoundedAppender.h"
+
+#include <LibCore/SteadyClock.h>
+
+#include <poll.h>
+#include <unistd.h>
+
+namespace Log {
+
+/// A pipe that reports itself writable takes this much without blocking.
+static constexpr std::size_t longestLine = 4000;
+
+BoundedAppender::BoundedAppender(const log4cxx::LayoutPtr &layout, int descriptor,
+                                 const BudgetLimits &limits)
+    : log4cxx::AppenderSkeleton(layout)
+    , m_lineLayout(layout)
+    , m_descriptor(descriptor)
+    , m_budget(limits)
+{
+}
+
+bool BoundedAppender::isWritable() const
+{
+    pollfd entry { m_descriptor, POLLOUT, 0 };
+    return ::poll(&entry, 1, 0) == 1 && (entry.revents & POLLOUT) != 0;
+}
+
+void BoundedAppender::writeLine(const std::string &line)
+{
+    // A line that can't be written can't be reported either, but it is counted.
+    if (::write(m_descriptor, line.data(), line.size()) < 0)
+        ++m_dropped;
+}
+
+void BoundedAppender::append(const log4cxx::spi::LoggingEventPtr &event,
+                             log4cxx::helpers::Pool &pool)
+{
+    if (!m_budget.take(Core::steadyNow()) || !isWritable()) {
+        ++m_dropped;
+        return;
+    }
+    if (m_dropped > 0) {
+        const std::string report = "log: event=dropped lines=" + std::to_string(m_dropped) + "\n";
+        m_dropped = 0;
+        writeLine(report);
+    }
+    log4cxx::LogString text;
+    m_lineLayout->format(text, event, pool);
+    if (text.size() > longestLine) {
+        text.resize(longestLine);
+        text += '\n';
+    }
+    writeLine(text);
+}
+
+} // namespace Log
--- /dev/null
+++ b/Libraries/LibLog/BoundedAppender.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <LibLog/LineBudget.h>
+
+#include <log4cxx/appenderskeleton.h>
+#include <log4cxx/spi/loggingevent.h>
+
+#include <cstdint>
+#include <string>
+
+namespace Log {
+
+/// Writes lines to a file descriptor unless that would block or exceed the budget.
+class BoundedAppender final : public log4cxx::AppenderSkeleton
+{
+public:
+    BoundedAppender(const log4cxx::LayoutPtr &layout, int descriptor, const BudgetLimits &limits);
+
+    void close() override { }
+    bool requiresLayout() const override { return true; }
+
+protected:
+    void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override;
+
+private:
+    bool isWritable() const;
+    void writeLine(const std::string &line);
+
+    log4cxx::LayoutPtr m_lineLayout;
+    int m_descriptor;
+    LineBudget m_budget;
+    std::int64_t m_dropped = 0;
+};
+
+} // namespace Log
--- a/Libraries/LibPlatform/Http/HttpLogService.cpp
+++ b/Libraries/LibPlatform/Http/HttpLogService.cpp
@@ -1,7 +1,7 @@
 #include <LibPlatform/Http/HttpLogService.h>
 
-#include "Http/HttpClient.h"
 #include "Http/WireFormat.h"
+#include <LibHttp/Client.h>
 
 #include <LibCore/Error.h>
 
@@ -13,8 +13,8 @@
 }
 
 HttpLogService::HttpLogService(const boost::asio::any_io_executor &executor,
-                               const HttpEndpoint &endpoint)
-    : m_client(std::make_unique<HttpClient>(executor, endpoint))
+                               const Http::Endpoint &endpoint)
+    : m_client(std::make_unique<Http::Client>(executor, endpoint))
 {
 }
 
@@ -23,8 +23,8 @@
 boost::asio::awaitable<Offset>
 HttpLogService::append(std::string stream, std::vector<std::string> bodies, Core::Instant deadline)
 {
-    HttpRequest request { "append", HttpMethod::Post, recordsPath(stream),
-                          [&bodies] { return WireFormat::encodeAppend(bodies); }, false };
+    Http::Request request { "append", Http::Method::Post, recordsPath(stream),
+                            [&bodies] { return WireFormat::encodeAppend(bodies); }, false };
     const std::string answer = co_await m_client->call(std::move(request), deadline);
     try {
         co_return WireFormat::decodeAppend(answer, stream);
@@ -39,7 +39,7 @@
 {
     const std::string query
         = "?from=" + std::to_string(from) + "&max=" + std::to_string(maximumRecords);
-    HttpRequest request { "read", HttpMethod::Get, recordsPath(stream) + query, {}, true };
+    Http::Request request { "read", Http::Method::Get, recordsPath(stream) + query, {}, true };
     const std::string answer = co_await m_client->call(std::move(request), deadline);
     co_return WireFormat::decodeLogPage(answer, stream);
 }
--- a/Libraries/LibPlatform/Http/HttpVmDirectory.cpp
+++ b/Libraries/LibPlatform/Http/HttpVmDirectory.cpp
@@ -1,7 +1,7 @@
 #include <LibPlatform/Http/HttpVmDirectory.h>
 
-#include "Http/HttpClient.h"
 #include "Http/WireFormat.h"
+#include <LibHttp/Client.h>
 
 #include <LibCore/Error.h>
 
@@ -10,8 +10,8 @@
 namespace Platform {
 
 HttpVmDirectory::HttpVmDirectory(const boost::asio::any_io_executor &executor,
-                                 const HttpEndpoint &endpoint)
-    : m_client(std::make_unique<HttpClient>(executor, endpoint))
+                                 const Http::Endpoint &endpoint)
+    : m_client(std::make_unique<Http::Client>(executor, endpoint))
 {
 }
 
@@ -22,7 +22,7 @@
     // The list is long and seldom changes, so it is only sent again when it has changed.
     const std::string target
         = m_version.empty() ? "/vms" : "/vms?unless=" + WireFormat::pathSegment(m_version);
-    HttpRequest request { "list VMs", HttpMethod::Get, target, {}, true };
+    Http::Request request { "list VMs", Http::Method::Get, target, {}, true };
     const std::string text = co_await m_client->call(std::move(request), deadline);
     WireFormat::VmListAnswer answer = WireFormat::decodeVmList(text, "list of VMs");
     if (!answer.entries && answer.version != m_version)
--- a/Libraries/LibPlatform/Http/HttpWorkerControl.cpp
+++ b/Libraries/LibPlatform/Http/HttpWorkerControl.cpp
@@ -1,7 +1,7 @@
 #include <LibPlatform/Http/HttpWorkerControl.h>
 
-#include "Http/HttpClient.h"
 #include "Http/WireFormat.h"
+#include <LibHttp/Client.h>
 
 #include <LibCore/Error.h>
 #include <LibCore/SteadyClock.h>
@@ -9,17 +9,17 @@
 namespace Platform {
 
 /// All calls are idempotent by attempt, so each may be repeated on a new connection.
-static HttpRequest makeRequest(const char *step, const Core::VmId &worker,
-                               std::function<std::string()> encodeBody)
+static Http::Request makeRequest(const char *step, const Core::VmId &worker,
+                                 std::function<std::string()> encodeBody)
 {
-    return { step, HttpMethod::Post,
+    return { step, Http::Method::Post,
              "/workers/" + WireFormat::pathSegment(worker.text()) + "/" + step,
              std::move(encodeBody), true };
 }
 
 HttpWorkerControl::HttpWorkerControl(const boost::asio::any_io_executor &executor,
-                                     const HttpEndpoint &endpoint)
-    : m_client(std::make_unique<HttpClient>(executor, endpoint))
+                                     const Http::Endpoint &endpoint)
+    : m_client(std::make_unique<Http::Client>(executor, endpoint))
 {
 }
 
@@ -33,7 +33,7 @@
             throw Core::NotDoneError("start", command.worker.text(), "the lease has lapsed");
         return WireFormat::encodeStart(command, now);
     };
-    HttpRequest request = makeRequest("start", command.worker, encodeBody);
+    Http::Request request = makeRequest("start", command.worker, encodeBody);
     co_await m_client->call(std::move(request), deadline);
 }
 
@@ -41,7 +41,7 @@
                                                      StopMode mode, Core::Instant deadline)
 {
     const auto encodeBody = [&] { return WireFormat::encodeStop(attempt, mode); };
-    HttpRequest request = makeRequest("stop", worker, encodeBody);
+    Http::Request request = makeRequest("stop", worker, encodeBody);
     co_await m_client->call(std::move(request), deadline);
 }
 
@@ -49,7 +49,7 @@
                                                          int percent, Core::Instant deadline)
 {
     const auto encodeBody = [&] { return WireFormat::encodeThrottle(attempt, percent); };
-    HttpRequest request = makeRequest("throttle", worker, encodeBody);
+    Http::Request request = makeRequest("throttle", worker, encodeBody);
     co_await m_client->call(std::move(request), deadline);
 }
 
@@ -61,7 +61,7 @@
     const auto encodeBody = [&] {
         return WireFormat::encodeRenew(attempts, leaseDeadline, acknowledged, Core::steadyNow());
     };
-    HttpRequest request = makeRequest("renew", worker, encodeBody);
+    Http::Request request = makeRequest("renew", worker, encodeBody);
     const std::string answer = co_await m_client->call(std::move(request), deadline);
     try {
         co_return WireFormat::decodeReports(answer, worker.text());
--- a/Services/lagoonfordd/Wakeup.cpp
+++ b/Libraries/LibSupervision/Wakeup.cpp
@@ -1,6 +1,6 @@
 #include <utility>
 
-#include "Wakeup.h"
+#include <LibSupervision/Wakeup.h>
 
 #include <LibCore/SteadyClock.h>
 
@@ -10,7 +10,7 @@
 
 #include <algorithm>
 
-namespace Daemon {
+namespace Supervision {
 
 namespace asio = boost::asio;
 
@@ -43,4 +43,4 @@
     m_timer.cancel();
 }
 
-} // namespace Daemon
+} // namespace Supervision
--- a/Services/lagoonfordd/AdminService.cpp
+++ b/Services/lagoonfordd/AdminService.cpp
@@ -2,7 +2,7 @@
 
 #include "AdminService.h"
 
-#include "Logging.h"
+#include <LibLog/Logging.h>
 
 #include <LibCore/Error.h>
 #include <LibCore/Json.h>
@@ -24,7 +24,7 @@
 /// By then a VM that hasn't heard of the version starts nothing any more.
 static constexpr Core::Duration inForceTimeout = std::chrono::seconds(3);
 static constexpr Core::Duration checkInterval = std::chrono::milliseconds(50);
-static const auto partLogger = logger("admin");
+static const auto partLogger = Log::logger("admin");
 
 AdminService::AdminService(Node &node)
     : m_node(node)
--- a/Services/lagoonfordd/Daemon.cpp
+++ b/Services/lagoonfordd/Daemon.cpp
@@ -2,7 +2,7 @@
 
 #include "Daemon.h"
 
-#include "Logging.h"
+#include <LibLog/Logging.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -18,7 +18,7 @@
 
 /// How long the balancer may take to notice that this VM is leaving.
 static constexpr std::chrono::seconds balancerGrace(2);
-static const auto partLogger = logger("supervisor");
+static const auto partLogger = Log::logger("supervisor");
 
 static void report(const std::string &part, const std::string &event)
 {
--- a/Services/lagoonfordd/DirectoryPart.cpp
+++ b/Services/lagoonfordd/DirectoryPart.cpp
@@ -2,7 +2,7 @@
 
 #include "DirectoryPart.h"
 
-#include "Logging.h"
+#include <LibLog/Logging.h>
 
 #include <LibCore/Error.h>
 #include <LibCore/SteadyClock.h>
@@ -21,7 +21,7 @@
 static constexpr Core::Duration peerTimeout = std::chrono::milliseconds(600);
 /// Peers in other failure domains are asked once in so many rounds.
 static constexpr unsigned roundsPerDistantPeer = 3;
-static const auto partLogger = logger("directory");
+static const auto partLogger = Log::logger("directory");
 
 DirectoryPart::DirectoryPart(Node &node)
     : StoppablePart("directory", node, m_wakeup)
--- a/Services/lagoonfordd/DirectoryPart.h
+++ b/Services/lagoonfordd/DirectoryPart.h
@@ -17,7 +17,7 @@
     boost::asio::awaitable<void> readList();
     boost::asio::awaitable<void> askPeer(Core::VmId peer);
 
-    Wakeup m_wakeup;
+    Supervision::Wakeup m_wakeup;
     Core::Instant m_nextList;
     unsigned m_round = 0;
     bool m_isReachable = true;
--- a/Services/lagoonfordd/DomainFollower.cpp
+++ b/Services/lagoonfordd/DomainFollower.cpp
@@ -2,8 +2,8 @@
 
 #include "DomainFollower.h"
 
-#include "Logging.h"
 #include "StreamRecovery.h"
+#include <LibLog/Logging.h>
 
 #include <LibCore/Error.h>
 #include <LibCore/Json.h>
@@ -19,7 +19,7 @@
 
 static constexpr Core::Duration readTimeout = std::chrono::milliseconds(800);
 static constexpr std::size_t recordsPerRead = 1'000;
-static const auto partLogger = logger("domain");
+static const auto partLogger = Log::logger("domain");
 
 DomainFollower::DomainFollower(Node &node)
     : StoppablePart("domain", node, node.domainWakeup())
--- a/Services/lagoonfordd/FrontDoor.cpp
+++ b/Services/lagoonfordd/FrontDoor.cpp
@@ -2,7 +2,7 @@
 
 #include "FrontDoor.h"
 
-#include "Logging.h"
+#include <LibLog/Logging.h>
 
 #include <LibCore/Error.h>
 #include <LibCore/SteadyClock.h>
@@ -28,7 +28,7 @@
 static constexpr std::size_t mostHeaderBytes = 16 * 1024;
 static constexpr std::int64_t longestDeadlineMs = 600'000;
 static constexpr const char *defaultTeam = "unnamed";
-static const auto partLogger = logger("door");
+static const auto partLogger = Log::logger("door");
 
 FrontDoor::FrontDoor(Node &node, RequestService &requests, KeyService &keys, JobService &jobs,
                      AdminService &admin)
--- a/Services/lagoonfordd/FrontDoor.h
+++ b/Services/lagoonfordd/FrontDoor.h
@@ -56,7 +56,7 @@
     /// Connections on which nothing is in progress; they are closed when the door closes.
     std::set<std::shared_ptr<Socket>> m_idle;
     std::size_t m_inProgress = 0;
-    Wakeup m_changed;
+    Supervision::Wakeup m_changed;
     bool m_isStopping = false;
 };
 
--- a/Services/lagoonfordd/JobService.cpp
+++ b/Services/lagoonfordd/JobService.cpp
@@ -2,7 +2,7 @@
 
 #include "JobService.h"
 
-#include "Logging.h"
+#include <LibLog/Logging.h>
 
 #include <LibCore/Error.h>
 #include <LibCore/Json.h>
@@ -25,7 +25,7 @@
 static constexpr Core::Duration appendTimeout = std::chrono::seconds(3);
 static constexpr Core::Duration peerTimeout = std::chrono::milliseconds(500);
 static constexpr std::size_t longestPayload = 16 * 1024;
-static const auto partLogger = logger("jobs");
+static const auto partLogger = Log::logger("jobs");
 
 static std::int64_t amountMember(const Json::Value &value, const char *name, bool isOptional)
 {
--- a/Services/lagoonfordd/KeyService.cpp
+++ b/Services/lagoonfordd/KeyService.cpp
@@ -2,7 +2,7 @@
 
 #include "KeyService.h"
 
-#include "Logging.h"
+#include <LibLog/Logging.h>
 
 #include <LibCore/Error.h>
 #include <LibCore/SteadyClock.h>
@@ -19,7 +19,7 @@
 static constexpr Core::Duration finishTimeout = std::chrono::seconds(2);
 /// How often an owner is asked before the request is refused; a redirect counts.
 static constexpr int mostQuestions = 3;
-static const auto partLogger = logger("keys");
+static const auto partLogger = Log::logger("keys");
 
 std::optional<std::int64_t> issueTimeOf(const std::string &key)
 {
--- a/Services/lagoonfordd/LeasePart.cpp
+++ b/Services/lagoonfordd/LeasePart.cpp
@@ -2,7 +2,7 @@
 
 #include "LeasePart.h"
 
-#include "Logging.h"
+#include <LibLog/Logging.h>
 
 #include <LibCore/Error.h>
 #include <LibCore/Json.h>
@@ -23,7 +23,7 @@
 
 static constexpr Core::Duration appendTimeout = std::chrono::milliseconds(900);
 static constexpr Core::Duration longestSleep = std::chrono::milliseconds(200);
-static const auto partLogger = logger("lease");
+static const auto partLogger = Log::logger("lease");
 
 LeasePart::LeasePart(Node &node)
     : StoppablePart("lease", node, node.leaseWakeup())
--- a/Services/lagoonfordd/Node.h
+++ b/Services/lagoonfordd/Node.h
@@ -2,7 +2,7 @@
 
 #include "Metrics.h"
 #include "VmState.h"
-#include "Wakeup.h"
+#include <LibSupervision/Wakeup.h>
 
 #include <LibCore/Identifier.h>
 #include <LibLease/LeaseMachine.h>
@@ -96,10 +96,10 @@
     std::string makeId(const std::string &prefix);
 
     /// Wakes the parts that drive the machines.
-    Wakeup &leaseWakeup() { return m_leaseWakeup; }
-    Wakeup &placerWakeup() { return m_placerWakeup; }
-    Wakeup &rulesWakeup() { return m_rulesWakeup; }
-    Wakeup &domainWakeup() { return m_domainWakeup; }
+    Supervision::Wakeup &leaseWakeup() { return m_leaseWakeup; }
+    Supervision::Wakeup &placerWakeup() { return m_placerWakeup; }
+    Supervision::Wakeup &rulesWakeup() { return m_rulesWakeup; }
+    Supervision::Wakeup &domainWakeup() { return m_domainWakeup; }
 
 private:
     Settings::Settings m_settings;
@@ -119,10 +119,10 @@
     std::unique_ptr<Task::DomainPlacer> m_placer;
     std::vector<Platform::VmEntry> m_vms;
     std::map<Core::VmId, PeerWord> m_peerWords;
-    Wakeup m_leaseWakeup;
-    Wakeup m_placerWakeup;
-    Wakeup m_rulesWakeup;
-    Wakeup m_domainWakeup;
+    Supervision::Wakeup m_leaseWakeup;
+    Supervision::Wakeup m_placerWakeup;
+    Supervision::Wakeup m_rulesWakeup;
+    Supervision::Wakeup m_domainWakeup;
     bool m_isLeaving = false;
     std::uint64_t m_queued = 0;
     std::uint64_t m_lastId = 0;
--- a/Services/lagoonfordd/PeersPart.h
+++ b/Services/lagoonfordd/PeersPart.h
@@ -24,7 +24,7 @@
 private:
     void addMethods();
 
-    Wakeup m_wakeup;
+    Supervision::Wakeup m_wakeup;
     KeyService &m_keys;
     JobService &m_jobs;
     std::unique_ptr<Peer::PeerServer> m_server;
--- a/Services/lagoonfordd/PendingRequest.h
+++ b/Services/lagoonfordd/PendingRequest.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "HttpMessages.h"
-#include "Wakeup.h"
+#include <LibSupervision/Wakeup.h>
 
 #include <LibRouting/Outcome.h>
 #include <LibRouting/RequestInfo.h>
@@ -27,7 +27,7 @@
     /// Whole answers by attempt, until the router says which one is passed on.
     std::map<int, HttpResponse> answers;
     std::optional<Routing::Outcome> outcome;
-    Wakeup finished;
+    Supervision::Wakeup finished;
 };
 
 } // namespace Daemon
--- a/Services/lagoonfordd/PlacerPart.cpp
+++ b/Services/lagoonfordd/PlacerPart.cpp
@@ -2,7 +2,7 @@
 
 #include "PlacerPart.h"
 
-#include "Logging.h"
+#include <LibLog/Logging.h>
 
 #include <LibCore/Error.h>
 #include <LibCore/Json.h>
@@ -22,7 +22,7 @@
 
 static constexpr Core::Duration appendTimeout = std::chrono::milliseconds(900);
 static constexpr Core::Duration longestSleep = std::chrono::milliseconds(200);
-static const auto partLogger = logger("placer");
+static const auto partLogger = Log::logger("placer");
 
 PlacerPart::PlacerPart(Node &node)
     : StoppablePart("placer", node, node.placerWakeup())
--- a/Services/lagoonfordd/RequestPart.cpp
+++ b/Services/lagoonfordd/RequestPart.cpp
@@ -2,7 +2,7 @@
 
 #include "RequestPart.h"
 
-#include "Logging.h"
+#include <LibLog/Logging.h>
 
 #include <LibCore/SteadyClock.h>
 
@@ -13,7 +13,7 @@
 namespace asio = boost::asio;
 
 static constexpr Core::Duration refreshInterval = std::chrono::milliseconds(100);
-static const auto partLogger = logger("router");
+static const auto partLogger = Log::logger("router");
 
 RequestPart::RequestPart(Node &node, RequestService &service)
     : StoppablePart("router", node, service.wakeup())
--- a/Services/lagoonfordd/RequestService.cpp
+++ b/Services/lagoonfordd/RequestService.cpp
@@ -2,7 +2,7 @@
 
 #include "RequestService.h"
 
-#include "Logging.h"
+#include <LibLog/Logging.h>
 
 #include <LibCore/SteadyClock.h>
 
@@ -30,7 +30,7 @@
 static constexpr const char *servicePrefix = "/service";
 static constexpr const char *probePath = "/healthz";
 static constexpr const char *defaultRetryAfter = "1";
-static const auto partLogger = logger("router");
+static const auto partLogger = Log::logger("router");
 
 RequestService::RequestService(Node &node)
     : m_node(node)
--- a/Services/lagoonfordd/RequestService.h
+++ b/Services/lagoonfordd/RequestService.h
@@ -36,7 +36,7 @@
     bool isIdle() const { return m_router.isIdle(); }
 
     /// Is woken when the router's next time may have come nearer.
-    Wakeup &wakeup() { return m_wakeup; }
+    Supervision::Wakeup &wakeup() { return m_wakeup; }
 
 private:
     using Connection = std::shared_ptr<BackendConnection>;
@@ -76,7 +76,7 @@
 
     Node &m_node;
     Routing::RequestRouter m_router;
-    Wakeup m_wakeup;
+    Supervision::Wakeup m_wakeup;
     std::map<Core::RequestId, std::shared_ptr<PendingRequest>> m_pending;
     std::map<Core::VmId, std::deque<Connection>> m_idle;
     std::map<AttemptKey, Connection> m_inUse;
--- a/Services/lagoonfordd/RulesFollower.cpp
+++ b/Services/lagoonfordd/RulesFollower.cpp
@@ -2,8 +2,8 @@
 
 #include "RulesFollower.h"
 
-#include "Logging.h"
 #include "RulesAnswer.h"
+#include <LibLog/Logging.h>
 
 #include <LibCore/Error.h>
 #include <LibCore/Json.h>
@@ -21,7 +21,7 @@
 static constexpr Core::Duration peerTimeout = std::chrono::milliseconds(300);
 static constexpr std::size_t recordsPerRead = 256;
 static constexpr std::size_t longestSnapshotDelayMs = 5'000;
-static const auto partLogger = logger("rules");
+static const auto partLogger = Log::logger("rules");
 
 RulesFollower::RulesFollower(Node &node)
     : StoppablePart("rules", node, node.rulesWakeup())
--- a/Services/lagoonfordd/StoppablePart.cpp
+++ b/Services/lagoonfordd/StoppablePart.cpp
@@ -8,7 +8,7 @@
 
 namespace asio = boost::asio;
 
-StoppablePart::StoppablePart(std::string name, Node &node, Wakeup &wakeup)
+StoppablePart::StoppablePart(std::string name, Node &node, Supervision::Wakeup &wakeup)
     : m_name(std::move(name))
     , m_node(node)
     , m_wakeup(wakeup)
--- a/Services/lagoonfordd/StoppablePart.h
+++ b/Services/lagoonfordd/StoppablePart.h
@@ -13,7 +13,7 @@
 class StoppablePart : public Supervision::Part
 {
 public:
-    StoppablePart(std::string name, Node &node, Wakeup &wakeup);
+    StoppablePart(std::string name, Node &node, Supervision::Wakeup &wakeup);
 
     std::string name() const override { return m_name; }
     boost::asio::awaitable<void> run() override;
@@ -32,7 +32,7 @@
 private:
     std::string m_name;
     Node &m_node;
-    Wakeup &m_wakeup;
+    Supervision::Wakeup &m_wakeup;
     bool m_isStopping = false;
 };
 
--- a/Services/lagoonfordd/main.cpp
+++ b/Services/lagoonfordd/main.cpp
@@ -1,5 +1,5 @@
 #include "Daemon.h"
-#include "Logging.h"
+#include <LibLog/Logging.h>
 
 #include <LibCore/Version.h>
 #include <LibSettings/Settings.h>
@@ -25,7 +25,7 @@
         std::cout << settingsPath << ": the settings are in order\n";
         return Success;
     }
-    Daemon::configureLogging(settings.logLevel);
+    Log::configureLogging(settings.logLevel);
     Daemon::Daemon(settings).run();
     return Success;
 }
--- a/Libraries/LibPlatform/Http/HttpClient.h
+++ b/include/LibHttp/Client.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
-#include <LibPlatform/Http/HttpEndpoint.h>
+#include <LibHttp/Endpoint.h>
 
 #include <utility>
 
@@ -12,19 +12,39 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
-namespace Platform {
+namespace Http {
 
-enum class HttpMethod {
+enum class Method {
     Get,
     Post,
 };
 
-struct HttpRequest
+struct HeaderField
+{
+    std::string name;
+    std::string value;
+
+    bool operator==(const HeaderField &) const = default;
+};
+
+/// A whole answer, whatever its status.
+struct Answer
+{
+    unsigned status = 0;
+    std::string body;
+    /// True if the connection may serve another call.
+    bool isReusable = false;
+
+    bool isSuccess() const { return status >= 200 && status < 300; }
+};
+
+struct Request
 {
     /// Names the operation in errors.
     std::string step;
-    HttpMethod method = HttpMethod::Get;
+    Method method = Method::Get;
     std::string target;
     /// Called at the last moment before each sending, so that moments relative to now stay true
     /// while a connection is being opened. May throw Core::NotDoneError. Empty for no body.
@@ -32,13 +52,15 @@
     /// True if sending it twice has the effect of sending it once. Such a request is repeated once
     /// if the server had closed the pooled connection that it went out on.
     bool isIdempotent = false;
+    std::string contentType = "application/json";
+    std::vector<HeaderField> fields = {};
 };
 
 /// Calls to one HTTP/1.1 endpoint over a pool of keep-alive connections.
 ///
 /// A connection serves one call at a time and is closed unless its answer was read whole, so an
 /// answer never reaches another call than its own.
-class HttpClient
+class Client
 {
 public:
     /// The largest answer body that is read, in bytes.
@@ -49,20 +71,25 @@
     static constexpr std::size_t maximumIdleConnections = 16;
 
     /// \throws Core::FormatError if the endpoint's address is no IP number.
-    HttpClient(const boost::asio::any_io_executor &executor, const HttpEndpoint &endpoint);
-    ~HttpClient();
-    HttpClient(const HttpClient &) = delete;
-    HttpClient &operator=(const HttpClient &) = delete;
+    Client(const boost::asio::any_io_executor &executor, const Endpoint &endpoint);
+    ~Client();
+    Client(const Client &) = delete;
+    Client &operator=(const Client &) = delete;
 
     /// Returns the body of a 2xx answer. \p deadline bounds everything, connecting included.
     /// \throws Core::NotDoneError if nothing was sent, or the answer is a refusal (4xx).
     /// \throws Core::OutcomeUnknownError if bytes were sent and no whole answer came, or one
     /// of another status.
-    boost::asio::awaitable<std::string> call(HttpRequest request, Core::Instant deadline);
+    boost::asio::awaitable<std::string> call(Request request, Core::Instant deadline);
+
+    /// Returns the answer whatever its status. \p deadline bounds everything.
+    /// \throws Core::NotDoneError if nothing was sent.
+    /// \throws Core::OutcomeUnknownError if bytes were sent and no whole answer came.
+    boost::asio::awaitable<Answer> exchange(Request request, Core::Instant deadline);
 
 private:
     class Pool;
     std::shared_ptr<Pool> m_pool;
 };
 
-} // namespace Platform
+} // namespace Http
--- a/include/LibPlatform/Http/HttpEndpoint.h
+++ b/include/LibHttp/Endpoint.h
@@ -4,16 +4,16 @@
 #include <cstdint>
 #include <string>
 
-namespace Platform {
+namespace Http {
 
 /// Where an HTTP service listens.
-struct HttpEndpoint
+struct Endpoint
 {
     /// An IP number; names aren't resolved.
     std::string address;
     std::uint16_t port = 0;
 
-    auto operator<=>(const HttpEndpoint &) const = default;
+    auto operator<=>(const Endpoint &) const = default;
 };
 
-} // namespace Platform
+} // namespace Http
--- /dev/null
+++ b/include/LibHttp/Server.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibHttp/Endpoint.h>
+#include <LibSupervision/Part.h>
+#include <LibSupervision/Wakeup.h>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace Http {
+
+using ServerRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using ServerResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// Bounds on what a client may send and how long it may take.
+struct ServerLimits
+{
+    std::uint32_t headerBytes = 16 * 1024;
+    std::uint64_t bodyBytes = 256 * 1024;
+    Core::Duration receiveTime = std::chrono::seconds(3);
+    Core::Duration idleTime = std::chrono::seconds(15);
+    std::size_t connections = 2000;
+
+    auto operator<=>(const ServerLimits &) const = default;
+};
+
+/// Answers the requests that a Server has read.
+class RequestHandler
+{
+public:
+    RequestHandler() = default;
+    RequestHandler(const RequestHandler &) = delete;
+    RequestHandler &operator=(const RequestHandler &) = delete;
+    virtual ~RequestHandler() = default;
+
+    /// What it throws is answered with status 500.
+    virtual boost::asio::awaitable<ServerResponse> answer(ServerRequest request) = 0;
+    /// The bounds for the next request.
+    virtual ServerLimits limits() const { return {}; }
+};
+
+/// A response with a JSON body, or with none if \p body is empty.
+ServerResponse makeResponse(unsigned status, const std::string &body);
+
+/// An HTTP/1.1 server on one address.
+class Server final : public Supervision::Part
+{
+public:
+    Server(std::string name, const Endpoint &endpoint, RequestHandler &handler,
+           const boost::asio::any_io_executor &executor);
+
+    std::string name() const override { return m_name; }
+    boost::asio::awaitable<void> run() override;
+    /// Accepts nothing new, closes idle connections, and lets requests in progress finish.
+    void requestStop() override;
+    /// Answers tell clients from now on to close their connections.
+    void beginLeaving() { m_isLeaving = true; }
+
+    std::size_t inProgress() const { return m_inProgress; }
+
+private:
+    using Stream = boost::beast::tcp_stream;
+
+    boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> serve(std::shared_ptr<Stream> stream);
+    /// Serves one request; false when the connection ends.
+    boost::asio::awaitable<bool> serveOne(Stream &stream, boost::beast::flat_buffer &buffer);
+    boost::asio::awaitable<ServerResponse> answer(ServerRequest request);
+
+    std::string m_name;
+    Endpoint m_endpoint;
+    RequestHandler &m_handler;
+    boost::asio::any_io_executor m_executor;
+    std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
+    std::set<Stream *> m_idle;
+    std::size_t m_connections = 0;
+    std::size_t m_inProgress = 0;
+    Supervision::Wakeup m_changed;
+    bool m_isStopping = false;
+    bool m_isLeaving = false;
+};
+
+} // namespace Http
--- a/include/LibPlatform/Http/HttpLogService.h
+++ b/include/LibPlatform/Http/HttpLogService.h
@@ -1,15 +1,17 @@
 #pragma once
 
-#include <LibPlatform/Http/HttpEndpoint.h>
+#include <LibHttp/Endpoint.h>
 #include <LibPlatform/LogService.h>
 
 #include <boost/asio/any_io_executor.hpp>
 
 #include <memory>
 
-namespace Platform {
+namespace Http {
+class Client;
+}
 
-class HttpClient;
+namespace Platform {
 
 /// The log service over HTTP; docs/design/PLATFORM.md has the format. It must outlive its calls and
 /// is used from one thread only.
@@ -17,7 +19,7 @@
 {
 public:
     /// \throws Core::FormatError if the endpoint's address is no IP number.
-    HttpLogService(const boost::asio::any_io_executor &executor, const HttpEndpoint &endpoint);
+    HttpLogService(const boost::asio::any_io_executor &executor, const Http::Endpoint &endpoint);
     ~HttpLogService() override;
 
     boost::asio::awaitable<Offset> append(std::string stream, std::vector<std::string> bodies,
@@ -27,7 +29,7 @@
                                          Core::Instant deadline) override;
 
 private:
-    std::unique_ptr<HttpClient> m_client;
+    std::unique_ptr<Http::Client> m_client;
 };
 
 } // namespace Platform
--- a/include/LibPlatform/Http/HttpVmDirectory.h
+++ b/include/LibPlatform/Http/HttpVmDirectory.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibPlatform/Http/HttpEndpoint.h>
+#include <LibHttp/Endpoint.h>
 #include <LibPlatform/VmDirectory.h>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -9,9 +9,11 @@
 #include <string>
 #include <vector>
 
-namespace Platform {
+namespace Http {
+class Client;
+}
 
-class HttpClient;
+namespace Platform {
 
 /// The list of VMs over HTTP; docs/design/PLATFORM.md has the format. It must outlive its calls and
 /// is used from one thread only.
@@ -19,13 +21,13 @@
 {
 public:
     /// \throws Core::FormatError if the endpoint's address is no IP number.
-    HttpVmDirectory(const boost::asio::any_io_executor &executor, const HttpEndpoint &endpoint);
+    HttpVmDirectory(const boost::asio::any_io_executor &executor, const Http::Endpoint &endpoint);
     ~HttpVmDirectory() override;
 
     boost::asio::awaitable<std::vector<VmEntry>> list(Core::Instant deadline) override;
 
 private:
-    std::unique_ptr<HttpClient> m_client;
+    std::unique_ptr<Http::Client> m_client;
     /// The latest list and the platform's name for its state.
     std::vector<VmEntry> m_entries;
     std::string m_version;
--- a/include/LibPlatform/Http/HttpWorkerControl.h
+++ b/include/LibPlatform/Http/HttpWorkerControl.h
@@ -1,15 +1,17 @@
 #pragma once
 
-#include <LibPlatform/Http/HttpEndpoint.h>
+#include <LibHttp/Endpoint.h>
 #include <LibPlatform/WorkerControl.h>
 
 #include <boost/asio/any_io_executor.hpp>
 
 #include <memory>
 
-namespace Platform {
+namespace Http {
+class Client;
+}
 
-class HttpClient;
+namespace Platform {
 
 /// Worker control over HTTP through the platform's endpoint; docs/design/PLATFORM.md has the
 /// format. It must outlive its calls and is used from one thread only.
@@ -17,7 +19,7 @@
 {
 public:
     /// \throws Core::FormatError if the endpoint's address is no IP number.
-    HttpWorkerControl(const boost::asio::any_io_executor &executor, const HttpEndpoint &endpoint);
+    HttpWorkerControl(const boost::asio::any_io_executor &executor, const Http::Endpoint &endpoint);
     ~HttpWorkerControl() override;
 
     boost::asio::awaitable<void> start(StartCommand command, Core::Instant deadline) override;
@@ -30,7 +32,7 @@
           std::vector<Task::AttemptId> acknowledged, Core::Instant deadline) override;
 
 private:
-    std::unique_ptr<HttpClient> m_client;
+    std::unique_ptr<Http::Client> m_client;
 };
 
 } // namespace Platform
--- a/include/LibSupervision/Part.h
+++ b/include/LibSupervision/Part.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <utility>
+
 #include <boost/asio/awaitable.hpp>
 
 #include <string>
--- a/Services/lagoonfordd/Wakeup.h
+++ b/include/LibSupervision/Wakeup.h
@@ -6,7 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-namespace Daemon {
+namespace Supervision {
 
 /// Lets one coroutine sleep until an instant or until somebody wakes it. A wake that comes while
 /// nobody sleeps is kept.
@@ -23,4 +23,4 @@
     bool m_isWoken = false;
 };
 
-} // namespace Daemon
+} // namespace Supervision
