--- /dev/null
+++ b/Libraries/LibJob/JobRecord.cpp
@@ -0,0 +1,248 @@
+#include <LibJob/JobRecord.h>
+
+#include <LibCore/Error.h>
+#include <LibCore/Json.h>
+
+#include <json/value.h>
+
+namespace Jobs {
+
+// Every record is kept for as long as its job, so member names are short.
+// Keys: `s/JOB`, `c/JOB`, `p/JOB`, `owner` and `beat`.
+
+static constexpr const char *ownerKey = "owner";
+static constexpr const char *heartbeatKey = "beat";
+static constexpr const char *origin = "job record";
+
+static Json::Value encodeStep(const StepSpec &step)
+{
+    Json::Value value(Json::objectValue);
+    value["n"] = step.taskCount;
+    value["c"] = Json::Int64(step.need.milliCores);
+    value["m"] = Json::Int64(step.need.mebibytes);
+    if (step.need.accelerators != 0)
+        value["g"] = Json::Int64(step.need.accelerators);
+    value["e"] = Json::Int64(step.estimateMs);
+    for (const int before : step.after)
+        value["a"].append(before);
+    if (step.isCheckpointing)
+        value["cp"] = true;
+    if (step.isGang)
+        value["ga"] = true;
+    if (step.isRackSensitive)
+        value["rs"] = true;
+    if (!step.requiredLabel.empty())
+        value["rl"] = step.requiredLabel;
+    if (!step.dataRack.empty())
+        value["dr"] = step.dataRack;
+    if (step.mostPerWorker != 0)
+        value["mw"] = step.mostPerWorker;
+    if (step.isSpeculative)
+        value["sp"] = true;
+    if (step.isLongRunning)
+        value["lr"] = true;
+    if (!step.image.empty())
+        value["im"] = step.image;
+    if (step.tailTargetMs != 0)
+        value["tt"] = Json::Int64(step.tailTargetMs);
+    if (step.isFiller)
+        value["fi"] = true;
+    if (step.mostMissing != 0)
+        value["mm"] = step.mostMissing;
+    return value;
+}
+
+static StepSpec decodeStep(const Json::Value &value)
+{
+    StepSpec step;
+    step.taskCount = value["n"].asInt();
+    step.need.milliCores = value["c"].asInt64();
+    step.need.mebibytes = value["m"].asInt64();
+    step.need.accelerators = value["g"].asInt64();
+    step.estimateMs = value["e"].asInt64();
+    for (const Json::Value &before : value["a"])
+        step.after.push_back(before.asInt());
+    step.isCheckpointing = value["cp"].asBool();
+    step.isGang = value["ga"].asBool();
+    step.isRackSensitive = value["rs"].asBool();
+    step.requiredLabel = value["rl"].asString();
+    step.dataRack = value["dr"].asString();
+    step.mostPerWorker = value["mw"].asInt();
+    step.isSpeculative = value["sp"].asBool();
+    step.isLongRunning = value["lr"].asBool();
+    step.image = value["im"].asString();
+    step.tailTargetMs = value["tt"].asInt64();
+    step.isFiller = value["fi"].asBool();
+    step.mostMissing = value["mm"].asInt();
+    return step;
+}
+
+static StoredRecord encode(const Submission &submission)
+{
+    Json::Value value(Json::objectValue);
+    value["q"] = submission.queue.id.text();
+    value["qs"] = submission.queue.service.text();
+    value["qp"] = submission.queue.priority;
+    value["qa"] = submission.queue.mostAttempts;
+    value["qf"] = submission.queue.stretch;
+    value["qx"] = Json::Int64(submission.queue.extraMs);
+    value["t"] = Json::Int64(submission.submittedUnixMs);
+    value["p"] = submission.spec.payload;
+    value["s"] = Json::Value(Json::arrayValue);
+    for (const StepSpec &step : submission.spec.steps)
+        value["s"].append(encodeStep(step));
+    if (submission.spec.isScheduled()) {
+        value["rc"] = Json::Int64(submission.spec.repeatCount);
+        value["rf"] = Json::Int64(submission.spec.firstDueUnixMs);
+        value["ri"] = Json::Int64(submission.spec.intervalMs);
+    }
+    return { "s/" + submission.id.text(), Core::Json::write(value) };
+}
+
+static Submission decodeSubmission(const JobId &id, const Json::Value &value)
+{
+    Submission submission;
+    submission.id = id;
+    submission.queue.id = QueueId(Core::Json::stringMember(value, "q"));
+    submission.queue.service = ServiceId(Core::Json::stringMember(value, "qs"));
+    submission.queue.priority = value["qp"].asInt();
+    submission.queue.mostAttempts = value["qa"].asInt();
+    submission.queue.stretch = value["qf"].asDouble();
+    submission.queue.extraMs = value["qx"].asInt64();
+    submission.submittedUnixMs = Core::Json::integerMember(value, "t");
+    submission.spec.payload = Core::Json::stringMember(value, "p");
+    for (const Json::Value &step : Core::Json::arrayMember(value, "s"))
+        submission.spec.steps.push_back(decodeStep(step));
+    submission.spec.repeatCount = value["rc"].asInt64();
+    submission.spec.firstDueUnixMs = value["rf"].asInt64();
+    submission.spec.intervalMs = value["ri"].asInt64();
+    return submission;
+}
+
+static Json::Value encodeStepProgress(const StepProgress &step)
+{
+    std::string bits;
+    for (const bool isDone : step.isDone)
+        bits += isDone ? '1' : '0';
+    Json::Value value(Json::arrayValue);
+    value.append(bits);
+    Json::Value failures(Json::arrayValue);
+    for (const auto &[index, count] : step.failures) {
+        failures.append(index);
+        failures.append(count);
+    }
+    value.append(failures);
+    return value;
+}
+
+static StepProgress decodeStepProgress(const Json::Value &value)
+{
+    StepProgress step;
+    for (const char bit : value[0].asString())
+        step.isDone.push_back(bit == '1');
+    const Json::Value &failures = value[1];
+    for (Json::ArrayIndex i = 0; i + 1 < failures.size(); i += 2)
+        step.failures[failures[i].asInt()] = failures[i + 1].asInt();
+    return step;
+}
+
+static StoredRecord encode(const ProgressRecord &record)
+{
+    const JobProgress &progress = record.progress;
+    Json::Value value(Json::objectValue);
+    value["s"] = static_cast<int>(progress.state);
+    if (progress.isFinal()) {
+        // Runs that nobody stopped yet may still be on these workers.
+        value["t"] = Json::Int64(progress.endedUnixMs);
+    }
+    for (const auto &[occurrence, steps] : progress.occurrences) {
+        Json::Value &list = value["o"][std::to_string(occurrence)];
+        for (const StepProgress &step : steps)
+            list.append(encodeStepProgress(step));
+    }
+    for (const int occurrence : progress.endedOccurrences)
+        value["eo"].append(occurrence);
+    for (const Core::VmId &worker : progress.workers)
+        value["w"].append(worker.text());
+    return { "p/" + record.id.text(), Core::Json::write(value) };
+}
+
+static ProgressRecord decodeProgress(const JobId &id, const Json::Value &value)
+{
+    ProgressRecord record;
+    record.id = id;
+    JobProgress &progress = record.progress;
+    const std::int64_t state = Core::Json::integerMember(value, "s");
+    if (state < 0 || state > static_cast<int>(JobState::Cancelled))
+        throw Core::FormatError("decode progress", id.text(), "the state is unknown");
+    progress.state = static_cast<JobState>(state);
+    progress.endedUnixMs = value["t"].asInt64();
+    const Json::Value &occurrences = value["o"];
+    for (const std::string &name : occurrences.getMemberNames()) {
+        std::vector<StepProgress> &steps = progress.occurrences[std::stoi(name)];
+        for (const Json::Value &step : occurrences[name])
+            steps.push_back(decodeStepProgress(step));
+    }
+    for (const Json::Value &occurrence : value["eo"])
+        progress.endedOccurrences.insert(occurrence.asInt());
+    for (const Json::Value &worker : value["w"])
+        progress.workers.insert(Core::VmId(worker.asString()));
+    return record;
+}
+
+static StoredRecord encode(const OwnerClaim &claim)
+{
+    Json::Value value(Json::objectValue);
+    value["n"] = claim.node;
+    value["t"] = Json::Int64(claim.term);
+    value["r"] = claim.isReleased;
+    return { ownerKey, Core::Json::write(value) };
+}
+
+std::vector<StoredRecord> encodeRecord(const JobRecord &record)
+{
+    if (const auto *submission = std::get_if<Submission>(&record))
+        return { encode(*submission) };
+    if (const auto *cancellation = std::get_if<Cancellation>(&record))
+        return { { "c/" + cancellation->id.text(), "{}" } };
+    if (const auto *progress = std::get_if<ProgressRecord>(&record))
+        return { encode(*progress) };
+    if (const auto *claim = std::get_if<OwnerClaim>(&record))
+        return { encode(*claim) };
+    if (const auto *heartbeat = std::get_if<Heartbeat>(&record))
+        return { { heartbeatKey, "{\"t\":" + std::to_string(heartbeat->term) + '}' } };
+    const std::string &id = std::get<JobDropped>(record).id.text();
+    return { { "c/" + id, "" }, { "p/" + id, "" }, { "s/" + id, "" } };
+}
+
+JobRecord decodeRecord(const StoredRecord &record)
+{
+    const std::string &key = record.key;
+    try {
+        const bool isOfJob = key.size() > 2 && key[1] == '/';
+        const JobId id(isOfJob ? key.substr(2) : std::string());
+        if (isOfJob && record.value.empty())
+            return JobDropped { id };
+        const Json::Value value = Core::Json::parse(record.value, key);
+        if (key == heartbeatKey)
+            return Heartbeat { Core::Json::integerMember(value, "t") };
+        if (key == ownerKey)
+            return OwnerClaim { Core::Json::stringMember(value, "n"),
+                                Core::Json::integerMember(value, "t"),
+                                Core::Json::booleanMember(value, "r") };
+        if (isOfJob && key[0] == 's')
+            return decodeSubmission(id, value);
+        if (isOfJob && key[0] == 'c')
+            return Cancellation { id };
+        if (isOfJob && key[0] == 'p')
+            return decodeProgress(id, value);
+    } catch (const Core::FormatError &) {
+        throw;
+    } catch (const std::exception &error) {
+        // A value of another type than expected, or no number where one was expected.
+        throw Core::FormatError("decode record", key, error.what());
+    }
+    throw Core::FormatError("decode record", key, "the key is unknown");
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -0,0 +1,240 @@
+#include <LibJob/JobScheduler.h>
+
+#include <algorithm>
+
+namespace Jobs {
+
+using std::chrono::milliseconds;
+
+/// A worker lists so many ends at most in one report.
+static constexpr std::size_t endsPerReport = 500;
+/// How long ends wait for their commit before the worker's lease is renewed all the same.
+static constexpr Core::Duration uncommittedSpacing = milliseconds(600);
+/// A serving task is at work when it reports this progress.
+static constexpr int fullPercent = 100;
+
+// Fillers are throttled in steps while a serving task beside them misses its target, and
+// released when its latency is well below, so that they don't swing.
+static constexpr int throttledPercent = 40;
+static constexpr Core::Duration throttleSpacing = milliseconds(600);
+static constexpr Core::Duration releaseSpacing = milliseconds(2500);
+static constexpr double releaseShare = 0.6;
+
+std::vector<RenewCommand> JobScheduler::takeRenewals(const Moment &now)
+{
+    std::vector<RenewCommand> renewals;
+    if (m_isDeposed)
+        return renewals;
+    for (const auto &[id, worker] : m_workers) {
+        const bool isListed
+            = std::find(m_listed.begin(), m_listed.end(), worker.get()) != m_listed.end();
+        const bool isWanted = !worker->runs().empty() || (isListed && !worker->isSurveyed());
+        if (!isWanted || worker->isRenewing || worker->nextRenewalAt > now.instant)
+            continue;
+        RenewCommand command;
+        command.worker = id;
+        command.address = worker->info().address;
+        command.token = m_ownership.token;
+        command.acknowledgedEnd = worker->acknowledgedEnd();
+        // The answer of a silent worker may be lost; what it was granted would last unknown.
+        const bool isGranted = worker->isClockKnown() && worker->isSurveyed() && !worker->isSilent()
+            && !worker->runs().empty();
+        if (isGranted)
+            command.leaseDeadlineMs = worker->grantLease(now.instant, m_settings.lease);
+        if (isGranted && !worker->hasUncommittedEnds())
+            command.waitMs
+                = std::chrono::duration_cast<milliseconds>(m_settings.renewalWait).count();
+        worker->isRenewing = true;
+        renewals.push_back(std::move(command));
+    }
+    return renewals;
+}
+
+void JobScheduler::onRenewalFailed(const Core::VmId &id, const Moment &now)
+{
+    WorkerState *worker = findWorkerState(id);
+    if (!worker)
+        return;
+    worker->isRenewing = false;
+    worker->noteSilence();
+    worker->nextRenewalAt = now.instant + m_settings.silentRenewalSpacing;
+}
+
+void JobScheduler::onReport(const Core::VmId &id, const WorkerReport &report, Core::Instant sentAt,
+                            const Moment &now)
+{
+    WorkerState *worker = findWorkerState(id);
+    if (!worker)
+        return;
+    worker->isRenewing = false;
+    const bool isBornAnew = worker->bornUnixMs() != 0 && worker->bornUnixMs() != report.bornUnixMs;
+    if (isBornAnew || worker->bornUnixMs() == 0)
+        worker->beginIncarnation(report.bornUnixMs);
+    worker->readClock(report.clockMs, now.instant);
+    worker->noteAnswer(now.instant);
+    if (!worker->isSurveyed())
+        m_needsPass = true;
+    worker->setSurveyed(true);
+    std::int64_t lastEnd = worker->processedEnd();
+    for (const EndedEntry &end : report.ended) {
+        if (end.number <= lastEnd)
+            continue;
+        lastEnd = end.number;
+        onEnd(*worker, end, now);
+    }
+    if (lastEnd > worker->processedEnd()) {
+        worker->noteProcessedEnd(lastEnd, needsCommit() ? m_lastCommit + 1 : m_lastCommit);
+        worker->noteCommitted(m_committed);
+    }
+    for (const RunningEntry &entry : report.running)
+        onRunning(*worker, entry, now);
+    if (report.ended.size() < endsPerReport)
+        removeMissingRuns(*worker, report, sentAt, now);
+    throttleFillers(*worker, now);
+    worker->nextRenewalAt = now.instant
+        + (worker->hasUncommittedEnds() ? uncommittedSpacing : m_settings.renewalSpacing);
+}
+
+void JobScheduler::onRunning(WorkerState &worker, const RunningEntry &entry, const Moment &now)
+{
+    OwnedJob *job = findJob(entry.task.job);
+    TaskState *task = job ? job->findTask(entry.task) : nullptr;
+    const bool isWanted = task && !job->isTaskDone(entry.task);
+    if (!isWanted) {
+        stopUnknownRun(worker, entry, now);
+        return;
+    }
+    if (!task->run) {
+        if (job->isOver() || entry.run < task->lastRun)
+            stopUnknownRun(worker, entry, now);
+        else
+            adoptRun(*job, worker, entry, now);
+        return;
+    }
+    TaskRun &run = *task->run;
+    if (run.worker != &worker || run.number != entry.run) {
+        stopUnknownRun(worker, entry, now);
+        return;
+    }
+    if (run.phase != RunPhase::Running) {
+        run.phase = RunPhase::Running;
+        run.phaseBeganAt = now.instant;
+        run.progressedAt = now.instant;
+    }
+    if (!entry.checkpoint.empty())
+        task->checkpoint = entry.checkpoint;
+    run.recentLoad = entry.recentLoad;
+    checkProgress(entry.task, run, entry, now);
+}
+
+void JobScheduler::adoptRun(OwnedJob &job, WorkerState &worker, const RunningEntry &entry,
+                            const Moment &now)
+{
+    note(entry.task, "adopt",
+         "worker=" + worker.info().id.text() + " run=" + std::to_string(entry.run));
+    addRun(job, entry.task, worker, entry.run, RunPhase::Running, now);
+    TaskState &task = *job.findTask(entry.task);
+    task.run->percentDone = entry.percentDone;
+    if (!entry.checkpoint.empty())
+        task.checkpoint = entry.checkpoint;
+    job.planUse(worker.info().id);
+    markDirty(job);
+}
+
+void JobScheduler::stopUnknownRun(WorkerState &worker, const RunningEntry &entry, const Moment &)
+{
+    note(entry.task, "stop-unknown",
+         "worker=" + worker.info().id.text() + " run=" + std::to_string(entry.run));
+    m_commands.emplace_back(StopCommand { worker.info().id, worker.info().address, entry.task,
+                                          entry.run, m_ownership.token });
+}
+
+void JobScheduler::removeMissingRuns(WorkerState &worker, const WorkerReport &report,
+                                     Core::Instant sentAt, const Moment &now)
+{
+    std::set<TaskName> listed;
+    for (const RunningEntry &entry : report.running)
+        listed.insert(entry.task);
+    for (const TaskName &name : std::set<TaskName>(worker.runs())) {
+        OwnedJob *job = findJob(name.job);
+        TaskState *task = job ? job->findTask(name) : nullptr;
+        if (listed.contains(name) || !task || !task->run)
+            continue;
+        const TaskRun &run = *task->run;
+        const bool wasThere = run.phase == RunPhase::Running && run.phaseBeganAt <= sentAt;
+        const bool wasStopped
+            = run.stopAnsweredAt != Core::Instant() && run.stopAnsweredAt <= sentAt;
+        const bool isTooLate = run.phase == RunPhase::Uncertain && run.startBound <= sentAt;
+        if (!wasThere && !wasStopped && !isTooLate)
+            continue;
+        note(name, "gone",
+             "worker=" + worker.info().id.text() + " run=" + std::to_string(run.number));
+        removeRun(*job, name);
+        m_needsPass = true;
+    }
+    static_cast<void>(now);
+}
+
+void JobScheduler::checkProgress(const TaskName &name, TaskRun &run, const RunningEntry &entry,
+                                 const Moment &now)
+{
+    const OwnedJob *job = findJob(name.job);
+    const StepSpec &spec = job->spec(name.step);
+    const bool isMoving = entry.percentDone != run.percentDone
+        || (spec.isLongRunning && entry.percentDone >= fullPercent);
+    run.percentDone = entry.percentDone;
+    if (isMoving || spec.isFiller || run.throttledTo < fullPercent)
+        run.progressedAt = now.instant;
+    const Core::Duration stoodStill = now.instant - run.progressedAt;
+    if (run.isStopWanted || stoodStill < m_settings.standstill)
+        return;
+    note(name, "standstill",
+         "worker=" + run.worker->info().id.text()
+             + " percent=" + std::to_string(entry.percentDone));
+    run.worker->noteTaskFailed(now.instant);
+    requestStop(name, run, now);
+}
+
+void JobScheduler::throttleFillers(WorkerState &worker, const Moment &now)
+{
+    if (worker.fillerCount() == 0 || worker.servingCount() == 0)
+        return;
+    double worst = 0;
+    std::vector<std::pair<TaskName, TaskRun *>> fillers;
+    for (const TaskName &name : worker.runs()) {
+        OwnedJob *job = findJob(name.job);
+        TaskState *task = job ? job->findTask(name) : nullptr;
+        if (!task || !task->run || task->run->phase != RunPhase::Running)
+            continue;
+        const StepSpec &spec = job->spec(name.step);
+        if (spec.isFiller)
+            fillers.emplace_back(name, task->run.get());
+        if (spec.tailTargetMs > 0)
+            worst = std::max(worst,
+                             static_cast<double>(task->run->recentLoad)
+                                 / static_cast<double>(spec.tailTargetMs));
+    }
+    const bool isOver = worst >= 1.0;
+    const Core::Duration spacing = isOver ? throttleSpacing : releaseSpacing;
+    const bool isBetween = !isOver && worst >= releaseShare;
+    if (isBetween || now.instant < worker.throttledAt + spacing)
+        return;
+    for (auto &[name, run] : fillers) {
+        int percent = fullPercent;
+        if (isOver)
+            percent = run->throttledTo > throttledPercent ? throttledPercent : 0;
+        else
+            percent = run->throttledTo < throttledPercent ? throttledPercent : fullPercent;
+        if (percent == run->throttledTo)
+            continue;
+        run->throttledTo = percent;
+        worker.throttledAt = now.instant;
+        note(name, "throttle",
+             "worker=" + worker.info().id.text() + " percent=" + std::to_string(percent)
+                 + " tail_of_target=" + std::to_string(worst));
+        m_commands.emplace_back(ThrottleCommand { worker.info().id, worker.info().address, name,
+                                                  run->number, percent, m_ownership.token });
+    }
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -0,0 +1,233 @@
+#include <LibJob/JobScheduler.h>
+
+#include <algorithm>
+
+namespace Jobs {
+
+using std::chrono::milliseconds;
+
+void JobScheduler::addRun(OwnedJob &job, const TaskName &name, WorkerState &worker,
+                          std::int64_t number, RunPhase phase, const Moment &now)
+{
+    TaskState &task = *job.findTask(name);
+    const StepSpec &spec = job.spec(name.step);
+    task.run = std::make_unique<TaskRun>();
+    task.run->number = number;
+    task.run->worker = &worker;
+    task.run->phase = phase;
+    task.run->phaseBeganAt = now.instant;
+    task.run->progressedAt = now.instant;
+    task.lastRun = std::max(task.lastRun, number);
+    worker.addRun(name, spec.need, spec.isFiller, spec.tailTargetMs > 0);
+    job.refresh(name.occurrence);
+    ++m_runs;
+}
+
+void JobScheduler::removeRun(OwnedJob &job, const TaskName &name)
+{
+    TaskState *task = job.findTask(name);
+    if (!task || !task->run)
+        return;
+    const StepSpec &spec = job.spec(name.step);
+    task->run->worker->removeRun(name, spec.need, spec.isFiller, spec.tailTargetMs > 0);
+    task->run.reset();
+    job.refresh(name.occurrence);
+    --m_runs;
+    m_needsPass = true;
+    // Its record is written once more, and then the job is done with.
+    if (job.isOver() && !job.hasRuns()) {
+        job.isDirty = true;
+        markDirty(job);
+    }
+}
+
+void JobScheduler::stopAllRuns(OwnedJob &job, const Moment &now)
+{
+    for (auto &[occurrence, steps] : job.occurrences()) {
+        for (std::size_t step = 0; step < steps.size(); ++step) {
+            for (std::size_t index = 0; index < steps[step].tasks.size(); ++index) {
+                TaskRun *run = steps[step].tasks[index].run.get();
+                if (run)
+                    requestStop(
+                        { job.id(), occurrence, static_cast<int>(step), static_cast<int>(index) },
+                        *run, now);
+            }
+        }
+    }
+}
+
+void JobScheduler::requestStop(const TaskName &name, TaskRun &run, const Moment &now)
+{
+    run.isStopWanted = true;
+    run.stopSentAt = now.instant;
+    const WorkerInfo &worker = run.worker->info();
+    note(name, "stop", "worker=" + worker.id.text() + " run=" + std::to_string(run.number));
+    m_commands.emplace_back(
+        StopCommand { worker.id, worker.address, name, run.number, m_ownership.token });
+    run.worker->nextRenewalAt
+        = std::min(run.worker->nextRenewalAt, now.instant + m_settings.renewalSpacing);
+}
+
+void JobScheduler::repeatStops(const Moment &now)
+{
+    for (const auto &[id, worker] : m_workers) {
+        for (const TaskName &name : worker->runs()) {
+            OwnedJob *job = findJob(name.job);
+            TaskState *task = job ? job->findTask(name) : nullptr;
+            if (!task || !task->run || !task->run->isStopWanted)
+                continue;
+            if (now.instant >= task->run->stopSentAt + m_settings.stopRepeat)
+                requestStop(name, *task->run, now);
+        }
+    }
+}
+
+void JobScheduler::onStartOutcome(const StartCommand &command, StartOutcome outcome,
+                                  const Moment &now)
+{
+    if (outcome != StartOutcome::Started)
+        note(command.task, "start-outcome",
+             std::string(startOutcomeText(outcome)) + " worker=" + command.worker.text()
+                 + " run=" + std::to_string(command.run));
+    if (outcome == StartOutcome::Fenced) {
+        m_isDeposed = true;
+        return;
+    }
+    OwnedJob *job = findJob(command.task.job);
+    TaskState *task = job ? job->findTask(command.task) : nullptr;
+    const bool isCurrent = task && task->run && task->run->number == command.run
+        && task->run->worker->info().id == command.worker;
+    if (!isCurrent)
+        return;
+    TaskRun &run = *task->run;
+    WorkerState &worker = *run.worker;
+    if (outcome == StartOutcome::Started) {
+        if (run.phase == RunPhase::Starting) {
+            run.phase = RunPhase::Running;
+            run.phaseBeganAt = now.instant;
+            run.progressedAt = now.instant;
+        }
+        return;
+    }
+    if (outcome == StartOutcome::Unknown) {
+        if (run.phase != RunPhase::Starting)
+            return;
+        run.phase = RunPhase::Uncertain;
+        worker.noteRefusal(now.instant);
+        requestStop(command.task, run, now);
+        return;
+    }
+    if (outcome == StartOutcome::Refused || outcome == StartOutcome::OtherIncarnation)
+        worker.noteTaskFailed(now.instant);
+    else if (outcome != StartOutcome::OldRun)
+        worker.noteRefusal(now.instant);
+    if (outcome == StartOutcome::OldRun)
+        task->lastRun += 1;
+    removeRun(*job, command.task);
+}
+
+void JobScheduler::onStopAnswered(const StopCommand &command, const Moment &now)
+{
+    OwnedJob *job = findJob(command.task.job);
+    TaskState *task = job ? job->findTask(command.task) : nullptr;
+    const bool isCurrent = task && task->run && task->run->number == command.run
+        && task->run->worker->info().id == command.worker;
+    if (!isCurrent)
+        return;
+    task->run->stopAnsweredAt = now.instant;
+    task->run->worker->nextRenewalAt = now.instant;
+}
+
+void JobScheduler::onTaskDone(OwnedJob &job, const TaskName &name, const Moment &now)
+{
+    if (!job.spec(name.step).isGang) {
+        job.noteDone(name, now.unixMs);
+        job.refresh(name.occurrence);
+        markDirty(job);
+        return;
+    }
+    // One end stands for the ends of all members.
+    for (int index = 0; index < job.spec(name.step).taskCount; ++index)
+        removeRun(job, { name.job, name.occurrence, name.step, index });
+    for (int index = 0; index < job.spec(name.step).taskCount; ++index) {
+        if (job.noteDone({ name.job, name.occurrence, name.step, index }, now.unixMs))
+            break;
+    }
+    job.refresh(name.occurrence);
+    markDirty(job);
+}
+
+void JobScheduler::onTaskFailed(OwnedJob &job, const TaskName &name, const Moment &now)
+{
+    if (job.spec(name.step).isLongRunning)
+        return;
+    const int failures = job.noteFailed(name);
+    markDirty(job);
+    if (failures < queueOf(job)->mostAttempts)
+        return;
+    note(name, "job-failed", "failures=" + std::to_string(failures));
+    job.finish(JobState::Failed, now.unixMs);
+    dropPlanned(job);
+    stopAllRuns(job, now);
+}
+
+void JobScheduler::onEnd(WorkerState &worker, const EndedEntry &end, const Moment &now)
+{
+    OwnedJob *job = findJob(end.task.job);
+    TaskState *task = job ? job->findTask(end.task) : nullptr;
+    if (!task || job->isTaskDone(end.task))
+        return;
+    const bool isCurrent
+        = task->run && task->run->worker == &worker && task->run->number == end.run;
+    const bool isSuperseded = !isCurrent && (task->run || end.run < task->lastRun);
+    note(end.task, "ended",
+         "worker=" + worker.info().id.text() + " run=" + std::to_string(end.run) + " kind="
+             + std::to_string(static_cast<int>(end.kind)) + (isSuperseded ? " superseded" : ""));
+    if (end.kind == EndKind::Failed)
+        worker.noteTaskFailed(now.instant);
+    else if (end.kind == EndKind::Done)
+        worker.noteTaskDone();
+    if (isSuperseded)
+        return;
+    task->lastRun = std::max(task->lastRun, end.run);
+    if (!end.checkpoint.empty())
+        task->checkpoint = end.checkpoint;
+    if (end.kind == EndKind::Failed)
+        task->failedOn = worker.info().id;
+    if (isCurrent)
+        removeRun(*job, end.task);
+    m_needsPass = true;
+    if (job->isOver())
+        return;
+    const bool isDone = end.kind == EndKind::Done && !job->spec(end.task.step).isLongRunning;
+    if (isDone)
+        onTaskDone(*job, end.task, now);
+    else if (end.kind == EndKind::Failed)
+        onTaskFailed(*job, end.task, now);
+}
+
+void JobScheduler::expireLeases(const Moment &now)
+{
+    for (const auto &[id, worker] : m_workers) {
+        if (!worker->runs().empty() && now.instant > worker->leaseBound())
+            expireRunsOf(*worker, now);
+    }
+}
+
+void JobScheduler::expireRunsOf(WorkerState &worker, const Moment &now)
+{
+    for (const TaskName &name : std::set<TaskName>(worker.runs())) {
+        OwnedJob *job = findJob(name.job);
+        TaskState *task = job ? job->findTask(name) : nullptr;
+        if (!task || !task->run || task->run->phase == RunPhase::Planned)
+            continue;
+        const auto silentFor
+            = std::chrono::duration_cast<milliseconds>(now.instant - worker.lastAnswerAt());
+        note(name, "lease-expired",
+             "worker=" + worker.info().id.text() + " run=" + std::to_string(task->run->number)
+                 + " silent_ms=" + std::to_string(silentFor.count()));
+        removeRun(*job, name);
+    }
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -0,0 +1,247 @@
+#include <LibJob/JobScheduler.h>
+
+#include <algorithm>
+
+namespace Jobs {
+
+using std::chrono::milliseconds;
+
+/// The least time between two looks at what waits.
+static constexpr Core::Duration passSpacing = milliseconds(10);
+/// The numbers of a task's runs rise from owner to owner, though starts aren't recorded.
+static constexpr std::int64_t runsPerTerm = 1000;
+
+std::vector<Command> JobScheduler::takeCommands(const Moment &now)
+{
+    expireLeases(now);
+    repeatStops(now);
+    const bool isDue = m_needsPass ? now.instant >= m_nextPassAt
+                                   : now.instant >= m_nextPassAt + m_settings.renewalWait / 5;
+    if (isDue && !m_isDeposed) {
+        m_needsPass = false;
+        m_nextPassAt = now.instant + passSpacing;
+        dropOldJobs(now);
+        for (const auto &[id, job] : m_jobs)
+            beginDueOccurrences(*job, now);
+        std::vector<std::pair<ServiceId, Core::Resources>> unfit;
+        for (const Waiting &waiting : waitingSteps(now)) {
+            const StepSpec &spec = waiting.job->spec(waiting.step);
+            const ServiceId &service = queueOf(*waiting.job)->service;
+            const bool isHopeless = std::any_of(unfit.begin(), unfit.end(), [&](const auto &other) {
+                return other.first == service && other.second.fitsIn(spec.need);
+            });
+            if (isHopeless || isHeldBack(*waiting.job, now.instant))
+                continue;
+            planStep(waiting, now);
+            const OwnedStep &step = waiting.job->occurrences().at(
+                waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
+            const bool isPlain = spec.requiredLabel.empty() && spec.mostPerWorker == 0
+                && !spec.isGang && m_isStoreReachable;
+            if (step.waitingCount > 0 && isPlain)
+                unfit.emplace_back(service, spec.need);
+        }
+    }
+    return std::exchange(m_commands, {});
+}
+
+void JobScheduler::beginDueOccurrences(OwnedJob &job, const Moment &now)
+{
+    if (job.isOver())
+        return;
+    const JobSpec &spec = job.submission().spec;
+    if (!spec.isScheduled()) {
+        job.beginOccurrence(0);
+        return;
+    }
+    for (std::int64_t i = 0; i < spec.repeatCount; ++i) {
+        const auto occurrence = static_cast<int>(i);
+        if (dueAt(job, occurrence, now) - m_settings.earliness > now.instant)
+            return;
+        if (!job.occurrences().contains(occurrence))
+            m_needsPass = true;
+        job.beginOccurrence(occurrence);
+    }
+}
+
+std::vector<JobScheduler::Waiting> JobScheduler::waitingSteps(const Moment &now) const
+{
+    std::vector<Waiting> waiting;
+    for (const auto &[id, job] : m_jobs) {
+        if (job->isOver())
+            continue;
+        const Queue &queue = *queueOf(*job);
+        for (const auto &[occurrence, steps] : job->occurrences()) {
+            for (std::size_t i = 0; i < steps.size(); ++i) {
+                if (!steps[i].isReady || steps[i].waitingCount == 0)
+                    continue;
+                const auto step = static_cast<int>(i);
+                const Core::Instant due = dueAt(*job, occurrence, now);
+                waiting.push_back({ m_order.rank(*job, occurrence, step, queue, due, now.instant),
+                                    job.get(), occurrence, step });
+            }
+        }
+    }
+    std::sort(waiting.begin(), waiting.end(), [](const Waiting &left, const Waiting &right) {
+        if (left.rank != right.rank)
+            return left.rank < right.rank;
+        return std::tie(left.job->id(), left.occurrence, left.step)
+            < std::tie(right.job->id(), right.occurrence, right.step);
+    });
+    return waiting;
+}
+
+bool JobScheduler::isHeldBack(OwnedJob &job, Core::Instant now)
+{
+    if (job.unsurveyedWorkers.empty())
+        return false;
+    if (now >= m_ownership.formerLeasesEndAt) {
+        job.unsurveyedWorkers.clear();
+        return false;
+    }
+    std::erase_if(job.unsurveyedWorkers, [this](const Core::VmId &id) {
+        const WorkerState *worker = findWorkerState(id);
+        return worker && worker->isSurveyed();
+    });
+    return !job.unsurveyedWorkers.empty();
+}
+
+std::int64_t JobScheduler::nextRunNumber(const TaskState &task) const
+{
+    return std::max(task.lastRun + 1, m_ownership.term * runsPerTerm + 1);
+}
+
+void JobScheduler::planStep(const Waiting &waiting, const Moment &now)
+{
+    OwnedJob &job = *waiting.job;
+    if (job.spec(waiting.step).isGang) {
+        planGang(waiting, now);
+        return;
+    }
+    OwnedStep &step
+        = job.occurrences().at(waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        const auto index = static_cast<int>(i);
+        const TaskName name { job.id(), waiting.occurrence, waiting.step, index };
+        if (step.tasks[i].run || job.isTaskDone(name))
+            continue;
+        if (!planTask(waiting, index, nextRunNumber(step.tasks[i]), now))
+            return;
+    }
+}
+
+bool JobScheduler::planGang(const Waiting &waiting, const Moment &now)
+{
+    OwnedJob &job = *waiting.job;
+    OwnedStep &step
+        = job.occurrences().at(waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
+    const auto size = static_cast<int>(step.tasks.size());
+    // A member that still runs alone ends by itself, and then all start together.
+    if (step.waitingCount < size)
+        return false;
+    std::int64_t run = 0;
+    std::string checkpoint;
+    for (const TaskState &task : step.tasks) {
+        run = std::max(run, nextRunNumber(task));
+        checkpoint = std::max(checkpoint, task.checkpoint);
+    }
+    for (TaskState &task : step.tasks)
+        task.checkpoint = checkpoint;
+    for (int index = 0; index < size; ++index) {
+        if (planTask(waiting, index, run, now))
+            continue;
+        for (int planned = 0; planned < index; ++planned)
+            removeRun(job, { job.id(), waiting.occurrence, waiting.step, planned });
+        return false;
+    }
+    releasePlanned(job, now);
+    return true;
+}
+
+bool JobScheduler::planTask(const Waiting &waiting, int index, std::int64_t run, const Moment &now)
+{
+    OwnedJob &job = *waiting.job;
+    const TaskName name { job.id(), waiting.occurrence, waiting.step, index };
+    PlacementNeed need;
+    need.job = &job;
+    need.step = &job.spec(waiting.step);
+    need.task = name;
+    need.service = queueOf(job)->service;
+    need.failedOn = job.findTask(name)->failedOn;
+    need.isDurableOnly = !m_isStoreReachable;
+    WorkerState *worker = m_chooser.choose(m_listed, need, m_outOfService, now.instant);
+    if (!worker)
+        return false;
+    addRun(job, name, *worker, run, RunPhase::Planned, now);
+    job.planUse(worker->info().id);
+    markDirty(job);
+    const bool isGang = need.step->isGang;
+    if (!isGang && job.mayUse(worker->info().id))
+        sendStart(job, name, *job.findTask(name)->run, now);
+    return true;
+}
+
+void JobScheduler::sendStart(OwnedJob &job, const TaskName &task, TaskRun &run, const Moment &now)
+{
+    WorkerState &worker = *run.worker;
+    StartCommand command;
+    command.worker = worker.info().id;
+    command.address = worker.info().address;
+    command.task = task;
+    command.run = run.number;
+    command.payload = job.submission().spec.payload;
+    command.checkpoint = job.findTask(task)->checkpoint;
+    command.leaseDeadlineMs = worker.grantLease(now.instant, m_settings.lease);
+    command.token = m_ownership.token;
+    run.phase = RunPhase::Starting;
+    run.phaseBeganAt = now.instant;
+    run.startBound = worker.leaseBound();
+    worker.nextRenewalAt = std::min(worker.nextRenewalAt, now.instant + m_settings.renewalSpacing);
+    note(task, "start",
+         "worker=" + command.worker.text() + " run=" + std::to_string(run.number)
+             + " free=" + std::to_string(worker.freeRoom().milliCores));
+    m_commands.emplace_back(std::move(command));
+}
+
+void JobScheduler::releasePlanned(OwnedJob &job, const Moment &now)
+{
+    for (auto &[occurrence, steps] : job.occurrences()) {
+        for (std::size_t step = 0; step < steps.size(); ++step) {
+            // A gang starts when all its members may.
+            const auto mayStart = [&job](const TaskState &task) {
+                return !task.run || task.run->phase != RunPhase::Planned
+                    || job.mayUse(task.run->worker->info().id);
+            };
+            std::vector<TaskState> &tasks = steps[step].tasks;
+            const bool isGang = job.spec(static_cast<int>(step)).isGang;
+            if (isGang && !std::all_of(tasks.begin(), tasks.end(), mayStart))
+                continue;
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                TaskRun *run = tasks[index].run.get();
+                if (!run || run->phase != RunPhase::Planned || !mayStart(tasks[index]))
+                    continue;
+                const TaskName name { job.id(), occurrence, static_cast<int>(step),
+                                      static_cast<int>(index) };
+                sendStart(job, name, *run, now);
+            }
+        }
+    }
+}
+
+void JobScheduler::dropPlanned(OwnedJob &job)
+{
+    std::vector<TaskName> planned;
+    for (auto &[occurrence, steps] : job.occurrences()) {
+        for (std::size_t step = 0; step < steps.size(); ++step) {
+            for (std::size_t index = 0; index < steps[step].tasks.size(); ++index) {
+                const TaskRun *run = steps[step].tasks[index].run.get();
+                if (run && run->phase == RunPhase::Planned)
+                    planned.push_back(
+                        { job.id(), occurrence, static_cast<int>(step), static_cast<int>(index) });
+            }
+        }
+    }
+    for (const TaskName &name : planned)
+        removeRun(job, name);
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Libraries/LibJob/JobTable.cpp
@@ -0,0 +1,75 @@
+#include <LibJob/JobTable.h>
+
+namespace Jobs {
+
+JobState JobEntry::state() const
+{
+    if (progress && progress->isFinal())
+        return progress->state;
+    if (isCancelled)
+        return JobState::Cancelled;
+    if (progress && !progress->workers.empty())
+        return JobState::Running;
+    return JobState::Queued;
+}
+
+bool JobEntry::isOver() const
+{
+    return isCancelled || (progress && progress->isFinal());
+}
+
+void JobTable::applySubmission(const Submission &submission)
+{
+    // The first submission wins: what runs already must not change its meaning.
+    if (m_jobs.contains(submission.id))
+        return;
+    JobEntry entry;
+    const auto early = m_withoutSubmission.extract(submission.id);
+    if (!early.empty())
+        entry = early.mapped();
+    entry.submission = submission;
+    m_jobs.emplace(submission.id, std::move(entry));
+}
+
+void JobTable::apply(const JobRecord &record)
+{
+    const auto entryOf = [this](const JobId &id) -> JobEntry & {
+        const auto found = m_jobs.find(id);
+        return found == m_jobs.end() ? m_withoutSubmission[id] : found->second;
+    };
+    if (const auto *submission = std::get_if<Submission>(&record))
+        applySubmission(*submission);
+    else if (const auto *cancellation = std::get_if<Cancellation>(&record))
+        entryOf(cancellation->id).isCancelled = true;
+    else if (const auto *progress = std::get_if<ProgressRecord>(&record))
+        entryOf(progress->id).progress = progress->progress;
+    else if (const auto *dropped = std::get_if<JobDropped>(&record)) {
+        m_jobs.erase(dropped->id);
+        m_withoutSubmission.erase(dropped->id);
+    }
+}
+
+const JobEntry *JobTable::find(const JobId &id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+std::int64_t JobTable::waitingCount(const QueueId &queue) const
+{
+    std::int64_t count = 0;
+    for (const auto &[id, entry] : m_jobs) {
+        const bool isOfQueue = entry.submission.queue.id == queue;
+        if (isOfQueue && !entry.submission.spec.isScheduled() && entry.state() == JobState::Queued)
+            ++count;
+    }
+    return count;
+}
+
+void JobTable::clear()
+{
+    m_jobs.clear();
+    m_withoutSubmission.clear();
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -0,0 +1,188 @@
+#include <LibJob/OwnedJob.h>
+
+#include <algorithm>
+
+namespace Jobs {
+
+OwnedJob::OwnedJob(const JobEntry &entry)
+    : m_submission(entry.submission)
+{
+    if (entry.progress)
+        m_progress = *entry.progress;
+    m_durableWorkers = m_progress.workers;
+    unsurveyedWorkers = m_progress.workers;
+    measure();
+    std::vector<int> begun;
+    for (const auto &[occurrence, steps] : m_progress.occurrences)
+        begun.push_back(occurrence);
+    for (const int occurrence : begun)
+        beginOccurrence(occurrence);
+}
+
+const StepSpec &OwnedJob::spec(int step) const
+{
+    return m_submission.spec.steps[static_cast<std::size_t>(step)];
+}
+
+void OwnedJob::measure()
+{
+    const std::vector<StepSpec> &steps = m_submission.spec.steps;
+    m_chainMs.assign(steps.size(), 0);
+    for (std::size_t i = steps.size(); i-- > 0;) {
+        m_chainMs[i] += steps[i].estimateMs;
+        // Only earlier steps can be named, so what follows has been counted already.
+        for (const int before : steps[i].after) {
+            std::int64_t &chain = m_chainMs[static_cast<std::size_t>(before)];
+            chain = std::max(chain, m_chainMs[i]);
+        }
+        m_wholeChainMs = std::max(m_wholeChainMs, m_chainMs[i]);
+        m_wholeWork += static_cast<double>(steps[i].taskCount)
+            * static_cast<double>(steps[i].estimateMs)
+            * static_cast<double>(steps[i].need.milliCores) / 1000.0;
+    }
+}
+
+std::int64_t OwnedJob::chainMs(int step) const
+{
+    return m_chainMs[static_cast<std::size_t>(step)];
+}
+
+double OwnedJob::remainingWork(int occurrence) const
+{
+    const auto found = m_progress.occurrences.find(occurrence);
+    if (found == m_progress.occurrences.end())
+        return m_wholeWork;
+    double work = 0;
+    for (std::size_t i = 0; i < found->second.size(); ++i) {
+        const StepSpec &step = m_submission.spec.steps[i];
+        const int left = step.taskCount - found->second[i].doneCount();
+        work += static_cast<double>(left) * static_cast<double>(step.estimateMs)
+            * static_cast<double>(step.need.milliCores) / 1000.0;
+    }
+    return work;
+}
+
+void OwnedJob::beginOccurrence(int occurrence)
+{
+    if (m_occurrences.contains(occurrence) || m_progress.endedOccurrences.contains(occurrence))
+        return;
+    std::vector<StepProgress> &progress = m_progress.occurrences[occurrence];
+    std::vector<OwnedStep> &steps = m_occurrences[occurrence];
+    progress.resize(m_submission.spec.steps.size());
+    steps.resize(m_submission.spec.steps.size());
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        const auto count = static_cast<std::size_t>(m_submission.spec.steps[i].taskCount);
+        progress[i].isDone.resize(count);
+        steps[i].tasks.resize(count);
+    }
+    refresh(occurrence);
+}
+
+TaskState *OwnedJob::findTask(const TaskName &name)
+{
+    const auto found = m_occurrences.find(name.occurrence);
+    if (found == m_occurrences.end())
+        return nullptr;
+    const auto step = static_cast<std::size_t>(name.step);
+    if (step >= found->second.size())
+        return nullptr;
+    const auto index = static_cast<std::size_t>(name.index);
+    if (index >= found->second[step].tasks.size())
+        return nullptr;
+    return &found->second[step].tasks[index];
+}
+
+bool OwnedJob::isTaskDone(const TaskName &name) const
+{
+    if (m_progress.endedOccurrences.contains(name.occurrence))
+        return true;
+    const auto found = m_progress.occurrences.find(name.occurrence);
+    if (found == m_progress.occurrences.end())
+        return false;
+    const StepProgress &step = found->second[static_cast<std::size_t>(name.step)];
+    return step.isDone[static_cast<std::size_t>(name.index)];
+}
+
+bool OwnedJob::isStepDone(const std::vector<StepProgress> &steps, int step) const
+{
+    const StepProgress &progress = steps[static_cast<std::size_t>(step)];
+    return progress.doneCount() == static_cast<int>(progress.isDone.size());
+}
+
+void OwnedJob::refresh(int occurrence)
+{
+    const auto found = m_occurrences.find(occurrence);
+    if (found == m_occurrences.end())
+        return;
+    const std::vector<StepProgress> &progress = m_progress.occurrences[occurrence];
+    for (std::size_t i = 0; i < found->second.size(); ++i) {
+        OwnedStep &step = found->second[i];
+        const std::vector<int> &after = m_submission.spec.steps[i].after;
+        step.isReady = std::all_of(after.begin(), after.end(),
+                                   [&](int before) { return isStepDone(progress, before); });
+        step.waitingCount = 0;
+        for (std::size_t task = 0; task < step.tasks.size(); ++task) {
+            if (!progress[i].isDone[task] && !step.tasks[task].run)
+                ++step.waitingCount;
+        }
+    }
+}
+
+bool OwnedJob::noteDone(const TaskName &name, std::int64_t unixMs)
+{
+    std::vector<StepProgress> &steps = m_progress.occurrences[name.occurrence];
+    steps[static_cast<std::size_t>(name.step)].isDone[static_cast<std::size_t>(name.index)] = true;
+    isDirty = true;
+    for (int step = 0; step < static_cast<int>(steps.size()); ++step) {
+        if (!isStepDone(steps, step))
+            return false;
+    }
+    m_progress.occurrences.erase(name.occurrence);
+    m_occurrences.erase(name.occurrence);
+    m_progress.endedOccurrences.insert(name.occurrence);
+    const auto ended = static_cast<std::int64_t>(m_progress.endedOccurrences.size());
+    if (ended < m_submission.spec.occurrenceCount())
+        return false;
+    finish(JobState::Completed, unixMs);
+    return true;
+}
+
+int OwnedJob::noteFailed(const TaskName &name)
+{
+    std::vector<StepProgress> &steps = m_progress.occurrences[name.occurrence];
+    isDirty = true;
+    return ++steps[static_cast<std::size_t>(name.step)].failures[name.index];
+}
+
+void OwnedJob::finish(JobState state, std::int64_t unixMs)
+{
+    m_progress.state = state;
+    m_progress.endedUnixMs = unixMs;
+    isDirty = true;
+}
+
+void OwnedJob::planUse(const Core::VmId &worker)
+{
+    if (m_progress.workers.insert(worker).second)
+        isDirty = true;
+}
+
+void OwnedJob::noteDurable(const std::set<Core::VmId> &workers)
+{
+    m_durableWorkers = workers;
+}
+
+bool OwnedJob::hasRuns() const
+{
+    for (const auto &[occurrence, steps] : m_occurrences) {
+        for (const OwnedStep &step : steps) {
+            for (const TaskState &task : step.tasks) {
+                if (task.run)
+                    return true;
+            }
+        }
+    }
+    return false;
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Libraries/LibJob/TaskName.cpp
@@ -0,0 +1,39 @@
+#include <LibJob/TaskName.h>
+
+#include <charconv>
+
+namespace Jobs {
+
+std::string TaskName::text() const
+{
+    return job.text() + '.' + std::to_string(occurrence) + '.' + std::to_string(step) + '.'
+        + std::to_string(index);
+}
+
+/// Takes the number behind the last dot of \p text off it.
+static bool takeLastNumber(std::string_view &text, int &number)
+{
+    const std::size_t dot = text.rfind('.');
+    if (dot == std::string_view::npos)
+        return false;
+    const char *begin = text.data() + dot + 1;
+    const char *end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(begin, end, number);
+    if (error != std::errc() || stop != end || number < 0)
+        return false;
+    text.remove_suffix(text.size() - dot);
+    return true;
+}
+
+std::optional<TaskName> TaskName::parse(std::string_view text)
+{
+    TaskName name;
+    const bool isWhole = takeLastNumber(text, name.index) && takeLastNumber(text, name.step)
+        && takeLastNumber(text, name.occurrence);
+    if (!isWhole || text.empty())
+        return std::nullopt;
+    name.job = JobId(std::string(text));
+    return name;
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -0,0 +1,79 @@
+#include <LibJob/WorkerChooser.h>
+
+#include <limits>
+
+namespace Jobs {
+
+// Costs in thousandths of a core that are left free; what must weigh more is larger than a worker.
+static constexpr double otherRackCost = 500'000;
+static constexpr double interferenceCost = 1'000'000;
+static constexpr double failedThereCost = 10'000'000;
+
+static bool fits(const WorkerState &worker, const StepSpec &step)
+{
+    if (!step.isFiller)
+        return step.need.fitsIn(worker.freeRoom());
+    // Where nothing is left a filler would only wait, and keep its memory.
+    Core::Resources room = worker.freeRoom();
+    room.milliCores = worker.idleMilliCores();
+    return step.need.fitsIn(room);
+}
+
+bool WorkerChooser::isEligible(const WorkerState &worker, const PlacementNeed &need,
+                               Core::Instant now) const
+{
+    const WorkerInfo &info = worker.info();
+    if (info.isDraining || info.service != need.service || worker.isSilent())
+        return false;
+    if (!worker.isSurveyed() || !worker.isClockKnown() || worker.avoidedUntil() > now)
+        return false;
+    if (!fits(worker, *need.step))
+        return false;
+    if (!need.step->requiredLabel.empty() && !info.hasLabel(need.step->requiredLabel))
+        return false;
+    if (need.isDurableOnly && !need.job->mayUse(info.id))
+        return false;
+    const int most = need.step->mostPerWorker;
+    return most == 0 || worker.runsOfStep(need.task) < most;
+}
+
+double WorkerChooser::cost(const WorkerState &worker, const PlacementNeed &need) const
+{
+    const StepSpec &step = *need.step;
+    // Fillers go where most is left, so that they hardly compete; the others where least is left.
+    double cost = step.isFiller ? -static_cast<double>(worker.idleMilliCores())
+                                : static_cast<double>(worker.freeRoom().milliCores);
+    if (!step.dataRack.empty() && !worker.info().hasLabel(step.dataRack))
+        cost += otherRackCost;
+    const bool isServing = step.tailTargetMs > 0;
+    const bool interferes
+        = (isServing && worker.fillerCount() > 0) || (step.isFiller && worker.servingCount() > 0);
+    if (interferes)
+        cost += interferenceCost;
+    if (worker.info().id == need.failedOn)
+        cost += failedThereCost;
+    return cost;
+}
+
+WorkerState *WorkerChooser::choose(const std::vector<WorkerState *> &workers,
+                                   const PlacementNeed &need,
+                                   const std::set<Core::FailureDomainId> &outOfService,
+                                   Core::Instant now) const
+{
+    WorkerState *best = nullptr;
+    double leastCost = std::numeric_limits<double>::max();
+    for (WorkerState *worker : workers) {
+        if (!isEligible(*worker, need, now))
+            continue;
+        if (outOfService.contains(worker->info().failureDomain))
+            continue;
+        const double workersCost = cost(*worker, need);
+        if (workersCost < leastCost) {
+            leastCost = workersCost;
+            best = worker;
+        }
+    }
+    return best;
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -0,0 +1,144 @@
+#include <LibJob/WorkerState.h>
+
+#include <algorithm>
+
+namespace Jobs {
+
+/// So many failures without a success between them speak against the worker.
+static constexpr int mostFailuresInARow = 2;
+
+/// How much of its processors a serving task leaves to fillers on average.
+static constexpr double shareLeftByServing = 0.5;
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+void WorkerState::addRun(const TaskName &task, const Core::Resources &need, bool isFiller,
+                         bool isServing)
+{
+    if (m_runs.insert(task).second)
+        count(need, isFiller, isServing, 1);
+}
+
+void WorkerState::removeRun(const TaskName &task, const Core::Resources &need, bool isFiller,
+                            bool isServing)
+{
+    if (m_runs.erase(task) > 0)
+        count(need, isFiller, isServing, -1);
+}
+
+void WorkerState::count(const Core::Resources &need, bool isFiller, bool isServing, int sign)
+{
+    m_used.mebibytes += sign * need.mebibytes;
+    m_used.accelerators += sign * need.accelerators;
+    if (!isFiller)
+        m_used.milliCores += sign * need.milliCores;
+    if (isFiller) {
+        m_fillers += sign;
+        m_fillerMilliCores += sign * need.milliCores;
+    }
+    if (isServing) {
+        m_serving += sign;
+        m_servingMilliCores += sign * need.milliCores;
+    }
+}
+
+Core::Resources WorkerState::freeRoom() const
+{
+    return m_info.capacity - m_used;
+}
+
+std::int64_t WorkerState::idleMilliCores() const
+{
+    const auto leftByServing
+        = static_cast<std::int64_t>(static_cast<double>(m_servingMilliCores) * shareLeftByServing);
+    return freeRoom().milliCores + leftByServing - m_fillerMilliCores;
+}
+
+int WorkerState::runsOfStep(const TaskName &task) const
+{
+    TaskName first = task;
+    first.index = 0;
+    int count = 0;
+    for (auto it = m_runs.lower_bound(first); it != m_runs.end(); ++it) {
+        if (it->job != task.job || it->occurrence != task.occurrence || it->step != task.step)
+            break;
+        ++count;
+    }
+    return count;
+}
+
+void WorkerState::readClock(std::int64_t clockMs, Core::Instant now)
+{
+    m_clockMs = clockMs;
+    m_clockReadAt = now;
+}
+
+std::int64_t WorkerState::grantLease(Core::Instant now, Core::Duration length)
+{
+    const auto sinceReading = duration_cast<milliseconds>(now - m_clockReadAt).count();
+    const std::int64_t deadlineMs
+        = m_clockMs + sinceReading + duration_cast<milliseconds>(length).count();
+    const double slowest = 1.0 - m_settings.clockDrift;
+    const auto longest
+        = static_cast<std::int64_t>(static_cast<double>(deadlineMs - m_clockMs) / slowest);
+    extendLeaseBound(m_clockReadAt + milliseconds(longest) + m_settings.clockSlack);
+    return deadlineMs;
+}
+
+void WorkerState::extendLeaseBound(Core::Instant bound)
+{
+    m_leaseBound = std::max(m_leaseBound, bound);
+}
+
+void WorkerState::noteAnswer(Core::Instant now)
+{
+    m_lastAnswerAt = now;
+    m_isSilent = false;
+}
+
+void WorkerState::beginIncarnation(std::int64_t bornUnixMs)
+{
+    m_bornUnixMs = bornUnixMs;
+    m_processedEnd = 0;
+    m_acknowledgedEnd = 0;
+    m_uncommittedEnds.clear();
+    m_clockReadAt = {};
+    m_leaseBound = {};
+    m_failuresInARow = 0;
+    m_avoidedUntil = {};
+}
+
+void WorkerState::noteProcessedEnd(std::int64_t number, std::int64_t commit)
+{
+    m_processedEnd = std::max(m_processedEnd, number);
+    m_uncommittedEnds[commit] = m_processedEnd;
+}
+
+void WorkerState::noteCommitted(std::int64_t commit)
+{
+    const auto end = m_uncommittedEnds.upper_bound(commit);
+    for (auto it = m_uncommittedEnds.begin(); it != end; ++it)
+        m_acknowledgedEnd = std::max(m_acknowledgedEnd, it->second);
+    m_uncommittedEnds.erase(m_uncommittedEnds.begin(), end);
+}
+
+void WorkerState::noteTaskDone()
+{
+    m_failuresInARow = 0;
+}
+
+void WorkerState::noteTaskFailed(Core::Instant now)
+{
+    ++m_failuresInARow;
+    const bool isSuspect = m_failuresInARow >= mostFailuresInARow;
+    const Core::Duration pause = isSuspect ? m_settings.quarantine : m_settings.failureBackOff;
+    m_avoidedUntil = std::max(m_avoidedUntil, now + pause);
+}
+
+void WorkerState::noteRefusal(Core::Instant now)
+{
+    m_avoidedUntil = std::max(m_avoidedUntil, now + m_settings.failureBackOff);
+}
+
+} // namespace Jobs
--- a/include/LibCore/SteadyClock.h
+++ b/include/LibCore/SteadyClock.h
@@ -10,6 +10,10 @@
 /// an argument.
 Instant steadyNow();
 
+/// A monotonic clock that also counts the time for which the VM was suspended. Its epoch differs
+/// from that of `steadyNow()`.
+Instant suspendAwareNow();
+
 /// The same moment as the standard library's steady clock counts it, for timers.
 std::chrono::steady_clock::time_point toSteadyTimePoint(Instant instant);
 
--- /dev/null
+++ b/include/LibJob/JobProgress.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <LibCore/Identifier.h>
+#include <LibJob/JobSpec.h>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Jobs {
+
+enum class JobState {
+    Queued,
+    Running,
+    Completed,
+    Failed,
+    Cancelled,
+};
+
+/// `queued`, `running`, `completed`, `failed` or `cancelled`.
+const char *jobStateText(JobState state);
+
+/// What has become of the tasks of a step.
+struct StepProgress
+{
+    /// Indexed by task.
+    std::vector<bool> isDone;
+    /// Failed runs by task; a task without any is missing.
+    std::map<int, int> failures;
+
+    int doneCount() const;
+
+    bool operator==(const StepProgress &) const = default;
+};
+
+/// The durable part of a job's execution. Runs aren't part of it: a new owner asks the workers.
+struct JobProgress
+{
+    /// Running until the end is decided.
+    JobState state = JobState::Running;
+    /// Steps of each occurrence that is due and hasn't ended.
+    std::map<int, std::vector<StepProgress>> occurrences;
+    /// Occurrences that have ended.
+    std::set<int> endedOccurrences;
+    /// Only these workers may have been told to start a task of the job.
+    std::set<Core::VmId> workers;
+    /// When the end was decided, in Unix milliseconds.
+    std::int64_t endedUnixMs = 0;
+
+    bool isFinal() const { return state != JobState::Running && state != JobState::Queued; }
+
+    bool operator==(const JobProgress &) const = default;
+};
+
+} // namespace Jobs
--- /dev/null
+++ b/include/LibJob/JobScheduler.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <LibJob/Catalogue.h>
+#include <LibJob/Commands.h>
+#include <LibJob/DecisionLog.h>
+#include <LibJob/JobTable.h>
+#include <LibJob/OwnedJob.h>
+#include <LibJob/SchedulerSettings.h>
+#include <LibJob/StartOrder.h>
+#include <LibJob/WorkerChooser.h>
+#include <LibJob/WorkerReport.h>
+#include <LibJob/WorkerState.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace Jobs {
+
+/// What one append to the store makes durable.
+struct Commit
+{
+    std::int64_t number = 0;
+    std::vector<JobRecord> records;
+};
+
+/// What makes an owner.
+struct Ownership
+{
+    /// Rises with each claim of the site's jobs.
+    FencingToken token = 0;
+    /// Counts the claims from 0.
+    std::int64_t term = 0;
+    /// From this moment on no task that an earlier owner started can run on a worker that this
+    /// owner hasn't reached.
+    Core::Instant formerLeasesEndAt;
+
+    bool operator==(const Ownership &) const = default;
+};
+
+/// The scheduler of a site's jobs on the node that owns them: which task starts where and when,
+/// what must be durable before, and what may be running after a lost answer.
+///
+/// Deterministic: no I/O, clock or thread. The shell sends the commands, tells the outcomes, and
+/// appends the commits in their order.
+///
+/// A task has at most one run that isn't known to be gone. A run is gone when its end was
+/// reported, when a report asked for after its start (or after a confirmed stop) doesn't list it,
+/// when the worker was born anew, or when every lease that could keep it has expired.
+class JobScheduler
+{
+public:
+    JobScheduler(const SchedulerSettings &settings, const Ownership &ownership,
+                 DecisionLog &decisionLog);
+
+    // What the owner learns from the store.
+    void setCatalogue(const Catalogue &catalogue);
+    void setWorkers(const std::vector<WorkerInfo> &workers, const Moment &now);
+    void setOutOfService(const std::set<Core::FailureDomainId> &domains);
+    void addJob(const JobEntry &entry, const Moment &now);
+    void cancelJob(const JobId &id, const Moment &now);
+    /// While the store can't be reached, only durably planned workers are used.
+    void setStoreReachable(bool isReachable);
+
+    // Commits, one at a time.
+    bool needsCommit() const { return !m_dirty.empty() || !m_expired.empty(); }
+    Commit takeCommit();
+    void onCommitted(std::int64_t number, const Moment &now);
+
+    // Workers.
+    std::vector<RenewCommand> takeRenewals(const Moment &now);
+    void onReport(const Core::VmId &worker, const WorkerReport &report, Core::Instant sentAt,
+                  const Moment &now);
+    void onRenewalFailed(const Core::VmId &worker, const Moment &now);
+    void onStartOutcome(const StartCommand &command, StartOutcome outcome, const Moment &now);
+    void onStopAnswered(const StopCommand &command, const Moment &now);
+
+    /// Decides on starts and stops, and returns what is to be sent.
+    std::vector<Command> takeCommands(const Moment &now);
+    /// When to call again at the latest.
+    Core::Instant nextWakeup(const Moment &now) const;
+
+    /// True once a worker or the store has shown a newer owner.
+    bool isDeposed() const { return m_isDeposed; }
+    std::size_t runningCount() const { return m_runs; }
+    std::size_t waitingCount() const;
+    const WorkerState *findWorker(const Core::VmId &id) const;
+
+private:
+    using JobPtr = std::unique_ptr<OwnedJob>;
+    struct Waiting
+    {
+        StartRank rank;
+        OwnedJob *job = nullptr;
+        int occurrence = 0;
+        int step = 0;
+    };
+
+    OwnedJob *findJob(const JobId &id);
+    WorkerState *findWorkerState(const Core::VmId &id);
+    const Queue *queueOf(const OwnedJob &job) const;
+    void markDirty(OwnedJob &job);
+    Core::Instant dueAt(const OwnedJob &job, int occurrence, const Moment &now) const;
+
+    // Starts.
+    void beginDueOccurrences(OwnedJob &job, const Moment &now);
+    std::vector<Waiting> waitingSteps(const Moment &now) const;
+    bool isHeldBack(OwnedJob &job, Core::Instant now);
+    void planStep(const Waiting &waiting, const Moment &now);
+    bool planGang(const Waiting &waiting, const Moment &now);
+    bool planTask(const Waiting &waiting, int index, std::int64_t run, const Moment &now);
+    void sendStart(OwnedJob &job, const TaskName &task, TaskRun &run, const Moment &now);
+    void releasePlanned(OwnedJob &job, const Moment &now);
+    void dropPlanned(OwnedJob &job);
+    std::int64_t nextRunNumber(const TaskState &task) const;
+
+    // Runs.
+    void addRun(OwnedJob &job, const TaskName &name, WorkerState &worker, std::int64_t number,
+                RunPhase phase, const Moment &now);
+    /// The run is known to be gone.
+    void removeRun(OwnedJob &job, const TaskName &name);
+    void stopAllRuns(OwnedJob &job, const Moment &now);
+    void requestStop(const TaskName &name, TaskRun &run, const Moment &now);
+    void onEnd(WorkerState &worker, const EndedEntry &end, const Moment &now);
+    void onTaskDone(OwnedJob &job, const TaskName &name, const Moment &now);
+    void onTaskFailed(OwnedJob &job, const TaskName &name, const Moment &now);
+    void onRunning(WorkerState &worker, const RunningEntry &entry, const Moment &now);
+    void adoptRun(OwnedJob &job, WorkerState &worker, const RunningEntry &entry, const Moment &now);
+    void stopUnknownRun(WorkerState &worker, const RunningEntry &entry, const Moment &now);
+    void removeMissingRuns(WorkerState &worker, const WorkerReport &report, Core::Instant sentAt,
+                           const Moment &now);
+    void expireLeases(const Moment &now);
+    void expireRunsOf(WorkerState &worker, const Moment &now);
+    void checkProgress(const TaskName &name, TaskRun &run, const RunningEntry &entry,
+                       const Moment &now);
+    void repeatStops(const Moment &now);
+    void throttleFillers(WorkerState &worker, const Moment &now);
+    void dropOldJobs(const Moment &now);
+
+    void note(const TaskName &task, std::string_view event, const std::string &inputs);
+
+    SchedulerSettings m_settings;
+    Ownership m_ownership;
+    DecisionLog &m_log;
+    Catalogue m_catalogue;
+    StartOrder m_order;
+    WorkerChooser m_chooser;
+    std::set<Core::FailureDomainId> m_outOfService;
+    std::map<Core::VmId, std::unique_ptr<WorkerState>> m_workers;
+    /// The workers that the store lists.
+    std::vector<WorkerState *> m_listed;
+    std::unordered_map<JobId, JobPtr> m_jobs;
+    /// Ended jobs by the time of their end.
+    std::multimap<std::int64_t, JobId> m_ended;
+    std::set<JobId> m_dirty;
+    std::vector<JobId> m_expired;
+    std::int64_t m_lastCommit = 0;
+    std::int64_t m_committed = 0;
+    /// The workers of the jobs in the commit that is under way.
+    std::map<JobId, std::set<Core::VmId>> m_committing;
+    std::vector<Command> m_commands;
+    std::size_t m_runs = 0;
+    bool m_isStoreReachable = true;
+    bool m_isDeposed = false;
+    bool m_needsPass = true;
+    Core::Instant m_nextPassAt = {};
+};
+
+} // namespace Jobs
--- /dev/null
+++ b/include/LibJob/WorkerState.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <LibCore/Resources.h>
+#include <LibCore/Time.h>
+#include <LibJob/Commands.h>
+#include <LibJob/SchedulerSettings.h>
+#include <LibJob/WorkerInfo.h>
+#include <LibJob/WorkerReport.h>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+namespace Jobs {
+
+/// What the owner knows of one worker: its room, its clock, the lease granted to it, and how far
+/// its ends have been read.
+class WorkerState
+{
+public:
+    WorkerState(const WorkerInfo &info, const SchedulerSettings &settings)
+        : m_info(info)
+        , m_settings(settings)
+    {
+    }
+
+    const WorkerInfo &info() const { return m_info; }
+    void update(const WorkerInfo &info) { m_info = info; }
+
+    // Room. Every run counts from its planning until it is known to be gone.
+    void addRun(const TaskName &task, const Core::Resources &need, bool isFiller, bool isServing);
+    void removeRun(const TaskName &task, const Core::Resources &need, bool isFiller,
+                   bool isServing);
+    const std::set<TaskName> &runs() const { return m_runs; }
+    int fillerCount() const { return m_fillers; }
+    int servingCount() const { return m_serving; }
+    /// What tasks that aren't fillers may still ask for. Fillers take memory only.
+    Core::Resources freeRoom() const;
+    /// An estimate of the processors that nothing uses, in thousandths of a core: serving tasks
+    /// leave a part of what they ask for. Negative if fillers compete.
+    std::int64_t idleMilliCores() const;
+    int runsOfStep(const TaskName &task) const;
+
+    // Clock and lease.
+    bool isClockKnown() const { return m_clockReadAt != Core::Instant(); }
+    void readClock(std::int64_t clockMs, Core::Instant now);
+    /// A deadline \p length from now on the worker's clock. Notes it as granted.
+    std::int64_t grantLease(Core::Instant now, Core::Duration length);
+    /// The latest moment at which anything that was granted a lease can still run.
+    Core::Instant leaseBound() const { return m_leaseBound; }
+    void extendLeaseBound(Core::Instant bound);
+
+    // Reports.
+    Core::Instant lastAnswerAt() const { return m_lastAnswerAt; }
+    bool isSilent() const { return m_isSilent; }
+    void noteAnswer(Core::Instant now);
+    void noteSilence() { m_isSilent = true; }
+    /// True once a renewal with our token has been answered: nothing can start there without us.
+    bool isSurveyed() const { return m_isSurveyed; }
+    void setSurveyed(bool isSurveyed) { m_isSurveyed = isSurveyed; }
+    std::int64_t bornUnixMs() const { return m_bornUnixMs; }
+    /// Forgets the ends, the clock and the lease of the worker's former run.
+    void beginIncarnation(std::int64_t bornUnixMs);
+
+    /// The number of the last end that was taken into account.
+    std::int64_t processedEnd() const { return m_processedEnd; }
+    /// \p commit is the commit that makes the consequences durable.
+    void noteProcessedEnd(std::int64_t number, std::int64_t commit);
+    std::int64_t acknowledgedEnd() const { return m_acknowledgedEnd; }
+    /// True while ends were taken into account whose consequences aren't durable.
+    bool hasUncommittedEnds() const { return !m_uncommittedEnds.empty(); }
+    void noteCommitted(std::int64_t commit);
+
+    // Health.
+    void noteTaskDone();
+    void noteTaskFailed(Core::Instant now);
+    void noteRefusal(Core::Instant now);
+    /// No task should be started there before this moment.
+    Core::Instant avoidedUntil() const { return m_avoidedUntil; }
+
+    Core::Instant nextRenewalAt = {};
+    bool isRenewing = false;
+    Core::Instant throttledAt = {};
+
+private:
+    void count(const Core::Resources &need, bool isFiller, bool isServing, int sign);
+
+    WorkerInfo m_info;
+    SchedulerSettings m_settings;
+    std::set<TaskName> m_runs;
+    Core::Resources m_used;
+    std::int64_t m_fillerMilliCores = 0;
+    std::int64_t m_servingMilliCores = 0;
+    int m_fillers = 0;
+    int m_serving = 0;
+
+    std::int64_t m_clockMs = 0;
+    Core::Instant m_clockReadAt = {};
+    Core::Instant m_leaseBound = {};
+
+    Core::Instant m_lastAnswerAt = {};
+    bool m_isSilent = false;
+    bool m_isSurveyed = false;
+    std::int64_t m_bornUnixMs = 0;
+    std::int64_t m_processedEnd = 0;
+    std::int64_t m_acknowledgedEnd = 0;
+    /// Commit to the last end that it makes durable.
+    std::map<std::int64_t, std::int64_t> m_uncommittedEnds;
+
+    int m_failuresInARow = 0;
+    Core::Instant m_avoidedUntil = {};
+};
+
+} // namespace Jobs
