LibSite: Follow the store, accept jobs at any node, own them on one

Cause: decisions of LibJob need a shell that reads and writes the store and orders workers. Ruled out: calls between nodes. Any node writes a submission itself and reads on demand, so that no node depends on reaching the owner.

--- /dev/null
+++ b/Libraries/LibSite/JobFollower.cpp
@@ -0,0 +1,176 @@
+#include <LibSite/JobFollower.h>
+
+#include <LibCore/SteadyClock.h>
+#include <LibLog/Logging.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Site {
+
+namespace asio = boost::asio;
+
+// The owner learns of new jobs at once; the others only follow.
+static constexpr std::int64_t ownersReadWaitMs = 1000;
+static constexpr std::int64_t followersReadWaitMs = 300;
+static constexpr Core::Duration ownersReadSpacing = std::chrono::milliseconds(25);
+static constexpr Core::Duration followersReadSpacing = std::chrono::milliseconds(250);
+static constexpr Core::Duration retrySpacing = std::chrono::milliseconds(250);
+static constexpr Core::Duration answerTime = std::chrono::milliseconds(900);
+/// Refreshing reads begin at least this far apart; callers that come meanwhile share the next.
+static constexpr Core::Duration refreshSpacing = std::chrono::milliseconds(20);
+static const auto partLogger = Log::logger("jobs");
+
+JobFollower::JobFollower(SiteState &state, KeyedLog &log, const asio::any_io_executor &executor)
+    : m_state(state)
+    , m_follower(log, Topic::Jobs, *this)
+    , m_executor(executor)
+    , m_wakeup(executor)
+{
+}
+
+asio::awaitable<bool> JobFollower::readOnce(std::int64_t waitMs)
+{
+    const Core::Instant began = Core::steadyNow();
+    try {
+        const Core::Instant deadline = began + std::chrono::milliseconds(waitMs) + answerTime;
+        bool isAtEnd = false;
+        while (!isAtEnd) {
+            isAtEnd = co_await m_follower.read(waitMs, deadline);
+            waitMs = 0;
+        }
+        const Core::Instant now = Core::steadyNow();
+        m_state.watch.noteRead(true, now);
+        if (!m_state.isCaughtUp)
+            LOG4CXX_INFO(partLogger,
+                         "event=caught-up jobs=" << m_state.table.jobs().size()
+                                                 << " offset=" << m_follower.nextOffset());
+        m_state.isCaughtUp = true;
+        if (m_state.health.noteSuccess(now))
+            LOG4CXX_INFO(partLogger, "event=regained dependency=store");
+        co_return true;
+    } catch (const HistoryLostError &error) {
+        LOG4CXX_INFO(partLogger, "event=history-lost reason=\"" << error.what() << '"');
+    } catch (const Core::Error &error) {
+        m_state.watch.noteRead(false, Core::steadyNow());
+        if (m_state.health.noteFailure(Core::steadyNow()))
+            LOG4CXX_WARN(partLogger,
+                         "event=lost dependency=store reason=\"" << error.what() << '"');
+    }
+    co_return false;
+}
+
+asio::awaitable<void> JobFollower::run()
+{
+    m_isStopping = false;
+    while (!m_isStopping) {
+        const bool isOwner = m_state.owner != nullptr;
+        const bool isRead = co_await readOnce(isOwner ? ownersReadWaitMs : followersReadWaitMs);
+        Core::Duration pause = retrySpacing;
+        if (isRead)
+            pause = m_state.owner ? ownersReadSpacing : followersReadSpacing;
+        co_await m_wakeup.sleepUntil(Core::steadyNow() + pause);
+    }
+}
+
+void JobFollower::requestStop()
+{
+    m_isStopping = true;
+    m_wakeup.wake();
+}
+
+asio::awaitable<void> JobFollower::readForRefresh()
+{
+    asio::steady_timer timer(m_executor);
+    timer.expires_at(Core::toSteadyTimePoint(m_refreshBeganAt + refreshSpacing));
+    co_await timer.async_wait(asio::use_awaitable);
+    const Core::Instant began = Core::steadyNow();
+    const bool isRead = co_await readOnce(0);
+    m_didRefreshSucceed = isRead;
+    m_refreshBeganAt = began;
+    m_isRefreshing = false;
+    for (Supervision::Wakeup *waiting : m_waiting)
+        waiting->wake();
+}
+
+asio::awaitable<bool> JobFollower::refresh(Core::Instant deadline)
+{
+    const Core::Instant arrived = Core::steadyNow();
+    Supervision::Wakeup wakeup(m_executor);
+    m_waiting.insert(&wakeup);
+    bool isInTime = true;
+    while (m_refreshBeganAt < arrived && isInTime) {
+        if (!m_isRefreshing) {
+            m_isRefreshing = true;
+            asio::co_spawn(m_executor, readForRefresh(), asio::detached);
+        }
+        co_await wakeup.sleepUntil(deadline);
+        isInTime = Core::steadyNow() < deadline;
+    }
+    m_waiting.erase(&wakeup);
+    co_return isInTime &&m_didRefreshSucceed;
+}
+
+void JobFollower::applyOwn(const std::vector<Jobs::JobRecord> &records)
+{
+    for (const Jobs::JobRecord &record : records)
+        m_state.table.apply(record);
+}
+
+void JobFollower::beginSnapshot()
+{
+    m_isInSnapshot = true;
+    if (!m_state.owner)
+        m_state.table.clear();
+}
+
+void JobFollower::endSnapshot()
+{
+    m_isInSnapshot = false;
+}
+
+void JobFollower::apply(const LoggedRecord &logged)
+{
+    try {
+        applyJobRecord(logged, Jobs::decodeRecord(logged.record));
+    } catch (const Core::FormatError &error) {
+        LOG4CXX_WARN(partLogger,
+                     "event=unreadable-record offset=" << logged.offset
+                                                       << " key=" << logged.record.key
+                                                       << " reason=\"" << error.what() << '"');
+    }
+}
+
+void JobFollower::applyJobRecord(const LoggedRecord &logged, const Jobs::JobRecord &record)
+{
+    const Core::Instant now = Core::steadyNow();
+    if (const auto *claim = std::get_if<Jobs::OwnerClaim>(&record)) {
+        m_state.watch.noteClaim(logged.offset, *claim, now);
+        LOG4CXX_INFO(partLogger,
+                     "event=claim-seen owner=" << claim->node << " term=" << claim->term
+                                               << " offset=" << logged.offset
+                                               << " released=" << claim->isReleased);
+        if (m_state.owner)
+            m_state.owner->onClaim();
+        return;
+    }
+    const bool isFromOwner = std::holds_alternative<Jobs::ProgressRecord>(record)
+        || std::holds_alternative<Jobs::Heartbeat>(record)
+        || std::holds_alternative<Jobs::JobDropped>(record);
+    if (isFromOwner && !m_isInSnapshot)
+        m_state.watch.noteSign(now);
+    // The owner has applied its own records when they became durable.
+    if (isFromOwner && m_state.owner)
+        return;
+    m_state.table.apply(record);
+    if (!m_state.owner)
+        return;
+    if (const auto *submission = std::get_if<Jobs::Submission>(&record))
+        m_state.owner->onJob(*m_state.table.find(submission->id));
+    if (const auto *cancellation = std::get_if<Jobs::Cancellation>(&record))
+        m_state.owner->onCancellation(cancellation->id);
+}
+
+} // namespace Site
--- /dev/null
+++ b/Libraries/LibSite/RecordWriter.cpp
@@ -0,0 +1,118 @@
+#include <LibSite/RecordWriter.h>
+
+#include <LibCore/SteadyClock.h>
+#include <LibLog/Logging.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace Site {
+
+namespace asio = boost::asio;
+
+static constexpr std::size_t mostRecordsPerAppend = 256;
+static constexpr std::size_t mostBytesPerAppend = 1024 * 1024;
+/// How long one append may take before it is repeated.
+static constexpr Core::Duration appendTime = std::chrono::milliseconds(900);
+static constexpr Core::Duration retrySpacing = std::chrono::milliseconds(100);
+static const auto partLogger = Log::logger("writer");
+
+RecordWriter::RecordWriter(SiteState &state, KeyedLog &log, const asio::any_io_executor &executor)
+    : m_state(state)
+    , m_log(log)
+    , m_executor(executor)
+{
+}
+
+asio::awaitable<WriteOutcome> RecordWriter::write(Jobs::StoredRecord record, Core::Instant deadline)
+{
+    const auto pending = std::make_shared<Pending>(
+        Pending { std::move(record), deadline, Supervision::Wakeup(m_executor) });
+    m_pending.push_back(pending);
+    if (!m_isWriting) {
+        m_isWriting = true;
+        asio::co_spawn(m_executor, writeAll(), asio::detached);
+    }
+    while (!pending->isDecided)
+        co_await pending->wakeup.sleepUntil(Core::Instant::max());
+    co_return pending->outcome;
+}
+
+void RecordWriter::decide(Pending &pending, WriteOutcome outcome)
+{
+    pending.outcome = outcome;
+    pending.isDecided = true;
+    pending.wakeup.wake();
+}
+
+RecordWriter::Batch RecordWriter::takeBatch()
+{
+    Batch batch;
+    std::size_t bytes = 0;
+    while (!m_pending.empty() && batch.size() < mostRecordsPerAppend) {
+        const Jobs::StoredRecord &record = m_pending.front()->record;
+        bytes += record.key.size() + record.value.size();
+        if (bytes > mostBytesPerAppend && !batch.empty())
+            break;
+        batch.splice(batch.end(), m_pending, m_pending.begin());
+    }
+    return batch;
+}
+
+asio::awaitable<void> RecordWriter::writeBatch(Batch &batch)
+{
+    std::vector<Jobs::StoredRecord> records;
+    Core::Instant latest = {};
+    for (const auto &pending : batch) {
+        records.push_back(pending->record);
+        latest = std::max(latest, pending->deadline);
+    }
+    const Core::Instant began = Core::steadyNow();
+    const Core::Instant deadline = std::min(latest, began + appendTime);
+    try {
+        co_await m_log.append(std::move(records), deadline);
+        for (const auto &pending : batch)
+            decide(*pending, WriteOutcome::Written);
+        batch.clear();
+        m_state.health.noteSuccess(Core::steadyNow());
+        co_return;
+    } catch (const Core::OutcomeUnknownError &error) {
+        LOG4CXX_WARN(partLogger,
+                     "event=append-unknown records=" << batch.size() << " reason=\"" << error.what()
+                                                     << '"');
+        for (const auto &pending : batch)
+            pending->isInDoubt = true;
+    } catch (const Core::Error &error) {
+        LOG4CXX_WARN(partLogger,
+                     "event=append-refused records=" << batch.size() << " reason=\"" << error.what()
+                                                     << '"');
+    }
+    if (m_state.health.noteFailure(Core::steadyNow()))
+        LOG4CXX_WARN(partLogger, "event=lost dependency=store");
+}
+
+asio::awaitable<void> RecordWriter::writeAll()
+{
+    Supervision::Wakeup pause(m_executor);
+    while (!m_pending.empty()) {
+        Batch batch = takeBatch();
+        co_await writeBatch(batch);
+        if (batch.empty())
+            continue;
+        // A repetition that comes late changes nothing, so what has time left is tried again.
+        const Core::Instant now = Core::steadyNow();
+        for (const auto &pending : batch) {
+            if (now + retrySpacing < pending->deadline)
+                m_pending.push_back(pending);
+            else
+                decide(*pending,
+                       pending->isInDoubt ? WriteOutcome::Unknown : WriteOutcome::NotWritten);
+        }
+        co_await pause.sleepUntil(now + retrySpacing);
+    }
+    m_isWriting = false;
+}
+
+} // namespace Site
--- /dev/null
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -0,0 +1,90 @@
+#include <LibSite/SiteMetrics.h>
+
+#include <prometheus/text_serializer.h>
+
+namespace Site {
+
+static prometheus::Family<prometheus::Counter> &
+counters(prometheus::Registry &registry, const std::string &name, const std::string &help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+static prometheus::Family<prometheus::Histogram> &
+histograms(prometheus::Registry &registry, const std::string &name, const std::string &help)
+{
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+static prometheus::Gauge &gauge(prometheus::Registry &registry, const std::string &name,
+                                const std::string &help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+static const prometheus::Histogram::BucketBoundaries latencyBuckets
+    = { 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5 };
+
+SiteMetrics::SiteMetrics()
+    : m_requests(counters(m_registry, "lagoonford_job_requests_total",
+                          "Callers' requests on jobs by kind and outcome"))
+    , m_requestSeconds(histograms(m_registry, "lagoonford_job_request_seconds",
+                                  "Time to answer callers' requests on jobs"))
+    , m_storeCalls(counters(m_registry, "lagoonford_store_calls_total",
+                            "Calls to the platform's store by kind and outcome"))
+    , m_storeSeconds(histograms(m_registry, "lagoonford_store_call_seconds",
+                                "Time of calls to the platform's store, waiting included"))
+    , m_starts(
+          counters(m_registry, "lagoonford_task_starts_total", "Orders to start a task by outcome"))
+    , m_startSeconds(histograms(m_registry, "lagoonford_task_start_seconds",
+                                "Time until an order to start a task was answered")
+                         .Add({}, latencyBuckets))
+    , m_decisions(counters(m_registry, "lagoonford_decisions_total", "Decisions on tasks"))
+    , m_isOwner(gauge(m_registry, "lagoonford_is_owner", "1 while this node owns the site's jobs"))
+    , m_running(gauge(m_registry, "lagoonford_tasks_running", "Runs that aren't known to be gone"))
+    , m_waiting(gauge(m_registry, "lagoonford_tasks_waiting", "Tasks that wait for a worker"))
+{
+}
+
+void SiteMetrics::countRequest(const std::string &request, const std::string &outcome,
+                               double seconds)
+{
+    m_requests.Add({ { "request", request }, { "outcome", outcome } }).Increment();
+    m_requestSeconds.Add({ { "request", request } }, latencyBuckets).Observe(seconds);
+}
+
+void SiteMetrics::countStoreCall(const std::string &call, const std::string &outcome,
+                                 double seconds)
+{
+    m_storeCalls.Add({ { "call", call }, { "outcome", outcome } }).Increment();
+    m_storeSeconds.Add({ { "call", call } }, latencyBuckets).Observe(seconds);
+}
+
+void SiteMetrics::countStart(const std::string &outcome, double seconds)
+{
+    m_starts.Add({ { "outcome", outcome } }).Increment();
+    m_startSeconds.Observe(seconds);
+}
+
+void SiteMetrics::countDecision(const std::string &event)
+{
+    m_decisions.Add({ { "event", event } }).Increment();
+}
+
+void SiteMetrics::setOwner(bool isOwner)
+{
+    m_isOwner.Set(isOwner ? 1 : 0);
+}
+
+void SiteMetrics::setTasks(double running, double waiting)
+{
+    m_running.Set(running);
+    m_waiting.Set(waiting);
+}
+
+std::string SiteMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry.Collect());
+}
+
+} // namespace Site
--- /dev/null
+++ b/Libraries/LibSite/WorkerFollower.cpp
@@ -0,0 +1,67 @@
+#include <LibSite/WorkerFollower.h>
+
+#include <LibLog/Logging.h>
+
+#include <utility>
+
+namespace Site {
+
+namespace asio = boost::asio;
+
+static const auto partLogger = Log::logger("workers");
+
+WorkerFollower::WorkerFollower(KeyedLog &log, const SiteDecoder &decoder)
+    : m_decoder(decoder)
+    , m_follower(log, Topic::Workers, *this)
+{
+}
+
+asio::awaitable<bool> WorkerFollower::read(std::int64_t waitMs, Core::Instant deadline)
+{
+    co_await m_follower.read(waitMs, deadline);
+    co_return std::exchange(m_isChanged, false);
+}
+
+std::vector<Jobs::WorkerInfo> WorkerFollower::workers() const
+{
+    std::vector<Jobs::WorkerInfo> list;
+    for (const auto &[key, worker] : m_workers)
+        list.push_back(worker);
+    return list;
+}
+
+void WorkerFollower::beginSnapshot()
+{
+    m_workers.clear();
+    m_isChanged = true;
+}
+
+void WorkerFollower::apply(const LoggedRecord &logged)
+{
+    const std::string &key = logged.record.key;
+    try {
+        if (logged.record.value.empty()) {
+            m_isChanged |= m_workers.erase(key) > 0;
+            LOG4CXX_INFO(partLogger, "event=unlisted worker=" << key);
+            return;
+        }
+        const Jobs::WorkerInfo worker = m_decoder.decodeWorkerRecord(logged.record);
+        Jobs::WorkerInfo &known = m_workers[key];
+        if (known == worker)
+            return;
+        if (known.isDraining != worker.isDraining || known.bornUnixMs != worker.bornUnixMs)
+            LOG4CXX_INFO(partLogger,
+                         "event=listed worker=" << key << " draining=" << worker.isDraining
+                                                << " born=" << worker.bornUnixMs
+                                                << " domain=" << worker.failureDomain);
+        known = worker;
+        m_isChanged = true;
+    } catch (const Core::FormatError &error) {
+        // An entry that can't be read names no worker to use.
+        m_isChanged |= m_workers.erase(key) > 0;
+        LOG4CXX_WARN(partLogger,
+                     "event=unreadable-record key=" << key << " reason=\"" << error.what() << '"');
+    }
+}
+
+} // namespace Site
--- /dev/null
+++ b/include/LibSite/JobDesk.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <LibJob/Catalogue.h>
+#include <LibJob/JobSpec.h>
+#include <LibSite/JobFollower.h>
+#include <LibSite/RecordWriter.h>
+#include <LibSite/SiteState.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace Site {
+
+enum class SubmitOutcome {
+    Accepted,
+    /// It will never run.
+    Refused,
+    Unknown,
+};
+
+enum class CancelOutcome {
+    Cancelled,
+    NoSuchJob,
+    /// Nothing was done.
+    Refused,
+    Unknown,
+};
+
+enum class FindOutcome {
+    Found,
+    NoSuchJob,
+    /// The store can't be asked, and the job isn't known here.
+    Unavailable,
+};
+
+struct JobFinding
+{
+    FindOutcome outcome = FindOutcome::Unavailable;
+    Jobs::JobState state = Jobs::JobState::Queued;
+
+    auto operator<=>(const JobFinding &) const = default;
+};
+
+/// Serves callers' requests on jobs at any node: what is accepted is in the store, and what is
+/// shown is durable.
+class JobDesk
+{
+public:
+    JobDesk(SiteState &state, JobFollower &follower, RecordWriter &writer);
+
+    boost::asio::awaitable<SubmitOutcome> submit(Jobs::Submission submission,
+                                                 Core::Instant deadline);
+    boost::asio::awaitable<CancelOutcome> cancel(Jobs::JobId id, Core::Instant deadline);
+    boost::asio::awaitable<JobFinding> find(Jobs::JobId id, Core::Instant deadline);
+    std::int64_t waitingCount(const Jobs::QueueId &queue) const;
+
+private:
+    SiteState &m_state;
+    JobFollower &m_follower;
+    RecordWriter &m_writer;
+};
+
+} // namespace Site
--- /dev/null
+++ b/include/LibSite/JobFollower.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <LibSite/LogFollower.h>
+#include <LibSite/SiteState.h>
+#include <LibSupervision/Part.h>
+#include <LibSupervision/Wakeup.h>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstdint>
+#include <set>
+
+namespace Site {
+
+/// Keeps a node's table of jobs, and its view of who owns them, in step with the store.
+class JobFollower final : public Supervision::Part, private RecordSink
+{
+public:
+    JobFollower(SiteState &state, KeyedLog &log, const boost::asio::any_io_executor &executor);
+
+    std::string name() const override { return "jobs"; }
+    boost::asio::awaitable<void> run() override;
+    void requestStop() override;
+
+    /// Reads to the end of the log as of now. Callers share reads. False if that failed.
+    boost::asio::awaitable<bool> refresh(Core::Instant deadline);
+    std::int64_t nextOffset() const { return m_follower.nextOffset(); }
+    /// Reads again soon.
+    void wake() { m_wakeup.wake(); }
+    /// Applies records that this node has appended as the owner.
+    void applyOwn(const std::vector<Jobs::JobRecord> &records);
+
+private:
+    void beginSnapshot() override;
+    void endSnapshot() override;
+    void apply(const LoggedRecord &record) override;
+    void applyJobRecord(const LoggedRecord &logged, const Jobs::JobRecord &record);
+    boost::asio::awaitable<bool> readOnce(std::int64_t waitMs);
+    boost::asio::awaitable<void> readForRefresh();
+
+    SiteState &m_state;
+    LogFollower m_follower;
+    boost::asio::any_io_executor m_executor;
+    Supervision::Wakeup m_wakeup;
+    std::set<Supervision::Wakeup *> m_waiting;
+    bool m_isStopping = false;
+    bool m_isInSnapshot = false;
+    bool m_isRefreshing = false;
+    /// When the last refreshing read that has ended began, and whether it succeeded.
+    Core::Instant m_refreshBeganAt = {};
+    bool m_didRefreshSucceed = false;
+};
+
+} // namespace Site
--- /dev/null
+++ b/include/LibSite/SiteMetrics.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <string>
+
+namespace Site {
+
+/// What a node counts; docs/operators/METRICS.md describes each metric.
+class SiteMetrics
+{
+public:
+    SiteMetrics();
+
+    /// \p request is submit, find, cancel or waiting; \p outcome how it was answered.
+    void countRequest(const std::string &request, const std::string &outcome, double seconds);
+    /// \p call is append, read, newest; \p outcome ok, refused or unknown.
+    void countStoreCall(const std::string &call, const std::string &outcome, double seconds);
+    void countStart(const std::string &outcome, double seconds);
+    void countDecision(const std::string &event);
+    void setOwner(bool isOwner);
+    void setTasks(double running, double waiting);
+
+    /// All metrics in the text format of Prometheus.
+    std::string text() const;
+
+private:
+    prometheus::Registry m_registry;
+    prometheus::Family<prometheus::Counter> &m_requests;
+    prometheus::Family<prometheus::Histogram> &m_requestSeconds;
+    prometheus::Family<prometheus::Counter> &m_storeCalls;
+    prometheus::Family<prometheus::Histogram> &m_storeSeconds;
+    prometheus::Family<prometheus::Counter> &m_starts;
+    prometheus::Histogram &m_startSeconds;
+    prometheus::Family<prometheus::Counter> &m_decisions;
+    prometheus::Gauge &m_isOwner;
+    prometheus::Gauge &m_running;
+    prometheus::Gauge &m_waiting;
+};
+
+} // namespace Site
--- /dev/null
+++ b/include/LibSite/SiteSettings.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <LibCore/Identifier.h>
+#include <LibJob/OwnerWatch.h>
+#include <LibJob/SchedulerSettings.h>
+
+#include <cstdint>
+#include <string>
+
+namespace Site {
+
+/// What a node of a site needs to know at its start.
+struct SiteSettings
+{
+    /// Names this run of the node's process: another run has another name.
+    std::string nodeName;
+    Jobs::SchedulerSettings scheduler;
+    Jobs::OwnerWatchSettings ownerWatch;
+
+    bool operator==(const SiteSettings &) const = default;
+};
+
+} // namespace Site
--- /dev/null
+++ b/include/LibSite/SiteState.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <LibCore/Identifier.h>
+#include <LibCore/Time.h>
+#include <LibJob/Catalogue.h>
+#include <LibJob/JobTable.h>
+#include <LibJob/OwnerWatch.h>
+#include <LibSite/SiteMetrics.h>
+#include <LibSite/SiteSettings.h>
+#include <LibSite/StoreHealth.h>
+
+#include <optional>
+#include <set>
+
+namespace Site {
+
+/// Is told what changes in a node's view of its site.
+class SiteObserver
+{
+public:
+    SiteObserver() = default;
+    SiteObserver(const SiteObserver &) = delete;
+    SiteObserver &operator=(const SiteObserver &) = delete;
+    virtual ~SiteObserver() = default;
+
+    virtual void onJob(const Jobs::JobEntry &entry) = 0;
+    virtual void onCancellation(const Jobs::JobId &id) = 0;
+    virtual void onClaim() = 0;
+    virtual void onOperatorChange() = 0;
+};
+
+/// What the parts of a node share.
+struct SiteState
+{
+    explicit SiteState(const SiteSettings &siteSettings)
+        : settings(siteSettings)
+        , watch(siteSettings.nodeName, siteSettings.ownerWatch)
+    {
+    }
+
+    const SiteSettings settings;
+    Jobs::JobTable table;
+    Jobs::OwnerWatch watch;
+    std::optional<Jobs::Catalogue> catalogue;
+    std::set<Core::FailureDomainId> outOfService;
+    StoreHealth health;
+    SiteMetrics metrics;
+    /// The job records have been read to their end at least once.
+    bool isCaughtUp = false;
+    bool isLeaving = false;
+    /// Set while this node owns the jobs.
+    SiteObserver *owner = nullptr;
+};
+
+} // namespace Site
--- /dev/null
+++ b/include/LibSite/WorkerFollower.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <LibJob/WorkerInfo.h>
+#include <LibSite/LogFollower.h>
+#include <LibSite/SiteDecoder.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Site {
+
+/// Keeps the list of workers in step with what they publish.
+class WorkerFollower final : private RecordSink
+{
+public:
+    WorkerFollower(KeyedLog &log, const SiteDecoder &decoder);
+
+    /// True if the list may have changed. \throws Core::Error
+    boost::asio::awaitable<bool> read(std::int64_t waitMs, Core::Instant deadline);
+    std::vector<Jobs::WorkerInfo> workers() const;
+
+private:
+    void beginSnapshot() override;
+    void endSnapshot() override { }
+    void apply(const LoggedRecord &record) override;
+
+    const SiteDecoder &m_decoder;
+    LogFollower m_follower;
+    std::map<std::string, Jobs::WorkerInfo> m_workers;
+    bool m_isChanged = false;
+};
+
+} // namespace Site
--- /dev/null
+++ b/include/LibSite/WorkerGateway.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibJob/Commands.h>
+#include <LibJob/WorkerReport.h>
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace Site {
+
+/// Orders to workers. Deadlines are on the steady clock.
+class WorkerGateway
+{
+public:
+    WorkerGateway() = default;
+    WorkerGateway(const WorkerGateway &) = delete;
+    WorkerGateway &operator=(const WorkerGateway &) = delete;
+    virtual ~WorkerGateway() = default;
+
+    /// Never throws Core::Error: each failure is an outcome.
+    virtual boost::asio::awaitable<Jobs::StartOutcome> start(Jobs::StartCommand command,
+                                                             Core::Instant deadline)
+        = 0;
+    /// \throws Core::Error unless the worker confirmed it.
+    virtual boost::asio::awaitable<void> stop(Jobs::StopCommand command, Core::Instant deadline)
+        = 0;
+    /// \throws Core::Error unless the worker confirmed it.
+    virtual boost::asio::awaitable<void> throttle(Jobs::ThrottleCommand command,
+                                                  Core::Instant deadline)
+        = 0;
+    /// \throws FencedError if a newer owner has given orders there.
+    /// \throws Core::Error if there is no whole answer.
+    virtual boost::asio::awaitable<Jobs::WorkerReport> renew(Jobs::RenewCommand command,
+                                                             Core::Instant deadline)
+        = 0;
+    /// Connections to other addresses than these may be closed.
+    virtual void keepOnly(const std::vector<std::string> &addresses) = 0;
+};
+
+} // namespace Site
