LibJob: Bound an adopted run's lease from its adoption

Ruled out: a missing record (the job's record named the worker) and a missed survey (the run was adopted 6 ms before it was taken for gone). Change: adoption grants the longest lease from now on.

--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -133,6 +133,11 @@
     note(entry.task, "adopt",
          "worker=" + worker.info().id.text() + " run=" + std::to_string(entry.run));
     addRun(job, entry.task, worker, entry.run, RunPhase::Running, now);
+    // Whoever started it, no lease is longer than this.
+    const std::chrono::duration<double, std::micro> drifted
+        = std::chrono::duration<double, std::micro>(m_settings.lease) * (1 + m_settings.clockDrift);
+    worker.extendLeaseBound(now.instant + std::chrono::duration_cast<Core::Duration>(drifted)
+                            + m_settings.clockSlack);
     TaskState &task = *job.findTask(entry.task);
     task.run->percentDone = entry.percentDone;
     if (!entry.checkpoint.empty())
