LibJob: Learn which fillers slow which serving tasks, and evict those

Ruled out: classes of noisy fillers without the pair. Change: a model of utilization for each pair, fitted by normalized least mean squares; fillers go where no serving task would exceed 0.85 of the utilization at its target; those to blame are evicted. Besides: leases and stops are looked at every 100 ms instead of at each event, JSON readers are kept.

--- a/Libraries/LibCore/Json.cpp
+++ b/Libraries/LibCore/Json.cpp
@@ -10,14 +10,27 @@
 
 static constexpr int maximumDepth = 64;
 
-::Json::Value parse(std::string_view text, const std::string &peer)
+static ::Json::CharReader *makeReader()
 {
-    if (text.size() > maximumTextBytes)
-        throw FormatError("parse JSON", peer, "the text is too long");
     ::Json::CharReaderBuilder builder;
     ::Json::CharReaderBuilder::strictMode(&builder.settings_);
     builder["stackLimit"] = maximumDepth;
-    const std::unique_ptr<::Json::CharReader> reader(builder.newCharReader());
+    return builder.newCharReader();
+}
+
+static ::Json::StreamWriterBuilder makeWriterBuilder()
+{
+    ::Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return builder;
+}
+
+::Json::Value parse(std::string_view text, const std::string &peer)
+{
+    if (text.size() > maximumTextBytes)
+        throw FormatError("parse JSON", peer, "the text is too long");
+    // A reader costs more to make than most texts cost to read.
+    thread_local const std::unique_ptr<::Json::CharReader> reader(makeReader());
     ::Json::Value value;
     std::string errors;
     try {
@@ -32,8 +45,7 @@
 
 std::string write(const ::Json::Value &value)
 {
-    ::Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
+    thread_local const ::Json::StreamWriterBuilder builder = makeWriterBuilder();
     return ::Json::writeString(builder, value);
 }
 
--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -89,6 +89,8 @@
 
 void JobScheduler::setWorkers(const std::vector<WorkerInfo> &workers, const Moment &now)
 {
+    for (WorkerState *worker : m_listed)
+        worker->isListed = false;
     m_listed.clear();
     m_needsPass = true;
     for (const WorkerInfo &info : workers) {
@@ -97,6 +99,7 @@
             state = std::make_unique<WorkerState>(info, m_settings);
         const bool isLeaving = info.isDraining && !state->info().isDraining;
         state->update(info);
+        state->isListed = true;
         m_listed.push_back(state.get());
         if (info.bornUnixMs != 0 && state->bornUnixMs() != 0
             && info.bornUnixMs > state->bornUnixMs()) {
@@ -114,9 +117,8 @@
         }
     }
     for (auto it = m_workers.begin(); it != m_workers.end();) {
-        const bool isListed
-            = std::find(m_listed.begin(), m_listed.end(), it->second.get()) != m_listed.end();
-        const bool isForgotten = !isListed && it->second->runs().empty() && !it->second->isRenewing;
+        const bool isForgotten
+            = !it->second->isListed && it->second->runs().empty() && !it->second->isRenewing;
         it = isForgotten ? m_workers.erase(it) : std::next(it);
     }
 }
@@ -205,6 +207,13 @@
     }
 }
 
+bool JobScheduler::wantsRenewal(const WorkerState &worker)
+{
+    if (worker.isRenewing)
+        return false;
+    return !worker.runs().empty() || (worker.isListed && !worker.isSurveyed());
+}
+
 std::size_t JobScheduler::waitingCount() const
 {
     std::size_t count = 0;
@@ -223,9 +232,7 @@
     if (m_needsPass)
         next = std::min(next, m_nextPassAt);
     for (const auto &[id, worker] : m_workers) {
-        const bool wantsRenewal
-            = !worker->isRenewing && (!worker->runs().empty() || !worker->isSurveyed());
-        if (wantsRenewal)
+        if (wantsRenewal(*worker))
             next = std::min(next, worker->nextRenewalAt);
     }
     return std::max(next, now.instant);
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -13,12 +13,13 @@
 /// A serving task is at work when it reports this progress.
 static constexpr int fullPercent = 100;
 
-// Fillers are throttled in steps while a serving task beside them misses its target, and
-// released when its latency is well below, so that they don't swing.
-static constexpr int throttledPercent = 40;
-static constexpr Core::Duration throttleSpacing = milliseconds(600);
-static constexpr Core::Duration releaseSpacing = milliseconds(2500);
-static constexpr double releaseShare = 0.6;
+/// Workers report the load of about this time.
+static constexpr Core::Duration loadWindow = milliseconds(500);
+/// An eviction needs this time to show in the tail latency.
+static constexpr Core::Duration reliefSpacing = milliseconds(700);
+/// Fillers are evicted until this part of the utilization at the target is expected.
+static constexpr double relievedUtilization = 0.85;
+static constexpr double unknownPressure = 0.05;
 
 std::vector<RenewCommand> JobScheduler::takeRenewals(const Moment &now)
 {
@@ -26,10 +27,7 @@
     if (m_isDeposed)
         return renewals;
     for (const auto &[id, worker] : m_workers) {
-        const bool isListed
-            = std::find(m_listed.begin(), m_listed.end(), worker.get()) != m_listed.end();
-        const bool isWanted = !worker->runs().empty() || (isListed && !worker->isSurveyed());
-        if (!isWanted || worker->isRenewing || worker->nextRenewalAt > now.instant)
+        if (!wantsRenewal(*worker) || worker->nextRenewalAt > now.instant)
             continue;
         RenewCommand command;
         command.worker = id;
@@ -67,6 +65,7 @@
     if (!worker)
         return;
     worker->isRenewing = false;
+    m_now = now.instant;
     const bool isBornAnew = worker->bornUnixMs() != 0 && worker->bornUnixMs() != report.bornUnixMs;
     if (isBornAnew || worker->bornUnixMs() == 0)
         worker->beginIncarnation(report.bornUnixMs);
@@ -90,7 +89,8 @@
         onRunning(*worker, entry, now);
     if (report.ended.size() < endsPerReport)
         removeMissingRuns(*worker, report, sentAt, now);
-    throttleFillers(*worker, now);
+    learnPressure(*worker, now);
+    relieveServing(*worker, now);
     worker->nextRenewalAt = now.instant
         + (worker->hasUncommittedEnds() ? uncommittedSpacing : m_settings.renewalSpacing);
 }
@@ -200,45 +200,107 @@
     requestStop(name, run, now);
 }
 
-void JobScheduler::throttleFillers(WorkerState &worker, const Moment &now)
+std::vector<JobScheduler::Beside> JobScheduler::runsBeside(const WorkerState &worker)
 {
-    if (worker.fillerCount() == 0 || worker.servingCount() == 0)
-        return;
-    double worst = 0;
-    std::vector<std::pair<TaskName, TaskRun *>> fillers;
+    std::vector<Beside> runs;
     for (const TaskName &name : worker.runs()) {
         OwnedJob *job = findJob(name.job);
         TaskState *task = job ? job->findTask(name) : nullptr;
-        if (!task || !task->run || task->run->phase != RunPhase::Running)
+        if (task && task->run && task->run->phase == RunPhase::Running)
+            runs.push_back({ name, &job->spec(name.step), task->run.get() });
+    }
+    return runs;
+}
+
+/// The tail latency of a serving task as a multiple of its target; 0 if it isn't at work.
+static double tailOfTarget(const StepSpec &spec, const TaskRun &run)
+{
+    if (spec.tailTargetMs == 0 || run.percentDone < fullPercent)
+        return 0;
+    return static_cast<double>(run.recentLoad) / static_cast<double>(spec.tailTargetMs);
+}
+
+void JobScheduler::learnPressure(WorkerState &worker, const Moment &now)
+{
+    if (worker.servingCount() == 0)
+        return;
+    const std::vector<Beside> runs = runsBeside(worker);
+    std::map<std::string, std::int64_t> used;
+    for (const Beside &beside : runs) {
+        if (beside.spec->isFiller)
+            used[beside.spec->image] += beside.run->recentLoad;
+    }
+    std::vector<FillerUse> fillers;
+    for (const auto &[image, milliCores] : used)
+        fillers.push_back({ image, worker.shareOf(milliCores) });
+    // What has left still shows in the tail latency.
+    const bool isSettled = now.instant >= worker.fillerLeftAt() + loadWindow;
+    worker.servingLoads.clear();
+    for (const Beside &beside : runs) {
+        const double tail = tailOfTarget(*beside.spec, *beside.run);
+        if (tail <= 0)
             continue;
-        const StepSpec &spec = job->spec(name.step);
-        if (spec.isFiller)
-            fillers.emplace_back(name, task->run.get());
-        if (spec.tailTargetMs > 0)
-            worst = std::max(worst,
-                             static_cast<double>(task->run->recentLoad)
-                                 / static_cast<double>(spec.tailTargetMs));
+        const std::string &image = beside.spec->image;
+        if (isSettled)
+            m_pressure.observe(image, tail, fillers);
+        const double load
+            = m_pressure.utilization(image, tail) / m_pressure.slowdown(image, fillers);
+        double &highest = worker.servingLoads[image];
+        highest = std::max(highest, (load + m_pressure.meanLoad(image)) / 2);
     }
-    const bool isOver = worst >= 1.0;
-    const Core::Duration spacing = isOver ? throttleSpacing : releaseSpacing;
-    const bool isBetween = !isOver && worst >= releaseShare;
-    if (isBetween || now.instant < worker.throttledAt + spacing)
+}
+
+void JobScheduler::relieveServing(WorkerState &worker, const Moment &now)
+{
+    if (worker.fillerCount() == 0 || now.instant < worker.relievedAt + reliefSpacing)
         return;
-    for (auto &[name, run] : fillers) {
-        int percent = fullPercent;
-        if (isOver)
-            percent = run->throttledTo > throttledPercent ? throttledPercent : 0;
-        else
-            percent = run->throttledTo < throttledPercent ? throttledPercent : fullPercent;
-        if (percent == run->throttledTo)
+    const std::vector<Beside> runs = runsBeside(worker);
+    const Beside *worst = nullptr;
+    double worstTail = 1.0;
+    for (const Beside &beside : runs) {
+        const double tail = tailOfTarget(*beside.spec, *beside.run);
+        if (tail <= worstTail)
+            continue;
+        worstTail = tail;
+        worst = &beside;
+    }
+    if (!worst)
+        return;
+    worker.relievedAt = now.instant;
+    evictFillers(worker, runs, worst->spec->image, worstTail, now);
+}
+
+void JobScheduler::evictFillers(WorkerState &worker, const std::vector<Beside> &runs,
+                                const std::string &servingImage, double tail, const Moment &now)
+{
+    struct Blame
+    {
+        const Beside *beside;
+        double slowdown;
+    };
+    std::vector<Blame> blames;
+    double slowdown = 1;
+    for (const Beside &beside : runs) {
+        if (!beside.spec->isFiller || beside.run->isStopWanted)
             continue;
-        run->throttledTo = percent;
-        worker.throttledAt = now.instant;
-        note(name, "throttle",
-             "worker=" + worker.info().id.text() + " percent=" + std::to_string(percent)
-                 + " tail_of_target=" + std::to_string(worst));
-        m_commands.emplace_back(ThrottleCommand { worker.info().id, worker.info().address, name,
-                                                  run->number, percent, m_ownership.token });
+        // The load decides where nothing is known of the images yet.
+        const double pressure
+            = m_pressure.pressure(servingImage, beside.spec->image) + unknownPressure;
+        blames.push_back({ &beside, pressure * worker.shareOf(beside.run->recentLoad) });
+        slowdown += blames.back().slowdown;
+    }
+    std::sort(blames.begin(), blames.end(),
+              [](const Blame &left, const Blame &right) { return left.slowdown > right.slowdown; });
+    const double load = m_pressure.utilization(servingImage, tail) / slowdown;
+    const double wanted = m_pressure.utilizationAtTarget(servingImage) * relievedUtilization;
+    for (const Blame &blame : blames) {
+        if (load * slowdown <= wanted)
+            return;
+        slowdown -= blame.slowdown;
+        note(blame.beside->name, "evict",
+             "worker=" + worker.info().id.text() + " serving=" + servingImage + " tail_of_target="
+                 + std::to_string(tail) + " slowdown=" + std::to_string(blame.slowdown));
+        requestStop(blame.beside->name, *blame.beside->run, now);
     }
 }
 
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -18,7 +18,7 @@
     task.run->phaseBeganAt = now.instant;
     task.run->progressedAt = now.instant;
     task.lastRun = std::max(task.lastRun, number);
-    worker.addRun(name, spec.need, spec.isFiller, spec.tailTargetMs > 0);
+    worker.addRun(name, spec);
     job.refresh(name.occurrence);
     ++m_runs;
 }
@@ -29,7 +29,7 @@
     if (!task || !task->run)
         return;
     const StepSpec &spec = job.spec(name.step);
-    task->run->worker->removeRun(name, spec.need, spec.isFiller, spec.tailTargetMs > 0);
+    task->run->worker->removeRun(name, spec, m_now);
     task->run.reset();
     job.refresh(name.occurrence);
     --m_runs;
@@ -180,9 +180,10 @@
     const bool isCurrent
         = task->run && task->run->worker == &worker && task->run->number == end.run;
     const bool isSuperseded = !isCurrent && (task->run || end.run < task->lastRun);
-    note(end.task, "ended",
-         "worker=" + worker.info().id.text() + " run=" + std::to_string(end.run) + " kind="
-             + std::to_string(static_cast<int>(end.kind)) + (isSuperseded ? " superseded" : ""));
+    if (end.kind != EndKind::Done || isSuperseded)
+        note(end.task, "ended",
+             "worker=" + worker.info().id.text() + " run=" + std::to_string(end.run)
+                 + " kind=" + endKindText(end.kind) + (isSuperseded ? " superseded" : ""));
     if (end.kind == EndKind::Failed)
         worker.noteTaskFailed(now.instant);
     else if (end.kind == EndKind::Done)
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -8,27 +8,47 @@
 
 /// The least time between two looks at what waits.
 static constexpr Core::Duration passSpacing = milliseconds(10);
+/// How often leases and stops are looked at.
+static constexpr Core::Duration checkInterval = milliseconds(100);
 /// The numbers of a task's runs rise from owner to owner, though starts aren't recorded.
 static constexpr std::int64_t runsPerTerm = 1000;
 
+namespace {
+
+/// A task for which no worker was found in this pass; what needs as much needn't be tried.
+struct Unfit
+{
+    ServiceId service;
+    Core::Resources need;
+    bool isFiller = false;
+    std::string image;
+};
+
+} // namespace
+
 std::vector<Command> JobScheduler::takeCommands(const Moment &now)
 {
-    expireLeases(now);
-    repeatStops(now);
+    m_now = now.instant;
+    if (now.instant >= m_nextCheckAt) {
+        m_nextCheckAt = now.instant + checkInterval;
+        expireLeases(now);
+        repeatStops(now);
+        dropOldJobs(now);
+    }
     const bool isDue = m_needsPass ? now.instant >= m_nextPassAt
                                    : now.instant >= m_nextPassAt + m_settings.renewalWait / 5;
     if (isDue && !m_isDeposed) {
         m_needsPass = false;
         m_nextPassAt = now.instant + passSpacing;
-        dropOldJobs(now);
         for (const auto &[id, job] : m_jobs)
             beginDueOccurrences(*job, now);
-        std::vector<std::pair<ServiceId, Core::Resources>> unfit;
+        std::vector<Unfit> unfit;
         for (const Waiting &waiting : waitingSteps(now)) {
             const StepSpec &spec = waiting.job->spec(waiting.step);
             const ServiceId &service = queueOf(*waiting.job)->service;
             const bool isHopeless = std::any_of(unfit.begin(), unfit.end(), [&](const auto &other) {
-                return other.first == service && other.second.fitsIn(spec.need);
+                return other.service == service && other.isFiller == spec.isFiller
+                    && other.image == spec.image && other.need.fitsIn(spec.need);
             });
             if (isHopeless || isHeldBack(*waiting.job, now.instant))
                 continue;
@@ -38,7 +58,7 @@
             const bool isPlain = spec.requiredLabel.empty() && spec.mostPerWorker == 0
                 && !spec.isGang && m_isStoreReachable;
             if (step.waitingCount > 0 && isPlain)
-                unfit.emplace_back(service, spec.need);
+                unfit.push_back({ service, spec.need, spec.isFiller, spec.image });
         }
     }
     return std::exchange(m_commands, {});
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -1,5 +1,6 @@
 #include <LibJob/WorkerChooser.h>
 
+#include <algorithm>
 #include <limits>
 
 namespace Jobs {
@@ -7,8 +8,30 @@
 // Costs in thousandths of a core that are left free; what must weigh more is larger than a worker.
 static constexpr double otherRackCost = 500'000;
 static constexpr double interferenceCost = 1'000'000;
+/// Of the utilization at which a serving task just meets its target; its load swings.
+static constexpr double largestUtilization = 0.85;
 static constexpr double failedThereCost = 10'000'000;
 
+double WorkerChooser::worstUtilization(const WorkerState &worker, const StepSpec &step) const
+{
+    std::vector<FillerUse> fillers = worker.plannedFillers();
+    const auto utilization = [&](const std::string &image, double load) {
+        return load * m_pressure.slowdown(image, fillers) / m_pressure.utilizationAtTarget(image);
+    };
+    if (step.tailTargetMs > 0)
+        return fillers.empty() ? 0 : utilization(step.image, m_pressure.meanLoad(step.image));
+    fillers.push_back({ step.image, worker.shareOf(step.need.milliCores) });
+    double worst = 0;
+    for (const auto &[image, count] : worker.servingImages()) {
+        const auto load = worker.servingLoads.find(image);
+        worst = std::max(worst,
+                         utilization(image,
+                                     load == worker.servingLoads.end() ? m_pressure.meanLoad(image)
+                                                                       : load->second));
+    }
+    return worst;
+}
+
 static bool fits(const WorkerState &worker, const StepSpec &step)
 {
     if (!step.isFiller)
@@ -33,6 +56,8 @@
         return false;
     if (need.isDurableOnly && !need.job->mayUse(info.id))
         return false;
+    if (need.step->isFiller && worstUtilization(worker, *need.step) > largestUtilization)
+        return false;
     const int most = need.step->mostPerWorker;
     return most == 0 || worker.runsOfStep(need.task) < most;
 }
@@ -45,10 +70,7 @@
                                 : static_cast<double>(worker.freeRoom().milliCores);
     if (!step.dataRack.empty() && !worker.info().hasLabel(step.dataRack))
         cost += otherRackCost;
-    const bool isServing = step.tailTargetMs > 0;
-    const bool interferes
-        = (isServing && worker.fillerCount() > 0) || (step.isFiller && worker.servingCount() > 0);
-    if (interferes)
+    if (step.tailTargetMs > 0 && worstUtilization(worker, step) > largestUtilization)
         cost += interferenceCost;
     if (worker.info().id == need.failedOn)
         cost += failedThereCost;
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -13,36 +13,63 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-void WorkerState::addRun(const TaskName &task, const Core::Resources &need, bool isFiller,
-                         bool isServing)
+void WorkerState::addRun(const TaskName &task, const StepSpec &step)
 {
     if (m_runs.insert(task).second)
-        count(need, isFiller, isServing, 1);
+        count(step, 1);
 }
 
-void WorkerState::removeRun(const TaskName &task, const Core::Resources &need, bool isFiller,
-                            bool isServing)
+void WorkerState::removeRun(const TaskName &task, const StepSpec &step, Core::Instant now)
 {
-    if (m_runs.erase(task) > 0)
-        count(need, isFiller, isServing, -1);
+    if (m_runs.erase(task) == 0)
+        return;
+    count(step, -1);
+    if (step.isFiller)
+        m_fillerLeftAt = now;
 }
 
-void WorkerState::count(const Core::Resources &need, bool isFiller, bool isServing, int sign)
+/// Adds to the count of a key, and forgets the key at zero.
+template<typename Number>
+static void addTo(std::map<std::string, Number> &counts, const std::string &key, Number number)
 {
-    m_used.mebibytes += sign * need.mebibytes;
-    m_used.accelerators += sign * need.accelerators;
-    if (!isFiller)
-        m_used.milliCores += sign * need.milliCores;
-    if (isFiller) {
+    const auto entry = counts.try_emplace(key, 0).first;
+    entry->second += number;
+    if (entry->second == 0)
+        counts.erase(entry);
+}
+
+void WorkerState::count(const StepSpec &step, int sign)
+{
+    m_used.mebibytes += sign * step.need.mebibytes;
+    m_used.accelerators += sign * step.need.accelerators;
+    if (step.isFiller) {
         m_fillers += sign;
-        m_fillerMilliCores += sign * need.milliCores;
+        m_fillerMilliCores += sign * step.need.milliCores;
+        addTo(m_fillerImages, step.image, sign * step.need.milliCores);
+        return;
     }
-    if (isServing) {
+    m_used.milliCores += sign * step.need.milliCores;
+    if (step.tailTargetMs > 0) {
         m_serving += sign;
-        m_servingMilliCores += sign * need.milliCores;
+        m_servingMilliCores += sign * step.need.milliCores;
+        addTo(m_servingImages, step.image, sign);
     }
 }
 
+double WorkerState::shareOf(std::int64_t milliCores) const
+{
+    const std::int64_t whole = std::max<std::int64_t>(m_info.capacity.milliCores, 1);
+    return static_cast<double>(milliCores) / static_cast<double>(whole);
+}
+
+std::vector<FillerUse> WorkerState::plannedFillers() const
+{
+    std::vector<FillerUse> uses;
+    for (const auto &[image, milliCores] : m_fillerImages)
+        uses.push_back({ image, shareOf(milliCores) });
+    return uses;
+}
+
 Core::Resources WorkerState::freeRoom() const
 {
     return m_info.capacity - m_used;
--- a/Libraries/LibLog/BoundedAppender.cpp
+++ b/Libraries/LibLog/BoundedAppender.cpp
@@ -9,6 +9,8 @@
 
 /// A pipe that reports itself writable takes this much without blocking.
 static constexpr std::size_t longestLine = 4000;
+/// How often it is said that lines were left out.
+static constexpr Core::Duration reportInterval = std::chrono::seconds(1);
 
 BoundedAppender::BoundedAppender(const log4cxx::LayoutPtr &layout, int descriptor,
                                  const BudgetLimits &limits)
@@ -35,11 +37,13 @@
 void BoundedAppender::append(const log4cxx::spi::LoggingEventPtr &event,
                              log4cxx::helpers::Pool &pool)
 {
-    if (!m_budget.take(Core::steadyNow()) || !isWritable()) {
+    const Core::Instant now = Core::steadyNow();
+    if (!m_budget.take(now) || !isWritable()) {
         ++m_dropped;
         return;
     }
-    if (m_dropped > 0) {
+    if (m_dropped > 0 && now >= m_nextReportAt) {
+        m_nextReportAt = now + reportInterval;
         const std::string report = "log: event=dropped lines=" + std::to_string(m_dropped) + "\n";
         m_dropped = 0;
         writeLine(report);
--- a/Libraries/LibLog/BoundedAppender.h
+++ b/Libraries/LibLog/BoundedAppender.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Time.h>
 #include <LibLog/LineBudget.h>
 
 #include <log4cxx/appenderskeleton.h>
@@ -30,6 +31,7 @@
     int m_descriptor;
     LineBudget m_budget;
     std::int64_t m_dropped = 0;
+    Core::Instant m_nextReportAt = {};
 };
 
 } // namespace Log
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -24,6 +24,7 @@
 static constexpr Core::Duration workersReadTime = std::chrono::milliseconds(1900);
 static constexpr Core::Duration workersReadSpacing = std::chrono::milliseconds(50);
 static constexpr Core::Duration retrySpacing = std::chrono::milliseconds(250);
+static constexpr Core::Duration metricsInterval = std::chrono::seconds(1);
 static const auto partLogger = Log::logger("owner");
 
 OwnerSession::OwnerSession(SiteState &state, KeyedLog &log, WorkerGateway &workers,
@@ -182,6 +183,15 @@
     for (Jobs::Command &command : m_scheduler.takeCommands(now())) {
         std::visit([this](auto &order) { spawn(send(std::move(order))); }, command);
     }
+    updateMetrics();
+}
+
+void OwnerSession::updateMetrics()
+{
+    const Core::Instant now = Core::steadyNow();
+    if (now < m_nextMetricsAt)
+        return;
+    m_nextMetricsAt = now + metricsInterval;
     m_state.metrics.setTasks(static_cast<double>(m_scheduler.runningCount()),
                              static_cast<double>(m_scheduler.waitingCount()));
 }
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -5,6 +5,7 @@
 #include <LibJob/DecisionLog.h>
 #include <LibJob/JobTable.h>
 #include <LibJob/OwnedJob.h>
+#include <LibJob/PressureModel.h>
 #include <LibJob/SchedulerSettings.h>
 #include <LibJob/StartOrder.h>
 #include <LibJob/WorkerChooser.h>
@@ -99,12 +100,22 @@
         int step = 0;
     };
 
+    /// One of the runs that share a worker.
+    struct Beside
+    {
+        TaskName name;
+        const StepSpec *spec = nullptr;
+        TaskRun *run = nullptr;
+    };
+
     OwnedJob *findJob(const JobId &id);
     WorkerState *findWorkerState(const Core::VmId &id);
     const Queue *queueOf(const OwnedJob &job) const;
     void markDirty(OwnedJob &job);
     Core::Instant dueAt(const OwnedJob &job, int occurrence, const Moment &now) const;
 
+    static bool wantsRenewal(const WorkerState &worker);
+
     // Starts.
     void beginDueOccurrences(OwnedJob &job, const Moment &now);
     std::vector<Waiting> waitingSteps(const Moment &now) const;
@@ -137,7 +148,11 @@
     void checkProgress(const TaskName &name, TaskRun &run, const RunningEntry &entry,
                        const Moment &now);
     void repeatStops(const Moment &now);
-    void throttleFillers(WorkerState &worker, const Moment &now);
+    std::vector<Beside> runsBeside(const WorkerState &worker);
+    void learnPressure(WorkerState &worker, const Moment &now);
+    void relieveServing(WorkerState &worker, const Moment &now);
+    void evictFillers(WorkerState &worker, const std::vector<Beside> &runs,
+                      const std::string &servingImage, double tail, const Moment &now);
     void dropOldJobs(const Moment &now);
 
     void note(const TaskName &task, std::string_view event, const std::string &inputs);
@@ -147,7 +162,10 @@
     DecisionLog &m_log;
     Catalogue m_catalogue;
     StartOrder m_order;
-    WorkerChooser m_chooser;
+    PressureModel m_pressure;
+    WorkerChooser m_chooser { m_pressure };
+    /// The time of the event that is being handled.
+    Core::Instant m_now = {};
     std::set<Core::FailureDomainId> m_outOfService;
     std::map<Core::VmId, std::unique_ptr<WorkerState>> m_workers;
     /// The workers that the store lists.
@@ -167,6 +185,7 @@
     bool m_isDeposed = false;
     bool m_needsPass = true;
     Core::Instant m_nextPassAt = {};
+    Core::Instant m_nextCheckAt = {};
 };
 
 } // namespace Jobs
--- a/include/LibJob/WorkerChooser.h
+++ b/include/LibJob/WorkerChooser.h
@@ -3,6 +3,7 @@
 #include <LibCore/Identifier.h>
 #include <LibCore/Time.h>
 #include <LibJob/OwnedJob.h>
+#include <LibJob/PressureModel.h>
 #include <LibJob/WorkerState.h>
 
 #include <set>
@@ -24,11 +25,16 @@
 };
 
 /// Chooses the worker for one task: the one that fits tightest, so that room for large tasks
-/// remains. Serving tasks and fillers are kept apart, since fillers raise the tail latency of what
-/// serves beside them.
+/// remains. Fillers go where most is idle, but not beside serving tasks whose target they would
+/// break.
 class WorkerChooser
 {
 public:
+    explicit WorkerChooser(const PressureModel &pressure)
+        : m_pressure(pressure)
+    {
+    }
+
     /// Null if no worker fits.
     WorkerState *choose(const std::vector<WorkerState *> &workers, const PlacementNeed &need,
                         const std::set<Core::FailureDomainId> &outOfService,
@@ -37,6 +43,11 @@
 private:
     bool isEligible(const WorkerState &worker, const PlacementNeed &need, Core::Instant now) const;
     double cost(const WorkerState &worker, const PlacementNeed &need) const;
+    /// The highest utilization of a serving task to be expected there, as a part of that at which
+    /// it just meets its target.
+    double worstUtilization(const WorkerState &worker, const StepSpec &step) const;
+
+    const PressureModel &m_pressure;
 };
 
 } // namespace Jobs
--- a/include/LibJob/WorkerReport.h
+++ b/include/LibJob/WorkerReport.h
@@ -19,6 +19,8 @@
     GangIncomplete,
 };
 
+const char *endKindText(EndKind kind);
+
 struct RunningEntry
 {
     TaskName task;
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -3,6 +3,7 @@
 #include <LibCore/Resources.h>
 #include <LibCore/Time.h>
 #include <LibJob/Commands.h>
+#include <LibJob/PressureModel.h>
 #include <LibJob/SchedulerSettings.h>
 #include <LibJob/WorkerInfo.h>
 #include <LibJob/WorkerReport.h>
@@ -11,6 +12,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Jobs {
 
@@ -29,9 +31,8 @@
     void update(const WorkerInfo &info) { m_info = info; }
 
     // Room. Every run counts from its planning until it is known to be gone.
-    void addRun(const TaskName &task, const Core::Resources &need, bool isFiller, bool isServing);
-    void removeRun(const TaskName &task, const Core::Resources &need, bool isFiller,
-                   bool isServing);
+    void addRun(const TaskName &task, const StepSpec &step);
+    void removeRun(const TaskName &task, const StepSpec &step, Core::Instant now);
     const std::set<TaskName> &runs() const { return m_runs; }
     int fillerCount() const { return m_fillers; }
     int servingCount() const { return m_serving; }
@@ -41,6 +42,15 @@
     /// leave a part of what they ask for. Negative if fillers compete.
     std::int64_t idleMilliCores() const;
     int runsOfStep(const TaskName &task) const;
+    /// The images of serving tasks here.
+    const std::map<std::string, int> &servingImages() const { return m_servingImages; }
+    /// What the fillers that are planned or run here may use.
+    std::vector<FillerUse> plannedFillers() const;
+    double shareOf(std::int64_t milliCores) const;
+    /// The highest load of the serving tasks of an image, without what fillers add.
+    std::map<std::string, double> servingLoads;
+    /// The last time that a filler left.
+    Core::Instant fillerLeftAt() const { return m_fillerLeftAt; }
 
     // Clock and lease.
     bool isClockKnown() const { return m_clockReadAt != Core::Instant(); }
@@ -81,10 +91,12 @@
 
     Core::Instant nextRenewalAt = {};
     bool isRenewing = false;
-    Core::Instant throttledAt = {};
+    /// The store lists the worker.
+    bool isListed = false;
+    Core::Instant relievedAt = {};
 
 private:
-    void count(const Core::Resources &need, bool isFiller, bool isServing, int sign);
+    void count(const StepSpec &step, int sign);
 
     WorkerInfo m_info;
     SchedulerSettings m_settings;
@@ -92,6 +104,9 @@
     Core::Resources m_used;
     std::int64_t m_fillerMilliCores = 0;
     std::int64_t m_servingMilliCores = 0;
+    std::map<std::string, int> m_servingImages;
+    std::map<std::string, std::int64_t> m_fillerImages;
+    Core::Instant m_fillerLeftAt = {};
     int m_fillers = 0;
     int m_serving = 0;
 
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -62,6 +62,7 @@
     /// Runs \p work, and counts it so that the session outlives it.
     void spawn(boost::asio::awaitable<void> work);
     void depose(const std::string &reason);
+    void updateMetrics();
 
     SiteState &m_state;
     KeyedLog &m_log;
@@ -76,6 +77,7 @@
     std::int64_t m_nextSequence = 1;
     /// On the clock that counts suspension.
     Core::Instant m_provenAt;
+    Core::Instant m_nextMetricsAt = {};
     bool m_isCommitting = false;
     bool m_isOver = false;
     bool m_isReleasing = false;
