lagoonford-node: Log the load of the site once a second

Cause: a starving queue couldn't be told from a full site by the logs. Change: one line a second with running, waiting, free and idle processors.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -226,6 +226,22 @@
     return count;
 }
 
+std::int64_t JobScheduler::freeMilliCores() const
+{
+    std::int64_t free = 0;
+    for (const WorkerState *worker : m_listed)
+        free += worker->freeRoom().milliCores;
+    return free;
+}
+
+std::int64_t JobScheduler::idleMilliCores() const
+{
+    std::int64_t idle = 0;
+    for (const WorkerState *worker : m_listed)
+        idle += worker->idleMilliCores();
+    return idle;
+}
+
 Core::Instant JobScheduler::nextWakeup(const Moment &now) const
 {
     Core::Instant next = now.instant + passInterval;
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -192,8 +192,13 @@
     if (now < m_nextMetricsAt)
         return;
     m_nextMetricsAt = now + metricsInterval;
+    const std::size_t waiting = m_scheduler.waitingCount();
     m_state.metrics.setTasks(static_cast<double>(m_scheduler.runningCount()),
-                             static_cast<double>(m_scheduler.waitingCount()));
+                             static_cast<double>(waiting));
+    LOG4CXX_INFO(partLogger,
+                 "event=load running=" << m_scheduler.runningCount() << " waiting=" << waiting
+                                       << " free_millicores=" << m_scheduler.freeMilliCores()
+                                       << " idle_millicores=" << m_scheduler.idleMilliCores());
 }
 
 void OwnerSession::spawnCommit()
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -88,6 +88,9 @@
     bool isDeposed() const { return m_isDeposed; }
     std::size_t runningCount() const { return m_runs; }
     std::size_t waitingCount() const;
+    /// Room that is free and processors that are idle, in thousandths of a core.
+    std::int64_t freeMilliCores() const;
+    std::int64_t idleMilliCores() const;
     const WorkerState *findWorker(const Core::VmId &id) const;
 
 private:
