LibJob: Count a failed run once, and make passes cheap

Change: a task's record keeps the number of the last failed run that was counted; images are numbers, a worker's forecast is kept until its runs or loads change, and passes are further apart the more steps wait.

--- a/Libraries/LibJob/JobRecord.cpp
+++ b/Libraries/LibJob/JobRecord.cpp
@@ -127,9 +127,10 @@
     Json::Value value(Json::arrayValue);
     value.append(bits);
     Json::Value failures(Json::arrayValue);
-    for (const auto &[index, count] : step.failures) {
+    for (const auto &[index, failed] : step.failures) {
         failures.append(index);
-        failures.append(count);
+        failures.append(failed.count);
+        failures.append(Json::Int64(failed.lastRun));
     }
     value.append(failures);
     return value;
@@ -141,8 +142,8 @@
     for (const char bit : value[0].asString())
         step.isDone.push_back(bit == '1');
     const Json::Value &failures = value[1];
-    for (Json::ArrayIndex i = 0; i + 1 < failures.size(); i += 2)
-        step.failures[failures[i].asInt()] = failures[i + 1].asInt();
+    for (Json::ArrayIndex i = 0; i + 2 < failures.size(); i += 3)
+        step.failures[failures[i].asInt()] = { failures[i + 1].asInt(), failures[i + 2].asInt64() };
     return step;
 }
 
--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -134,6 +134,10 @@
     }
     JobPtr &job = m_jobs[id];
     job = std::make_unique<OwnedJob>(entry);
+    for (const StepSpec &step : entry.submission.spec.steps)
+        job->images.push_back(m_images.indexOf(step.image));
+    if (entry.submission.spec.isScheduled())
+        m_scheduled.insert(id);
     m_order.noteJob(entry.submission.queue.id, job->wholeWork());
     beginDueOccurrences(*job, now);
     m_needsPass = true;
@@ -184,6 +188,7 @@
         const bool isSettled = job->isOver() && !job->isDirty && !job->hasRuns();
         if (isSettled) {
             m_ended.emplace(job->progress().endedUnixMs, id);
+            m_scheduled.erase(id);
             m_jobs.erase(id);
         }
     }
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -207,7 +207,8 @@
         OwnedJob *job = findJob(name.job);
         TaskState *task = job ? job->findTask(name) : nullptr;
         if (task && task->run && task->run->phase == RunPhase::Running)
-            runs.push_back({ name, &job->spec(name.step), task->run.get() });
+            runs.push_back({ name, &job->spec(name.step),
+                             job->images[static_cast<std::size_t>(name.step)], task->run.get() });
     }
     return runs;
 }
@@ -225,10 +226,10 @@
     if (worker.servingCount() == 0)
         return;
     const std::vector<Beside> runs = runsBeside(worker);
-    std::map<std::string, std::int64_t> used;
+    std::map<ImageIndex, std::int64_t> used;
     for (const Beside &beside : runs) {
         if (beside.spec->isFiller)
-            used[beside.spec->image] += beside.run->recentLoad;
+            used[beside.image] += beside.run->recentLoad;
     }
     std::vector<FillerUse> fillers;
     for (const auto &[image, milliCores] : used)
@@ -236,11 +237,12 @@
     // What has left still shows in the tail latency.
     const bool isSettled = now.instant >= worker.fillerLeftAt() + loadWindow;
     worker.servingLoads.clear();
+    ++worker.revision;
     for (const Beside &beside : runs) {
         const double tail = tailOfTarget(*beside.spec, *beside.run);
         if (tail <= 0)
             continue;
-        const std::string &image = beside.spec->image;
+        const ImageIndex image = beside.image;
         if (isSettled)
             m_pressure.observe(image, tail, fillers);
         const double load
@@ -267,11 +269,11 @@
     if (!worst)
         return;
     worker.relievedAt = now.instant;
-    evictFillers(worker, runs, worst->spec->image, worstTail, now);
+    evictFillers(worker, runs, worst->image, worstTail, now);
 }
 
 void JobScheduler::evictFillers(WorkerState &worker, const std::vector<Beside> &runs,
-                                const std::string &servingImage, double tail, const Moment &now)
+                                ImageIndex serving, double tail, const Moment &now)
 {
     struct Blame
     {
@@ -284,22 +286,21 @@
         if (!beside.spec->isFiller || beside.run->isStopWanted)
             continue;
         // The load decides where nothing is known of the images yet.
-        const double pressure
-            = m_pressure.pressure(servingImage, beside.spec->image) + unknownPressure;
+        const double pressure = m_pressure.pressure(serving, beside.image) + unknownPressure;
         blames.push_back({ &beside, pressure * worker.shareOf(beside.run->recentLoad) });
         slowdown += blames.back().slowdown;
     }
     std::sort(blames.begin(), blames.end(),
               [](const Blame &left, const Blame &right) { return left.slowdown > right.slowdown; });
-    const double load = m_pressure.utilization(servingImage, tail) / slowdown;
-    const double wanted = m_pressure.utilizationAtTarget(servingImage) * relievedUtilization;
+    const double load = m_pressure.utilization(serving, tail) / slowdown;
+    const double wanted = m_pressure.utilizationAtTarget(serving) * relievedUtilization;
     for (const Blame &blame : blames) {
         if (load * slowdown <= wanted)
             return;
         slowdown -= blame.slowdown;
         note(blame.beside->name, "evict",
-             "worker=" + worker.info().id.text() + " serving=" + servingImage + " tail_of_target="
-                 + std::to_string(tail) + " slowdown=" + std::to_string(blame.slowdown));
+             "worker=" + worker.info().id.text() + " tail_of_target=" + std::to_string(tail)
+                 + " slowdown=" + std::to_string(blame.slowdown));
         requestStop(blame.beside->name, *blame.beside->run, now);
     }
 }
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -18,7 +18,7 @@
     task.run->phaseBeganAt = now.instant;
     task.run->progressedAt = now.instant;
     task.lastRun = std::max(task.lastRun, number);
-    worker.addRun(name, spec);
+    worker.addRun(name, spec, job.images[static_cast<std::size_t>(name.step)]);
     job.refresh(name.occurrence);
     ++m_runs;
 }
@@ -29,7 +29,8 @@
     if (!task || !task->run)
         return;
     const StepSpec &spec = job.spec(name.step);
-    task->run->worker->removeRun(name, spec, m_now);
+    task->run->worker->removeRun(name, spec, job.images[static_cast<std::size_t>(name.step)],
+                                 m_now);
     task->run.reset();
     job.refresh(name.occurrence);
     --m_runs;
@@ -157,11 +158,12 @@
     markDirty(job);
 }
 
-void JobScheduler::onTaskFailed(OwnedJob &job, const TaskName &name, const Moment &now)
+void JobScheduler::onTaskFailed(OwnedJob &job, const EndedEntry &end, const Moment &now)
 {
+    const TaskName &name = end.task;
     if (job.spec(name.step).isLongRunning)
         return;
-    const int failures = job.noteFailed(name);
+    const int failures = job.noteFailed(name, end.run);
     markDirty(job);
     if (failures < queueOf(job)->mostAttempts)
         return;
@@ -204,7 +206,7 @@
     if (isDone)
         onTaskDone(*job, end.task, now);
     else if (end.kind == EndKind::Failed)
-        onTaskFailed(*job, end.task, now);
+        onTaskFailed(*job, end, now);
 }
 
 void JobScheduler::expireLeases(const Moment &now)
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -8,6 +8,8 @@
 
 /// The least time between two looks at what waits.
 static constexpr Core::Duration passSpacing = milliseconds(10);
+/// Each waiting step makes a pass longer, and must not make passes take all of the processor.
+static constexpr Core::Duration passSpacingPerStep = std::chrono::microseconds(100);
 /// How often leases and stops are looked at.
 static constexpr Core::Duration checkInterval = milliseconds(100);
 /// The numbers of a task's runs rise from owner to owner, though starts aren't recorded.
@@ -21,7 +23,7 @@
     ServiceId service;
     Core::Resources need;
     bool isFiller = false;
-    std::string image;
+    ImageIndex image = 0;
 };
 
 } // namespace
@@ -39,16 +41,21 @@
                                    : now.instant >= m_nextPassAt + m_settings.renewalWait / 5;
     if (isDue && !m_isDeposed) {
         m_needsPass = false;
-        m_nextPassAt = now.instant + passSpacing;
-        for (const auto &[id, job] : m_jobs)
-            beginDueOccurrences(*job, now);
+        const std::vector<Waiting> steps = waitingSteps(now);
+        m_nextPassAt = now.instant + passSpacing + steps.size() * passSpacingPerStep;
+        for (const JobId &id : m_scheduled)
+            beginDueOccurrences(*m_jobs.at(id), now);
         std::vector<Unfit> unfit;
-        for (const Waiting &waiting : waitingSteps(now)) {
+        for (const Waiting &waiting : steps) {
             const StepSpec &spec = waiting.job->spec(waiting.step);
             const ServiceId &service = queueOf(*waiting.job)->service;
+            // Only a filler's image matters for where it fits.
+            const ImageIndex image = spec.isFiller
+                ? waiting.job->images[static_cast<std::size_t>(waiting.step)]
+                : ImageIndex();
             const bool isHopeless = std::any_of(unfit.begin(), unfit.end(), [&](const auto &other) {
                 return other.service == service && other.isFiller == spec.isFiller
-                    && other.image == spec.image && other.need.fitsIn(spec.need);
+                    && other.image == image && other.need.fitsIn(spec.need);
             });
             if (isHopeless || isHeldBack(*waiting.job, now.instant))
                 continue;
@@ -58,7 +65,7 @@
             const bool isPlain = spec.requiredLabel.empty() && spec.mostPerWorker == 0
                 && !spec.isGang && m_isStoreReachable;
             if (step.waitingCount > 0 && isPlain)
-                unfit.push_back({ service, spec.need, spec.isFiller, spec.image });
+                unfit.push_back({ service, spec.need, spec.isFiller, image });
         }
     }
     return std::exchange(m_commands, {});
@@ -184,6 +191,7 @@
     PlacementNeed need;
     need.job = &job;
     need.step = &job.spec(waiting.step);
+    need.image = job.images[static_cast<std::size_t>(waiting.step)];
     need.task = name;
     need.service = queueOf(job)->service;
     need.failedOn = job.findTask(name)->failedOn;
--- a/Libraries/LibJob/OwnedJob.cpp
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -147,11 +147,15 @@
     return true;
 }
 
-int OwnedJob::noteFailed(const TaskName &name)
+int OwnedJob::noteFailed(const TaskName &name, std::int64_t run)
 {
     std::vector<StepProgress> &steps = m_progress.occurrences[name.occurrence];
+    TaskFailures &failures = steps[static_cast<std::size_t>(name.step)].failures[name.index];
+    if (run <= failures.lastRun)
+        return failures.count;
+    failures.lastRun = run;
     isDirty = true;
-    return ++steps[static_cast<std::size_t>(name.step)].failures[name.index];
+    return ++failures.count;
 }
 
 void OwnedJob::finish(JobState state, std::int64_t unixMs)
--- a/Libraries/LibJob/PressureModel.cpp
+++ b/Libraries/LibJob/PressureModel.cpp
@@ -14,56 +14,58 @@
 static constexpr double shareFloor = 0.003;
 static constexpr double largestPressure = 20.0;
 
-const PressureModel::Serving &PressureModel::find(const std::string &servingImage) const
+const PressureModel::Serving &PressureModel::find(ImageIndex serving) const
 {
-    static const Serving unknown { initialLeastTail, initialLoad };
-    const auto found = m_serving.find(servingImage);
-    return found == m_serving.end() ? unknown : found->second;
+    static const Serving unknown { initialLeastTail, initialLoad, {} };
+    return serving < m_serving.size() ? m_serving[serving] : unknown;
 }
 
-double PressureModel::utilization(const std::string &servingImage, double tailOfTarget) const
+PressureModel::Serving &PressureModel::make(ImageIndex serving)
 {
-    const double leastTail = find(servingImage).leastTail;
+    if (serving >= m_serving.size())
+        m_serving.resize(serving + 1, Serving { initialLeastTail, initialLoad, {} });
+    return m_serving[serving];
+}
+
+double PressureModel::utilization(ImageIndex serving, double tailOfTarget) const
+{
+    const double leastTail = find(serving).leastTail;
     if (tailOfTarget <= leastTail)
         return 0;
     return std::min(highestUtilization, 1 - leastTail / tailOfTarget);
 }
 
-double PressureModel::utilizationAtTarget(const std::string &servingImage) const
+double PressureModel::utilizationAtTarget(ImageIndex serving) const
 {
-    return utilization(servingImage, 1.0);
+    return utilization(serving, 1.0);
 }
 
-double PressureModel::meanLoad(const std::string &servingImage) const
+double PressureModel::meanLoad(ImageIndex serving) const
 {
-    return find(servingImage).load;
+    return find(serving).load;
 }
 
-double PressureModel::pressure(const std::string &servingImage,
-                               const std::string &fillerImage) const
+double PressureModel::pressure(ImageIndex serving, ImageIndex filler) const
 {
-    const auto found = m_pressure.find({ servingImage, fillerImage });
-    return found == m_pressure.end() ? 0 : found->second;
+    const std::vector<double> &pressure = find(serving).pressure;
+    return filler < pressure.size() ? pressure[filler] : 0;
 }
 
-double PressureModel::slowdown(const std::string &servingImage,
-                               const std::vector<FillerUse> &fillers) const
+double PressureModel::slowdown(ImageIndex serving, const std::vector<FillerUse> &fillers) const
 {
     double slowdown = 1;
     for (const FillerUse &filler : fillers)
-        slowdown += pressure(servingImage, filler.image) * filler.share;
+        slowdown += pressure(serving, filler.image) * filler.share;
     return slowdown;
 }
 
-void PressureModel::observe(const std::string &servingImage, double tailOfTarget,
+void PressureModel::observe(ImageIndex image, double tailOfTarget,
                             const std::vector<FillerUse> &fillers)
 {
-    Serving &serving
-        = m_serving.try_emplace(servingImage, Serving { initialLeastTail, initialLoad })
-              .first->second;
+    Serving &serving = make(image);
     if (tailOfTarget > smallestLeastTail)
         serving.leastTail = std::min(serving.leastTail, tailOfTarget);
-    const double observed = utilization(servingImage, tailOfTarget);
+    const double observed = utilization(image, tailOfTarget);
     if (fillers.empty()) {
         serving.load += loadRate * (observed - serving.load);
         return;
@@ -71,11 +73,13 @@
     double norm = shareFloor;
     for (const FillerUse &filler : fillers)
         norm += filler.share * filler.share;
-    const double expected = serving.load * slowdown(servingImage, fillers);
+    const double expected = serving.load * slowdown(image, fillers);
     // Beyond saturation the tail latency tells no more.
     const double error = (observed - std::min(expected, highestUtilization)) / serving.load;
     for (const FillerUse &filler : fillers) {
-        double &pressure = m_pressure[{ servingImage, filler.image }];
+        if (filler.image >= serving.pressure.size())
+            serving.pressure.resize(filler.image + 1);
+        double &pressure = serving.pressure[filler.image];
         pressure = std::clamp(pressure + pressureRate * error * filler.share / norm, 0.0,
                               largestPressure);
     }
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -12,22 +12,40 @@
 static constexpr double largestUtilization = 0.85;
 static constexpr double failedThereCost = 10'000'000;
 
-double WorkerChooser::worstUtilization(const WorkerState &worker, const StepSpec &step) const
+const ServingForecast &WorkerChooser::forecast(WorkerState &worker) const
 {
-    std::vector<FillerUse> fillers = worker.plannedFillers();
-    const auto utilization = [&](const std::string &image, double load) {
-        return load * m_pressure.slowdown(image, fillers) / m_pressure.utilizationAtTarget(image);
-    };
-    if (step.tailTargetMs > 0)
-        return fillers.empty() ? 0 : utilization(step.image, m_pressure.meanLoad(step.image));
-    fillers.push_back({ step.image, worker.shareOf(step.need.milliCores) });
-    double worst = 0;
+    ServingForecast &forecast = worker.forecast;
+    if (forecast.revision == worker.revision)
+        return forecast;
+    forecast.revision = worker.revision;
+    forecast.entries.clear();
+    const std::vector<FillerUse> fillers = worker.plannedFillers();
     for (const auto &[image, count] : worker.servingImages()) {
-        const auto load = worker.servingLoads.find(image);
-        worst = std::max(worst,
-                         utilization(image,
-                                     load == worker.servingLoads.end() ? m_pressure.meanLoad(image)
-                                                                       : load->second));
+        const auto known = worker.servingLoads.find(image);
+        const double load
+            = known == worker.servingLoads.end() ? m_pressure.meanLoad(image) : known->second;
+        const double target = m_pressure.utilizationAtTarget(image);
+        const double slowdown = m_pressure.slowdown(image, fillers);
+        forecast.entries.push_back({ image, load * slowdown / target, load / target });
+    }
+    return forecast;
+}
+
+double WorkerChooser::worstUtilization(WorkerState &worker, const PlacementNeed &need) const
+{
+    const StepSpec &step = *need.step;
+    if (step.tailTargetMs > 0) {
+        const std::vector<FillerUse> fillers = worker.plannedFillers();
+        return fillers.empty()
+            ? 0
+            : m_pressure.meanLoad(need.image) * m_pressure.slowdown(need.image, fillers)
+                / m_pressure.utilizationAtTarget(need.image);
+    }
+    const double share = worker.shareOf(step.need.milliCores);
+    double worst = 0;
+    for (const ServingForecast::Entry &entry : forecast(worker).entries) {
+        const double added = entry.load * m_pressure.pressure(entry.image, need.image) * share;
+        worst = std::max(worst, entry.utilization + added);
     }
     return worst;
 }
@@ -42,7 +60,7 @@
     return step.need.fitsIn(room);
 }
 
-bool WorkerChooser::isEligible(const WorkerState &worker, const PlacementNeed &need,
+bool WorkerChooser::isEligible(WorkerState &worker, const PlacementNeed &need,
                                Core::Instant now) const
 {
     const WorkerInfo &info = worker.info();
@@ -56,13 +74,13 @@
         return false;
     if (need.isDurableOnly && !need.job->mayUse(info.id))
         return false;
-    if (need.step->isFiller && worstUtilization(worker, *need.step) > largestUtilization)
+    if (need.step->isFiller && worstUtilization(worker, need) > largestUtilization)
         return false;
     const int most = need.step->mostPerWorker;
     return most == 0 || worker.runsOfStep(need.task) < most;
 }
 
-double WorkerChooser::cost(const WorkerState &worker, const PlacementNeed &need) const
+double WorkerChooser::cost(WorkerState &worker, const PlacementNeed &need) const
 {
     const StepSpec &step = *need.step;
     // Fillers go where most is left, so that they hardly compete; the others where least is left.
@@ -70,7 +88,7 @@
                                 : static_cast<double>(worker.freeRoom().milliCores);
     if (!step.dataRack.empty() && !worker.info().hasLabel(step.dataRack))
         cost += otherRackCost;
-    if (step.tailTargetMs > 0 && worstUtilization(worker, step) > largestUtilization)
+    if (step.tailTargetMs > 0 && worstUtilization(worker, need) > largestUtilization)
         cost += interferenceCost;
     if (worker.info().id == need.failedOn)
         cost += failedThereCost;
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -13,46 +13,48 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-void WorkerState::addRun(const TaskName &task, const StepSpec &step)
+void WorkerState::addRun(const TaskName &task, const StepSpec &step, ImageIndex image)
 {
     if (m_runs.insert(task).second)
-        count(step, 1);
+        count(step, image, 1);
 }
 
-void WorkerState::removeRun(const TaskName &task, const StepSpec &step, Core::Instant now)
+void WorkerState::removeRun(const TaskName &task, const StepSpec &step, ImageIndex image,
+                            Core::Instant now)
 {
     if (m_runs.erase(task) == 0)
         return;
-    count(step, -1);
+    count(step, image, -1);
     if (step.isFiller)
         m_fillerLeftAt = now;
 }
 
-/// Adds to the count of a key, and forgets the key at zero.
+/// Adds to the count of an image, and forgets the image at zero.
 template<typename Number>
-static void addTo(std::map<std::string, Number> &counts, const std::string &key, Number number)
+static void addTo(std::map<ImageIndex, Number> &counts, ImageIndex image, Number number)
 {
-    const auto entry = counts.try_emplace(key, 0).first;
+    const auto entry = counts.try_emplace(image, 0).first;
     entry->second += number;
     if (entry->second == 0)
         counts.erase(entry);
 }
 
-void WorkerState::count(const StepSpec &step, int sign)
+void WorkerState::count(const StepSpec &step, ImageIndex image, int sign)
 {
+    ++revision;
     m_used.mebibytes += sign * step.need.mebibytes;
     m_used.accelerators += sign * step.need.accelerators;
     if (step.isFiller) {
         m_fillers += sign;
         m_fillerMilliCores += sign * step.need.milliCores;
-        addTo(m_fillerImages, step.image, sign * step.need.milliCores);
+        addTo(m_fillerImages, image, sign * step.need.milliCores);
         return;
     }
     m_used.milliCores += sign * step.need.milliCores;
     if (step.tailTargetMs > 0) {
         m_serving += sign;
         m_servingMilliCores += sign * step.need.milliCores;
-        addTo(m_servingImages, step.image, sign);
+        addTo(m_servingImages, image, sign);
     }
 }
 
--- a/include/LibJob/JobProgress.h
+++ b/include/LibJob/JobProgress.h
@@ -22,13 +22,24 @@
 /// `queued`, `running`, `completed`, `failed` or `cancelled`.
 const char *jobStateText(JobState state);
 
+/// The failed runs of a task.
+struct TaskFailures
+{
+    int count = 0;
+    /// The number of the last run that was counted: its end may be reported to the next owner
+    /// again.
+    std::int64_t lastRun = 0;
+
+    bool operator==(const TaskFailures &) const = default;
+};
+
 /// What has become of the tasks of a step.
 struct StepProgress
 {
     /// Indexed by task.
     std::vector<bool> isDone;
     /// Failed runs by task; a task without any is missing.
-    std::map<int, int> failures;
+    std::map<int, TaskFailures> failures;
 
     int doneCount() const;
 
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -3,6 +3,7 @@
 #include <LibJob/Catalogue.h>
 #include <LibJob/Commands.h>
 #include <LibJob/DecisionLog.h>
+#include <LibJob/ImageTable.h>
 #include <LibJob/JobTable.h>
 #include <LibJob/OwnedJob.h>
 #include <LibJob/PressureModel.h>
@@ -108,6 +109,7 @@
     {
         TaskName name;
         const StepSpec *spec = nullptr;
+        ImageIndex image = 0;
         TaskRun *run = nullptr;
     };
 
@@ -140,7 +142,7 @@
     void requestStop(const TaskName &name, TaskRun &run, const Moment &now);
     void onEnd(WorkerState &worker, const EndedEntry &end, const Moment &now);
     void onTaskDone(OwnedJob &job, const TaskName &name, const Moment &now);
-    void onTaskFailed(OwnedJob &job, const TaskName &name, const Moment &now);
+    void onTaskFailed(OwnedJob &job, const EndedEntry &end, const Moment &now);
     void onRunning(WorkerState &worker, const RunningEntry &entry, const Moment &now);
     void adoptRun(OwnedJob &job, WorkerState &worker, const RunningEntry &entry, const Moment &now);
     void stopUnknownRun(WorkerState &worker, const RunningEntry &entry, const Moment &now);
@@ -154,8 +156,8 @@
     std::vector<Beside> runsBeside(const WorkerState &worker);
     void learnPressure(WorkerState &worker, const Moment &now);
     void relieveServing(WorkerState &worker, const Moment &now);
-    void evictFillers(WorkerState &worker, const std::vector<Beside> &runs,
-                      const std::string &servingImage, double tail, const Moment &now);
+    void evictFillers(WorkerState &worker, const std::vector<Beside> &runs, ImageIndex serving,
+                      double tail, const Moment &now);
     void dropOldJobs(const Moment &now);
 
     void note(const TaskName &task, std::string_view event, const std::string &inputs);
@@ -165,6 +167,7 @@
     DecisionLog &m_log;
     Catalogue m_catalogue;
     StartOrder m_order;
+    ImageTable m_images;
     PressureModel m_pressure;
     WorkerChooser m_chooser { m_pressure };
     /// The time of the event that is being handled.
@@ -174,6 +177,8 @@
     /// The workers that the store lists.
     std::vector<WorkerState *> m_listed;
     std::unordered_map<JobId, JobPtr> m_jobs;
+    /// Those of m_jobs that run at set times.
+    std::set<JobId> m_scheduled;
     /// Ended jobs by the time of their end.
     std::multimap<std::int64_t, JobId> m_ended;
     std::set<JobId> m_dirty;
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibJob/Catalogue.h>
 #include <LibJob/JobTable.h>
+#include <LibJob/PressureModel.h>
 #include <LibJob/TaskName.h>
 #include <LibJob/TaskRun.h>
 
@@ -46,8 +47,8 @@
     void refresh(int occurrence);
     /// Marks the task as done; true if that ended the job.
     bool noteDone(const TaskName &name, std::int64_t unixMs);
-    /// Counts a failed run; returns how often the task has failed.
-    int noteFailed(const TaskName &name);
+    /// Counts a failed run unless it has been counted; returns how often the task has failed.
+    int noteFailed(const TaskName &name, std::int64_t run);
     void finish(JobState state, std::int64_t unixMs);
 
     bool mayUse(const Core::VmId &worker) const { return m_durableWorkers.contains(worker); }
@@ -64,6 +65,8 @@
     double remainingWork(int occurrence) const;
     bool hasRuns() const;
 
+    /// The images of the steps.
+    std::vector<ImageIndex> images;
     bool isDirty = false;
     /// A former owner may have started tasks on these workers, which haven't been asked yet.
     std::set<Core::VmId> unsurveyedWorkers;
--- a/include/LibJob/PressureModel.h
+++ b/include/LibJob/PressureModel.h
@@ -1,16 +1,17 @@
 #pragma once
 
-#include <map>
-#include <string>
-#include <utility>
+#include <cstddef>
 #include <vector>
 
 namespace Jobs {
 
+/// An image's number in an ImageTable.
+using ImageIndex = std::size_t;
+
 /// How much of a worker's processors the fillers of one image use.
 struct FillerUse
 {
-    std::string image;
+    ImageIndex image = 0;
     /// From 0 to 1.
     double share = 0;
 
@@ -27,32 +28,34 @@
 {
 public:
     /// The utilization that a tail latency, as a multiple of its target, stands for.
-    double utilization(const std::string &servingImage, double tailOfTarget) const;
+    double utilization(ImageIndex serving, double tailOfTarget) const;
     /// The utilization at which the target is just met.
-    double utilizationAtTarget(const std::string &servingImage) const;
+    double utilizationAtTarget(ImageIndex serving) const;
 
-    void observe(const std::string &servingImage, double tailOfTarget,
-                 const std::vector<FillerUse> &fillers);
+    void observe(ImageIndex serving, double tailOfTarget, const std::vector<FillerUse> &fillers);
 
     /// By how much \p fillers slow a serving task down; 1 for not at all.
-    double slowdown(const std::string &servingImage, const std::vector<FillerUse> &fillers) const;
+    double slowdown(ImageIndex serving, const std::vector<FillerUse> &fillers) const;
     /// What one filler image adds to the slowdown if it uses the whole worker.
-    double pressure(const std::string &servingImage, const std::string &fillerImage) const;
+    double pressure(ImageIndex serving, ImageIndex filler) const;
     /// The mean load of serving tasks of an image without fillers.
-    double meanLoad(const std::string &servingImage) const;
+    double meanLoad(ImageIndex serving) const;
 
 private:
     struct Serving
     {
         /// The least tail latency seen, as a multiple of the target: that of an idle task.
-        double leastTail;
-        double load;
+        double leastTail = 0;
+        double load = 0;
+        /// By filler image.
+        std::vector<double> pressure;
     };
 
-    const Serving &find(const std::string &servingImage) const;
+    const Serving &find(ImageIndex serving) const;
+    Serving &make(ImageIndex serving);
 
-    std::map<std::string, Serving> m_serving;
-    std::map<std::pair<std::string, std::string>, double> m_pressure;
+    /// By serving image.
+    std::vector<Serving> m_serving;
 };
 
 } // namespace Jobs
--- a/include/LibJob/WorkerChooser.h
+++ b/include/LibJob/WorkerChooser.h
@@ -16,6 +16,7 @@
 {
     const OwnedJob *job = nullptr;
     const StepSpec *step = nullptr;
+    ImageIndex image = 0;
     TaskName task;
     ServiceId service;
     /// Where the task failed last.
@@ -41,11 +42,12 @@
                         Core::Instant now) const;
 
 private:
-    bool isEligible(const WorkerState &worker, const PlacementNeed &need, Core::Instant now) const;
-    double cost(const WorkerState &worker, const PlacementNeed &need) const;
+    bool isEligible(WorkerState &worker, const PlacementNeed &need, Core::Instant now) const;
+    double cost(WorkerState &worker, const PlacementNeed &need) const;
     /// The highest utilization of a serving task to be expected there, as a part of that at which
     /// it just meets its target.
-    double worstUtilization(const WorkerState &worker, const StepSpec &step) const;
+    double worstUtilization(WorkerState &worker, const PlacementNeed &need) const;
+    const ServingForecast &forecast(WorkerState &worker) const;
 
     const PressureModel &m_pressure;
 };
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -16,6 +16,26 @@
 
 namespace Jobs {
 
+/// How near to their targets the serving tasks of a worker are expected to be.
+struct ServingForecast
+{
+    struct Entry
+    {
+        ImageIndex image = 0;
+        /// As a part of the utilization at which the target is just met, with the fillers planned.
+        double utilization = 0;
+        /// What a slowdown of 1 stands for.
+        double load = 0;
+
+        bool operator==(const Entry &) const = default;
+    };
+
+    std::int64_t revision = -1;
+    std::vector<Entry> entries;
+
+    bool operator==(const ServingForecast &) const = default;
+};
+
 /// What the owner knows of one worker: its room, its clock, the lease granted to it, and how far
 /// its ends have been read.
 class WorkerState
@@ -31,8 +51,8 @@
     void update(const WorkerInfo &info) { m_info = info; }
 
     // Room. Every run counts from its planning until it is known to be gone.
-    void addRun(const TaskName &task, const StepSpec &step);
-    void removeRun(const TaskName &task, const StepSpec &step, Core::Instant now);
+    void addRun(const TaskName &task, const StepSpec &step, ImageIndex image);
+    void removeRun(const TaskName &task, const StepSpec &step, ImageIndex image, Core::Instant now);
     const std::set<TaskName> &runs() const { return m_runs; }
     int fillerCount() const { return m_fillers; }
     int servingCount() const { return m_serving; }
@@ -43,12 +63,16 @@
     std::int64_t idleMilliCores() const;
     int runsOfStep(const TaskName &task) const;
     /// The images of serving tasks here.
-    const std::map<std::string, int> &servingImages() const { return m_servingImages; }
+    const std::map<ImageIndex, int> &servingImages() const { return m_servingImages; }
     /// What the fillers that are planned or run here may use.
     std::vector<FillerUse> plannedFillers() const;
     double shareOf(std::int64_t milliCores) const;
     /// The highest load of the serving tasks of an image, without what fillers add.
-    std::map<std::string, double> servingLoads;
+    std::map<ImageIndex, double> servingLoads;
+    /// Changes whenever the runs or the loads change.
+    std::int64_t revision = 0;
+    /// What a WorkerChooser has worked out for `revision`.
+    ServingForecast forecast;
     /// The last time that a filler left.
     Core::Instant fillerLeftAt() const { return m_fillerLeftAt; }
 
@@ -96,7 +120,7 @@
     Core::Instant relievedAt = {};
 
 private:
-    void count(const StepSpec &step, int sign);
+    void count(const StepSpec &step, ImageIndex image, int sign);
 
     WorkerInfo m_info;
     SchedulerSettings m_settings;
@@ -104,8 +128,8 @@
     Core::Resources m_used;
     std::int64_t m_fillerMilliCores = 0;
     std::int64_t m_servingMilliCores = 0;
-    std::map<std::string, int> m_servingImages;
-    std::map<std::string, std::int64_t> m_fillerImages;
+    std::map<ImageIndex, int> m_servingImages;
+    std::map<ImageIndex, std::int64_t> m_fillerImages;
     Core::Instant m_fillerLeftAt = {};
     int m_fillers = 0;
     int m_serving = 0;
