LibJob: Close three holes that a random model found in the ownership

Cause: the random model of this commit (3 nodes, 4 workers, cuts to store and workers, freezes, orders 2 to 12 s late, lost answers, reborn workers, claims at any time) broke promises: 1. an old owner started a task on a worker that was born anew and so had lost its fence; 2. a start that reached a worker's next run was taken for expired when that run was met; 3. an owner that woke from a freeze within its proof restarted a task whose run it had lost sight of, while the next owner had already taken note of that run's end. Ruled out for 3: a shorter proof, which only makes it rarer. Change: 1. a worker is used after a proof of ownership that follows the first word from its present run; 2. meeting a worker extends the bound of its leases; 3. a run whose fate is unknown is abandoned in the job's record before the task is started again, and its end doesn't count any more.

--- a/Libraries/LibJob/JobRecord.cpp
+++ b/Libraries/LibJob/JobRecord.cpp
@@ -133,6 +133,12 @@
         failures.append(Json::Int64(failed.lastRun));
     }
     value.append(failures);
+    Json::Value abandoned(Json::arrayValue);
+    for (const auto &[index, run] : step.abandonedRuns) {
+        abandoned.append(index);
+        abandoned.append(Json::Int64(run));
+    }
+    value.append(abandoned);
     return value;
 }
 
@@ -144,6 +150,9 @@
     const Json::Value &failures = value[1];
     for (Json::ArrayIndex i = 0; i + 2 < failures.size(); i += 3)
         step.failures[failures[i].asInt()] = { failures[i + 1].asInt(), failures[i + 2].asInt64() };
+    const Json::Value &abandoned = value[2];
+    for (Json::ArrayIndex i = 0; i + 1 < abandoned.size(); i += 2)
+        step.abandonedRuns[abandoned[i].asInt()] = abandoned[i + 1].asInt64();
     return step;
 }
 
--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -170,15 +170,21 @@
         commit.records.emplace_back(ProgressRecord { id, job->progress() });
     }
     m_dirty.clear();
+    m_isProofWanted = false;
     for (const JobId &id : m_expired)
         commit.records.emplace_back(JobDropped { id });
     m_expired.clear();
     return commit;
 }
 
-void JobScheduler::onCommitted(std::int64_t number, const Moment &now)
+void JobScheduler::onCommitted(std::int64_t number, Core::Instant provenAt, const Moment &now)
 {
     m_committed = number;
+    m_provenAt = provenAt;
+    m_needsPass |= m_isProofWanted;
+    m_isProofWanted = std::any_of(m_listed.begin(), m_listed.end(), [&](const WorkerState *worker) {
+        return worker->metAt() > m_provenAt;
+    });
     for (const auto &[id, workers] : m_committing) {
         OwnedJob *job = findJob(id);
         if (!job)
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -67,8 +67,8 @@
     worker->isRenewing = false;
     m_now = now.instant;
     const bool isBornAnew = worker->bornUnixMs() != 0 && worker->bornUnixMs() != report.bornUnixMs;
-    if (isBornAnew || worker->bornUnixMs() == 0)
-        worker->beginIncarnation(report.bornUnixMs);
+    if (isBornAnew || !worker->isSurveyed())
+        meet(*worker, report.bornUnixMs, now);
     worker->readClock(report.clockMs, now.instant);
     worker->noteAnswer(now.instant);
     if (!worker->isSurveyed())
@@ -95,6 +95,23 @@
         + (worker->hasUncommittedEnds() ? uncommittedSpacing : m_settings.renewalSpacing);
 }
 
+Core::Duration JobScheduler::longestLease() const
+{
+    const std::chrono::duration<double, std::micro> drifted
+        = std::chrono::duration<double, std::micro>(m_settings.lease) * (1 + m_settings.clockDrift);
+    return std::chrono::duration_cast<Core::Duration>(drifted) + m_settings.clockSlack;
+}
+
+void JobScheduler::meet(WorkerState &worker, std::int64_t bornUnixMs, const Moment &now)
+{
+    // A worker that was born anew has forgotten the tokens that it had seen. Only a proof that
+    // comes after the meeting shows that no newer owner has lost its fence with that.
+    worker.beginIncarnation(bornUnixMs, now.instant);
+    // A start that was sent to its former run may have reached this one.
+    worker.extendLeaseBound(now.instant + longestLease());
+    m_isProofWanted = true;
+}
+
 void JobScheduler::onRunning(WorkerState &worker, const RunningEntry &entry, const Moment &now)
 {
     OwnedJob *job = findJob(entry.task.job);
@@ -105,7 +122,8 @@
         return;
     }
     if (!task->run) {
-        if (job->isOver() || entry.run < task->lastRun)
+        // An abandoned run doesn't count any more, whatever it does.
+        if (job->isOver() || entry.run <= task->lastRun)
             stopUnknownRun(worker, entry, now);
         else
             adoptRun(*job, worker, entry, now);
@@ -133,11 +151,7 @@
     note(entry.task, "adopt",
          "worker=" + worker.info().id.text() + " run=" + std::to_string(entry.run));
     addRun(job, entry.task, worker, entry.run, RunPhase::Running, now);
-    // Whoever started it, no lease is longer than this.
-    const std::chrono::duration<double, std::micro> drifted
-        = std::chrono::duration<double, std::micro>(m_settings.lease) * (1 + m_settings.clockDrift);
-    worker.extendLeaseBound(now.instant + std::chrono::duration_cast<Core::Duration>(drifted)
-                            + m_settings.clockSlack);
+    worker.extendLeaseBound(now.instant + longestLease());
     TaskState &task = *job.findTask(entry.task);
     task.run->percentDone = entry.percentDone;
     if (!entry.checkpoint.empty())
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -173,6 +173,14 @@
     stopAllRuns(job, now);
 }
 
+static bool isAbandoned(const OwnedJob &job, const TaskName &name, std::int64_t run)
+{
+    const StepProgress &step
+        = job.progress().occurrences.at(name.occurrence)[static_cast<std::size_t>(name.step)];
+    const auto abandoned = step.abandonedRuns.find(name.index);
+    return abandoned != step.abandonedRuns.end() && run <= abandoned->second;
+}
+
 void JobScheduler::onEnd(WorkerState &worker, const EndedEntry &end, const Moment &now)
 {
     OwnedJob *job = findJob(end.task.job);
@@ -181,7 +189,8 @@
         return;
     const bool isCurrent
         = task->run && task->run->worker == &worker && task->run->number == end.run;
-    const bool isSuperseded = !isCurrent && (task->run || end.run < task->lastRun);
+    const bool isSuperseded = !isCurrent
+        && (task->run || end.run < task->lastRun || isAbandoned(*job, end.task, end.run));
     if (end.kind != EndKind::Done || isSuperseded)
         note(end.task, "ended",
              "worker=" + worker.info().id.text() + " run=" + std::to_string(end.run)
@@ -229,7 +238,35 @@
         note(name, "lease-expired",
              "worker=" + worker.info().id.text() + " run=" + std::to_string(task->run->number)
                  + " silent_ms=" + std::to_string(silentFor.count()));
+        const std::int64_t run = task->run->number;
         removeRun(*job, name);
+        abandon(*job, name, run);
+    }
+}
+
+void JobScheduler::abandon(OwnedJob &job, const TaskName &name, std::int64_t run)
+{
+    TaskState *task = job.findTask(name);
+    if (!task || job.isOver())
+        return;
+    job.abandon(name, run);
+    markDirty(job);
+    task->lastRun = std::max(task->lastRun, run);
+    task->neededCommit = m_lastCommit + 1;
+}
+
+void JobScheduler::abandonUnknownRuns(OwnedJob &job)
+{
+    const std::int64_t formerRuns = m_ownership.term * runsPerTerm;
+    for (auto &[occurrence, steps] : job.occurrences()) {
+        for (std::size_t step = 0; step < steps.size(); ++step) {
+            for (std::size_t index = 0; index < steps[step].tasks.size(); ++index) {
+                const TaskName name { job.id(), occurrence, static_cast<int>(step),
+                                      static_cast<int>(index) };
+                if (steps[step].isReady && !steps[step].tasks[index].run && !job.isTaskDone(name))
+                    abandon(job, name, formerRuns);
+            }
+        }
     }
 }
 
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -12,8 +12,6 @@
 static constexpr Core::Duration passSpacingPerStep = std::chrono::microseconds(100);
 /// How often leases and stops are looked at.
 static constexpr Core::Duration checkInterval = milliseconds(100);
-/// The numbers of a task's runs rise from owner to owner, though starts aren't recorded.
-static constexpr std::int64_t runsPerTerm = 1000;
 
 namespace {
 
@@ -123,6 +121,7 @@
         return false;
     if (now >= m_ownership.formerLeasesEndAt) {
         job.unsurveyedWorkers.clear();
+        abandonUnknownRuns(job);
         return false;
     }
     std::erase_if(job.unsurveyedWorkers, [this](const Core::VmId &id) {
@@ -149,7 +148,7 @@
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
         const auto index = static_cast<int>(i);
         const TaskName name { job.id(), waiting.occurrence, waiting.step, index };
-        if (step.tasks[i].run || job.isTaskDone(name))
+        if (step.tasks[i].run || job.isTaskDone(name) || step.tasks[i].neededCommit > m_committed)
             continue;
         if (!planTask(waiting, index, nextRunNumber(step.tasks[i]), now))
             return;
@@ -165,6 +164,10 @@
     // A member that still runs alone ends by itself, and then all start together.
     if (step.waitingCount < size)
         return false;
+    for (const TaskState &task : step.tasks) {
+        if (task.neededCommit > m_committed)
+            return false;
+    }
     std::int64_t run = 0;
     std::string checkpoint;
     for (const TaskState &task : step.tasks) {
@@ -196,6 +199,7 @@
     need.service = queueOf(job)->service;
     need.failedOn = job.findTask(name)->failedOn;
     need.isDurableOnly = !m_isStoreReachable;
+    need.provenAt = m_provenAt;
     WorkerState *worker = m_chooser.choose(m_listed, need, m_outOfService, now.instant);
     if (!worker)
         return false;
--- a/Libraries/LibJob/OwnedJob.cpp
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -74,6 +74,8 @@
         const auto count = static_cast<std::size_t>(m_submission.spec.steps[i].taskCount);
         progress[i].isDone.resize(count);
         steps[i].tasks.resize(count);
+        for (const auto &[index, run] : progress[i].abandonedRuns)
+            steps[i].tasks.at(static_cast<std::size_t>(index)).lastRun = run;
     }
     refresh(occurrence);
 }
@@ -158,6 +160,14 @@
     return ++failures.count;
 }
 
+void OwnedJob::abandon(const TaskName &name, std::int64_t run)
+{
+    std::vector<StepProgress> &steps = m_progress.occurrences[name.occurrence];
+    std::int64_t &abandoned = steps[static_cast<std::size_t>(name.step)].abandonedRuns[name.index];
+    abandoned = std::max(abandoned, run);
+    isDirty = true;
+}
+
 void OwnedJob::finish(JobState state, std::int64_t unixMs)
 {
     m_progress.state = state;
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -66,7 +66,9 @@
     const WorkerInfo &info = worker.info();
     if (info.isDraining || info.service != need.service || worker.isSilent())
         return false;
-    if (!worker.isSurveyed() || !worker.isClockKnown() || worker.avoidedUntil() > now)
+    if (!worker.isSurveyed() || worker.metAt() > need.provenAt)
+        return false;
+    if (!worker.isClockKnown() || worker.avoidedUntil() > now)
         return false;
     if (!fits(worker, *need.step))
         return false;
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -126,14 +126,16 @@
     m_isSilent = false;
 }
 
-void WorkerState::beginIncarnation(std::int64_t bornUnixMs)
+void WorkerState::beginIncarnation(std::int64_t bornUnixMs, Core::Instant now)
 {
+    m_metAt = now;
+    if (m_bornUnixMs == bornUnixMs)
+        return;
     m_bornUnixMs = bornUnixMs;
     m_processedEnd = 0;
     m_acknowledgedEnd = 0;
     m_uncommittedEnds.clear();
     m_clockReadAt = {};
-    m_leaseBound = {};
     m_failuresInARow = 0;
     m_avoidedUntil = {};
 }
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -233,7 +233,7 @@
     if (isWritten) {
         m_scheduler.setStoreReachable(true);
         m_follower.applyOwn(commit.records);
-        m_scheduler.onCommitted(commit.number, now());
+        m_scheduler.onCommitted(commit.number, m_provenAt, now());
         m_wakeup.wake();
         co_await pause.sleepUntil(Core::steadyNow() + commitSpacing);
     }
--- /dev/null
+++ b/Tests/LibJob/JobWorld.cpp
@@ -0,0 +1,503 @@
+#include "JobWorld.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+
+using namespace Jobs;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::int64_t stepMs = 10;
+constexpr std::int64_t orderTimeMs = 1000;
+constexpr std::int64_t commitMs = 5;
+constexpr std::int64_t lastingMs = 1'000'000'000;
+
+/// Writes what happens to the standard error if JOB_WORLD_TRACE is set, to replay a seed.
+class Trace final : public DecisionLog
+{
+public:
+    void note(std::string_view subject, std::string_view event, std::string_view inputs) override
+    {
+        static const bool isOn = std::getenv("JOB_WORLD_TRACE") != nullptr;
+        if (isOn)
+            std::cerr << nowMs << " node" << node << ' ' << subject << ' ' << event << ' ' << inputs
+                      << '\n';
+    }
+
+    std::int64_t nowMs = 0;
+    std::size_t node = 0;
+};
+
+} // namespace
+
+struct JobWorld::Node
+{
+    Trace log;
+    std::unique_ptr<JobScheduler> scheduler;
+    FencingToken token = 0;
+    std::int64_t provenAtMs = 0;
+    std::int64_t frozenUntilMs = 0;
+    std::int64_t storeCutUntilMs = 0;
+    std::map<std::size_t, std::int64_t> workerCutUntilMs;
+    bool isCommitting = false;
+    /// Tells the schedulers of a node apart: answers to an earlier one are dropped.
+    std::int64_t generation = 0;
+};
+
+struct JobWorld::TaskHistory
+{
+    int starts = 0;
+    int failures = 0;
+    bool isDone = false;
+};
+
+JobWorld::JobWorld(std::uint32_t seed, const WorldFaults &faults, MissingGuard missing)
+    : m_random(seed)
+    , m_faults(faults)
+    , m_missing(missing)
+{
+    for (std::size_t i = 0; i < workerCount; ++i) {
+        WorkerInfo info;
+        info.id = Core::VmId("w" + std::to_string(i));
+        info.address = info.id.text();
+        info.failureDomain = Core::FailureDomainId("d" + std::to_string(i % 2));
+        info.service = ServiceId("service");
+        info.capacity = { 4000, 8000, 0 };
+        info.bornUnixMs = 1;
+        m_workers.push_back(std::make_unique<ModelWorker>(info, i % 2 == 0 ? 1.0 : 0.98));
+        m_workers.back()->ignoresTokens = missing == MissingGuard::Fence;
+    }
+    for (std::size_t i = 0; i < nodeCount; ++i) {
+        m_nodes.push_back(std::make_unique<Node>());
+        m_nodes.back()->log.node = i;
+    }
+}
+
+JobWorld::~JobWorld() = default;
+
+Moment JobWorld::moment() const
+{
+    return { Core::Instant(milliseconds(m_nowMs)), m_nowMs };
+}
+
+bool JobWorld::chance(double probability)
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random) < probability;
+}
+
+std::int64_t JobWorld::between(std::int64_t least, std::int64_t most)
+{
+    return std::uniform_int_distribution<std::int64_t>(least, most)(m_random);
+}
+
+void JobWorld::fail(const std::string &what)
+{
+    if (m_violation.empty())
+        m_violation = std::to_string(m_nowMs) + " ms: " + what;
+}
+
+void JobWorld::later(std::int64_t delayMs, Action action)
+{
+    m_agenda.emplace(m_nowMs + delayMs, std::move(action));
+}
+
+JobId JobWorld::submit(const JobSpec &spec, int mostAttempts)
+{
+    Submission submission;
+    submission.id = JobId("job" + std::to_string(m_submitted++));
+    submission.queue.id = QueueId("queue");
+    submission.queue.service = ServiceId("service");
+    submission.queue.mostAttempts = mostAttempts;
+    submission.spec = spec;
+    submission.submittedUnixMs = m_nowMs;
+    m_table.apply(submission);
+    for (const auto &node : m_nodes) {
+        if (node->scheduler)
+            node->scheduler->addJob(*m_table.find(submission.id), moment());
+    }
+    return submission.id;
+}
+
+void JobWorld::cancel(const JobId &id)
+{
+    m_table.apply(Cancellation { id });
+    for (const auto &node : m_nodes) {
+        if (node->scheduler && node->storeCutUntilMs <= m_nowMs)
+            node->scheduler->cancelJob(id, moment());
+    }
+}
+
+std::vector<WorkerInfo> JobWorld::listedWorkers() const
+{
+    std::vector<WorkerInfo> list;
+    for (const auto &worker : m_workers)
+        list.push_back(worker->info());
+    return list;
+}
+
+void JobWorld::claim(std::size_t index)
+{
+    Node &node = *m_nodes[index];
+    if (node.storeCutUntilMs > m_nowMs || node.frozenUntilMs > m_nowMs)
+        return;
+    m_epoch += between(1, 40);
+    ++m_term;
+    Ownership ownership;
+    ownership.token = m_epoch;
+    ownership.term = m_term;
+    const double lease = 1.02
+        * static_cast<double>(std::chrono::duration_cast<milliseconds>(m_settings.lease).count());
+    const auto unproven
+        = std::chrono::duration_cast<milliseconds>(m_settings.longestUnproven).count();
+    const auto slack = std::chrono::duration_cast<milliseconds>(m_settings.clockSlack).count();
+    if (m_term > 0 && m_missing != MissingGuard::FormerLeases)
+        ownership.formerLeasesEndAt = Core::Instant(
+            milliseconds(m_lastSignMs + unproven + static_cast<std::int64_t>(lease) + slack));
+    node.log.note("site", "CLAIM", std::to_string(m_epoch));
+    node.scheduler = std::make_unique<JobScheduler>(m_settings, ownership, node.log);
+    node.token = m_epoch;
+    node.provenAtMs = m_nowMs;
+    node.isCommitting = false;
+    ++node.generation;
+    m_lastSignMs = m_nowMs;
+    Catalogue catalogue;
+    node.scheduler->setCatalogue(catalogue);
+    node.scheduler->setWorkers(listedWorkers(), moment());
+    for (const auto &[id, entry] : m_table.jobs())
+        node.scheduler->addJob(entry, moment());
+}
+
+void JobWorld::kill(std::size_t node)
+{
+    m_nodes[node]->log.note("site", "DEPOSED", "");
+    m_nodes[node]->scheduler.reset();
+    ++m_nodes[node]->generation;
+}
+
+void JobWorld::cutStore(std::size_t node, std::int64_t forMs)
+{
+    m_nodes[node]->log.note("store", "CUT", std::to_string(forMs));
+    m_nodes[node]->storeCutUntilMs = m_nowMs + forMs;
+}
+
+void JobWorld::cutWorker(std::size_t node, std::size_t worker, std::int64_t forMs)
+{
+    m_nodes[node]->log.note("w" + std::to_string(worker), "CUT", std::to_string(forMs));
+    m_nodes[node]->workerCutUntilMs[worker] = m_nowMs + forMs;
+}
+
+void JobWorld::freeze(std::size_t node, std::int64_t forMs)
+{
+    m_nodes[node]->log.note("node", "FROZEN", std::to_string(forMs));
+    m_nodes[node]->frozenUntilMs = m_nowMs + forMs;
+}
+
+void JobWorld::crashWorker(std::size_t index)
+{
+    m_nodes.front()->log.note(m_workers[index]->info().id.text(), "CRASHES", "");
+    m_workers[index]->crash();
+}
+
+void JobWorld::reviveWorker(std::size_t index)
+{
+    if (m_workers[index]->isUp())
+        return;
+    m_workers[index]->comeBack(m_nowMs);
+    for (const auto &node : m_nodes) {
+        if (node->scheduler)
+            node->scheduler->setWorkers(listedWorkers(), moment());
+    }
+}
+
+bool JobWorld::reaches(std::size_t node, std::size_t worker) const
+{
+    const auto &cuts = m_nodes[node]->workerCutUntilMs;
+    const auto cut = cuts.find(worker);
+    return m_workers[worker]->isUp() && (cut == cuts.end() || cut->second <= m_nowMs);
+}
+
+void JobWorld::noteStart(const TaskName &task)
+{
+    TaskHistory &history = m_history[task];
+    ++history.starts;
+    m_nodes.front()->log.note(task.text(), "STARTS", "");
+    const JobEntry *entry = m_table.find(task.job);
+    if (history.isDone && entry->progress && entry->progress->isFinal())
+        fail("a task of an ended job is started: " + task.text());
+    if (history.failures >= entry->submission.queue.mostAttempts)
+        fail("a task is started after its last attempt: " + task.text());
+}
+
+void JobWorld::send(std::size_t index, const StartCommand &command)
+{
+    const std::int64_t generation = m_nodes[index]->generation;
+    const std::size_t target = indexOf(command);
+    const auto answer = [this, index, generation, command](StartOutcome outcome) {
+        Node &node = *m_nodes[index];
+        if (node.generation == generation && node.scheduler)
+            node.scheduler->onStartOutcome(command, outcome, moment());
+    };
+    const auto carryOut = [this, target, command]() {
+        ModelWorker::Run work;
+        work.endsAtMs
+            = m_nowMs + (command.payload == lastingPayload ? lastingMs : between(100, 1500));
+        work.endKind = chance(m_faults.failedRun) ? EndKind::Failed : EndKind::Done;
+        work.hangs = chance(m_faults.hangingRun);
+        const bool wasThere = m_workers[target]->running().contains(command.task);
+        const StartOutcome outcome = m_workers[target]->start(command, work, m_nowMs);
+        if (outcome == StartOutcome::Started && !wasThere)
+            noteStart(command.task);
+        return outcome;
+    };
+    const bool isLate = chance(m_faults.lateOrder);
+    if (isLate)
+        // The worker's process holds the order back; it goes with the process.
+        later(between(2000, 12000),
+              [this, target, carryOut, born = m_workers[target]->info().bornUnixMs] {
+                  if (m_workers[target]->isUp() && m_workers[target]->info().bornUnixMs == born)
+                      carryOut();
+              });
+    later(between(1, 30), [this, index, target, isLate, answer, carryOut] {
+        if (isLate || !reaches(index, target)) {
+            later(orderTimeMs, [answer] { answer(StartOutcome::Unknown); });
+            return;
+        }
+        const StartOutcome outcome = carryOut();
+        const bool isLost = chance(m_faults.lostAnswer);
+        later(isLost ? orderTimeMs : between(1, 30),
+              [answer, outcome, isLost] { answer(isLost ? StartOutcome::Unknown : outcome); });
+    });
+}
+
+void JobWorld::send(std::size_t index, const StopCommand &command)
+{
+    const std::int64_t generation = m_nodes[index]->generation;
+    const std::size_t target = indexOf(command);
+    later(between(1, 30), [this, index, target, generation, command] {
+        if (!reaches(index, target) || !m_workers[target]->stop(command, m_nowMs)
+            || chance(m_faults.lostAnswer))
+            return;
+        later(between(1, 30), [this, index, generation, command] {
+            Node &node = *m_nodes[index];
+            if (node.generation == generation && node.scheduler)
+                node.scheduler->onStopAnswered(command, moment());
+        });
+    });
+}
+
+void JobWorld::send(std::size_t index, const RenewCommand &command)
+{
+    const std::int64_t generation = m_nodes[index]->generation;
+    const std::size_t target = indexOf(StopCommand { command.worker, "", {}, 0, 0 });
+    const Core::Instant sentAt = moment().instant;
+    const auto failed = [this, index, generation, command] {
+        Node &node = *m_nodes[index];
+        if (node.generation == generation && node.scheduler)
+            node.scheduler->onRenewalFailed(command.worker, moment());
+    };
+    later(between(1, 60), [this, index, target, generation, command, sentAt, failed] {
+        const auto report
+            = reaches(index, target) ? m_workers[target]->renew(command, m_nowMs) : std::nullopt;
+        if (!report || chance(m_faults.lostAnswer)) {
+            later(orderTimeMs, failed);
+            return;
+        }
+        later(between(1, 30), [this, index, generation, command, sentAt, report] {
+            Node &node = *m_nodes[index];
+            if (node.generation == generation && node.scheduler)
+                node.scheduler->onReport(command.worker, *report, sentAt, moment());
+        });
+    });
+}
+
+std::size_t JobWorld::indexOf(const Command &command) const
+{
+    const Core::VmId id = std::visit([](const auto &order) { return order.worker; }, command);
+    for (std::size_t i = 0; i < m_workers.size(); ++i) {
+        if (m_workers[i]->info().id == id)
+            return i;
+    }
+    return 0;
+}
+
+void JobWorld::commit(std::size_t index)
+{
+    Node &node = *m_nodes[index];
+    const std::int64_t generation = node.generation;
+    node.isCommitting = true;
+    const std::int64_t sentAtMs = m_nowMs;
+    const Commit commit = node.scheduler->takeCommit();
+    // The append is repeated until it is answered.
+    const auto attempt = std::make_shared<std::function<void()>>();
+    *attempt = [this, index, generation, sentAtMs, commit, attempt] {
+        Node &owner = *m_nodes[index];
+        if (owner.generation != generation || !owner.scheduler)
+            return;
+        if (owner.storeCutUntilMs > m_nowMs || owner.frozenUntilMs > m_nowMs) {
+            later(100, *attempt);
+            return;
+        }
+        if (owner.token < m_epoch) {
+            kill(index);
+            return;
+        }
+        for (const JobRecord &record : commit.records) {
+            checkRecords(record);
+            m_table.apply(record);
+        }
+        m_lastSignMs = m_nowMs;
+        owner.provenAtMs = std::max(owner.provenAtMs, sentAtMs);
+        owner.isCommitting = false;
+        const Core::Instant provenAt { milliseconds(sentAtMs) };
+        owner.scheduler->onCommitted(commit.number, provenAt, moment());
+    };
+    later(commitMs, *attempt);
+}
+
+void JobWorld::checkRecords(const JobRecord &record)
+{
+    const auto *progress = std::get_if<ProgressRecord>(&record);
+    if (!progress || progress->progress.state != JobState::Completed)
+        return;
+    const JobEntry *entry = m_table.find(progress->id);
+    for (std::size_t step = 0; step < entry->submission.spec.steps.size(); ++step) {
+        for (int i = 0; i < entry->submission.spec.steps[step].taskCount; ++i) {
+            if (!m_history[{ progress->id, 0, static_cast<int>(step), i }].isDone)
+                fail("a job is completed before all its tasks: " + progress->id.text());
+        }
+    }
+}
+
+void JobWorld::actAsOwner(std::size_t index)
+{
+    Node &node = *m_nodes[index];
+    if (!node.scheduler || node.frozenUntilMs > m_nowMs)
+        return;
+    if (node.scheduler->isDeposed()) {
+        kill(index);
+        return;
+    }
+    const auto unproven
+        = std::chrono::duration_cast<milliseconds>(m_settings.longestUnproven).count();
+    const bool isProven = m_missing == MissingGuard::Proof || m_nowMs - node.provenAtMs < unproven;
+    const bool isHeartbeatDue = m_nowMs - node.provenAtMs > 500;
+    if (!node.isCommitting && (node.scheduler->needsCommit() || isHeartbeatDue))
+        commit(index);
+    if (!isProven)
+        return;
+    node.scheduler->setStoreReachable(node.storeCutUntilMs <= m_nowMs);
+    for (const RenewCommand &command : node.scheduler->takeRenewals(moment()))
+        send(index, command);
+    for (const Command &command : node.scheduler->takeCommands(moment())) {
+        if (const auto *start = std::get_if<StartCommand>(&command))
+            send(index, *start);
+        if (const auto *stop = std::get_if<StopCommand>(&command))
+            send(index, *stop);
+    }
+}
+
+void JobWorld::makeFaults()
+{
+    const double perStep = static_cast<double>(stepMs) / 1000.0;
+    const auto node = static_cast<std::size_t>(between(0, nodeCount - 1));
+    const auto worker = static_cast<std::size_t>(between(0, workerCount - 1));
+    const std::int64_t forMs = between(200, m_faults.longestFaultMs);
+    if (chance(m_faults.claim * perStep))
+        claim(node);
+    if (chance(m_faults.storeCut * perStep))
+        cutStore(node, forMs);
+    if (chance(m_faults.workerCut * perStep))
+        cutWorker(node, worker, forMs);
+    if (chance(m_faults.freeze * perStep))
+        freeze(node, forMs);
+    if (chance(m_faults.workerCrash * perStep) && m_workers[worker]->isUp()) {
+        crashWorker(worker);
+        later(forMs, [this, worker] { reviveWorker(worker); });
+    }
+}
+
+void JobWorld::checkRuns()
+{
+    std::map<TaskName, int> counts;
+    for (const auto &worker : m_workers) {
+        if (!worker->isUp())
+            continue;
+        for (const auto &[task, run] : worker->running()) {
+            if (++counts[task] > 1)
+                fail("two runs of a task at the same time: " + task.text());
+        }
+    }
+}
+
+void JobWorld::step()
+{
+    m_nowMs += stepMs;
+    for (const auto &node : m_nodes)
+        node->log.nowMs = m_nowMs;
+    makeFaults();
+    while (!m_agenda.empty() && m_agenda.begin()->first <= m_nowMs) {
+        const Action action = std::move(m_agenda.begin()->second);
+        m_agenda.erase(m_agenda.begin());
+        action();
+    }
+    for (const auto &worker : m_workers) {
+        if (!worker->isUp())
+            continue;
+        for (const EndedEntry &end : worker->advance(m_nowMs)) {
+            m_nodes.front()->log.note(end.task.text(), "ENDS", endKindText(end.kind));
+            TaskHistory &history = m_history[end.task];
+            history.isDone |= end.kind == EndKind::Done;
+            history.failures += end.kind == EndKind::Failed ? 1 : 0;
+        }
+    }
+    for (std::size_t i = 0; i < nodeCount; ++i)
+        actAsOwner(i);
+    checkRuns();
+}
+
+void JobWorld::run(std::int64_t duration)
+{
+    const std::int64_t end = m_nowMs + duration;
+    while (m_nowMs < end && m_violation.empty())
+        step();
+}
+
+void JobWorld::calm()
+{
+    m_faults = {};
+    for (std::size_t i = 0; i < workerCount; ++i)
+        reviveWorker(i);
+    for (const auto &node : m_nodes) {
+        node->storeCutUntilMs = 0;
+        node->frozenUntilMs = 0;
+        node->workerCutUntilMs.clear();
+    }
+}
+
+JobState JobWorld::state(const JobId &id) const
+{
+    return m_table.find(id)->state();
+}
+
+bool JobWorld::areAllOver() const
+{
+    return std::all_of(m_table.jobs().begin(), m_table.jobs().end(), [](const auto &job) {
+        return job.second.progress && job.second.progress->isFinal();
+    });
+}
+
+int JobWorld::startsOf(const TaskName &task) const
+{
+    const auto found = m_history.find(task);
+    return found == m_history.end() ? 0 : found->second.starts;
+}
+
+std::size_t JobWorld::runningCount() const
+{
+    std::size_t count = 0;
+    for (const auto &worker : m_workers)
+        count += worker->isUp() ? worker->running().size() : 0;
+    return count;
+}
--- a/include/LibJob/JobProgress.h
+++ b/include/LibJob/JobProgress.h
@@ -40,6 +40,9 @@
     std::vector<bool> isDone;
     /// Failed runs by task; a task without any is missing.
     std::map<int, TaskFailures> failures;
+    /// Runs up to this number whose fate nobody knows: their leases have expired, and what they
+    /// may have done doesn't count. Durable before the task is started again.
+    std::map<int, std::int64_t> abandonedRuns;
 
     int doneCount() const;
 
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -68,9 +68,10 @@
     void setStoreReachable(bool isReachable);
 
     // Commits, one at a time.
-    bool needsCommit() const { return !m_dirty.empty() || !m_expired.empty(); }
+    bool needsCommit() const { return !m_dirty.empty() || !m_expired.empty() || m_isProofWanted; }
     Commit takeCommit();
-    void onCommitted(std::int64_t number, const Moment &now);
+    /// \p provenAt is when the append that succeeded was sent: no newer owner was known then.
+    void onCommitted(std::int64_t number, Core::Instant provenAt, const Moment &now);
 
     // Workers.
     std::vector<RenewCommand> takeRenewals(const Moment &now);
@@ -95,6 +96,9 @@
     const WorkerState *findWorker(const Core::VmId &id) const;
 
 private:
+    /// The numbers of a task's runs rise from owner to owner, though starts aren't recorded.
+    static constexpr std::int64_t runsPerTerm = 1000;
+
     using JobPtr = std::unique_ptr<OwnedJob>;
     struct Waiting
     {
@@ -120,6 +124,9 @@
     Core::Instant dueAt(const OwnedJob &job, int occurrence, const Moment &now) const;
 
     static bool wantsRenewal(const WorkerState &worker);
+    /// Whoever granted a lease, it ends within this time.
+    Core::Duration longestLease() const;
+    void meet(WorkerState &worker, std::int64_t bornUnixMs, const Moment &now);
 
     // Starts.
     void beginDueOccurrences(OwnedJob &job, const Moment &now);
@@ -150,6 +157,9 @@
                            const Moment &now);
     void expireLeases(const Moment &now);
     void expireRunsOf(WorkerState &worker, const Moment &now);
+    /// What became of the task's runs up to \p run will never be known.
+    void abandon(OwnedJob &job, const TaskName &name, std::int64_t run);
+    void abandonUnknownRuns(OwnedJob &job);
     void checkProgress(const TaskName &name, TaskRun &run, const RunningEntry &entry,
                        const Moment &now);
     void repeatStops(const Moment &now);
@@ -191,6 +201,9 @@
     std::size_t m_runs = 0;
     bool m_isStoreReachable = true;
     bool m_isDeposed = false;
+    /// A worker has been met for the first time since the last proof of ownership.
+    bool m_isProofWanted = false;
+    Core::Instant m_provenAt = {};
     bool m_needsPass = true;
     Core::Instant m_nextPassAt = {};
     Core::Instant m_nextCheckAt = {};
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -49,6 +49,8 @@
     bool noteDone(const TaskName &name, std::int64_t unixMs);
     /// Counts a failed run unless it has been counted; returns how often the task has failed.
     int noteFailed(const TaskName &name, std::int64_t run);
+    /// Gives up the task's runs up to \p run.
+    void abandon(const TaskName &name, std::int64_t run);
     void finish(JobState state, std::int64_t unixMs);
 
     bool mayUse(const Core::VmId &worker) const { return m_durableWorkers.contains(worker); }
--- a/include/LibJob/TaskRun.h
+++ b/include/LibJob/TaskRun.h
@@ -46,6 +46,8 @@
     /// Null while nothing can run.
     std::unique_ptr<TaskRun> run;
     std::int64_t lastRun = 0;
+    /// The task may only be started again once this commit is durable.
+    std::int64_t neededCommit = 0;
     std::string checkpoint;
     /// Where it failed last.
     Core::VmId failedOn;
--- a/include/LibJob/WorkerChooser.h
+++ b/include/LibJob/WorkerChooser.h
@@ -23,6 +23,8 @@
     Core::VmId failedOn;
     /// Only workers that the job's durable record names.
     bool isDurableOnly = false;
+    /// The owner's last proof of ownership: only workers that it had met by then.
+    Core::Instant provenAt = {};
 };
 
 /// Chooses the worker for one task: the one that fits tightest, so that room for large tasks
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -95,7 +95,9 @@
     void setSurveyed(bool isSurveyed) { m_isSurveyed = isSurveyed; }
     std::int64_t bornUnixMs() const { return m_bornUnixMs; }
     /// Forgets the ends, the clock and the lease of the worker's former run.
-    void beginIncarnation(std::int64_t bornUnixMs);
+    void beginIncarnation(std::int64_t bornUnixMs, Core::Instant now);
+    /// When this owner first heard from this run of the worker.
+    Core::Instant metAt() const { return m_metAt; }
 
     /// The number of the last end that was taken into account.
     std::int64_t processedEnd() const { return m_processedEnd; }
@@ -142,6 +144,7 @@
     bool m_isSilent = false;
     bool m_isSurveyed = false;
     std::int64_t m_bornUnixMs = 0;
+    Core::Instant m_metAt = {};
     std::int64_t m_processedEnd = 0;
     std::int64_t m_acknowledgedEnd = 0;
     /// Commit to the last end that it makes durable.
