--- /dev/null
+++ b/Tests/LibJob/TestRecords.cpp
@@ -0,0 +1,137 @@
+#include <LibJob/JobRecord.h>
+#include <LibJob/JobTable.h>
+
+#include <LibCore/Error.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace Jobs;
+
+namespace {
+
+Submission submission(const std::string &id)
+{
+    Submission submission;
+    submission.id = JobId(id);
+    submission.queue.id = QueueId("queue");
+    submission.queue.service = ServiceId("service");
+    submission.queue.priority = 2;
+    submission.queue.mostAttempts = 4;
+    submission.queue.stretch = 1.5;
+    submission.queue.extraMs = 250;
+    submission.spec.payload = "payload \"quoted\"";
+    StepSpec step;
+    step.taskCount = 3;
+    step.need = { 500, 256, 1 };
+    step.estimateMs = 900;
+    step.isCheckpointing = true;
+    step.isGang = true;
+    step.isRackSensitive = true;
+    step.requiredLabel = "a";
+    step.dataRack = "r1";
+    step.mostPerWorker = 2;
+    step.isSpeculative = true;
+    step.isLongRunning = true;
+    step.image = "image";
+    step.tailTargetMs = 18;
+    step.isFiller = true;
+    step.mostMissing = 1;
+    submission.spec.steps = { step, step };
+    submission.spec.steps[1].after = { 0 };
+    submission.spec.repeatCount = 5;
+    submission.spec.firstDueUnixMs = 1'800'000'000'000;
+    submission.spec.intervalMs = 2000;
+    submission.submittedUnixMs = 1'790'000'000'000;
+    return submission;
+}
+
+JobProgress progress()
+{
+    JobProgress progress;
+    StepProgress step;
+    step.isDone = { true, false, true };
+    step.failures[1] = { 2, 1003 };
+    step.abandonedRuns[1] = 1004;
+    progress.occurrences[3] = { step, StepProgress { { false, false }, {}, {} } };
+    progress.endedOccurrences = { 0, 1 };
+    progress.workers = { Core::VmId("w1"), Core::VmId("w2") };
+    return progress;
+}
+
+JobRecord roundTrip(const JobRecord &record)
+{
+    return decodeRecord(encodeRecord(record).front());
+}
+
+} // namespace
+
+TEST_CASE("Records in the store say what was written")
+{
+    const Submission job = submission("5c0e");
+    CHECK(std::get<Submission>(roundTrip(job)) == job);
+    const ProgressRecord running { JobId("5c0e"), progress() };
+    CHECK(std::get<ProgressRecord>(roundTrip(running)) == running);
+    const Cancellation cancellation { JobId("5c0e") };
+    CHECK(std::get<Cancellation>(roundTrip(cancellation)) == cancellation);
+    const OwnerClaim claim { "node#1", 7, true };
+    CHECK(std::get<OwnerClaim>(roundTrip(claim)) == claim);
+    CHECK(std::get<Heartbeat>(roundTrip(Heartbeat { 7 })) == Heartbeat { 7 });
+
+    SECTION("a dropped job drops each of its keys")
+    {
+        const auto stored = encodeRecord(JobDropped { JobId("5c0e") });
+        REQUIRE(stored.size() == 3);
+        for (const StoredRecord &record : stored) {
+            CHECK(record.value.empty());
+            CHECK(std::get<JobDropped>(decodeRecord(record)).id == JobId("5c0e"));
+        }
+    }
+    SECTION("records that aren't ours are refused, whatever they hold")
+    {
+        CHECK_THROWS_AS(decodeRecord({ "x/5c0e", "{}" }), Core::FormatError);
+        CHECK_THROWS_AS(decodeRecord({ "s/5c0e", "{}" }), Core::FormatError);
+        CHECK_THROWS_AS(decodeRecord({ "s/5c0e", "[1" }), Core::FormatError);
+        CHECK_THROWS_AS(decodeRecord({ "p/5c0e", R"({"s":99})" }), Core::FormatError);
+        CHECK_THROWS_AS(decodeRecord({ "p/5c0e", R"({"s":1,"o":{"x":[]}})" }), Core::FormatError);
+        CHECK_THROWS_AS(decodeRecord({ "beat", "7" }), Core::FormatError);
+    }
+}
+
+TEST_CASE("A table of jobs is a function of the records")
+{
+    JobTable table;
+    const Submission job = submission("a");
+
+    SECTION("a repeated submission changes nothing, whatever has become of the job")
+    {
+        table.apply(job);
+        JobProgress ended;
+        ended.state = JobState::Completed;
+        table.apply(ProgressRecord { job.id, ended });
+        Submission other = job;
+        other.spec.payload = "other";
+        table.apply(other);
+        CHECK(table.find(job.id)->state() == JobState::Completed);
+        CHECK(table.find(job.id)->submission.spec.payload == job.spec.payload);
+    }
+    SECTION("a cancellation and a progress that come before the submission count")
+    {
+        table.apply(Cancellation { job.id });
+        table.apply(ProgressRecord { job.id, progress() });
+        CHECK(table.find(job.id) == nullptr);
+        table.apply(job);
+        CHECK(table.find(job.id)->state() == JobState::Cancelled);
+    }
+    SECTION("jobs wait until a worker is planned for them; scheduled ones aren't counted")
+    {
+        Submission plain = submission("b");
+        plain.spec.repeatCount = 0;
+        table.apply(job);
+        table.apply(plain);
+        CHECK(table.waitingCount(QueueId("queue")) == 1);
+        table.apply(ProgressRecord { plain.id, progress() });
+        CHECK(table.waitingCount(QueueId("queue")) == 0);
+        CHECK(table.find(plain.id)->state() == JobState::Running);
+    }
+}
