--- a/Libraries/LibJob/StartOrder.cpp
+++ b/Libraries/LibJob/StartOrder.cpp
@@ -45,6 +45,9 @@
     if (job.spec(step).isLongRunning)
         return rank;
     rank.timeliness = timeliness(job, step, queue, dueAt, now);
+    // Jobs that are late wait in their order, so that none of them is passed over for good.
+    if (rank.timeliness != Timeliness::OnTime)
+        return rank;
     const auto mean = m_meanWork.find(queue.id);
     const double meanWork = mean == m_meanWork.end() ? job.wholeWork() : mean->second.value;
     const double ratio = meanWork > 0 ? job.wholeWork() / meanWork : 1;
--- a/include/LibJob/StartOrder.h
+++ b/include/LibJob/StartOrder.h
@@ -32,7 +32,8 @@
 
 /// Orders waiting steps for a load above what the workers can do: first what can still be on time,
 /// by priority, and among equals what earns most for its work, so that a burst of large jobs
-/// delays few. Jobs that are late already wait for room that nobody else needs.
+/// delays few. Jobs that are late already wait, in the order in which they came, for room that
+/// nobody else needs.
 class StartOrder
 {
 public:
