LibJob: Put two large jobs first, and short urgent steps before long-running ones

Change: the two oldest large jobs go first; long-running steps come behind short ones of their priority; a filler whose job stands still may disturb while less than half of the room is used.

--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -10,6 +10,12 @@
 static constexpr Core::Duration passSpacing = milliseconds(10);
 /// Each waiting step makes a pass longer, and must not make passes take all of the processor.
 static constexpr Core::Duration passSpacingPerStep = std::chrono::microseconds(100);
+/// A job is large if its work is this many times the mean of its queue.
+static constexpr double largeJobRatio = 1.5;
+/// So many large jobs go before all others, so that small ones never starve them.
+static constexpr std::size_t mostLargeJobsFirst = 2;
+/// How long a job may wait for a place where it disturbs nobody.
+static constexpr Core::Duration longestStandstill = milliseconds(1500);
 /// How often leases and stops are looked at.
 static constexpr Core::Duration checkInterval = milliseconds(100);
 
@@ -37,38 +43,77 @@
     }
     const bool isDue = m_needsPass ? now.instant >= m_nextPassAt
                                    : now.instant >= m_nextPassAt + m_settings.renewalWait / 5;
-    if (isDue && !m_isDeposed) {
-        m_needsPass = false;
-        const std::vector<Waiting> steps = waitingSteps(now);
-        m_nextPassAt = now.instant + passSpacing + steps.size() * passSpacingPerStep;
-        for (const JobId &id : m_scheduled)
-            beginDueOccurrences(*m_jobs.at(id), now);
-        std::vector<Unfit> unfit;
-        for (const Waiting &waiting : steps) {
-            const StepSpec &spec = waiting.job->spec(waiting.step);
-            const ServiceId &service = queueOf(*waiting.job)->service;
-            // Only a filler's image matters for where it fits.
-            const ImageIndex image = spec.isFiller
-                ? waiting.job->images[static_cast<std::size_t>(waiting.step)]
-                : ImageIndex();
-            const bool isHopeless = std::any_of(unfit.begin(), unfit.end(), [&](const auto &other) {
-                return other.service == service && other.isFiller == spec.isFiller
-                    && other.image == image && other.need.fitsIn(spec.need);
-            });
-            if (isHopeless || isHeldBack(*waiting.job, now.instant))
-                continue;
-            planStep(waiting, now);
-            const OwnedStep &step = waiting.job->occurrences().at(
-                waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
-            const bool isPlain = spec.requiredLabel.empty() && spec.mostPerWorker == 0
-                && !spec.isGang && m_isStoreReachable;
-            if (step.waitingCount > 0 && isPlain)
-                unfit.push_back({ service, spec.need, spec.isFiller, image });
-        }
-    }
+    if (isDue && !m_isDeposed)
+        planWaiting(now);
     return std::exchange(m_commands, {});
 }
 
+void JobScheduler::planWaiting(const Moment &now)
+{
+    m_needsPass = false;
+    for (const JobId &id : m_scheduled)
+        beginDueOccurrences(*m_jobs.at(id), now);
+    std::vector<Waiting> steps = waitingSteps(now);
+    m_nextPassAt = now.instant + passSpacing + steps.size() * passSpacingPerStep;
+    putLargeJobsFirst(steps);
+    m_isUnderused = isUnderused();
+    std::vector<Unfit> unfit;
+    for (const Waiting &waiting : steps) {
+        const StepSpec &spec = waiting.job->spec(waiting.step);
+        const ServiceId &service = queueOf(*waiting.job)->service;
+        // Only a filler's image matters for where it fits.
+        const ImageIndex image = spec.isFiller
+            ? waiting.job->images[static_cast<std::size_t>(waiting.step)]
+            : ImageIndex();
+        const bool isHopeless = std::any_of(unfit.begin(), unfit.end(), [&](const auto &other) {
+            return other.service == service && other.isFiller == spec.isFiller
+                && other.image == image && other.need.fitsIn(spec.need);
+        });
+        if (isHopeless || isHeldBack(*waiting.job, now.instant))
+            continue;
+        const bool isPlaced = planStep(waiting, now);
+        const bool isPlain = spec.requiredLabel.empty() && spec.mostPerWorker == 0 && !spec.isGang
+            && m_isStoreReachable;
+        if (!isPlaced && isPlain)
+            unfit.push_back({ service, spec.need, spec.isFiller, image });
+    }
+}
+
+void JobScheduler::putLargeJobsFirst(std::vector<Waiting> &steps) const
+{
+    const auto isLarge = [this](const Waiting &waiting) {
+        const StartRank &rank = waiting.rank;
+        return rank.timeliness != Timeliness::TooLate
+            && waiting.job->wholeWork()
+            >= largeJobRatio * m_order.meanWork(queueOf(*waiting.job)->id);
+    };
+    std::vector<const Waiting *> large;
+    for (const Waiting &waiting : steps) {
+        if (isLarge(waiting))
+            large.push_back(&waiting);
+    }
+    std::sort(large.begin(), large.end(), [](const Waiting *left, const Waiting *right) {
+        return std::tie(left->rank.submittedAt, left->job->id())
+            < std::tie(right->rank.submittedAt, right->job->id());
+    });
+    std::set<JobId> first;
+    for (const Waiting *waiting : large) {
+        if (first.size() < mostLargeJobsFirst)
+            first.insert(waiting->job->id());
+    }
+    std::stable_partition(steps.begin(), steps.end(), [&first](const Waiting &waiting) {
+        return first.contains(waiting.job->id());
+    });
+}
+
+bool JobScheduler::isUnderused() const
+{
+    std::int64_t capacity = 0;
+    for (const WorkerState *worker : m_listed)
+        capacity += worker->info().capacity.milliCores;
+    return 2 * freeMilliCores() > capacity;
+}
+
 void JobScheduler::beginDueOccurrences(OwnedJob &job, const Moment &now)
 {
     if (job.isOver())
@@ -136,13 +181,11 @@
     return std::max(task.lastRun + 1, m_ownership.term * runsPerTerm + 1);
 }
 
-void JobScheduler::planStep(const Waiting &waiting, const Moment &now)
+bool JobScheduler::planStep(const Waiting &waiting, const Moment &now)
 {
     OwnedJob &job = *waiting.job;
-    if (job.spec(waiting.step).isGang) {
-        planGang(waiting, now);
-        return;
-    }
+    if (job.spec(waiting.step).isGang)
+        return planGang(waiting, now);
     OwnedStep &step
         = job.occurrences().at(waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
@@ -151,8 +194,9 @@
         if (step.tasks[i].run || job.isTaskDone(name) || step.tasks[i].neededCommit > m_committed)
             continue;
         if (!planTask(waiting, index, nextRunNumber(step.tasks[i]), now))
-            return;
+            return false;
     }
+    return true;
 }
 
 bool JobScheduler::planGang(const Waiting &waiting, const Moment &now)
@@ -200,6 +244,9 @@
     need.failedOn = job.findTask(name)->failedOn;
     need.isDurableOnly = !m_isStoreReachable;
     need.provenAt = m_provenAt;
+    // A job must not stand still for the sake of others while the site has room.
+    need.mayDisturb = m_isUnderused && !job.hasRuns()
+        && now.instant > waiting.rank.submittedAt + longestStandstill;
     WorkerState *worker = m_chooser.choose(m_listed, need, m_outOfService, now.instant);
     if (!worker)
         return false;
--- a/Libraries/LibJob/StartOrder.cpp
+++ b/Libraries/LibJob/StartOrder.cpp
@@ -8,6 +8,8 @@
 static constexpr double fixedWorth = 0.3;
 static constexpr double worthOfMeanWork = 0.7;
 static constexpr double mostWorth = 4.0;
+/// Behind all that ends, among what is on time and of the same priority.
+static constexpr double longRunningWork = 1e12;
 /// Up to this many times its objective, a job still counts for a part.
 static constexpr double lateFactor = 3.0;
 /// The mean follows the jobs of late this closely.
@@ -22,6 +24,12 @@
     mean.value += (work - mean.value) / static_cast<double>(mean.count);
 }
 
+double StartOrder::meanWork(const QueueId &queue) const
+{
+    const auto mean = m_meanWork.find(queue);
+    return mean == m_meanWork.end() ? 0 : mean->second.value;
+}
+
 static Timeliness timeliness(const OwnedJob &job, int step, const Queue &queue, Core::Instant dueAt,
                              Core::Instant now)
 {
@@ -41,16 +49,18 @@
     StartRank rank;
     rank.priority = queue.priority;
     rank.submittedAt = dueAt;
-    // A long-running task earns for as long as it runs, so it is never late.
-    if (job.spec(step).isLongRunning)
+    // A long-running task earns for as long as it runs, so it is never late. It takes its room for
+    // long, so what is over soon goes first.
+    if (job.spec(step).isLongRunning) {
+        rank.workPerWorth = longRunningWork;
         return rank;
+    }
     rank.timeliness = timeliness(job, step, queue, dueAt, now);
     // Jobs that are late wait in their order, so that none of them is passed over for good.
     if (rank.timeliness != Timeliness::OnTime)
         return rank;
-    const auto mean = m_meanWork.find(queue.id);
-    const double meanWork = mean == m_meanWork.end() ? job.wholeWork() : mean->second.value;
-    const double ratio = meanWork > 0 ? job.wholeWork() / meanWork : 1;
+    const double mean = meanWork(queue.id);
+    const double ratio = mean > 0 ? job.wholeWork() / mean : 1;
     const double worth = std::min(mostWorth, fixedWorth + worthOfMeanWork * ratio);
     rank.workPerWorth = job.remainingWork(occurrence) / worth;
     return rank;
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -76,7 +76,8 @@
         return false;
     if (need.isDurableOnly && !need.job->mayUse(info.id))
         return false;
-    if (need.step->isFiller && worstUtilization(worker, need) > largestUtilization)
+    if (need.step->isFiller && !need.mayDisturb
+        && worstUtilization(worker, need) > largestUtilization)
         return false;
     const int most = need.step->mostPerWorker;
     return most == 0 || worker.runsOfStep(need.task) < most;
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -132,7 +132,13 @@
     void beginDueOccurrences(OwnedJob &job, const Moment &now);
     std::vector<Waiting> waitingSteps(const Moment &now) const;
     bool isHeldBack(OwnedJob &job, Core::Instant now);
-    void planStep(const Waiting &waiting, const Moment &now);
+    /// Chooses workers for what waits, in the order of worth.
+    void planWaiting(const Moment &now);
+    void putLargeJobsFirst(std::vector<Waiting> &steps) const;
+    /// Less than half of the room is in use.
+    bool isUnderused() const;
+    /// False if there is no worker for a task.
+    bool planStep(const Waiting &waiting, const Moment &now);
     bool planGang(const Waiting &waiting, const Moment &now);
     bool planTask(const Waiting &waiting, int index, std::int64_t run, const Moment &now);
     void sendStart(OwnedJob &job, const TaskName &task, TaskRun &run, const Moment &now);
@@ -201,6 +207,7 @@
     std::size_t m_runs = 0;
     bool m_isStoreReachable = true;
     bool m_isDeposed = false;
+    bool m_isUnderused = false;
     /// A worker has been met for the first time since the last proof of ownership.
     bool m_isProofWanted = false;
     Core::Instant m_provenAt = {};
--- a/include/LibJob/StartOrder.h
+++ b/include/LibJob/StartOrder.h
@@ -40,6 +40,8 @@
     /// Learns the mean work of the jobs of a queue.
     void noteJob(const QueueId &queue, double work);
 
+    double meanWork(const QueueId &queue) const;
+
     StartRank rank(const OwnedJob &job, int occurrence, int step, const Queue &queue,
                    Core::Instant dueAt, Core::Instant now) const;
 
--- a/include/LibJob/WorkerChooser.h
+++ b/include/LibJob/WorkerChooser.h
@@ -23,6 +23,8 @@
     Core::VmId failedOn;
     /// Only workers that the job's durable record names.
     bool isDurableOnly = false;
+    /// The task may go beside serving tasks whose targets it breaks.
+    bool mayDisturb = false;
     /// The owner's last proof of ownership: only workers that it had met by then.
     Core::Instant provenAt = {};
 };
