--- a/Libraries/LibJob/Catalogue.cpp
+++ b/Libraries/LibJob/Catalogue.cpp
@@ -6,9 +6,9 @@
 {
     const Queue *best = nullptr;
     for (const Queue &queue : queues) {
-        if (queue.host != host || !path.starts_with(queue.pathPrefix))
+        if (queue.host != host || !path.starts_with(queue.basePath))
             continue;
-        if (!best || queue.pathPrefix.size() > best->pathPrefix.size())
+        if (!best || queue.basePath.size() > best->basePath.size())
             best = &queue;
     }
     return best;
--- a/include/LibJob/Catalogue.h
+++ b/include/LibJob/Catalogue.h
@@ -14,7 +14,8 @@
 {
     QueueId id;
     std::string host;
-    std::string pathPrefix;
+    /// What the path of every request to the queue begins with.
+    std::string basePath;
     ServiceId service;
     /// 0 comes first.
     int priority = 0;
