Tests: Free the world's commits; LibSite: Drop an unused call

WorkerGateway::keepOnly was never called. Ruled out: a leak in the product (all frames are the test's). Change: a commit under way is a value; the unused call is gone.

--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -325,35 +325,34 @@
 void JobWorld::commit(std::size_t index)
 {
     Node &node = *m_nodes[index];
-    const std::int64_t generation = node.generation;
     node.isCommitting = true;
-    const std::int64_t sentAtMs = m_nowMs;
-    const Commit commit = node.scheduler->takeCommit();
+    const PendingCommit pending { index, node.generation, m_nowMs, node.scheduler->takeCommit() };
+    later(commitMs, [this, pending] { append(pending); });
+}
+
+void JobWorld::append(const PendingCommit &pending)
+{
+    Node &owner = *m_nodes[pending.node];
+    if (owner.generation != pending.generation || !owner.scheduler)
+        return;
     // The append is repeated until it is answered.
-    const auto attempt = std::make_shared<std::function<void()>>();
-    *attempt = [this, index, generation, sentAtMs, commit, attempt] {
-        Node &owner = *m_nodes[index];
-        if (owner.generation != generation || !owner.scheduler)
-            return;
-        if (owner.storeCutUntilMs > m_nowMs || owner.frozenUntilMs > m_nowMs) {
-            later(100, *attempt);
-            return;
-        }
-        if (owner.token < m_epoch) {
-            kill(index);
-            return;
-        }
-        for (const JobRecord &record : commit.records) {
-            checkRecords(record);
-            m_table.apply(record);
-        }
-        m_lastSignMs = m_nowMs;
-        owner.provenAtMs = std::max(owner.provenAtMs, sentAtMs);
-        owner.isCommitting = false;
-        const Core::Instant provenAt { milliseconds(sentAtMs) };
-        owner.scheduler->onCommitted(commit.number, provenAt, moment());
-    };
-    later(commitMs, *attempt);
+    if (owner.storeCutUntilMs > m_nowMs || owner.frozenUntilMs > m_nowMs) {
+        later(100, [this, pending] { append(pending); });
+        return;
+    }
+    if (owner.token < m_epoch) {
+        kill(pending.node);
+        return;
+    }
+    for (const JobRecord &record : pending.commit.records) {
+        checkRecords(record);
+        m_table.apply(record);
+    }
+    m_lastSignMs = m_nowMs;
+    owner.provenAtMs = std::max(owner.provenAtMs, pending.sentAtMs);
+    owner.isCommitting = false;
+    const Core::Instant provenAt { milliseconds(pending.sentAtMs) };
+    owner.scheduler->onCommitted(pending.commit.number, provenAt, moment());
 }
 
 void JobWorld::checkRecords(const JobRecord &record)
--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -81,10 +81,20 @@
     struct TaskHistory;
     using Action = std::function<void()>;
 
+    /// A commit on its way to the store.
+    struct PendingCommit
+    {
+        std::size_t node = 0;
+        std::int64_t generation = 0;
+        std::int64_t sentAtMs = 0;
+        Jobs::Commit commit;
+    };
+
     void step();
     void makeFaults();
     void actAsOwner(std::size_t node);
     void commit(std::size_t node);
+    void append(const PendingCommit &pending);
     void send(std::size_t node, const Jobs::StartCommand &command);
     void send(std::size_t node, const Jobs::StopCommand &command);
     void send(std::size_t node, const Jobs::RenewCommand &command);
--- a/Tests/LibSite/TestSite.cpp
+++ b/Tests/LibSite/TestSite.cpp
@@ -73,7 +73,6 @@
         report.ended = ends[command.worker];
         co_return report;
     }
-    void keepOnly(const std::vector<std::string> &) override { }
 
     int starts = 0;
     std::map<Core::VmId, std::vector<Jobs::EndedEntry>> ends;
--- a/include/LibSite/WorkerGateway.h
+++ b/include/LibSite/WorkerGateway.h
@@ -35,8 +35,6 @@
     virtual boost::asio::awaitable<Jobs::WorkerReport> renew(Jobs::RenewCommand command,
                                                              Core::Instant deadline)
         = 0;
-    /// Connections to other addresses than these may be closed.
-    virtual void keepOnly(const std::vector<std::string> &addresses) = 0;
 };
 
 } // namespace Site
