LibJob: Count failed runs in whatever order they are reported

When run 2 came first, run 1 was taken for superseded (its number is lower than the last seen), and the durable count only knew its highest run. One attempt too many started.

Ruled out: lost records (the commit was never accepted, as it must be); an early start (the successor did wait for both workers).

Found on the way, by reading: a report holds 500 ends at most, and a new owner took a worker for surveyed after the first page, so that a task whose end stands on the next page could be started again; and the members of a gang were counted one by one, so that a gang whose members failed in turn was never given up.

Change: the progress of a job keeps the numbers of all failed runs of a task (a gang's under its first member); a failed end counts though another run has begun, unless the run was abandoned; a worker is surveyed when a report wasn't full.

Checks: the model's check of attempts now follows the rule as written (an end counts if it is acknowledged, then or later, before a lease expires): the former one also counted ends that a crashed worker took with it, and would be wrong in worlds where most runs fail.

--- a/Libraries/LibJob/JobRecord.cpp
+++ b/Libraries/LibJob/JobRecord.cpp
@@ -126,10 +126,11 @@
     Json::Value value(Json::arrayValue);
     value.append(bits);
     Json::Value failures(Json::arrayValue);
-    for (const auto &[index, failed] : step.failures) {
-        failures.append(index);
-        failures.append(failed.count);
-        failures.append(Json::Int64(failed.lastRun));
+    for (const auto &[index, runs] : step.failedRuns) {
+        for (const std::int64_t run : runs) {
+            failures.append(index);
+            failures.append(Json::Int64(run));
+        }
     }
     value.append(failures);
     Json::Value abandoned(Json::arrayValue);
@@ -147,8 +148,8 @@
     for (const char bit : value[0].asString())
         step.isDone.push_back(bit == '1');
     const Json::Value &failures = value[1];
-    for (Json::ArrayIndex i = 0; i + 2 < failures.size(); i += 3)
-        step.failures[failures[i].asInt()] = { failures[i + 1].asInt(), failures[i + 2].asInt64() };
+    for (Json::ArrayIndex i = 0; i + 1 < failures.size(); i += 2)
+        step.failedRuns[failures[i].asInt()].insert(failures[i + 1].asInt64());
     const Json::Value &abandoned = value[2];
     for (Json::ArrayIndex i = 0; i + 1 < abandoned.size(); i += 2)
         step.abandonedRuns[abandoned[i].asInt()] = abandoned[i + 1].asInt64();
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -6,8 +6,6 @@
 
 using std::chrono::milliseconds;
 
-/// A worker lists so many ends at most in one report.
-static constexpr std::size_t endsPerReport = 500;
 /// How long ends wait for their commit before the worker's lease is renewed all the same.
 static constexpr Core::Duration uncommittedSpacing = milliseconds(600);
 /// A serving task is at work when it reports this progress.
@@ -71,9 +69,12 @@
         meet(*worker, report.bornUnixMs, now);
     worker->readClock(report.clockMs, now.instant);
     worker->noteAnswer(now.instant);
-    if (!worker->isSurveyed())
+    const bool isWhole = report.ended.size() < WorkerReport::mostEnds;
+    const bool wasSurveyed = worker->isSurveyed() && !isBornAnew;
+    if (isWhole && !wasSurveyed)
         m_needsPass = true;
-    worker->setSurveyed(true);
+    // What a former owner started may be among the ends that only the next reports list.
+    worker->setSurveyed(isWhole || wasSurveyed);
     std::int64_t lastEnd = worker->processedEnd();
     for (const EndedEntry &end : report.ended) {
         if (end.number <= lastEnd)
@@ -87,7 +88,7 @@
     }
     for (const RunningEntry &entry : report.running)
         onRunning(*worker, entry, now);
-    if (report.ended.size() < endsPerReport)
+    if (isWhole)
         removeMissingRuns(*worker, report, sentAt, now);
     learnPressure(*worker, now);
     relieveServing(*worker, now);
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -199,8 +199,14 @@
         worker.noteTaskFailed(now.instant);
     else if (end.kind == EndKind::Done)
         worker.noteTaskDone();
-    if (isSuperseded)
+    if (isSuperseded) {
+        // The runs of a former owner may be reported in any order; each failed one is an attempt.
+        const bool isAttempt = end.kind == EndKind::Failed && !job->isOver()
+            && !isAbandoned(*job, end.task, end.run);
+        if (isAttempt)
+            onTaskFailed(*job, end, now);
         return;
+    }
     task->lastRun = std::max(task->lastRun, end.run);
     if (!end.checkpoint.empty())
         task->checkpoint = end.checkpoint;
--- a/Libraries/LibJob/OwnedJob.cpp
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -152,12 +152,11 @@
 int OwnedJob::noteFailed(const TaskName &name, std::int64_t run)
 {
     std::vector<StepProgress> &steps = m_progress.occurrences[name.occurrence];
-    TaskFailures &failures = steps[static_cast<std::size_t>(name.step)].failures[name.index];
-    if (run <= failures.lastRun)
-        return failures.count;
-    failures.lastRun = run;
-    isDirty = true;
-    return ++failures.count;
+    const int counted = spec(name.step).isGang ? 0 : name.index;
+    auto &failedRuns = steps[static_cast<std::size_t>(name.step)].failedRuns[counted];
+    if (failedRuns.insert(run).second)
+        isDirty = true;
+    return static_cast<int>(failedRuns.size());
 }
 
 void OwnedJob::abandon(const TaskName &name, std::int64_t run)
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -48,8 +48,11 @@
 
 struct JobWorld::TaskHistory
 {
-    int starts = 0;
-    int failures = 0;
+    std::vector<std::int64_t> startedAtMs;
+    /// Failed runs and when they ended.
+    std::map<std::int64_t, std::int64_t> failedAtMs;
+    /// Those of them whose ends were acknowledged in time: each is an attempt.
+    std::set<std::int64_t> attempts;
     bool isDone = false;
 };
 
@@ -221,12 +224,24 @@
 void JobWorld::noteStart(const TaskName &task)
 {
     TaskHistory &history = m_history[task];
-    ++history.starts;
+    history.startedAtMs.push_back(m_nowMs);
     m_nodes.front()->log.note(task.text(), "STARTS", "");
     const JobEntry *entry = m_table.find(task.job);
     if (history.isDone && entry->progress && entry->progress->isFinal())
         fail("a task of an ended job is started: " + task.text());
-    if (history.failures >= entry->submission.queue.mostAttempts)
+    checkAttempts(task);
+}
+
+void JobWorld::checkAttempts(const TaskName &task)
+{
+    const TaskHistory &history = m_history[task];
+    const auto most
+        = static_cast<std::size_t>(m_table.find(task.job)->submission.queue.mostAttempts);
+    std::vector<std::int64_t> failedAtMs;
+    for (const std::int64_t run : history.attempts)
+        failedAtMs.push_back(history.failedAtMs.at(run));
+    std::sort(failedAtMs.begin(), failedAtMs.end());
+    if (failedAtMs.size() >= most && failedAtMs[most - 1] < history.startedAtMs.back())
         fail("a task is started after its last attempt: " + task.text());
 }
 
@@ -448,7 +463,14 @@
             m_nodes.front()->log.note(end.task.text(), "ENDS", endKindText(end.kind));
             TaskHistory &history = m_history[end.task];
             history.isDone |= end.kind == EndKind::Done;
-            history.failures += end.kind == EndKind::Failed ? 1 : 0;
+            if (end.kind == EndKind::Failed)
+                history.failedAtMs[end.run] = m_nowMs;
+        }
+        for (const EndedEntry &end : worker->takeAcknowledged()) {
+            if (end.kind != EndKind::Failed)
+                continue;
+            m_history[end.task].attempts.insert(end.run);
+            checkAttempts(end.task);
         }
     }
     for (std::size_t i = 0; i < nodeCount; ++i)
@@ -490,7 +512,7 @@
 int JobWorld::startsOf(const TaskName &task) const
 {
     const auto found = m_history.find(task);
-    return found == m_history.end() ? 0 : found->second.starts;
+    return found == m_history.end() ? 0 : static_cast<int>(found->second.startedAtMs.size());
 }
 
 std::size_t JobWorld::runningCount() const
--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -102,6 +102,8 @@
     std::size_t indexOf(const Jobs::Command &command) const;
     void later(std::int64_t delayMs, Action action);
     void noteStart(const Jobs::TaskName &task);
+    /// An end counts as an attempt if it is acknowledged before or after the start in question.
+    void checkAttempts(const Jobs::TaskName &task);
     void checkRuns();
     void checkRecords(const Jobs::JobRecord &record);
     void fail(const std::string &what);
--- a/Tests/LibJob/ModelWorker.cpp
+++ b/Tests/LibJob/ModelWorker.cpp
@@ -52,8 +52,8 @@
     const auto run = m_running.extract(task);
     std::int64_t &highest = m_highestGone[task];
     highest = std::max(highest, run.mapped().number);
-    m_ended.push_back({ ++m_ends, task, run.mapped().number, kind, "" });
-    m_newEnds.push_back(m_ended.back());
+    m_ended.push_back({ { ++m_ends, task, run.mapped().number, kind, "" }, m_expiries });
+    m_newEnds.push_back(m_ended.back().entry);
 }
 
 bool ModelWorker::stop(const StopCommand &command, std::int64_t)
@@ -76,8 +76,11 @@
     if (command.leaseDeadlineMs > 0)
         m_leaseEndMs
             = std::max(m_leaseEndMs, std::min(command.leaseDeadlineMs, clock + longestLeaseMs));
-    std::erase_if(m_ended,
-                  [&](const EndedEntry &entry) { return entry.number <= command.acknowledgedEnd; });
+    while (!m_ended.empty() && m_ended.front().entry.number <= command.acknowledgedEnd) {
+        if (m_ended.front().expiriesBefore == m_expiries)
+            m_acknowledged.push_back(m_ended.front().entry);
+        m_ended.erase(m_ended.begin());
+    }
     WorkerReport report;
     report.clockMs = clock;
     report.bornUnixMs = m_info.bornUnixMs;
@@ -90,14 +93,24 @@
         report.running.push_back(
             { task, run.number, "", static_cast<int>(std::min<std::int64_t>(percent, 100)), 0 });
     }
-    report.ended = m_ended;
+    for (const ListedEnd &end : m_ended) {
+        if (report.ended.size() < WorkerReport::mostEnds)
+            report.ended.push_back(end.entry);
+    }
     return report;
 }
 
+std::vector<EndedEntry> ModelWorker::takeAcknowledged()
+{
+    return std::exchange(m_acknowledged, {});
+}
+
 std::vector<EndedEntry> ModelWorker::advance(std::int64_t nowMs)
 {
     std::vector<std::pair<TaskName, EndKind>> due;
     const bool isExpired = clockMs(nowMs) >= m_leaseEndMs;
+    m_expiries += isExpired && !m_isExpired ? 1 : 0;
+    m_isExpired = isExpired;
     for (const auto &[task, run] : m_running) {
         if (isExpired)
             due.emplace_back(task, EndKind::LeaseExpired);
@@ -126,4 +139,6 @@
     m_highestGone.clear();
     m_ended.clear();
     m_newEnds.clear();
+    m_acknowledged.clear();
+    m_isExpired = true;
 }
--- a/Tests/LibJob/ModelWorker.h
+++ b/Tests/LibJob/ModelWorker.h
@@ -43,6 +43,8 @@
 
     /// Ends what is due; returns the ends of this step.
     std::vector<Jobs::EndedEntry> advance(std::int64_t nowMs);
+    /// The ends that were acknowledged before any lease expired here since.
+    std::vector<Jobs::EndedEntry> takeAcknowledged();
     void crash();
     void comeBack(std::int64_t nowMs);
 
@@ -62,6 +64,14 @@
     std::int64_t m_ends = 0;
     std::map<Jobs::TaskName, Run> m_running;
     std::map<Jobs::TaskName, std::int64_t> m_highestGone;
-    std::vector<Jobs::EndedEntry> m_ended;
+    struct ListedEnd
+    {
+        Jobs::EndedEntry entry;
+        int expiriesBefore = 0;
+    };
+    std::vector<ListedEnd> m_ended;
     std::vector<Jobs::EndedEntry> m_newEnds;
+    std::vector<Jobs::EndedEntry> m_acknowledged;
+    int m_expiries = 0;
+    bool m_isExpired = true;
 };
--- a/Tests/LibJob/TestOwnership.cpp
+++ b/Tests/LibJob/TestOwnership.cpp
@@ -54,6 +54,18 @@
     return faults;
 }
 
+/// Most runs fail, and owners change while they can't record it.
+WorldFaults worldOfFailedRuns()
+{
+    WorldFaults faults;
+    faults.workerCut = 0.5;
+    faults.storeCut = 0.6;
+    faults.claim = 0.5;
+    faults.failedRun = 0.6;
+    faults.longestFaultMs = 4000;
+    return faults;
+}
+
 /// Two or three owners at once, cut from the store or from workers, each in turn.
 void playRoughWorld(JobWorld &world)
 {
@@ -204,6 +216,21 @@
     });
 }
 
+TEST_CASE("No task is started after its last attempt, whoever learns of its failed runs")
+{
+    for (std::uint32_t seed = 1; seed <= 200; ++seed) {
+        JobWorld world(seed, worldOfFailedRuns());
+        world.claim(0);
+        for (int i = 0; i < 8; ++i) {
+            world.submit(job({ 4 }), 2);
+            world.run(2000);
+        }
+        world.run(6000);
+        INFO("seed " << seed);
+        REQUIRE(world.violation() == std::string());
+    }
+}
+
 TEST_CASE("A rough world of one seed, to trace it by hand", "[.replay]")
 {
     // JOB_WORLD_TRACE=1 JOB_WORLD_SEED=7 TestLibJob "[.replay]"
--- a/Tests/LibJob/TestRecords.cpp
+++ b/Tests/LibJob/TestRecords.cpp
@@ -51,7 +51,7 @@
     JobProgress progress;
     StepProgress step;
     step.isDone = { true, false, true };
-    step.failures[1] = { 2, 1003 };
+    step.failedRuns[1] = { 2, 1003 };
     step.abandonedRuns[1] = 1004;
     progress.occurrences[3] = { step, StepProgress { { false, false }, {}, {} } };
     progress.endedOccurrences = { 0, 1 };
--- a/include/LibJob/JobProgress.h
+++ b/include/LibJob/JobProgress.h
@@ -22,24 +22,14 @@
 /// `queued`, `running`, `completed`, `failed` or `cancelled`.
 const char *jobStateText(JobState state);
 
-/// The failed runs of a task.
-struct TaskFailures
-{
-    int count = 0;
-    /// The number of the last run that was counted: its end may be reported to the next owner
-    /// again.
-    std::int64_t lastRun = 0;
-
-    bool operator==(const TaskFailures &) const = default;
-};
-
 /// What has become of the tasks of a step.
 struct StepProgress
 {
     /// Indexed by task.
     std::vector<bool> isDone;
-    /// Failed runs by task; a task without any is missing.
-    std::map<int, TaskFailures> failures;
+    /// The numbers of the failed runs by task, in whatever order their ends were reported; a task
+    /// without any is missing. Those of a gang stand under its first member.
+    std::map<int, std::set<std::int64_t>> failedRuns;
     /// Runs up to this number whose fate nobody knows: their leases have expired, and what they
     /// may have done doesn't count. Durable before the task is started again.
     std::map<int, std::int64_t> abandonedRuns;
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -47,7 +47,8 @@
     void refresh(int occurrence);
     /// Marks the task as done; true if that ended the job.
     bool noteDone(const TaskName &name, std::int64_t unixMs);
-    /// Counts a failed run unless it has been counted; returns how often the task has failed.
+    /// Counts a failed run unless it has been counted; returns how often the task, or the gang that
+    /// it belongs to, has failed.
     int noteFailed(const TaskName &name, std::int64_t run);
     /// Gives up the task's runs up to \p run.
     void abandon(const TaskName &name, std::int64_t run);
--- a/include/LibJob/WorkerReport.h
+++ b/include/LibJob/WorkerReport.h
@@ -2,6 +2,7 @@
 
 #include <LibJob/TaskName.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -48,6 +49,9 @@
 /// A worker's answer to a renewal of its lease.
 struct WorkerReport
 {
+    /// A worker lists so many ends at most in one report, the oldest first.
+    static constexpr std::size_t mostEnds = 500;
+
     std::int64_t clockMs = 0;
     std::int64_t bornUnixMs = 0;
     std::vector<RunningEntry> running;
