LibJob: Let a job wait again when its plan is given up, and say why it waits

A gang that doesn't fit was planned member by member and taken back, but the workers that it had been planned on stayed in the job's record, and a job with such workers counts as begun. The same holds for a plan that is dropped when the store goes out of reach. Every such plan was also written to the store.

Ruled out: a late reader (the same nodes gave right counts for other queues), the counting itself (TestRecords).

Change: a job's progress is queued until a start is planned and running from then on; a plan that is given up before anything was sent makes it queued again. A gang is recorded only when all of it has found a place. New line event=wait: a step that has waited for a second names its needs and how many workers can't take it for which reason (label, room, disturbing, avoided, ...). A listed worker's labels are logged too.

--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -18,6 +18,8 @@
     task.run->phaseBeganAt = now.instant;
     task.run->progressedAt = now.instant;
     task.lastRun = std::max(task.lastRun, number);
+    if (phase != RunPhase::Planned)
+        job.noteStarted();
     worker.addRun(name, spec, job.images[static_cast<std::size_t>(name.step)]);
     job.refresh(name.occurrence);
     ++m_runs;
@@ -29,12 +31,15 @@
     if (!task || !task->run)
         return;
     const StepSpec &spec = job.spec(name.step);
+    const bool wasPlanned = task->run->phase == RunPhase::Planned;
     task->run->worker->removeRun(name, spec, job.images[static_cast<std::size_t>(name.step)],
                                  m_now);
     task->run.reset();
     job.refresh(name.occurrence);
     --m_runs;
     m_needsPass = true;
+    if (wasPlanned && job.noteWithdrawn())
+        markDirty(job);
     // Its record is written once more, and then the job is done with.
     if (job.isOver() && !job.hasRuns()) {
         job.isDirty = true;
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -16,6 +16,9 @@
 static constexpr std::size_t mostLargeJobsFirst = 2;
 /// How long a job may wait for a place where it disturbs nobody.
 static constexpr Core::Duration longestStandstill = milliseconds(1500);
+/// A step that waits for longer is explained in the log, not more often than this.
+static constexpr Core::Duration explainedWait = milliseconds(1000);
+static constexpr Core::Duration explanationSpacing = milliseconds(5000);
 /// How often leases and stops are looked at.
 static constexpr Core::Duration checkInterval = milliseconds(100);
 
@@ -227,6 +230,9 @@
             removeRun(job, { job.id(), waiting.occurrence, waiting.step, planned });
         return false;
     }
+    for (const TaskState &task : step.tasks)
+        job.planUse(task.run->worker->info().id);
+    markDirty(job);
     releasePlanned(job, now);
     return true;
 }
@@ -247,18 +253,40 @@
     // A job must not stand still for the sake of others while the site has room.
     need.mayDisturb = m_isUnderused && !job.hasRuns()
         && now.instant > waiting.rank.submittedAt + longestStandstill;
-    WorkerState *worker = m_chooser.choose(m_listed, need, m_outOfService, now.instant);
-    if (!worker)
+    need.outOfService = &m_outOfService;
+    need.now = now.instant;
+    WorkerState *worker = m_chooser.choose(m_listed, need);
+    if (!worker) {
+        explainWait(waiting, need, now);
         return false;
+    }
     addRun(job, name, *worker, run, RunPhase::Planned, now);
+    // Of a gang that doesn't fit as a whole nothing is recorded.
+    if (need.step->isGang)
+        return true;
     job.planUse(worker->info().id);
     markDirty(job);
-    const bool isGang = need.step->isGang;
-    if (!isGang && job.mayUse(worker->info().id))
+    if (job.mayUse(worker->info().id))
         sendStart(job, name, *job.findTask(name)->run, now);
     return true;
 }
 
+void JobScheduler::explainWait(const Waiting &waiting, const PlacementNeed &need, const Moment &now)
+{
+    OwnedStep &step
+        = waiting.job->occurrences().at(waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
+    const auto waited
+        = std::chrono::duration_cast<milliseconds>(now.instant - waiting.rank.submittedAt);
+    if (waited < explainedWait || now.instant < step.explainedAt + explanationSpacing)
+        return;
+    step.explainedAt = now.instant;
+    note(need.task, "wait",
+         "due_ms_ago=" + std::to_string(waited.count())
+             + " milli_cores=" + std::to_string(need.step->need.milliCores)
+             + " mebibytes=" + std::to_string(need.step->need.mebibytes)
+             + " label=" + need.step->requiredLabel + ' ' + m_chooser.explain(m_listed, need));
+}
+
 void JobScheduler::sendStart(OwnedJob &job, const TaskName &task, TaskRun &run, const Moment &now)
 {
     WorkerState &worker = *run.worker;
@@ -271,6 +299,7 @@
     command.checkpoint = job.findTask(task)->checkpoint;
     command.leaseDeadlineMs = worker.grantLease(now.instant, m_settings.lease);
     command.token = m_ownership.token;
+    job.noteStarted();
     run.phase = RunPhase::Starting;
     run.phaseBeganAt = now.instant;
     run.startBound = worker.leaseBound();
--- a/Libraries/LibJob/JobTable.cpp
+++ b/Libraries/LibJob/JobTable.cpp
@@ -8,9 +8,7 @@
         return progress->state;
     if (isCancelled)
         return JobState::Cancelled;
-    if (progress && !progress->workers.empty())
-        return JobState::Running;
-    return JobState::Queued;
+    return progress ? progress->state : JobState::Queued;
 }
 
 bool JobEntry::isOver() const
--- a/Libraries/LibJob/OwnedJob.cpp
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -9,6 +9,8 @@
 {
     if (entry.progress)
         m_progress = *entry.progress;
+    // Whether what a former owner planned was started isn't known.
+    m_hasStarted = m_progress.state == JobState::Running;
     m_durableWorkers = m_progress.workers;
     unsurveyedWorkers = m_progress.workers;
     measure();
@@ -176,8 +178,20 @@
 
 void OwnedJob::planUse(const Core::VmId &worker)
 {
-    if (m_progress.workers.insert(worker).second)
-        isDirty = true;
+    isDirty |= m_progress.workers.insert(worker).second;
+    if (m_progress.state != JobState::Queued)
+        return;
+    m_progress.state = JobState::Running;
+    isDirty = true;
+}
+
+bool OwnedJob::noteWithdrawn()
+{
+    if (m_hasStarted || m_progress.state != JobState::Running || hasRuns())
+        return false;
+    m_progress.state = JobState::Queued;
+    isDirty = true;
+    return true;
 }
 
 void OwnedJob::noteDurable(const std::set<Core::VmId> &workers)
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 
 namespace Jobs {
 
@@ -60,27 +61,32 @@
     return step.need.fitsIn(room);
 }
 
-bool WorkerChooser::isEligible(WorkerState &worker, const PlacementNeed &need,
-                               Core::Instant now) const
+Unsuitability WorkerChooser::unsuitability(WorkerState &worker, const PlacementNeed &need) const
 {
     const WorkerInfo &info = worker.info();
-    if (info.isDraining || info.service != need.service || worker.isSilent())
-        return false;
-    if (!worker.isSurveyed() || worker.metAt() > need.provenAt)
-        return false;
-    if (!worker.isClockKnown() || worker.avoidedUntil() > now)
-        return false;
-    if (!fits(worker, *need.step))
-        return false;
-    if (!need.step->requiredLabel.empty() && !info.hasLabel(need.step->requiredLabel))
-        return false;
+    const StepSpec &step = *need.step;
+    if (info.service != need.service)
+        return Unsuitability::OtherService;
+    if (need.outOfService->contains(info.failureDomain))
+        return Unsuitability::OutOfService;
+    if (info.isDraining)
+        return Unsuitability::Draining;
+    if (!step.requiredLabel.empty() && !info.hasLabel(step.requiredLabel))
+        return Unsuitability::MissingLabel;
+    if (worker.isSilent() || !worker.isSurveyed() || !worker.isClockKnown()
+        || worker.metAt() > need.provenAt)
+        return Unsuitability::Unknown;
     if (need.isDurableOnly && !need.job->mayUse(info.id))
-        return false;
-    if (need.step->isFiller && !need.mayDisturb
-        && worstUtilization(worker, need) > largestUtilization)
-        return false;
-    const int most = need.step->mostPerWorker;
-    return most == 0 || worker.runsOfStep(need.task) < most;
+        return Unsuitability::NotRecorded;
+    if (worker.avoidedUntil() > need.now)
+        return Unsuitability::Avoided;
+    if (!fits(worker, step))
+        return Unsuitability::NoRoom;
+    if (step.mostPerWorker > 0 && worker.runsOfStep(need.task) >= step.mostPerWorker)
+        return Unsuitability::TooManyOfStep;
+    if (step.isFiller && !need.mayDisturb && worstUtilization(worker, need) > largestUtilization)
+        return Unsuitability::Disturbing;
+    return Unsuitability::None;
 }
 
 double WorkerChooser::cost(WorkerState &worker, const PlacementNeed &need) const
@@ -98,17 +104,25 @@
     return cost;
 }
 
+std::string WorkerChooser::explain(const std::vector<WorkerState *> &workers,
+                                   const PlacementNeed &need) const
+{
+    std::map<Unsuitability, int> counts;
+    for (WorkerState *worker : workers)
+        ++counts[unsuitability(*worker, need)];
+    std::string text = "workers=" + std::to_string(workers.size());
+    for (const auto &[reason, count] : counts)
+        text += std::string(" ") + unsuitabilityText(reason) + '=' + std::to_string(count);
+    return text;
+}
+
 WorkerState *WorkerChooser::choose(const std::vector<WorkerState *> &workers,
-                                   const PlacementNeed &need,
-                                   const std::set<Core::FailureDomainId> &outOfService,
-                                   Core::Instant now) const
+                                   const PlacementNeed &need) const
 {
     WorkerState *best = nullptr;
     double leastCost = std::numeric_limits<double>::max();
     for (WorkerState *worker : workers) {
-        if (!isEligible(*worker, need, now))
-            continue;
-        if (outOfService.contains(worker->info().failureDomain))
+        if (unsuitability(*worker, need) != Unsuitability::None)
             continue;
         const double workersCost = cost(*worker, need);
         if (workersCost < leastCost) {
--- a/Libraries/LibSite/WorkerFollower.cpp
+++ b/Libraries/LibSite/WorkerFollower.cpp
@@ -10,6 +10,14 @@
 
 static const auto partLogger = Log::logger("workers");
 
+static std::string joined(const std::vector<std::string> &labels)
+{
+    std::string text;
+    for (const std::string &label : labels)
+        text += (text.empty() ? "" : ",") + label;
+    return text;
+}
+
 WorkerFollower::WorkerFollower(KeyedLog &log, const SiteDecoder &decoder)
     : m_decoder(decoder)
     , m_follower(log, Topic::Workers, *this)
@@ -53,7 +61,8 @@
             LOG4CXX_INFO(partLogger,
                          "event=listed worker=" << key << " draining=" << worker.isDraining
                                                 << " born=" << worker.bornUnixMs
-                                                << " domain=" << worker.failureDomain);
+                                                << " domain=" << worker.failureDomain
+                                                << " labels=" << joined(worker.labels));
         known = worker;
         m_isChanged = true;
     } catch (const Core::FormatError &error) {
--- a/Tests/LibJob/TestRecords.cpp
+++ b/Tests/LibJob/TestRecords.cpp
@@ -49,6 +49,7 @@
 JobProgress progress()
 {
     JobProgress progress;
+    progress.state = JobState::Running;
     StepProgress step;
     step.isDone = { true, false, true };
     step.failedRuns[1] = { 2, 1003 };
--- /dev/null
+++ b/Tests/LibJob/TwoWorkers.cpp
@@ -0,0 +1,141 @@
+#include "TwoWorkers.h"
+
+using namespace Jobs;
+using std::chrono::milliseconds;
+
+const Core::VmId TwoWorkers::first("w1");
+const Core::VmId TwoWorkers::second("w2");
+
+TwoWorkers::TwoWorkers(const Ownership &ownership)
+    : m_scheduler(SchedulerSettings(), ownership, m_log)
+{
+    std::vector<WorkerInfo> workers;
+    for (const Core::VmId &id : { first, second }) {
+        WorkerInfo info;
+        info.id = id;
+        info.address = id.text();
+        info.service = ServiceId("service");
+        info.capacity = { capacityMilliCores, 8000, 0 };
+        info.bornUnixMs = 1;
+        workers.push_back(info);
+    }
+    m_scheduler.setCatalogue({});
+    m_scheduler.setWorkers(workers, m_now);
+}
+
+Submission TwoWorkers::submission(const StepSpec &step, int mostAttempts) const
+{
+    Submission submission;
+    submission.id = JobId("job");
+    submission.queue.id = QueueId("queue");
+    submission.queue.service = ServiceId("service");
+    submission.queue.mostAttempts = mostAttempts;
+    submission.spec.steps = { step };
+    submission.submittedUnixMs = m_now.unixMs;
+    return submission;
+}
+
+void TwoWorkers::submit(const StepSpec &step, int mostAttempts)
+{
+    m_table.apply(submission(step, mostAttempts));
+    m_scheduler.addJob(*m_table.find(JobId("job")), m_now);
+}
+
+void TwoWorkers::takeOver(const StepSpec &step, int mostAttempts)
+{
+    m_table.apply(submission(step, mostAttempts));
+    JobProgress progress;
+    progress.state = JobState::Running;
+    progress.workers = { first, second };
+    m_table.apply(ProgressRecord { JobId("job"), progress });
+    m_scheduler.addJob(*m_table.find(JobId("job")), m_now);
+}
+
+void TwoWorkers::report(const Core::VmId &worker, const std::vector<EndedEntry> &ended,
+                        const std::vector<RunningEntry> &running)
+{
+    noteRenewals();
+    WorkerReport report;
+    report.clockMs = m_now.unixMs;
+    report.bornUnixMs = 1;
+    report.running = running;
+    report.ended = ended;
+    pass(1);
+    m_scheduler.onReport(worker, report, m_now.instant - milliseconds(1), m_now);
+    pass(1);
+}
+
+void TwoWorkers::setStoreReachable(bool isReachable)
+{
+    m_isStoreReachable = isReachable;
+    m_scheduler.setStoreReachable(isReachable);
+}
+
+std::vector<StartCommand> TwoWorkers::settle()
+{
+    std::vector<StartCommand> starts;
+    for (int i = 0; i < 200; ++i) {
+        pass(10);
+        if (m_isStoreReachable)
+            commit();
+        for (const Command &command : m_scheduler.takeCommands(m_now)) {
+            if (const auto *start = std::get_if<StartCommand>(&command))
+                starts.push_back(*start);
+        }
+    }
+    return starts;
+}
+
+std::int64_t TwoWorkers::acknowledgedEnd(const Core::VmId &worker)
+{
+    noteRenewals();
+    return m_renewals[worker].acknowledgedEnd;
+}
+
+StepSpec TwoWorkers::step(int taskCount, std::int64_t milliCores)
+{
+    StepSpec step;
+    step.taskCount = taskCount;
+    step.need = { milliCores, 100, 0 };
+    step.estimateMs = 800;
+    return step;
+}
+
+TaskName TwoWorkers::task(int index)
+{
+    return { JobId("job"), 0, 0, index };
+}
+
+EndedEntry TwoWorkers::end(std::int64_t number, int index, std::int64_t run, EndKind kind)
+{
+    return { number, task(index), run, kind, "" };
+}
+
+void TwoWorkers::plan()
+{
+    pass(10);
+    m_scheduler.takeCommands(m_now);
+}
+
+void TwoWorkers::pass(std::int64_t forMs)
+{
+    m_now.instant += milliseconds(forMs);
+    m_now.unixMs += forMs;
+}
+
+void TwoWorkers::commit()
+{
+    if (!m_scheduler.needsCommit())
+        return;
+    const Commit commit = m_scheduler.takeCommit();
+    for (const JobRecord &record : commit.records)
+        m_table.apply(record);
+    m_recordsWritten += static_cast<int>(commit.records.size());
+    m_scheduler.onCommitted(commit.number, m_now.instant, m_now);
+}
+
+void TwoWorkers::noteRenewals()
+{
+    for (const RenewCommand &command : m_scheduler.takeRenewals(m_now))
+        m_renewals[command.worker] = command;
+}
--- /dev/null
+++ b/Tests/LibJob/TwoWorkers.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <LibJob/JobScheduler.h>
+
+#include <map>
+#include <string_view>
+#include <vector>
+
+/// A scheduler with one job and two workers that answer only when a test lets them.
+class TwoWorkers
+{
+public:
+    static const Core::VmId first;
+    static const Core::VmId second;
+
+    explicit TwoWorkers(const Jobs::Ownership &ownership);
+
+    void submit(const Jobs::StepSpec &step, int mostAttempts = 3);
+    /// As a predecessor has recorded it, with both workers planned for it.
+    void takeOver(const Jobs::StepSpec &step, int mostAttempts);
+
+    /// A worker answers a renewal.
+    void report(const Core::VmId &worker, const std::vector<Jobs::EndedEntry> &ended,
+                const std::vector<Jobs::RunningEntry> &running = {});
+    void setStoreReachable(bool isReachable);
+    /// Chooses workers; nothing becomes durable.
+    void plan();
+    /// Makes durable what the owner wants to record.
+    void commit();
+    /// Lets two seconds pass, makes everything durable while the store can be reached, and returns
+    /// the tasks that were started.
+    std::vector<Jobs::StartCommand> settle();
+
+    Jobs::JobState state() const { return m_table.find(Jobs::JobId("job"))->state(); }
+    std::int64_t waitingCount() const { return m_table.waitingCount(Jobs::QueueId("queue")); }
+    int recordsWritten() const { return m_recordsWritten; }
+    std::int64_t acknowledgedEnd(const Core::VmId &worker);
+
+    static Jobs::StepSpec step(int taskCount, std::int64_t milliCores = 500);
+    static Jobs::TaskName task(int index);
+    static Jobs::EndedEntry end(std::int64_t number, int index, std::int64_t run,
+                                Jobs::EndKind kind);
+
+private:
+    class SilentLog final : public Jobs::DecisionLog
+    {
+    public:
+        void note(std::string_view, std::string_view, std::string_view) override { }
+    };
+
+    Jobs::Submission submission(const Jobs::StepSpec &step, int mostAttempts) const;
+    void pass(std::int64_t forMs);
+    void noteRenewals();
+
+    static constexpr std::int64_t capacityMilliCores = 4000;
+
+    SilentLog m_log;
+    Jobs::Moment m_now { Core::Instant(std::chrono::seconds(10)), 10'000 };
+    Jobs::JobScheduler m_scheduler;
+    Jobs::JobTable m_table;
+    bool m_isStoreReachable = true;
+    int m_recordsWritten = 0;
+    std::map<Core::VmId, Jobs::RenewCommand> m_renewals;
+};
--- a/include/LibJob/JobProgress.h
+++ b/include/LibJob/JobProgress.h
@@ -42,8 +42,8 @@
 /// The durable part of a job's execution. Runs aren't part of it: a new owner asks the workers.
 struct JobProgress
 {
-    /// Running until the end is decided.
-    JobState state = JobState::Running;
+    /// Queued until a start is planned, then running until the end is decided.
+    JobState state = JobState::Queued;
     /// Steps of each occurrence that is due and hasn't ended.
     std::map<int, std::vector<StepProgress>> occurrences;
     /// Occurrences that have ended.
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -141,6 +141,8 @@
     bool planStep(const Waiting &waiting, const Moment &now);
     bool planGang(const Waiting &waiting, const Moment &now);
     bool planTask(const Waiting &waiting, int index, std::int64_t run, const Moment &now);
+    /// Says in the log why no worker takes what has waited for long.
+    void explainWait(const Waiting &waiting, const PlacementNeed &need, const Moment &now);
     void sendStart(OwnedJob &job, const TaskName &task, TaskRun &run, const Moment &now);
     void releasePlanned(OwnedJob &job, const Moment &now);
     void dropPlanned(OwnedJob &job);
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -21,6 +21,8 @@
     bool isReady = false;
     /// Tasks that are neither done nor have a run.
     int waitingCount = 0;
+    /// When the log last said why it waits.
+    Core::Instant explainedAt = {};
 };
 
 /// A job that the owner is responsible for: its durable progress and the runs of its tasks.
@@ -56,6 +58,10 @@
 
     bool mayUse(const Core::VmId &worker) const { return m_durableWorkers.contains(worker); }
     void planUse(const Core::VmId &worker);
+    /// A start was sent, or a run was found: the job has begun for good.
+    void noteStarted() { m_hasStarted = true; }
+    /// A planned start was given up. True if the job waits again, which is to be recorded.
+    bool noteWithdrawn();
     /// The progress as of a commit became durable.
     void noteDurable(const std::set<Core::VmId> &workers);
 
@@ -81,6 +87,7 @@
     Submission m_submission;
     JobProgress m_progress;
     std::set<Core::VmId> m_durableWorkers;
+    bool m_hasStarted = false;
     std::map<int, std::vector<OwnedStep>> m_occurrences;
     std::vector<std::int64_t> m_chainMs;
     std::int64_t m_wholeChainMs = 0;
--- a/include/LibJob/WorkerChooser.h
+++ b/include/LibJob/WorkerChooser.h
@@ -4,9 +4,11 @@
 #include <LibCore/Time.h>
 #include <LibJob/OwnedJob.h>
 #include <LibJob/PressureModel.h>
+#include <LibJob/Unsuitability.h>
 #include <LibJob/WorkerState.h>
 
 #include <set>
+#include <string>
 #include <vector>
 
 namespace Jobs {
@@ -27,6 +29,8 @@
     bool mayDisturb = false;
     /// The owner's last proof of ownership: only workers that it had met by then.
     Core::Instant provenAt = {};
+    const std::set<Core::FailureDomainId> *outOfService = nullptr;
+    Core::Instant now = {};
 };
 
 /// Chooses the worker for one task: the one that fits tightest, so that room for large tasks
@@ -41,12 +45,12 @@
     }
 
     /// Null if no worker fits.
-    WorkerState *choose(const std::vector<WorkerState *> &workers, const PlacementNeed &need,
-                        const std::set<Core::FailureDomainId> &outOfService,
-                        Core::Instant now) const;
+    WorkerState *choose(const std::vector<WorkerState *> &workers, const PlacementNeed &need) const;
+    /// How many workers can't take the task for which reason, for the log.
+    std::string explain(const std::vector<WorkerState *> &workers, const PlacementNeed &need) const;
 
 private:
-    bool isEligible(WorkerState &worker, const PlacementNeed &need, Core::Instant now) const;
+    Unsuitability unsuitability(WorkerState &worker, const PlacementNeed &need) const;
     double cost(WorkerState &worker, const PlacementNeed &need) const;
     /// The highest utilization of a serving task to be expected there, as a part of that at which
     /// it just meets its target.
