LibJob: Ask silent workers until they answer, and let nothing stand still beside room

A worker that had been out of reach until all its leases had expired was never asked again: nothing of ours ran there, it counted as surveyed, so no renewal was due, and it stayed silent for good. Seen on a site file of our own (near, mix): event=wait said unknown=5 of 48 from second 35 to 50, after a cut that had ended at 32. A filler's task that may not go beside a serving task made the same pass skip the tasks of other jobs that may (their job stands still on a site that is half empty). A long-running task that lost its worker waits for room that short tasks take in small pieces as it becomes free. It was the first suspicion for 1 and wasn't its cause; the model shows it all the same (6 s, the rule's bound, under a load that never pauses).

Ruled out for 1: quarantine of failing workers (avoided=2 at most), room (90 cores free, in pieces).

Change: silent listed workers are renewed until they answer; what failed in a pass is only hopeless for tasks that may disturb no more than it; a long-running task that has run and is away for 2.5 s goes first, and a sixteenth of the workers at most keeps its room for such tasks (RoomReservation).

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -222,7 +222,9 @@
 {
     if (worker.isRenewing)
         return false;
-    return !worker.runs().empty() || (worker.isListed && !worker.isSurveyed());
+    // One that was silent is asked until it answers, or it would never get a task again.
+    return !worker.runs().empty()
+        || (worker.isListed && (!worker.isSurveyed() || worker.isSilent()));
 }
 
 std::size_t JobScheduler::waitingCount() const
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -35,6 +35,8 @@
     task->run->worker->removeRun(name, spec, job.images[static_cast<std::size_t>(name.step)],
                                  m_now);
     task->run.reset();
+    if (!wasPlanned)
+        task->leftAt = m_now;
     job.refresh(name.occurrence);
     --m_runs;
     m_needsPass = true;
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -19,6 +19,8 @@
 /// A step that waits for longer is explained in the log, not more often than this.
 static constexpr Core::Duration explainedWait = milliseconds(1000);
 static constexpr Core::Duration explanationSpacing = milliseconds(5000);
+/// A long-running task that has run and is away for longer goes before all others.
+static constexpr Core::Duration longestAbsence = milliseconds(2500);
 /// How often leases and stops are looked at.
 static constexpr Core::Duration checkInterval = milliseconds(100);
 
@@ -30,6 +32,7 @@
     ServiceId service;
     Core::Resources need;
     bool isFiller = false;
+    bool mayDisturb = false;
     ImageIndex image = 0;
 };
 
@@ -59,6 +62,8 @@
     std::vector<Waiting> steps = waitingSteps(now);
     m_nextPassAt = now.instant + passSpacing + steps.size() * passSpacingPerStep;
     putLargeJobsFirst(steps);
+    putOverdueFirst(steps, now);
+    m_reservation.begin(m_listed.size());
     m_isUnderused = isUnderused();
     std::vector<Unfit> unfit;
     for (const Waiting &waiting : steps) {
@@ -70,18 +75,44 @@
             : ImageIndex();
         const bool isHopeless = std::any_of(unfit.begin(), unfit.end(), [&](const auto &other) {
             return other.service == service && other.isFiller == spec.isFiller
-                && other.image == image && other.need.fitsIn(spec.need);
+                && other.image == image && other.need.fitsIn(spec.need)
+                && (other.mayDisturb || !mayDisturb(waiting, now));
         });
-        if (isHopeless || isHeldBack(*waiting.job, now.instant))
+        const bool mayReserve = waiting.isOverdue && !m_reservation.isFull();
+        if ((isHopeless && !mayReserve) || isHeldBack(*waiting.job, now.instant))
             continue;
         const bool isPlaced = planStep(waiting, now);
         const bool isPlain = spec.requiredLabel.empty() && spec.mostPerWorker == 0 && !spec.isGang
             && m_isStoreReachable;
         if (!isPlaced && isPlain)
-            unfit.push_back({ service, spec.need, spec.isFiller, image });
+            unfit.push_back({ service, spec.need, spec.isFiller, mayDisturb(waiting, now), image });
     }
 }
 
+bool JobScheduler::mayDisturb(const Waiting &waiting, const Moment &now) const
+{
+    return m_isUnderused && !waiting.job->hasRuns()
+        && now.instant > waiting.rank.submittedAt + longestStandstill;
+}
+
+void JobScheduler::putOverdueFirst(std::vector<Waiting> &steps, const Moment &now)
+{
+    const auto isOverdue = [&now](const Waiting &waiting) {
+        if (!waiting.job->spec(waiting.step).isLongRunning)
+            return false;
+        const OwnedStep &step = waiting.job->occurrences().at(
+            waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
+        return std::any_of(step.tasks.begin(), step.tasks.end(), [&](const TaskState &task) {
+            return !task.run && task.leftAt != Core::Instant()
+                && now.instant > task.leftAt + longestAbsence;
+        });
+    };
+    for (Waiting &waiting : steps)
+        waiting.isOverdue = isOverdue(waiting);
+    std::stable_partition(steps.begin(), steps.end(),
+                          [](const Waiting &waiting) { return waiting.isOverdue; });
+}
+
 void JobScheduler::putLargeJobsFirst(std::vector<Waiting> &steps) const
 {
     const auto isLarge = [this](const Waiting &waiting) {
@@ -251,12 +282,13 @@
     need.isDurableOnly = !m_isStoreReachable;
     need.provenAt = m_provenAt;
     // A job must not stand still for the sake of others while the site has room.
-    need.mayDisturb = m_isUnderused && !job.hasRuns()
-        && now.instant > waiting.rank.submittedAt + longestStandstill;
+    need.mayDisturb = mayDisturb(waiting, now);
     need.outOfService = &m_outOfService;
     need.now = now.instant;
     WorkerState *worker = m_chooser.choose(m_listed, need);
     if (!worker) {
+        if (waiting.isOverdue && !m_reservation.isFull())
+            m_reservation.reserve(name, need.step->need, m_chooser.withoutRoom(m_listed, need));
         explainWait(waiting, need, now);
         return false;
     }
--- a/Libraries/LibJob/Unsuitability.cpp
+++ b/Libraries/LibJob/Unsuitability.cpp
@@ -23,6 +23,8 @@
         return "avoided";
     case Unsuitability::NoRoom:
         return "no-room";
+    case Unsuitability::Reserved:
+        return "reserved";
     case Unsuitability::TooManyOfStep:
         return "too-many-of-step";
     case Unsuitability::Disturbing:
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -82,6 +82,8 @@
         return Unsuitability::Avoided;
     if (!fits(worker, step))
         return Unsuitability::NoRoom;
+    if (m_reservation.isKeptFrom(need.task, worker))
+        return Unsuitability::Reserved;
     if (step.mostPerWorker > 0 && worker.runsOfStep(need.task) >= step.mostPerWorker)
         return Unsuitability::TooManyOfStep;
     if (step.isFiller && !need.mayDisturb && worstUtilization(worker, need) > largestUtilization)
@@ -116,6 +118,17 @@
     return text;
 }
 
+std::vector<WorkerState *> WorkerChooser::withoutRoom(const std::vector<WorkerState *> &workers,
+                                                      const PlacementNeed &need) const
+{
+    std::vector<WorkerState *> full;
+    for (WorkerState *worker : workers) {
+        if (unsuitability(*worker, need) == Unsuitability::NoRoom)
+            full.push_back(worker);
+    }
+    return full;
+}
+
 WorkerState *WorkerChooser::choose(const std::vector<WorkerState *> &workers,
                                    const PlacementNeed &need) const
 {
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -51,6 +51,8 @@
         return;
     }
     m_used.milliCores += sign * step.need.milliCores;
+    if (step.isLongRunning)
+        m_usedByLasting = sign > 0 ? m_usedByLasting + step.need : m_usedByLasting - step.need;
     if (step.tailTargetMs > 0) {
         m_serving += sign;
         m_servingMilliCores += sign * step.need.milliCores;
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -113,6 +113,7 @@
     submission.queue.id = QueueId("queue");
     submission.queue.service = ServiceId("service");
     submission.queue.mostAttempts = mostAttempts;
+    submission.queue.stretch = m_stretch;
     submission.spec = spec;
     submission.submittedUnixMs = m_nowMs;
     m_table.apply(submission);
--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -48,6 +48,8 @@
     ~JobWorld();
 
     Jobs::JobId submit(const Jobs::JobSpec &spec, int mostAttempts = 3);
+    /// How many times its longest chain a job may take until it is late.
+    void setStretch(double stretch) { m_stretch = stretch; }
     void cancel(const Jobs::JobId &id);
     void run(std::int64_t milliseconds);
     /// No further faults, and those that last end.
@@ -126,5 +128,6 @@
     std::int64_t m_lastSignMs = 0;
     std::map<Jobs::TaskName, TaskHistory> m_history;
     int m_submitted = 0;
+    double m_stretch = Jobs::Queue().stretch;
     std::string m_violation;
 };
--- a/Tests/LibJob/TwoWorkers.cpp
+++ b/Tests/LibJob/TwoWorkers.cpp
@@ -3,6 +3,9 @@
 using namespace Jobs;
 using std::chrono::milliseconds;
 
+/// Nothing is late in these tests.
+static constexpr double patientStretch = 100;
+
 const Core::VmId TwoWorkers::first("w1");
 const Core::VmId TwoWorkers::second("w2");
 
@@ -23,27 +26,30 @@
     m_scheduler.setWorkers(workers, m_now);
 }
 
-Submission TwoWorkers::submission(const StepSpec &step, int mostAttempts) const
+Submission TwoWorkers::submission(const std::string &id, const StepSpec &step,
+                                  int mostAttempts) const
 {
     Submission submission;
-    submission.id = JobId("job");
+    submission.id = JobId(id);
     submission.queue.id = QueueId("queue");
     submission.queue.service = ServiceId("service");
     submission.queue.mostAttempts = mostAttempts;
+    submission.queue.stretch = patientStretch;
     submission.spec.steps = { step };
     submission.submittedUnixMs = m_now.unixMs;
     return submission;
 }
 
-void TwoWorkers::submit(const StepSpec &step, int mostAttempts)
+void TwoWorkers::submit(const StepSpec &step, const std::string &id)
 {
-    m_table.apply(submission(step, mostAttempts));
-    m_scheduler.addJob(*m_table.find(JobId("job")), m_now);
+    constexpr int mostAttempts = 3;
+    m_table.apply(submission(id, step, mostAttempts));
+    m_scheduler.addJob(*m_table.find(JobId(id)), m_now);
 }
 
 void TwoWorkers::takeOver(const StepSpec &step, int mostAttempts)
 {
-    m_table.apply(submission(step, mostAttempts));
+    m_table.apply(submission("job", step, mostAttempts));
     JobProgress progress;
     progress.state = JobState::Running;
     progress.workers = { first, second };
@@ -65,6 +71,32 @@
     pass(1);
 }
 
+void TwoWorkers::reportAll(std::int64_t tailMs)
+{
+    constexpr std::int64_t usedMilliCores = 500;
+    for (auto &[worker, host] : m_hosts) {
+        std::vector<RunningEntry> running;
+        for (const auto &[task, run] : host.runs) {
+            const StepSpec &step = m_table.find(task.job)->submission.spec.steps.front();
+            const bool isServing = step.tailTargetMs > 0;
+            running.push_back(
+                { task, run, "", isServing ? 100 : 50, isServing ? tailMs : usedMilliCores });
+        }
+        report(worker, host.ended, running);
+    }
+}
+
+void TwoWorkers::endTask(const TaskName &task, EndKind kind)
+{
+    for (auto &[worker, host] : m_hosts) {
+        const auto run = host.runs.extract(task);
+        if (run.empty())
+            continue;
+        const auto number = static_cast<std::int64_t>(host.ended.size()) + 1;
+        host.ended.push_back({ number, task, run.mapped(), kind, "" });
+    }
+}
+
 void TwoWorkers::setStoreReachable(bool isReachable)
 {
     m_isStoreReachable = isReachable;
@@ -79,8 +111,12 @@
         if (m_isStoreReachable)
             commit();
         for (const Command &command : m_scheduler.takeCommands(m_now)) {
-            if (const auto *start = std::get_if<StartCommand>(&command))
-                starts.push_back(*start);
+            const auto *start = std::get_if<StartCommand>(&command);
+            if (!start)
+                continue;
+            starts.push_back(*start);
+            m_hosts[start->worker].runs[start->task] = start->run;
+            m_scheduler.onStartOutcome(*start, StartOutcome::Started, m_now);
         }
     }
     return starts;
@@ -92,6 +128,26 @@
     return m_renewals[worker].acknowledgedEnd;
 }
 
+void TwoWorkers::cutOff(const Core::VmId &worker)
+{
+    constexpr int longestLeaseMs = 8000;
+    constexpr int spacingMs = 500;
+    for (int passed = 0; passed < longestLeaseMs; passed += spacingMs) {
+        if (isAsked(worker))
+            m_scheduler.onRenewalFailed(worker, m_now);
+        pass(spacingMs);
+        commit();
+        m_scheduler.takeCommands(m_now);
+    }
+}
+
+bool TwoWorkers::isAsked(const Core::VmId &worker)
+{
+    m_renewals.erase(worker);
+    noteRenewals();
+    return m_renewals.contains(worker);
+}
+
 StepSpec TwoWorkers::step(int taskCount, std::int64_t milliCores)
 {
     StepSpec step;
--- a/Tests/LibJob/TwoWorkers.h
+++ b/Tests/LibJob/TwoWorkers.h
@@ -3,6 +3,7 @@
 #include <LibJob/JobScheduler.h>
 
 #include <map>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -15,10 +16,14 @@
 
     explicit TwoWorkers(const Jobs::Ownership &ownership);
 
-    void submit(const Jobs::StepSpec &step, int mostAttempts = 3);
+    void submit(const Jobs::StepSpec &step, const std::string &id = "job");
     /// As a predecessor has recorded it, with both workers planned for it.
     void takeOver(const Jobs::StepSpec &step, int mostAttempts);
 
+    /// Both workers answer with what was started there; serving tasks have this tail latency.
+    void reportAll(std::int64_t tailMs);
+    /// The next answer says that the task has ended.
+    void endTask(const Jobs::TaskName &task, Jobs::EndKind kind);
     /// A worker answers a renewal.
     void report(const Core::VmId &worker, const std::vector<Jobs::EndedEntry> &ended,
                 const std::vector<Jobs::RunningEntry> &running = {});
@@ -35,6 +40,10 @@
     std::int64_t waitingCount() const { return m_table.waitingCount(Jobs::QueueId("queue")); }
     int recordsWritten() const { return m_recordsWritten; }
     std::int64_t acknowledgedEnd(const Core::VmId &worker);
+    /// The worker doesn't answer renewals until its leases have expired.
+    void cutOff(const Core::VmId &worker);
+    /// True if the owner asks the worker now.
+    bool isAsked(const Core::VmId &worker);
 
     static Jobs::StepSpec step(int taskCount, std::int64_t milliCores = 500);
     static Jobs::TaskName task(int index);
@@ -48,7 +57,15 @@
         void note(std::string_view, std::string_view, std::string_view) override { }
     };
 
-    Jobs::Submission submission(const Jobs::StepSpec &step, int mostAttempts) const;
+    /// What a worker would report.
+    struct Host
+    {
+        std::map<Jobs::TaskName, std::int64_t> runs;
+        std::vector<Jobs::EndedEntry> ended;
+    };
+
+    Jobs::Submission submission(const std::string &id, const Jobs::StepSpec &step,
+                                int mostAttempts) const;
     void pass(std::int64_t forMs);
     void noteRenewals();
 
@@ -61,4 +78,5 @@
     bool m_isStoreReachable = true;
     int m_recordsWritten = 0;
     std::map<Core::VmId, Jobs::RenewCommand> m_renewals;
+    std::map<Core::VmId, Host> m_hosts;
 };
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -106,6 +106,8 @@
         OwnedJob *job = nullptr;
         int occurrence = 0;
         int step = 0;
+        /// A long-running task of the step has been away for too long.
+        bool isOverdue = false;
     };
 
     /// One of the runs that share a worker.
@@ -135,8 +137,11 @@
     /// Chooses workers for what waits, in the order of worth.
     void planWaiting(const Moment &now);
     void putLargeJobsFirst(std::vector<Waiting> &steps) const;
+    void putOverdueFirst(std::vector<Waiting> &steps, const Moment &now);
     /// Less than half of the room is in use.
     bool isUnderused() const;
+    /// The job stands still though the site has room: it may go beside serving tasks that it slows.
+    bool mayDisturb(const Waiting &waiting, const Moment &now) const;
     /// False if there is no worker for a task.
     bool planStep(const Waiting &waiting, const Moment &now);
     bool planGang(const Waiting &waiting, const Moment &now);
@@ -187,7 +192,8 @@
     StartOrder m_order;
     ImageTable m_images;
     PressureModel m_pressure;
-    WorkerChooser m_chooser { m_pressure };
+    RoomReservation m_reservation;
+    WorkerChooser m_chooser { m_pressure, m_reservation };
     /// The time of the event that is being handled.
     Core::Instant m_now = {};
     std::set<Core::FailureDomainId> m_outOfService;
--- a/include/LibJob/TaskRun.h
+++ b/include/LibJob/TaskRun.h
@@ -51,6 +51,8 @@
     std::string checkpoint;
     /// Where it failed last.
     Core::VmId failedOn;
+    /// When its last run was known to be gone; the epoch if it had none.
+    Core::Instant leftAt = {};
 };
 
 } // namespace Jobs
--- a/include/LibJob/Unsuitability.h
+++ b/include/LibJob/Unsuitability.h
@@ -17,6 +17,8 @@
     /// It failed tasks lately, or refused them.
     Avoided,
     NoRoom,
+    /// Its room is kept for a task that has waited for long.
+    Reserved,
     /// So many tasks of the step run there as may.
     TooManyOfStep,
     /// A serving task there would miss its target.
--- a/include/LibJob/WorkerChooser.h
+++ b/include/LibJob/WorkerChooser.h
@@ -4,6 +4,7 @@
 #include <LibCore/Time.h>
 #include <LibJob/OwnedJob.h>
 #include <LibJob/PressureModel.h>
+#include <LibJob/RoomReservation.h>
 #include <LibJob/Unsuitability.h>
 #include <LibJob/WorkerState.h>
 
@@ -39,8 +40,9 @@
 class WorkerChooser
 {
 public:
-    explicit WorkerChooser(const PressureModel &pressure)
+    WorkerChooser(const PressureModel &pressure, const RoomReservation &reservation)
         : m_pressure(pressure)
+        , m_reservation(reservation)
     {
     }
 
@@ -49,6 +51,10 @@
     /// How many workers can't take the task for which reason, for the log.
     std::string explain(const std::vector<WorkerState *> &workers, const PlacementNeed &need) const;
 
+    /// The workers that only lack room for the task.
+    std::vector<WorkerState *> withoutRoom(const std::vector<WorkerState *> &workers,
+                                           const PlacementNeed &need) const;
+
 private:
     Unsuitability unsuitability(WorkerState &worker, const PlacementNeed &need) const;
     double cost(WorkerState &worker, const PlacementNeed &need) const;
@@ -58,6 +64,7 @@
     const ServingForecast &forecast(WorkerState &worker) const;
 
     const PressureModel &m_pressure;
+    const RoomReservation &m_reservation;
 };
 
 } // namespace Jobs
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -58,6 +58,8 @@
     int servingCount() const { return m_serving; }
     /// What tasks that aren't fillers may still ask for. Fillers take memory only.
     Core::Resources freeRoom() const;
+    /// What would be free if all had ended that ends by itself.
+    Core::Resources roomBesideLasting() const { return m_info.capacity - m_usedByLasting; }
     /// An estimate of the processors that nothing uses, in thousandths of a core: serving tasks
     /// leave a part of what they ask for. Negative if fillers compete.
     std::int64_t idleMilliCores() const;
@@ -128,6 +130,8 @@
     SchedulerSettings m_settings;
     std::set<TaskName> m_runs;
     Core::Resources m_used;
+    /// The part of m_used that long-running tasks take.
+    Core::Resources m_usedByLasting;
     std::int64_t m_fillerMilliCores = 0;
     std::int64_t m_servingMilliCores = 0;
     std::map<ImageIndex, int> m_servingImages;
