--- /dev/null
+++ b/Benchmarks/jobs/LoadedSite.cpp
@@ -0,0 +1,140 @@
+#include "LoadedSite.h"
+
+using namespace Jobs;
+using std::chrono::milliseconds;
+
+static constexpr std::int64_t workerMilliCores = 32'000;
+static constexpr std::int64_t workerMebibytes = 128'000;
+static constexpr int servingImages = 5;
+static constexpr int fillerImages = 9;
+static constexpr int shortJobsEvery = 4;
+
+LoadedSite::LoadedSite(int workers, int waitingJobs)
+    : m_scheduler(SchedulerSettings(), { 1, 0, Core::Instant() }, m_log)
+{
+    std::vector<WorkerInfo> list;
+    for (int i = 0; i < workers; ++i) {
+        WorkerInfo info;
+        info.id = Core::VmId("worker-" + std::to_string(i));
+        info.address = info.id.text();
+        info.service = ServiceId("service");
+        info.capacity = { workerMilliCores, workerMebibytes, 0 };
+        info.bornUnixMs = 1;
+        m_workers.push_back(info.id);
+        list.push_back(info);
+    }
+    m_scheduler.setCatalogue({});
+    m_scheduler.setWorkers(list, m_now);
+    settle();
+    // Serving tasks that take nearly all of the room.
+    for (int i = 0; i < workers * 4 / 6; ++i) {
+        StepSpec serving;
+        serving.taskCount = 6;
+        serving.need = { 7000, 13'000, 0 };
+        serving.isLongRunning = true;
+        serving.tailTargetMs = 18;
+        serving.image = "serving-" + std::to_string(i % servingImages);
+        submit(i, serving, 0);
+    }
+    settle();
+    for (int i = 0; i < waitingJobs; ++i) {
+        StepSpec step;
+        step.taskCount = 8;
+        step.isFiller = i % shortJobsEvery != 0;
+        step.need = { 1500 + 37 * (i % 60), 4000 + 71 * (i % 40), 0 };
+        step.estimateMs = 800 + 10 * (i % 100);
+        step.image = step.isFiller ? "filler-" + std::to_string(i % fillerImages) : "";
+        submit(1'000'000 + i, step, step.isFiller ? 2 : 0);
+    }
+    settle();
+}
+
+void LoadedSite::submit(int number, StepSpec step, int priority)
+{
+    Submission submission;
+    submission.id = JobId("job-" + std::to_string(number));
+    submission.queue.id = QueueId("queue-" + std::to_string(priority));
+    submission.queue.service = ServiceId("service");
+    submission.queue.priority = priority;
+    submission.queue.mostAttempts = 3;
+    submission.queue.stretch = 1000;
+    submission.spec.steps = { step };
+    submission.submittedUnixMs = m_now.unixMs;
+    m_table.apply(submission);
+    m_scheduler.addJob(*m_table.find(submission.id), m_now);
+}
+
+void LoadedSite::settle()
+{
+    constexpr int rounds = 40;
+    for (int i = 0; i < rounds; ++i) {
+        for (std::size_t worker = 0; worker < m_workers.size(); ++worker)
+            report();
+        pass();
+    }
+}
+
+std::size_t LoadedSite::pass()
+{
+    m_now.instant += milliseconds(250);
+    m_now.unixMs += 250;
+    if (m_scheduler.needsCommit()) {
+        const Commit commit = m_scheduler.takeCommit();
+        m_scheduler.onCommitted(commit.number, m_now.instant, m_now);
+    }
+    const std::vector<Command> commands = m_scheduler.takeCommands(m_now);
+    for (const Command &command : commands) {
+        if (const auto *start = std::get_if<StartCommand>(&command)) {
+            m_running[start->worker][start->task] = start->run;
+            m_scheduler.onStartOutcome(*start, StartOutcome::Started, m_now);
+        }
+        if (const auto *stop = std::get_if<StopCommand>(&command)) {
+            if (m_running[stop->worker].erase(stop->task) > 0)
+                m_ended[stop->worker].push_back(
+                    { ++m_ends[stop->worker], stop->task, stop->run, EndKind::Stopped, "" });
+        }
+    }
+    return commands.size();
+}
+
+WorkerReport LoadedSite::reportOf(const Core::VmId &worker) const
+{
+    constexpr std::int64_t goodTailMs = 9;
+    constexpr std::int64_t usedMilliCores = 2000;
+    WorkerReport report;
+    report.clockMs = m_now.unixMs;
+    report.bornUnixMs = 1;
+    if (const auto running = m_running.find(worker); running != m_running.end()) {
+        for (const auto &[task, run] : running->second) {
+            const bool isServing = m_table.find(task.job)->submission.spec.isLongRunning();
+            report.running.push_back(
+                { task, run, "", isServing ? 100 : 50, isServing ? goodTailMs : usedMilliCores });
+        }
+    }
+    if (const auto ended = m_ended.find(worker); ended != m_ended.end())
+        report.ended = ended->second;
+    return report;
+}
+
+void LoadedSite::report()
+{
+    const Core::VmId worker = m_workers[m_next++ % m_workers.size()];
+    m_scheduler.takeRenewals(m_now);
+    m_lastReport = reportOf(worker);
+    m_ended[worker].clear();
+    m_scheduler.onReport(worker, m_lastReport, m_now.instant, m_now);
+}
+
+void LoadedSite::endTask()
+{
+    const Core::VmId worker = m_workers[m_next % m_workers.size()];
+    auto &running = m_running[worker];
+    for (auto it = running.begin(); it != running.end(); ++it) {
+        if (m_table.find(it->first.job)->submission.spec.isLongRunning())
+            continue;
+        m_ended[worker].push_back({ ++m_ends[worker], it->first, it->second, EndKind::Done, "" });
+        running.erase(it);
+        break;
+    }
+    report();
+}
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -64,6 +64,7 @@
     putLargeJobsFirst(steps);
     putOverdueFirst(steps, now);
     m_reservation.begin(m_listed.size());
+    m_chooser.beginPass(m_listed);
     m_isUnderused = isUnderused();
     std::vector<Unfit> unfit;
     for (const Waiting &waiting : steps) {
@@ -74,8 +75,8 @@
             ? waiting.job->images[static_cast<std::size_t>(waiting.step)]
             : ImageIndex();
         const bool isHopeless = std::any_of(unfit.begin(), unfit.end(), [&](const auto &other) {
-            return other.service == service && other.isFiller == spec.isFiller
-                && other.image == image && other.need.fitsIn(spec.need)
+            return other.isFiller == spec.isFiller && other.image == image
+                && other.need.fitsIn(spec.need) && other.service == service
                 && (other.mayDisturb || !mayDisturb(waiting, now));
         });
         const bool mayReserve = waiting.isOverdue && !m_reservation.isFull();
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -129,9 +129,35 @@
     return full;
 }
 
+void WorkerChooser::beginPass(const std::vector<WorkerState *> &workers)
+{
+    m_mostRoom.clear();
+    for (const WorkerState *worker : workers) {
+        MostRoom &most = m_mostRoom[worker->info().service];
+        const Core::Resources free = worker->freeRoom();
+        most.free.milliCores = std::max(most.free.milliCores, free.milliCores);
+        most.free.mebibytes = std::max(most.free.mebibytes, free.mebibytes);
+        most.free.accelerators = std::max(most.free.accelerators, free.accelerators);
+        most.idleMilliCores = std::max(most.idleMilliCores, worker->idleMilliCores());
+    }
+}
+
+bool WorkerChooser::mayFitSomewhere(const PlacementNeed &need) const
+{
+    const auto most = m_mostRoom.find(need.service);
+    if (most == m_mostRoom.end())
+        return false;
+    Core::Resources room = most->second.free;
+    if (need.step->isFiller)
+        room.milliCores = most->second.idleMilliCores;
+    return need.step->need.fitsIn(room);
+}
+
 WorkerState *WorkerChooser::choose(const std::vector<WorkerState *> &workers,
                                    const PlacementNeed &need) const
 {
+    if (!mayFitSomewhere(need))
+        return nullptr;
     WorkerState *best = nullptr;
     double leastCost = std::numeric_limits<double>::max();
     for (WorkerState *worker : workers) {
--- a/Libraries/LibSite/JobFollower.cpp
+++ b/Libraries/LibSite/JobFollower.cpp
@@ -133,6 +133,12 @@
 
 void JobFollower::apply(const LoggedRecord &logged)
 {
+    if (m_state.owner && Jobs::isOwnersKey(logged.record.key)) {
+        // The owner has applied its own records when they became durable.
+        if (!m_isInSnapshot)
+            m_state.watch.noteSign(Core::steadyNow());
+        return;
+    }
     try {
         applyJobRecord(logged, Jobs::decodeRecord(logged.record));
     } catch (const Core::FormatError &error) {
@@ -161,7 +167,7 @@
         || std::holds_alternative<Jobs::JobDropped>(record);
     if (isFromOwner && !m_isInSnapshot)
         m_state.watch.noteSign(now);
-    // The owner has applied its own records when they became durable.
+    // Other keys of a job that the owner has dropped.
     if (isFromOwner && m_state.owner)
         return;
     m_state.table.apply(record);
--- a/Tests/platform/TestMessages.cpp
+++ b/Tests/platform/TestMessages.cpp
@@ -2,6 +2,7 @@
 #include "NodeSettings.h"
 #include "PlatformDecoder.h"
 #include "RecordFrames.h"
+#include "ReportDecoder.h"
 #include "WorkerMessages.h"
 
 #include <LibCore/Error.h>
@@ -133,7 +134,7 @@
 {
     SECTION("a report")
     {
-        const Jobs::WorkerReport report = WorkerMessages::decodeReport(reportText, "w");
+        const Jobs::WorkerReport report = decodeReport(reportText, "w");
         CHECK(report.clockMs == 482113);
         CHECK(report.bornUnixMs == 17);
         REQUIRE(report.running.size() == 1);
@@ -265,8 +266,7 @@
     }
     SECTION("reports")
     {
-        checkMutations(reportText,
-                       [](const std::string &text) { WorkerMessages::decodeReport(text, "w"); });
+        checkMutations(reportText, [](const std::string &text) { decodeReport(text, "w"); });
     }
     SECTION("refusals")
     {
--- a/include/LibJob/WorkerChooser.h
+++ b/include/LibJob/WorkerChooser.h
@@ -8,6 +8,7 @@
 #include <LibJob/Unsuitability.h>
 #include <LibJob/WorkerState.h>
 
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -46,6 +47,9 @@
     {
     }
 
+    /// Notes the most room that any worker of a service has, so that what needs more isn't tried.
+    /// Until the next call room may only become less.
+    void beginPass(const std::vector<WorkerState *> &workers);
     /// Null if no worker fits.
     WorkerState *choose(const std::vector<WorkerState *> &workers, const PlacementNeed &need) const;
     /// How many workers can't take the task for which reason, for the log.
@@ -56,7 +60,15 @@
                                            const PlacementNeed &need) const;
 
 private:
+    /// The most of each dimension on any worker of a service.
+    struct MostRoom
+    {
+        Core::Resources free;
+        std::int64_t idleMilliCores = 0;
+    };
+
     Unsuitability unsuitability(WorkerState &worker, const PlacementNeed &need) const;
+    bool mayFitSomewhere(const PlacementNeed &need) const;
     double cost(WorkerState &worker, const PlacementNeed &need) const;
     /// The highest utilization of a serving task to be expected there, as a part of that at which
     /// it just meets its target.
@@ -65,6 +77,7 @@
 
     const PressureModel &m_pressure;
     const RoomReservation &m_reservation;
+    std::map<ServiceId, MostRoom> m_mostRoom;
 };
 
 } // namespace Jobs
