LibJob: Renew workers' leases at most every 110 ms

Cause: with 700 runs of one to two seconds each worker answers a renewal as soon as one of its tasks ends, so it was asked again after 60 ms, 400 to 800 times a second in all.

Change: 60 to 110 ms between two renewals of a worker. Unused parameters of two functions went with it.

--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -89,7 +89,7 @@
     for (const RunningEntry &entry : report.running)
         onRunning(*worker, entry, now);
     if (isWhole)
-        removeMissingRuns(*worker, report, sentAt, now);
+        removeMissingRuns(*worker, report, sentAt);
     learnPressure(*worker, now);
     relieveServing(*worker, now);
     worker->nextRenewalAt = now.instant
@@ -119,20 +119,20 @@
     TaskState *task = job ? job->findTask(entry.task) : nullptr;
     const bool isWanted = task && !job->isTaskDone(entry.task);
     if (!isWanted) {
-        stopUnknownRun(worker, entry, now);
+        stopUnknownRun(worker, entry);
         return;
     }
     if (!task->run) {
         // An abandoned run doesn't count any more, whatever it does.
         if (job->isOver() || entry.run <= task->lastRun)
-            stopUnknownRun(worker, entry, now);
+            stopUnknownRun(worker, entry);
         else
             adoptRun(*job, worker, entry, now);
         return;
     }
     TaskRun &run = *task->run;
     if (run.worker != &worker || run.number != entry.run) {
-        stopUnknownRun(worker, entry, now);
+        stopUnknownRun(worker, entry);
         return;
     }
     if (run.phase != RunPhase::Running) {
@@ -161,7 +161,7 @@
     markDirty(job);
 }
 
-void JobScheduler::stopUnknownRun(WorkerState &worker, const RunningEntry &entry, const Moment &)
+void JobScheduler::stopUnknownRun(WorkerState &worker, const RunningEntry &entry)
 {
     note(entry.task, "stop-unknown",
          "worker=" + worker.info().id.text() + " run=" + std::to_string(entry.run));
@@ -170,7 +170,7 @@
 }
 
 void JobScheduler::removeMissingRuns(WorkerState &worker, const WorkerReport &report,
-                                     Core::Instant sentAt, const Moment &now)
+                                     Core::Instant sentAt)
 {
     std::set<TaskName> listed;
     for (const RunningEntry &entry : report.running)
@@ -192,7 +192,6 @@
         removeRun(*job, name);
         m_needsPass = true;
     }
-    static_cast<void>(now);
 }
 
 void JobScheduler::checkProgress(const TaskName &name, TaskRun &run, const RunningEntry &entry,
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -165,9 +165,8 @@
     void onTaskFailed(OwnedJob &job, const EndedEntry &end, const Moment &now);
     void onRunning(WorkerState &worker, const RunningEntry &entry, const Moment &now);
     void adoptRun(OwnedJob &job, WorkerState &worker, const RunningEntry &entry, const Moment &now);
-    void stopUnknownRun(WorkerState &worker, const RunningEntry &entry, const Moment &now);
-    void removeMissingRuns(WorkerState &worker, const WorkerReport &report, Core::Instant sentAt,
-                           const Moment &now);
+    void stopUnknownRun(WorkerState &worker, const RunningEntry &entry);
+    void removeMissingRuns(WorkerState &worker, const WorkerReport &report, Core::Instant sentAt);
     void expireLeases(const Moment &now);
     void expireRunsOf(WorkerState &worker, const Moment &now);
     /// What became of the task's runs up to \p run will never be known.
--- a/include/LibJob/SchedulerSettings.h
+++ b/include/LibJob/SchedulerSettings.h
@@ -20,7 +20,7 @@
     /// How long a worker may hold back its answer to a renewal until a task ends.
     Core::Duration renewalWait = std::chrono::milliseconds(1000);
     /// The least time between two renewals of one worker.
-    Core::Duration renewalSpacing = std::chrono::milliseconds(60);
+    Core::Duration renewalSpacing = std::chrono::milliseconds(110);
     /// The time between renewals of a worker that didn't answer.
     Core::Duration silentRenewalSpacing = std::chrono::milliseconds(400);
     /// How long a worker that failed a task, or did nothing, gets no further one.
