LibJob: Ask workers less often while the owner runs late

Ruled out: the decoder and the owner's own records (measured there).

Change: the owner measures how late a timer of 100 ms runs. Beyond 100 ms, which a processor given out in tenths of a second brings by itself, the time between two renewals of a worker grows by twice the excess, by 600 ms at most: a lease is still renewed three times while it lasts, also when every renewal waits for its full second.

TestWaiting has the bounds. It isn't shown that no heavier load breaks it.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -8,6 +8,12 @@
 
 /// Waiting tasks are looked at again after this time even if nothing seems to have changed.
 static constexpr Core::Duration passInterval = milliseconds(200);
+/// A processor that is given out in tenths of a second runs that late without being overloaded.
+static constexpr Core::Duration toleratedLag = milliseconds(100);
+/// How much longer a worker isn't asked for each millisecond that the owner runs late.
+static constexpr int lagStretch = 2;
+/// Leases must be renewed in time however late the owner runs.
+static constexpr Core::Duration longestStretch = milliseconds(600);
 
 JobScheduler::JobScheduler(const SchedulerSettings &settings, const Ownership &ownership,
                            DecisionLog &decisionLog)
@@ -203,8 +209,7 @@
         const bool hadUncommitted = worker->hasUncommittedEnds();
         worker->noteCommitted(number);
         if (hadUncommitted && !worker->hasUncommittedEnds())
-            worker->nextRenewalAt
-                = std::min(worker->nextRenewalAt, now.instant + m_settings.renewalSpacing);
+            worker->nextRenewalAt = std::min(worker->nextRenewalAt, now.instant + renewalSpacing());
     }
 }
 
@@ -218,6 +223,17 @@
     }
 }
 
+void JobScheduler::noteLag(Core::Duration lag)
+{
+    m_lag = lag;
+}
+
+Core::Duration JobScheduler::renewalSpacing() const
+{
+    const Core::Duration stretch = lagStretch * (m_lag - toleratedLag);
+    return m_settings.renewalSpacing + std::clamp(stretch, Core::Duration(), longestStretch);
+}
+
 bool JobScheduler::wantsRenewal(const WorkerState &worker)
 {
     if (worker.isRenewing)
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -92,8 +92,8 @@
         removeMissingRuns(*worker, report, sentAt);
     learnPressure(*worker, now);
     relieveServing(*worker, now);
-    worker->nextRenewalAt = now.instant
-        + (worker->hasUncommittedEnds() ? uncommittedSpacing : m_settings.renewalSpacing);
+    worker->nextRenewalAt
+        = now.instant + (worker->hasUncommittedEnds() ? uncommittedSpacing : renewalSpacing());
 }
 
 Core::Duration JobScheduler::longestLease() const
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -72,8 +72,7 @@
     note(name, "stop", "worker=" + worker.id.text() + " run=" + std::to_string(run.number));
     m_commands.emplace_back(
         StopCommand { worker.id, worker.address, name, run.number, m_ownership.token });
-    run.worker->nextRenewalAt
-        = std::min(run.worker->nextRenewalAt, now.instant + m_settings.renewalSpacing);
+    run.worker->nextRenewalAt = std::min(run.worker->nextRenewalAt, now.instant + renewalSpacing());
 }
 
 void JobScheduler::repeatStops(const Moment &now)
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -336,7 +336,7 @@
     run.phase = RunPhase::Starting;
     run.phaseBeganAt = now.instant;
     run.startBound = worker.leaseBound();
-    worker.nextRenewalAt = std::min(worker.nextRenewalAt, now.instant + m_settings.renewalSpacing);
+    worker.nextRenewalAt = std::min(worker.nextRenewalAt, now.instant + renewalSpacing());
     note(task, "start",
          "worker=" + command.worker.text() + " run=" + std::to_string(run.number)
              + " free=" + std::to_string(worker.freeRoom().milliCores));
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -16,6 +16,7 @@
 static constexpr Core::Duration appendRetrySpacing = std::chrono::milliseconds(100);
 /// What becomes due within this time shares an append.
 static constexpr Core::Duration commitSpacing = std::chrono::milliseconds(20);
+static constexpr Core::Duration lagInterval = std::chrono::milliseconds(100);
 static constexpr Core::Duration heartbeatInterval = std::chrono::milliseconds(500);
 static constexpr Core::Duration orderTime = std::chrono::milliseconds(1000);
 /// How long a worker may take to answer beyond the time that it was allowed to wait.
@@ -151,6 +152,7 @@
 {
     m_state.metrics.setOwner(true);
     spawn(followWorkers());
+    spawn(watchLag());
     while (!m_isOver) {
         if (m_scheduler.isDeposed())
             depose("a worker has seen a newer token");
@@ -330,6 +332,16 @@
     m_scheduler.onRenewalFailed(command.worker, now());
 }
 
+asio::awaitable<void> OwnerSession::watchLag()
+{
+    Supervision::Wakeup pause(m_executor);
+    while (!m_isOver) {
+        const Core::Instant due = Core::steadyNow() + lagInterval;
+        co_await pause.sleepUntil(due);
+        m_scheduler.noteLag(Core::steadyNow() - due);
+    }
+}
+
 asio::awaitable<void> OwnerSession::followWorkers()
 {
     while (!m_isOver) {
--- a/Tests/LibJob/TestWaiting.cpp
+++ b/Tests/LibJob/TestWaiting.cpp
@@ -113,3 +113,32 @@
         CHECK(starts.front().worker == TwoWorkers::second);
     }
 }
+
+TEST_CASE("An owner that runs late asks workers less often, but renews leases in time")
+{
+    using std::chrono::milliseconds;
+    const SchedulerSettings settings;
+    TwoWorkers site({ 1, 0, Core::Instant() });
+
+    SECTION("a lag within what a shared processor brings changes nothing")
+    {
+        site.scheduler().noteLag(milliseconds(90));
+        CHECK(site.scheduler().renewalSpacing() == settings.renewalSpacing);
+    }
+    SECTION("a longer one stretches the time between renewals")
+    {
+        site.scheduler().noteLag(milliseconds(300));
+        CHECK(site.scheduler().renewalSpacing() > settings.renewalSpacing);
+    }
+    SECTION("however long it is, a lease is renewed several times while it lasts")
+    {
+        site.scheduler().noteLag(std::chrono::seconds(30));
+        CHECK(3 * (site.scheduler().renewalSpacing() + settings.renewalWait) < settings.lease);
+    }
+    SECTION("and it ends with the lag")
+    {
+        site.scheduler().noteLag(std::chrono::seconds(30));
+        site.scheduler().noteLag(milliseconds(0));
+        CHECK(site.scheduler().renewalSpacing() == settings.renewalSpacing);
+    }
+}
--- a/Tests/LibJob/TwoWorkers.h
+++ b/Tests/LibJob/TwoWorkers.h
@@ -36,6 +36,7 @@
     /// the tasks that were started.
     std::vector<Jobs::StartCommand> settle();
 
+    Jobs::JobScheduler &scheduler() { return m_scheduler; }
     Jobs::JobState state() const { return m_table.find(Jobs::JobId("job"))->state(); }
     std::int64_t waitingCount() const { return m_table.waitingCount(Jobs::QueueId("queue")); }
     int recordsWritten() const { return m_recordsWritten; }
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -81,6 +81,12 @@
     void onStartOutcome(const StartCommand &command, StartOutcome outcome, const Moment &now);
     void onStopAnswered(const StopCommand &command, const Moment &now);
 
+    /// How late the owner's process runs: behind its work it asks workers less often, so that what
+    /// must not wait (cancellations, leases, stops) doesn't queue behind reports.
+    void noteLag(Core::Duration lag);
+    /// The time until a worker is asked again.
+    Core::Duration renewalSpacing() const;
+
     /// Decides on starts and stops, and returns what is to be sent.
     std::vector<Command> takeCommands(const Moment &now);
     /// When to call again at the latest.
@@ -218,6 +224,7 @@
     /// A worker has been met for the first time since the last proof of ownership.
     bool m_isProofWanted = false;
     Core::Instant m_provenAt = {};
+    Core::Duration m_lag = {};
     bool m_needsPass = true;
     Core::Instant m_nextPassAt = {};
     Core::Instant m_nextCheckAt = {};
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -59,6 +59,8 @@
     boost::asio::awaitable<void> send(Jobs::ThrottleCommand command);
     boost::asio::awaitable<void> renew(Jobs::RenewCommand command);
     boost::asio::awaitable<void> followWorkers();
+    /// Tells the scheduler how late timers run.
+    boost::asio::awaitable<void> watchLag();
     /// Runs \p work, and counts it so that the session outlives it.
     void spawn(boost::asio::awaitable<void> work);
     void depose(const std::string &reason);
