--- a/Benchmarks/jobs/LoadedSite.cpp
+++ b/Benchmarks/jobs/LoadedSite.cpp
@@ -49,7 +49,7 @@
     settle();
 }
 
-void LoadedSite::submit(int number, StepSpec step, int priority)
+void LoadedSite::submit(int number, const StepSpec &step, int priority)
 {
     Submission submission;
     submission.id = JobId("job-" + std::to_string(number));
--- a/Benchmarks/jobs/LoadedSite.h
+++ b/Benchmarks/jobs/LoadedSite.h
@@ -28,7 +28,7 @@
         void note(std::string_view, std::string_view, std::string_view) override { }
     };
 
-    void submit(int number, Jobs::StepSpec step, int priority);
+    void submit(int number, const Jobs::StepSpec &step, int priority);
     void settle();
     Jobs::WorkerReport reportOf(const Core::VmId &worker) const;
 
--- a/Tests/LibJob/TestOwnership.cpp
+++ b/Tests/LibJob/TestOwnership.cpp
@@ -226,8 +226,8 @@
             world.run(2000);
         }
         world.run(6000);
-        INFO("seed " << seed);
-        REQUIRE(world.violation() == std::string());
+        INFO("seed " << seed << ": " << world.violation());
+        REQUIRE(world.violation().empty());
     }
 }
 
