--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -230,6 +230,9 @@
     const JobEntry *entry = m_table.find(task.job);
     if (history.isDone && entry->progress && entry->progress->isFinal())
         fail("a task of an ended job is started: " + task.text());
+    const auto most = static_cast<std::size_t>(entry->submission.queue.mostAttempts);
+    if (history.failedAtMs.size() >= most)
+        fail("a task is started after its last attempt: " + task.text());
     checkAttempts(task);
 }
 
--- a/Tests/LibJob/TestOwnership.cpp
+++ b/Tests/LibJob/TestOwnership.cpp
@@ -86,25 +86,14 @@
     world.run(60000);
 }
 
-/// How many of some worlds of long cuts break a promise.
-int violationsOfLongCuts(MissingGuard missing, int worlds)
+/// How many of some worlds break a promise.
+int violations(const WorldFaults &faults, void (*play)(JobWorld &), MissingGuard missing)
 {
+    constexpr std::uint32_t worlds = 300;
     int count = 0;
-    for (int seed = 1; seed <= worlds; ++seed) {
-        JobWorld world(static_cast<std::uint32_t>(seed), worldOfLongCuts(), missing);
-        playLongCuts(world);
-        count += world.violation().empty() ? 0 : 1;
-    }
-    return count;
-}
-
-/// How many of some rough worlds break a promise.
-int violations(MissingGuard missing, int worlds)
-{
-    int count = 0;
-    for (int seed = 1; seed <= worlds; ++seed) {
-        JobWorld world(static_cast<std::uint32_t>(seed), roughWorld(), missing);
-        playRoughWorld(world);
+    for (std::uint32_t seed = 1; seed <= worlds; ++seed) {
+        JobWorld world(seed, faults, missing);
+        play(world);
         count += world.violation().empty() ? 0 : 1;
     }
     return count;
@@ -242,18 +231,17 @@
 
 TEST_CASE("Each guard of the ownership is needed")
 {
-    constexpr int worlds = 300;
     SECTION("workers that obey replaced owners")
     {
-        CHECK(violations(MissingGuard::Fence, worlds) > 0);
+        CHECK(violations(roughWorld(), playRoughWorld, MissingGuard::Fence) > 0);
     }
     SECTION("a new owner that doesn't wait for leases it can't see")
     {
-        CHECK(violations(MissingGuard::FormerLeases, worlds) > 0);
+        CHECK(violations(roughWorld(), playRoughWorld, MissingGuard::FormerLeases) > 0);
     }
     SECTION("an owner that acts without proof")
     {
-        CHECK(violationsOfLongCuts(MissingGuard::Proof, worlds) > 0);
-        CHECK(violationsOfLongCuts(MissingGuard::None, worlds) == 0);
+        CHECK(violations(worldOfLongCuts(), playLongCuts, MissingGuard::Proof) > 0);
+        CHECK(violations(worldOfLongCuts(), playLongCuts, MissingGuard::None) == 0);
     }
 }
