LibSite: Say how old and complete the records behind an answer are

Ruled out: a line for each failed read; refreshing reads may fail 50 times a second. Change: event=waiting with the copy's age and offset, event=read-failed once a second, snapshot_records in event=caught-up, gauge lagoonford_table_age_seconds. No decision reads the new state.

--- a/Libraries/LibSite/JobDesk.cpp
+++ b/Libraries/LibSite/JobDesk.cpp
@@ -110,7 +110,13 @@
 
 std::int64_t JobDesk::waitingCount(const Jobs::QueueId &queue) const
 {
-    return m_state.table.waitingCount(queue);
+    const std::int64_t count = m_state.table.waitingCount(queue);
+    LOG4CXX_INFO(partLogger,
+                 "event=waiting queue="
+                     << queue << " count=" << count << " table_age_ms="
+                     << ageText(m_state.freshness.completeAsOf(), Core::suspendAwareNow())
+                     << " offset=" << m_follower.nextOffset());
+    return count;
 }
 
 } // namespace Site
--- a/Libraries/LibSite/JobFollower.cpp
+++ b/Libraries/LibSite/JobFollower.cpp
@@ -18,6 +18,8 @@
 static constexpr Core::Duration ownersReadSpacing = std::chrono::milliseconds(25);
 static constexpr Core::Duration followersReadSpacing = std::chrono::milliseconds(250);
 static constexpr Core::Duration retrySpacing = std::chrono::milliseconds(250);
+/// The log says at most this often that reads fail.
+static constexpr Core::Duration failureReportSpacing = std::chrono::seconds(1);
 static constexpr Core::Duration answerTime = std::chrono::milliseconds(900);
 /// Refreshing reads begin at least this far apart; callers that come meanwhile share the next.
 static constexpr Core::Duration refreshSpacing = std::chrono::milliseconds(20);
@@ -37,16 +39,20 @@
     try {
         const Core::Instant deadline = began + std::chrono::milliseconds(waitMs) + answerTime;
         bool isAtEnd = false;
+        Core::Instant sentAt = {};
         while (!isAtEnd) {
+            sentAt = Core::suspendAwareNow();
             isAtEnd = co_await m_follower.read(waitMs, deadline);
             waitMs = 0;
         }
+        m_state.freshness.noteComplete(sentAt);
         const Core::Instant now = Core::steadyNow();
         m_state.watch.noteRead(true, now);
         if (!m_state.isCaughtUp)
             LOG4CXX_INFO(partLogger,
-                         "event=caught-up jobs=" << m_state.table.jobs().size()
-                                                 << " offset=" << m_follower.nextOffset());
+                         "event=caught-up jobs="
+                             << m_state.table.jobs().size() << " offset=" << m_follower.nextOffset()
+                             << " snapshot_records=" << m_follower.snapshotSize());
         m_state.isCaughtUp = true;
         if (m_state.health.noteSuccess(now))
             LOG4CXX_INFO(partLogger, "event=regained dependency=store");
@@ -55,6 +61,7 @@
         LOG4CXX_INFO(partLogger, "event=history-lost reason=\"" << error.what() << '"');
     } catch (const Core::Error &error) {
         m_state.watch.noteRead(false, Core::steadyNow());
+        noteFailedRead(error.what());
         if (m_state.health.noteFailure(Core::steadyNow()))
             LOG4CXX_WARN(partLogger,
                          "event=lost dependency=store reason=\"" << error.what() << '"');
@@ -62,6 +69,22 @@
     co_return false;
 }
 
+void JobFollower::noteFailedRead(const std::string &reason)
+{
+    ++m_unreportedFailures;
+    const Core::Instant now = Core::steadyNow();
+    if (now < m_nextFailureReportAt)
+        return;
+    m_nextFailureReportAt = now + failureReportSpacing;
+    const std::string age = ageText(m_state.freshness.completeAsOf(), Core::suspendAwareNow());
+    LOG4CXX_WARN(partLogger,
+                 "event=read-failed failures=" << m_unreportedFailures << " table_age_ms=" << age
+                                               << " offset=" << m_follower.nextOffset()
+                                               << " snapshot_records=" << m_follower.snapshotSize()
+                                               << " reason=\"" << reason << '"');
+    m_unreportedFailures = 0;
+}
+
 asio::awaitable<void> JobFollower::run()
 {
     m_isStopping = false;
--- a/Libraries/LibSite/LogFollower.cpp
+++ b/Libraries/LibSite/LogFollower.cpp
@@ -27,6 +27,7 @@
             afterKey = page.records.back().record.key;
         for (LoggedRecord &record : page.records)
             records.push_back(std::move(record));
+        m_snapshotSize = records.size();
     }
     m_sink.beginSnapshot();
     for (const LoggedRecord &record : records)
--- a/Libraries/LibSite/SiteMetrics.cpp
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -43,6 +43,8 @@
     , m_isOwner(gauge(m_registry, "lagoonford_is_owner", "1 while this node owns the site's jobs"))
     , m_running(gauge(m_registry, "lagoonford_tasks_running", "Runs that aren't known to be gone"))
     , m_waiting(gauge(m_registry, "lagoonford_tasks_waiting", "Tasks that wait for a worker"))
+    , m_tableAge(gauge(m_registry, "lagoonford_table_age_seconds",
+                       "Age of the copy of the job records; -1 while it was never complete"))
 {
 }
 
@@ -82,6 +84,11 @@
     m_waiting.Set(waiting);
 }
 
+void SiteMetrics::setTableAge(double seconds)
+{
+    m_tableAge.Set(seconds);
+}
+
 std::string SiteMetrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_registry.Collect());
--- /dev/null
+++ b/Libraries/LibSite/TableFreshness.cpp
@@ -0,0 +1,20 @@
+#include <LibSite/TableFreshness.h>
+
+#include <algorithm>
+
+namespace Site {
+
+void TableFreshness::noteComplete(Core::Instant sentAt)
+{
+    m_completeAsOf = m_completeAsOf ? std::max(*m_completeAsOf, sentAt) : sentAt;
+}
+
+std::string ageText(std::optional<Core::Instant> completeAsOf, Core::Instant now)
+{
+    if (!completeAsOf)
+        return "never";
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - *completeAsOf);
+    return std::to_string(age.count());
+}
+
+} // namespace Site
--- a/include/LibSite/JobFollower.h
+++ b/include/LibSite/JobFollower.h
@@ -37,6 +37,7 @@
     void applyJobRecord(const LoggedRecord &logged, const Jobs::JobRecord &record);
     boost::asio::awaitable<bool> readOnce(std::int64_t waitMs);
     boost::asio::awaitable<void> readForRefresh();
+    void noteFailedRead(const std::string &reason);
 
     SiteState &m_state;
     LogFollower m_follower;
@@ -49,6 +50,9 @@
     /// When the last refreshing read that has ended began, and whether it succeeded.
     Core::Instant m_refreshBeganAt = {};
     bool m_didRefreshSucceed = false;
+    /// Failed reads since the log last said so.
+    int m_unreportedFailures = 0;
+    Core::Instant m_nextFailureReportAt = {};
 };
 
 } // namespace Site
--- a/include/LibSite/LogFollower.h
+++ b/include/LibSite/LogFollower.h
@@ -2,6 +2,7 @@
 
 #include <LibSite/KeyedLog.h>
 
+#include <cstddef>
 #include <cstdint>
 
 namespace Site {
@@ -31,6 +32,8 @@
     /// end of the log was reached. \throws Core::Error if the log can't be read.
     boost::asio::awaitable<bool> read(std::int64_t waitMs, Core::Instant deadline);
 
+    /// How many records the snapshot holds that is being read, or was read last.
+    std::size_t snapshotSize() const { return m_snapshotSize; }
     /// The offset of the next record to be read.
     std::int64_t nextOffset() const { return m_next; }
     /// Takes note of our own append: its records needn't be read. True if they were the next.
@@ -45,6 +48,7 @@
     RecordSink &m_sink;
     std::int64_t m_next = 0;
     bool m_hasSnapshot = false;
+    std::size_t m_snapshotSize = 0;
 };
 
 } // namespace Site
--- a/include/LibSite/SiteMetrics.h
+++ b/include/LibSite/SiteMetrics.h
@@ -23,6 +23,8 @@
     void countDecision(const std::string &event);
     void setOwner(bool isOwner);
     void setTasks(double running, double waiting);
+    /// How old the copy of the job records is; negative while it was never complete.
+    void setTableAge(double seconds);
 
     /// All metrics in the text format of Prometheus.
     std::string text() const;
@@ -39,6 +41,7 @@
     prometheus::Gauge &m_isOwner;
     prometheus::Gauge &m_running;
     prometheus::Gauge &m_waiting;
+    prometheus::Gauge &m_tableAge;
 };
 
 } // namespace Site
--- a/include/LibSite/SiteState.h
+++ b/include/LibSite/SiteState.h
@@ -8,6 +8,7 @@
 #include <LibSite/SiteMetrics.h>
 #include <LibSite/SiteSettings.h>
 #include <LibSite/StoreHealth.h>
+#include <LibSite/TableFreshness.h>
 
 #include <optional>
 #include <set>
@@ -40,6 +41,7 @@
 
     const SiteSettings settings;
     Jobs::JobTable table;
+    TableFreshness freshness;
     Jobs::OwnerWatch watch;
     std::optional<Jobs::Catalogue> catalogue;
     std::set<Core::FailureDomainId> outOfService;
