LibSite: Give a count of waiting jobs with an outcome

Cause: JobDesk could only answer a number, also when it has none to give; a test of that needs an interface that can say so. Ruled out: an exception: each desk answers its outcomes as values. Nothing decides on it yet: Unavailable never occurs.

--- a/Libraries/LibSite/JobDesk.cpp
+++ b/Libraries/LibSite/JobDesk.cpp
@@ -108,7 +108,7 @@
     co_return finding;
 }
 
-std::int64_t JobDesk::waitingCount(const Jobs::QueueId &queue) const
+asio::awaitable<WaitingCount> JobDesk::countWaiting(Jobs::QueueId queue, Core::Instant)
 {
     const std::int64_t count = m_state.table.waitingCount(queue);
     LOG4CXX_INFO(partLogger,
@@ -116,7 +116,7 @@
                      << queue << " count=" << count << " table_age_ms="
                      << ageText(m_state.freshness.completeAsOf(), Core::suspendAwareNow())
                      << " offset=" << m_follower.nextOffset());
-    return count;
+    co_return WaitingCount { CountOutcome::Counted, count };
 }
 
 } // namespace Site
--- a/Tests/LibSite/TestSite.cpp
+++ b/Tests/LibSite/TestSite.cpp
@@ -123,6 +123,10 @@
     void own(TestNode &node) { asio::co_spawn(context, node.owner.run(), asio::detached); }
     void run(int ms) { context.run_for(milliseconds(ms)); }
     Core::Instant in(int ms) const { return Core::steadyNow() + milliseconds(ms); }
+    WaitingCount countWaiting(TestNode &node)
+    {
+        return await(node.desk.countWaiting(Jobs::QueueId("queue"), in(1000)));
+    }
 
     /// Runs until \p work has ended, for 5 s at most.
     template<typename Result>
@@ -168,7 +172,7 @@
         CHECK(site.await(node.desk.submit(job("a"), site.in(1000))) == SubmitOutcome::Accepted);
         const JobFinding finding = site.await(other.desk.find(Jobs::JobId("a"), site.in(1000)));
         CHECK(finding == JobFinding { FindOutcome::Found, Jobs::JobState::Queued });
-        CHECK(other.desk.waitingCount(Jobs::QueueId("queue")) == 1);
+        CHECK(site.countWaiting(other) == WaitingCount { CountOutcome::Counted, 1 });
     }
     SECTION("a repetition at another node writes nothing once the job is known there")
     {
--- a/include/LibSite/JobDesk.h
+++ b/include/LibSite/JobDesk.h
@@ -33,6 +33,21 @@
     Unavailable,
 };
 
+enum class CountOutcome {
+    Counted,
+    /// The records that this node has read don't allow a true count.
+    Unavailable,
+};
+
+struct WaitingCount
+{
+    CountOutcome outcome = CountOutcome::Unavailable;
+    /// Jobs of which no task has started; 0 unless they were counted.
+    std::int64_t jobs = 0;
+
+    auto operator<=>(const WaitingCount &) const = default;
+};
+
 struct JobFinding
 {
     FindOutcome outcome = FindOutcome::Unavailable;
@@ -52,7 +67,7 @@
                                                  Core::Instant deadline);
     boost::asio::awaitable<CancelOutcome> cancel(Jobs::JobId id, Core::Instant deadline);
     boost::asio::awaitable<JobFinding> find(Jobs::JobId id, Core::Instant deadline);
-    std::int64_t waitingCount(const Jobs::QueueId &queue) const;
+    boost::asio::awaitable<WaitingCount> countWaiting(Jobs::QueueId queue, Core::Instant deadline);
 
 private:
     SiteState &m_state;
