Tests: Share the fixture of a site's nodes; let the log in memory be slow

Cause: TestSite.cpp held the fixture that further tests of a site need, and MemoryLog answered at once, whatever the deadline. Ruled out: a second fixture beside it. Change: SiteFixture.h, moved as it was; MemoryLog::pageMs, the time of a page of the newest records, and its deadline is kept.

--- a/Tests/LibSite/MemoryLog.cpp
+++ b/Tests/LibSite/MemoryLog.cpp
@@ -2,6 +2,8 @@
 
 #include "MemoryLog.h"
 
+#include <LibCore/SteadyClock.h>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -119,10 +121,22 @@
     co_return page;
 }
 
-asio::awaitable<NewestPage> MemoryLog::newest(Topic topic, std::string afterKey, Core::Instant)
+asio::awaitable<void> MemoryLog::deliverPage(Core::Instant deadline)
+{
+    const Core::Instant now = Core::steadyNow();
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count();
+    if (left < pageMs) {
+        co_await delay(std::max<std::int64_t>(left, 0));
+        throw Core::OutcomeUnknownError("newest", "memory", "the deadline has passed");
+    }
+    co_await delay(pageMs);
+}
+
+asio::awaitable<NewestPage> MemoryLog::newest(Topic topic, std::string afterKey,
+                                              Core::Instant deadline)
 {
     ++reads;
-    co_await delay(callMs);
+    co_await deliverPage(deadline);
     refuseIfDown("newest");
     const Stored &stored = m_topics[topic];
     std::map<std::string, LoggedRecord> newest;
--- a/Tests/LibSite/MemoryLog.h
+++ b/Tests/LibSite/MemoryLog.h
@@ -37,6 +37,9 @@
     bool isDown = false;
     /// Appends happen, and their answers are lost.
     bool losesAnswers = false;
+    /// How long a page of the newest records is on its way; a call that would end after its
+    /// deadline isn't answered.
+    std::int64_t pageMs = 1;
     int appends = 0;
     int reads = 0;
 
@@ -49,6 +52,7 @@
     };
 
     boost::asio::awaitable<void> delay(std::int64_t milliseconds);
+    boost::asio::awaitable<void> deliverPage(Core::Instant deadline);
     boost::asio::awaitable<std::int64_t> store(std::vector<Jobs::StoredRecord> records);
     void refuseIfDown(const std::string &step) const;
 
--- /dev/null
+++ b/Tests/LibSite/SiteFixture.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include "MemoryLog.h"
+
+#include <LibCore/SteadyClock.h>
+#include <LibSite/JobDesk.h>
+#include <LibSite/JobFollower.h>
+#include <LibSite/OperatorFollower.h>
+#include <LibSite/OwnerPart.h>
+#include <LibSite/RecordWriter.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace Site;
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+/// Reads a worker's entry as `DOMAIN`, and a catalogue as its version.
+class PlainDecoder final : public SiteDecoder
+{
+public:
+    OperatorChange decodeOperatorRecord(const Jobs::StoredRecord &record) const override
+    {
+        CatalogueChange change;
+        change.catalogue.version = std::stoll(record.value);
+        return change;
+    }
+    Jobs::WorkerInfo decodeWorkerRecord(const Jobs::StoredRecord &record) const override
+    {
+        Jobs::WorkerInfo worker;
+        worker.id = Core::VmId(record.key);
+        worker.address = record.key;
+        worker.failureDomain = Core::FailureDomainId(record.value);
+        worker.service = Jobs::ServiceId("service");
+        worker.capacity = { 4000, 4000, 0 };
+        worker.bornUnixMs = 1;
+        return worker;
+    }
+};
+
+/// Workers that finish each task before they are asked again.
+class QuickWorkers final : public WorkerGateway
+{
+public:
+    asio::awaitable<Jobs::StartOutcome> start(Jobs::StartCommand command, Core::Instant) override
+    {
+        if (command.token < m_token)
+            co_return Jobs::StartOutcome::Fenced;
+        ++starts;
+        ends[command.worker].push_back(
+            { ++m_lastEnd, command.task, command.run, Jobs::EndKind::Done, "" });
+        co_return Jobs::StartOutcome::Started;
+    }
+    asio::awaitable<void> stop(Jobs::StopCommand, Core::Instant) override { co_return; }
+    asio::awaitable<void> throttle(Jobs::ThrottleCommand, Core::Instant) override { co_return; }
+    asio::awaitable<Jobs::WorkerReport> renew(Jobs::RenewCommand command, Core::Instant) override
+    {
+        if (command.token < m_token)
+            throw FencedError("renew", "worker", "token");
+        m_token = command.token;
+        Jobs::WorkerReport report;
+        report.clockMs = 1000;
+        report.bornUnixMs = 1;
+        report.ended = ends[command.worker];
+        co_return report;
+    }
+
+    int starts = 0;
+    std::map<Core::VmId, std::vector<Jobs::EndedEntry>> ends;
+
+private:
+    std::int64_t m_lastEnd = 0;
+    Jobs::FencingToken m_token = 0;
+};
+
+/// One node of a site on a log that it shares with others.
+struct TestNode
+{
+    TestNode(const std::string &name, asio::io_context &context, KeyedLog &log,
+             WorkerGateway &workers, const SiteDecoder &decoder)
+        : state({ name, {}, {} })
+        , jobs(state, log, context.get_executor())
+        , operators(state, log, decoder, context.get_executor())
+        , writer(state, log, context.get_executor())
+        , desk(state, jobs, writer)
+        , owner(state, log, workers, decoder, jobs, context.get_executor())
+    {
+    }
+
+    SiteState state;
+    JobFollower jobs;
+    OperatorFollower operators;
+    RecordWriter writer;
+    JobDesk desk;
+    OwnerPart owner;
+};
+
+struct SiteFixture
+{
+    asio::io_context context;
+    MemoryLog log { context.get_executor() };
+    QuickWorkers workers;
+    PlainDecoder decoder;
+    std::vector<std::unique_ptr<TestNode>> nodes;
+
+    TestNode &addNode(const std::string &name)
+    {
+        nodes.push_back(std::make_unique<TestNode>(name, context, log, workers, decoder));
+        TestNode &node = *nodes.back();
+        asio::co_spawn(context, node.jobs.run(), asio::detached);
+        asio::co_spawn(context, node.operators.run(), asio::detached);
+        return node;
+    }
+    void own(TestNode &node) { asio::co_spawn(context, node.owner.run(), asio::detached); }
+    void run(int ms) { context.run_for(milliseconds(ms)); }
+    Core::Instant in(int ms) const { return Core::steadyNow() + milliseconds(ms); }
+    WaitingCount countWaiting(TestNode &node)
+    {
+        return await(node.desk.countWaiting(Jobs::QueueId("queue"), in(1000)));
+    }
+
+    /// Runs until \p work has ended, for 5 s at most.
+    template<typename Result>
+    Result await(asio::awaitable<Result> work)
+    {
+        std::optional<Result> result;
+        asio::co_spawn(context, std::move(work),
+                       [&](const std::exception_ptr &failure, Result value) {
+                           if (!failure)
+                               result = value;
+                       });
+        for (int i = 0; i < 500 && !result; ++i)
+            context.run_for(milliseconds(10));
+        REQUIRE(result);
+        return *result;
+    }
+};
+
+inline Jobs::Submission job(const std::string &id)
+{
+    Jobs::Submission submission;
+    submission.id = Jobs::JobId(id);
+    submission.queue.id = Jobs::QueueId("queue");
+    submission.queue.service = Jobs::ServiceId("service");
+    Jobs::StepSpec step;
+    step.taskCount = 2;
+    step.need = { 100, 100, 0 };
+    submission.spec.steps = { step };
+    return submission;
+}
