--- /dev/null
+++ b/Tests/LibSite/TestSlowReads.cpp
@@ -0,0 +1,39 @@
+#include "SiteFixture.h"
+
+static void acceptJobs(SiteFixture &site, TestNode &node, int count)
+{
+    for (int i = 0; i < count; ++i)
+        REQUIRE(site.await(node.desk.submit(job("j" + std::to_string(i)), site.in(1000)))
+                == SubmitOutcome::Accepted);
+}
+
+TEST_CASE("No count of waiting jobs is given from records that were never read to their end",
+          "[!shouldfail]")
+{
+    SiteFixture site;
+    TestNode &node = site.addNode("one#1");
+    site.run(50);
+    acceptJobs(site, node, 12);
+    site.log.pageMs = 300;
+    TestNode &restarted = site.addNode("two#2");
+    site.run(100);
+
+    const WaitingCount waiting = site.countWaiting(restarted);
+    CHECK((waiting.outcome == CountOutcome::Unavailable || waiting.jobs == 12));
+}
+
+TEST_CASE("A node behind a slow link reads all records though no single read brings them all",
+          "[!shouldfail]")
+{
+    SiteFixture site;
+    TestNode &node = site.addNode("one#1");
+    site.run(50);
+    acceptJobs(site, node, 12);
+    // Six pages; one read may take 1.2 s.
+    site.log.pageMs = 300;
+    TestNode &restarted = site.addNode("two#2");
+    site.run(4000);
+
+    CHECK(restarted.state.freshness.wasEverComplete());
+    CHECK(restarted.state.table.jobs().size() == 12);
+}
