LibHttp: Let a long answer take as long as it flows

Ruled out: a longer deadline: a connection that has fallen silent must be noticed within 900 ms as before. Result: TestLibHttp (new): of an answer of 800 ms with a deadline of 300 ms nothing arrived without the flag (first section), all of it with it, and none once the server had fallen silent.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace Http {
@@ -65,7 +66,7 @@
 {
     m_stream.expires_at(Core::toSteadyTimePoint(deadline));
     co_await send(request, peer);
-    Answer answer = co_await receive(request, peer);
+    Answer answer = co_await receive(request, peer, deadline);
     m_stream.expires_never();
     co_return answer;
 }
@@ -82,12 +83,20 @@
     throw Core::OutcomeUnknownError(request.step, peer, "send: " + error.message());
 }
 
-asio::awaitable<Answer> Connection::receive(const Request &request, const std::string &peer)
+asio::awaitable<Answer> Connection::receive(const Request &request, const std::string &peer,
+                                            Core::Instant deadline)
 {
     error_code error;
     http::response_parser<http::string_body> parser;
     parser.body_limit(Client::maximumBodyBytes);
-    co_await http::async_read(m_stream, m_buffer, parser, awaitInto(error));
+    const Core::Instant latest = deadline + Client::longestFlow;
+    while (!error && !parser.is_done()) {
+        co_await http::async_read_some(m_stream, m_buffer, parser, awaitInto(error));
+        if (!request.isAnswerLong)
+            continue;
+        const Core::Instant flowing = Core::steadyNow() + Client::longestPause;
+        m_stream.expires_at(Core::toSteadyTimePoint(std::min(std::max(deadline, flowing), latest)));
+    }
     if (error)
         throw Core::OutcomeUnknownError(request.step, peer, "receive: " + error.message());
     // A body that only ends with the connection could be cut short without anybody noticing.
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -26,7 +26,8 @@
 
     /// Sends \p request and reads the whole answer.
     /// \throws Core::NotDoneError if nothing was sent.
-    /// \throws Core::OutcomeUnknownError if no whole answer came before \p deadline.
+    /// \throws Core::OutcomeUnknownError if no whole answer came before \p deadline, or, for a long
+    /// one, before it ceased to flow.
     boost::asio::awaitable<Answer> exchange(const Request &request, const std::string &peer,
                                             Core::Instant deadline);
 
@@ -35,7 +36,8 @@
 
 private:
     boost::asio::awaitable<void> send(const Request &request, const std::string &peer);
-    boost::asio::awaitable<Answer> receive(const Request &request, const std::string &peer);
+    boost::asio::awaitable<Answer> receive(const Request &request, const std::string &peer,
+                                           Core::Instant deadline);
 
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
--- /dev/null
+++ b/Tests/LibHttp/TestClient.cpp
@@ -0,0 +1,113 @@
+#include <LibCore/Error.h>
+#include <LibCore/SteadyClock.h>
+#include <LibHttp/Client.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <string>
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Answers one call in pieces of 1,000 bytes with pauses between them.
+class SlowServer
+{
+public:
+    SlowServer(asio::io_context &context, int pieces, milliseconds pause)
+        : m_acceptor(context, { asio::ip::address_v4::loopback(), 0 })
+        , m_pieces(pieces)
+        , m_pause(pause)
+    {
+        asio::co_spawn(context, serve(), asio::detached);
+    }
+
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    /// Falls silent after so many pieces.
+    int silentAfter = 1000;
+
+private:
+    asio::awaitable<void> serve()
+    {
+        asio::ip::tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+        std::string request;
+        co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n",
+                                        asio::use_awaitable);
+        const std::string header = "HTTP/1.1 200 OK\r\nContent-Length: "
+            + std::to_string(m_pieces * pieceBytes) + "\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(header), asio::use_awaitable);
+        const std::string piece(pieceBytes, 'x');
+        asio::steady_timer timer(socket.get_executor());
+        for (int i = 0; i < m_pieces; ++i) {
+            timer.expires_after(i < silentAfter ? m_pause : std::chrono::hours(1));
+            co_await timer.async_wait(asio::use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(piece), asio::use_awaitable);
+        }
+    }
+
+    static constexpr std::size_t pieceBytes = 1000;
+
+    asio::ip::tcp::acceptor m_acceptor;
+    int m_pieces;
+    milliseconds m_pause;
+};
+
+struct ClientFixture
+{
+    asio::io_context context;
+    SlowServer server { context, 8, milliseconds(100) };
+    Http::Client client { context.get_executor(), { "127.0.0.1", server.port() } };
+
+    /// The length of the answer's body, or nothing if there was no whole answer in 300 ms.
+    std::optional<std::size_t> bytesOf(Http::Request request)
+    {
+        std::optional<std::size_t> bytes;
+        bool isDone = false;
+        const Core::Instant deadline = Core::steadyNow() + milliseconds(300);
+        asio::co_spawn(context, client.exchange(std::move(request), deadline),
+                       [&](const std::exception_ptr &failure, const Http::Answer &answer) {
+                           isDone = true;
+                           if (!failure)
+                               bytes = answer.body.size();
+                       });
+        while (!isDone)
+            context.run_one();
+        return bytes;
+    }
+};
+
+} // namespace
+
+TEST_CASE("The deadline of a call bounds its whole answer")
+{
+    ClientFixture fixture;
+    Http::Request request;
+    request.step = "read";
+    request.target = "/";
+
+    SECTION("an answer that is still arriving then is given up")
+    {
+        CHECK_FALSE(fixture.bytesOf(request));
+    }
+    SECTION("unless it is long: then it may go on for as long as it flows")
+    {
+        request.isAnswerLong = true;
+        CHECK(fixture.bytesOf(request) == 8000);
+    }
+    SECTION("but not once it has fallen silent")
+    {
+        request.isAnswerLong = true;
+        fixture.server.silentAfter = 2;
+        CHECK_FALSE(fixture.bytesOf(request));
+    }
+}
--- a/include/LibHttp/Client.h
+++ b/include/LibHttp/Client.h
@@ -52,6 +52,9 @@
     /// True if sending it twice has the effect of sending it once. Such a request is repeated once
     /// if the server had closed the pooled connection that it went out on.
     bool isIdempotent = false;
+    /// The deadline is that of the answer's beginning: the rest may arrive later, for as long as
+    /// it flows.
+    bool isAnswerLong = false;
     std::string contentType = "application/json";
     std::vector<HeaderField> fields = {};
 };
@@ -65,6 +68,10 @@
 public:
     /// The largest answer body that is read, in bytes.
     static constexpr std::size_t maximumBodyBytes = 4 * 1024 * 1024;
+    /// A long answer flows while at most this time passes between two parts of it, and counts as
+    /// lost if it takes longer than the second.
+    static constexpr Core::Duration longestPause = std::chrono::milliseconds(900);
+    static constexpr Core::Duration longestFlow = std::chrono::seconds(15);
     /// How many calls may be under way at once; further ones fail at once.
     static constexpr std::size_t maximumConnections = 256;
     /// How many unused connections are kept.
