LibSite: Take the store for reachable until calls have failed

Cause: StoreHealth began as lost, and only a read to the end of the log or an append regained it; a submission doesn't try an append while the store is lost.

--- a/Libraries/LibSite/JobFollower.cpp
+++ b/Libraries/LibSite/JobFollower.cpp
@@ -44,6 +44,7 @@
                 co_return false;
             sentAt = Core::suspendAwareNow();
             isAtEnd = co_await m_follower.readOnce(waitMs);
+            noteAnswer();
             waitMs = 0;
         }
         m_state.freshness.noteComplete(sentAt);
@@ -56,8 +57,6 @@
                              << m_state.table.jobs().size() << " offset=" << m_follower.nextOffset()
                              << " snapshot_records=" << m_follower.snapshotSize());
         m_state.isCaughtUp = true;
-        if (m_state.health.noteSuccess(now))
-            LOG4CXX_INFO(partLogger, "event=regained dependency=store");
         co_return true;
     } catch (const HistoryLostError &error) {
         LOG4CXX_INFO(partLogger, "event=history-lost reason=\"" << error.what() << '"');
@@ -71,6 +70,12 @@
     co_return false;
 }
 
+void JobFollower::noteAnswer()
+{
+    if (m_state.health.noteSuccess(Core::steadyNow()))
+        LOG4CXX_INFO(partLogger, "event=regained dependency=store");
+}
+
 void JobFollower::noteFailedRead(const std::string &reason)
 {
     ++m_unreportedFailures;
--- a/Tests/LibSite/TestSlowReads.cpp
+++ b/Tests/LibSite/TestSlowReads.cpp
@@ -62,3 +62,19 @@
     CHECK(restarted.state.freshness.wasEverComplete());
     CHECK(restarted.state.table.jobs().size() == 12);
 }
+
+TEST_CASE("A node that is still reading accepts jobs while the store takes them")
+{
+    SiteFixture site;
+    TestNode &node = site.addNode("one#1");
+    site.run(50);
+    acceptJobs(site, node, 12);
+    site.log.pageMs = 300;
+    TestNode &restarted = site.addNode("two#2");
+    site.run(100);
+    REQUIRE_FALSE(restarted.state.freshness.wasEverComplete());
+
+    CHECK(site.await(restarted.desk.submit(job("a"), site.in(1000))) == SubmitOutcome::Accepted);
+    const JobFinding finding = site.await(node.desk.find(Jobs::JobId("a"), site.in(1000)));
+    CHECK(finding.outcome == FindOutcome::Found);
+}
--- a/include/LibSite/JobFollower.h
+++ b/include/LibSite/JobFollower.h
@@ -45,6 +45,7 @@
     bool isCompleteAsOf(Core::Instant instant) const;
     void wakeWaiting();
     boost::asio::awaitable<void> readForRefresh();
+    void noteAnswer();
     void noteFailedRead(const std::string &reason);
 
     SiteState &m_state;
--- a/include/LibSite/StoreHealth.h
+++ b/include/LibSite/StoreHealth.h
@@ -4,7 +4,8 @@
 
 namespace Site {
 
-/// Judges from the outcomes of calls whether the store can be reached from here.
+/// Judges from the outcomes of calls whether the store can be reached from here. Before the first
+/// outcome it is taken to be.
 class StoreHealth
 {
 public:
@@ -16,7 +17,7 @@
     Core::Instant changedAt() const { return m_changedAt; }
 
 private:
-    bool m_isReachable = false;
+    bool m_isReachable = true;
     int m_failuresInARow = 0;
     Core::Instant m_changedAt = {};
 };
