LibSite: Keep one account of how complete the copy is

Cause: SiteState::isCaughtUp and TableFreshness::wasEverComplete() said the same. Ruled out: nothing; no behaviour changes. Change: isCaughtUp is gone; readiness and claims ask the freshness. Result: TestLibSite passes.

--- a/Libraries/LibSite/JobFollower.cpp
+++ b/Libraries/LibSite/JobFollower.cpp
@@ -47,16 +47,15 @@
             noteAnswer();
             waitMs = 0;
         }
-        m_state.freshness.noteComplete(sentAt);
-        wakeWaiting();
         const Core::Instant now = Core::steadyNow();
         m_state.watch.noteRead(true, now);
-        if (!m_state.isCaughtUp)
+        if (!m_state.freshness.wasEverComplete())
             LOG4CXX_INFO(partLogger,
                          "event=caught-up jobs="
                              << m_state.table.jobs().size() << " offset=" << m_follower.nextOffset()
                              << " snapshot_records=" << m_follower.snapshotSize());
-        m_state.isCaughtUp = true;
+        m_state.freshness.noteComplete(sentAt);
+        wakeWaiting();
         co_return true;
     } catch (const HistoryLostError &error) {
         LOG4CXX_INFO(partLogger, "event=history-lost reason=\"" << error.what() << '"');
--- a/Libraries/LibSite/OwnerPart.cpp
+++ b/Libraries/LibSite/OwnerPart.cpp
@@ -61,7 +61,7 @@
     while (!m_isStopping) {
         const Core::Instant now = Core::steadyNow();
         const std::optional<Core::Instant> claimAt = m_state.watch.claimAt();
-        if (m_state.isCaughtUp && !m_state.isLeaving && claimAt && *claimAt <= now)
+        if (m_state.freshness.wasEverComplete() && !m_state.isLeaving && claimAt && *claimAt <= now)
             co_return;
         co_await m_wakeup.sleepUntil(now + lookSpacing);
     }
--- a/include/LibSite/SiteState.h
+++ b/include/LibSite/SiteState.h
@@ -47,8 +47,6 @@
     std::set<Core::FailureDomainId> outOfService;
     StoreHealth health;
     SiteMetrics metrics;
-    /// The job records have been read to their end at least once.
-    bool isCaughtUp = false;
     bool isLeaving = false;
     /// Set while this node owns the jobs.
     SiteObserver *owner = nullptr;
