LibSite: Look at the log before taking its owner for dead

Ruled out: an owner that stood still (it wrote throughout). Evidence: TestLibSite "A node whose reads lag doesn't take a living owner for dead" failed before (one claim more). Change: claim() reads to the end first and looks again whether the owner is silent. Result: TestLibSite passes.

--- a/Libraries/LibSite/OwnerPart.cpp
+++ b/Libraries/LibSite/OwnerPart.cpp
@@ -56,14 +56,19 @@
         m_session->release();
 }
 
+bool OwnerPart::isClaimable() const
+{
+    const std::optional<Core::Instant> claimAt = m_state.watch.claimAt();
+    return m_state.freshness.wasEverComplete() && !m_state.isLeaving && claimAt
+        && *claimAt <= Core::steadyNow();
+}
+
 asio::awaitable<void> OwnerPart::waitUntilClaimable()
 {
     while (!m_isStopping) {
-        const Core::Instant now = Core::steadyNow();
-        const std::optional<Core::Instant> claimAt = m_state.watch.claimAt();
-        if (m_state.freshness.wasEverComplete() && !m_state.isLeaving && claimAt && *claimAt <= now)
+        if (isClaimable())
             co_return;
-        co_await m_wakeup.sleepUntil(now + lookSpacing);
+        co_await m_wakeup.sleepUntil(Core::steadyNow() + lookSpacing);
     }
 }
 
@@ -86,6 +91,10 @@
 
 asio::awaitable<bool> OwnerPart::claim()
 {
+    // What looks like the owner's silence may be the delay of our own reads.
+    const bool isCurrent = co_await m_follower.refresh(Core::steadyNow() + refreshTime);
+    if (!isCurrent || !isClaimable())
+        co_return false;
     const std::optional<Jobs::OwnerClaim> former = m_state.watch.claim();
     const Core::Instant formerSign = m_state.watch.lastSignAt();
     const std::int64_t term = former ? former->term + 1 : 0;
--- a/Tests/LibSite/MemoryLog.cpp
+++ b/Tests/LibSite/MemoryLog.cpp
@@ -75,6 +75,7 @@
 asio::awaitable<std::int64_t> MemoryLog::appendAt(std::vector<Jobs::StoredRecord> records,
                                                   std::int64_t expectedEnd, Core::Instant)
 {
+    ++conditionalAppends;
     co_await delay(callMs);
     refuseIfDown("append");
     const std::int64_t end = m_topics[Topic::Jobs].end;
--- a/Tests/LibSite/MemoryLog.h
+++ b/Tests/LibSite/MemoryLog.h
@@ -41,6 +41,8 @@
     /// deadline isn't answered.
     std::int64_t pageMs = 1;
     int appends = 0;
+    /// Appends under a condition, whether it held or not.
+    int conditionalAppends = 0;
     int reads = 0;
 
 private:
--- a/Tests/LibSite/TestSlowReads.cpp
+++ b/Tests/LibSite/TestSlowReads.cpp
@@ -103,3 +103,24 @@
     CHECK(node.log.deliveredRecords == records);
     site.context.stop();
 }
+
+TEST_CASE("A node whose reads lag doesn't take a living owner for dead")
+{
+    SiteFixture site;
+    TestNode &owner = site.addNode("one#1");
+    site.own(owner);
+    site.run(400);
+    REQUIRE(owner.state.owner);
+    TestNode &lagging = site.addNode("two#1");
+    site.run(700);
+    REQUIRE(lagging.state.freshness.wasEverComplete());
+
+    const int conditionalAppends = site.log.conditionalAppends;
+    // What the owner writes in half a second takes more than two seconds to arrive.
+    lagging.log.bytesPerSecond = 5;
+    site.own(lagging);
+    site.run(4000);
+    CHECK(site.log.conditionalAppends == conditionalAppends);
+    CHECK(owner.state.owner);
+    site.context.stop();
+}
--- a/include/LibSite/OwnerPart.h
+++ b/include/LibSite/OwnerPart.h
@@ -30,6 +30,7 @@
     void beginLeaving();
 
 private:
+    bool isClaimable() const;
     boost::asio::awaitable<void> waitUntilClaimable();
     boost::asio::awaitable<bool> claim();
     boost::asio::awaitable<bool> fence(std::int64_t epoch);
