LibSite: Don't keep callers waiting on a node that leaves

Cause: questions that need a read wait for it until 200 ms before the caller's deadline; a node that is told to stop while it reads for seconds would end with them unanswered (found by the reviewer by reading). Ruled out: waking all waiters: those who came before the stop have 3.2 s left, more than their deadlines.

--- a/Libraries/LibSite/JobDesk.cpp
+++ b/Libraries/LibSite/JobDesk.cpp
@@ -72,10 +72,16 @@
     co_return outcome == WriteOutcome::Unknown ? SubmitOutcome::Unknown : SubmitOutcome::Refused;
 }
 
+Core::Instant JobDesk::readDeadline(Core::Instant deadline) const
+{
+    // A process that is leaving has no time to wait for a long read.
+    return m_state.isLeaving ? refreshDeadline(deadline) : deadline - answerMargin;
+}
+
 asio::awaitable<CancelOutcome> JobDesk::cancel(Jobs::JobId id, Core::Instant deadline)
 {
     if (!m_state.table.find(id)) {
-        const bool isFresh = co_await m_follower.refresh(deadline - answerMargin);
+        const bool isFresh = co_await m_follower.refresh(readDeadline(deadline));
         if (!m_state.table.find(id))
             co_return isFresh ? CancelOutcome::NoSuchJob : CancelOutcome::Refused;
     }
@@ -98,7 +104,7 @@
     bool isFresh = true;
     if (!isCertain) {
         isFresh = co_await m_follower.refresh(entry ? refreshDeadline(deadline)
-                                                    : deadline - answerMargin);
+                                                    : readDeadline(deadline));
         entry = m_state.table.find(id);
     }
     if (entry)
--- a/Tests/LibSite/TestSlowReads.cpp
+++ b/Tests/LibSite/TestSlowReads.cpp
@@ -124,3 +124,23 @@
     CHECK(owner.state.owner);
     site.context.stop();
 }
+
+TEST_CASE("A leaving node that is still reading sends questions elsewhere before it goes")
+{
+    SiteFixture site;
+    TestNode &node = site.addNode("one#1");
+    site.run(50);
+    acceptJobs(site, node, 12);
+    site.log.pageMs = 300;
+    TestNode &restarted = site.addNode("two#2");
+    site.run(100);
+    restarted.state.isLeaving = true;
+
+    const Core::Instant began = Core::steadyNow();
+    const JobFinding finding
+        = site.await(restarted.desk.find(Jobs::JobId("unknown"), site.in(3000)));
+    CHECK(finding.outcome == FindOutcome::Unavailable);
+    CHECK(site.await(restarted.desk.cancel(Jobs::JobId("unknown"), site.in(3000)))
+          == CancelOutcome::Refused);
+    CHECK(Core::steadyNow() - began < milliseconds(1000));
+}
--- a/include/LibSite/JobDesk.h
+++ b/include/LibSite/JobDesk.h
@@ -70,6 +70,9 @@
     boost::asio::awaitable<WaitingCount> countWaiting(Jobs::QueueId queue, Core::Instant deadline);
 
 private:
+    /// By when a question must be answered that only a read of the store can answer.
+    Core::Instant readDeadline(Core::Instant deadline) const;
+
     SiteState &m_state;
     JobFollower &m_follower;
     RecordWriter &m_writer;
