LibJob: Leave the claim to nodes whose link can carry an owner

Cause: every node claims alike. Ruled out: publishing what each node can carry (a record a node, for one bit that each knows of itself). Change: a node whose settings name a link below 50 Mbit/s claims 0.6 s later than others would; without better ones the site has an owner all the same. A missing value counts as no limit. Result: TestOwnerWatch "A node behind a slow link..." (new; without the deference both claim within the spread), TestPlatform pass.

--- a/Libraries/LibJob/OwnerWatch.cpp
+++ b/Libraries/LibJob/OwnerWatch.cpp
@@ -10,6 +10,9 @@
 static constexpr Core::Duration longestReadGap = std::chrono::milliseconds(1200);
 /// After a release nobody has to be waited for.
 static constexpr int releasedSpreadDivisor = 3;
+static constexpr double ownersLinkMegabitsPerSecond = 50;
+/// Longer than any spread, so that all better suited nodes have had their turn.
+static constexpr Core::Duration slowLinkDeference = std::chrono::milliseconds(600);
 
 OwnerWatch::OwnerWatch(std::string node, const OwnerWatchSettings &settings)
     : m_node(std::move(node))
@@ -55,6 +58,12 @@
     return Core::Duration(static_cast<std::int64_t>(hash % (most + 1)));
 }
 
+Core::Duration OwnerWatch::deference() const
+{
+    const bool isLinkSlow = m_settings.linkMegabitsPerSecond < ownersLinkMegabitsPerSecond;
+    return isLinkSlow ? slowLinkDeference : Core::Duration(0);
+}
+
 std::optional<Core::Instant> OwnerWatch::claimAt() const
 {
     if (!m_isReadable)
@@ -62,8 +71,8 @@
     if (isOwner())
         return m_lastSignAt;
     if (!m_claim || m_claim->isReleased)
-        return m_lastSignAt + spread() / releasedSpreadDivisor;
-    return m_lastSignAt + m_settings.longestSilence + spread();
+        return m_lastSignAt + spread() / releasedSpreadDivisor + deference();
+    return m_lastSignAt + m_settings.longestSilence + spread() + deference();
 }
 
 } // namespace Jobs
--- a/Tests/LibJob/TestOwnerWatch.cpp
+++ b/Tests/LibJob/TestOwnerWatch.cpp
@@ -77,3 +77,36 @@
         CHECK(watch.isOwner());
     }
 }
+
+TEST_CASE("A node behind a slow link leaves the claim to better suited ones")
+{
+    OwnerWatchSettings settings;
+    settings.linkMegabitsPerSecond = 10;
+    OwnerWatch slow("slow#1", settings);
+    settings.linkMegabitsPerSecond = 200;
+    OwnerWatch fast("fast#1", settings);
+    for (OwnerWatch *watch : { &slow, &fast }) {
+        watch->noteRead(true, at(0));
+        watch->noteClaim(5, { "node#1", 0, false }, at(0));
+    }
+
+    SECTION("when an owner has died")
+    {
+        readUntil(slow, 300, 3000);
+        readUntil(fast, 300, 3000);
+        CHECK(*fast.claimAt() <= at(2000));
+        CHECK(*slow.claimAt() >= *fast.claimAt() + milliseconds(300));
+
+        SECTION("but doesn't leave the site without an owner")
+        {
+            CHECK(*slow.claimAt() <= at(2600));
+        }
+    }
+    SECTION("when an owner has released the jobs")
+    {
+        for (OwnerWatch *watch : { &slow, &fast })
+            watch->noteClaim(6, { "node#1", 0, true }, at(400));
+        CHECK(*fast.claimAt() <= at(500));
+        CHECK(*slow.claimAt() >= at(1000));
+    }
+}
--- a/Tests/platform/TestMessages.cpp
+++ b/Tests/platform/TestMessages.cpp
@@ -45,6 +45,8 @@
 address = 10.0.0.1
 [store]
 address = 10.0.0.2:83
+[link]
+megabits-per-second = 10.5
 [bounds]
 lease-ms = 6000
 retention-s = 120
@@ -238,12 +240,14 @@
         const NodeSettings settings = parseNodeSettings(settingsText, "s.ini");
         CHECK(settings.callers == Http::Endpoint { "10.0.0.1", 81 });
         CHECK(settings.longestLease == std::chrono::milliseconds(6000));
+        CHECK(settings.linkMegabitsPerSecond == 10.5);
     }
     SECTION("all mistakes are named at once")
     {
         std::string text = settingsText;
         text.replace(text.find("10.0.0.1:81"), 11, "nowhere:81x");
         text.replace(text.find("lease-ms = 6000"), 15, "lease-ms = soon");
+        text.replace(text.find("second = 10.5"), 13, "second = wide");
         text += "other = 1\n";
         try {
             parseNodeSettings(text, "s.ini");
@@ -252,6 +256,7 @@
             const std::string what = error.what();
             CHECK(what.find("doors.callers") != std::string::npos);
             CHECK(what.find("bounds.lease-ms") != std::string::npos);
+            CHECK(what.find("link.megabits-per-second") != std::string::npos);
             CHECK(what.find("log.other") != std::string::npos);
         }
     }
--- a/include/LibJob/OwnerWatch.h
+++ b/include/LibJob/OwnerWatch.h
@@ -4,6 +4,7 @@
 #include <LibJob/JobRecord.h>
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 
@@ -15,6 +16,9 @@
     Core::Duration longestSilence = std::chrono::milliseconds(1600);
     /// Nodes wait up to this long for one another, so that few claim at once.
     Core::Duration claimSpread = std::chrono::milliseconds(300);
+    /// What this node's own link carries. An owner's carries every worker's reports: a node with
+    /// less leaves the claim to the others for a while.
+    double linkMegabitsPerSecond = std::numeric_limits<double>::infinity();
 
     auto operator<=>(const OwnerWatchSettings &) const = default;
 };
@@ -44,6 +48,8 @@
 
 private:
     Core::Duration spread() const;
+    /// How long better suited nodes are left to claim first.
+    Core::Duration deference() const;
 
     std::string m_node;
     OwnerWatchSettings m_settings;
