LibLog: Keep a share of the log for lines that are essential

Cause: one token bucket for all lines; decisions, up to hundreds a second, empty it, and whatever comes next is dropped, whatever it says. Ruled out: raising INFO lines to WARN or a level between them (changes what the lines say); an appender of its own for essential loggers (a second budget beside the first, so the bound would rise, and WARN of other parts would still share with decisions). Change: the last 100 of the bucket's 400 lines are for essential lines only; the bound of all lines is as before. Essential is WARN and above, and INFO from a logger below "essential"; the layout prints the last component of a logger's name, so lines read as before. The line on what was dropped counts essential lines too. No part uses the essential logger yet.

--- a/Libraries/LibLog/BoundedAppender.cpp
+++ b/Libraries/LibLog/BoundedAppender.cpp
@@ -1,4 +1,5 @@
 #include "BoundedAppender.h"
+#include "EssentialLines.h"
 
 #include <LibCore/SteadyClock.h>
 
@@ -27,34 +28,48 @@
     return ::poll(&entry, 1, 0) == 1 && (entry.revents & POLLOUT) != 0;
 }
 
-void BoundedAppender::writeLine(const std::string &line)
+void BoundedAppender::countDropped(LineKind kind)
+{
+    ++m_dropped;
+    m_droppedEssential += kind == LineKind::Essential ? 1 : 0;
+}
+
+void BoundedAppender::writeLine(const std::string &line, LineKind kind)
 {
     // A line that can't be written can't be reported either, but it is counted.
     if (::write(m_descriptor, line.data(), line.size()) < 0)
-        ++m_dropped;
+        countDropped(kind);
+}
+
+void BoundedAppender::reportDropped(Core::Instant now)
+{
+    if (m_dropped == 0 || now < m_nextReportAt)
+        return;
+    m_nextReportAt = now + reportInterval;
+    const std::string report = "log: event=dropped lines=" + std::to_string(m_dropped)
+        + " essential=" + std::to_string(m_droppedEssential) + '\n';
+    m_dropped = 0;
+    m_droppedEssential = 0;
+    writeLine(report, LineKind::Ordinary);
 }
 
 void BoundedAppender::append(const log4cxx::spi::LoggingEventPtr &event,
                              log4cxx::helpers::Pool &pool)
 {
     const Core::Instant now = Core::steadyNow();
-    if (!m_budget.take(now) || !isWritable()) {
-        ++m_dropped;
+    const LineKind kind = lineKind(*event);
+    if (!m_budget.take(now, kind) || !isWritable()) {
+        countDropped(kind);
         return;
     }
-    if (m_dropped > 0 && now >= m_nextReportAt) {
-        m_nextReportAt = now + reportInterval;
-        const std::string report = "log: event=dropped lines=" + std::to_string(m_dropped) + "\n";
-        m_dropped = 0;
-        writeLine(report);
-    }
+    reportDropped(now);
     log4cxx::LogString text;
     m_lineLayout->format(text, event, pool);
     if (text.size() > longestLine) {
         text.resize(longestLine);
         text += '\n';
     }
-    writeLine(text);
+    writeLine(text, kind);
 }
 
 } // namespace Log
--- a/Libraries/LibLog/BoundedAppender.h
+++ b/Libraries/LibLog/BoundedAppender.h
@@ -25,12 +25,16 @@
 
 private:
     bool isWritable() const;
-    void writeLine(const std::string &line);
+    void writeLine(const std::string &line, LineKind kind);
+    void countDropped(LineKind kind);
+    void reportDropped(Core::Instant now);
 
     log4cxx::LayoutPtr m_lineLayout;
     int m_descriptor;
     LineBudget m_budget;
     std::int64_t m_dropped = 0;
+    /// Of the dropped lines.
+    std::int64_t m_droppedEssential = 0;
     Core::Instant m_nextReportAt = {};
 };
 
--- a/Libraries/LibLog/Logging.cpp
+++ b/Libraries/LibLog/Logging.cpp
@@ -1,6 +1,7 @@
 #include <LibLog/Logging.h>
 
 #include "BoundedAppender.h"
+#include "EssentialLines.h"
 
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/level.h>
@@ -14,9 +15,16 @@
 
 void configureLogging(const std::string &level)
 {
+    configureLogging(level, STDOUT_FILENO, BudgetLimits());
+}
+
+void configureLogging(const std::string &level, int descriptor, const BudgetLimits &limits)
+{
+    // The last component of a logger's name is the part, for either kind of line.
     const auto layout = std::make_shared<log4cxx::PatternLayout>(
-        LOG4CXX_STR("%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %c: %m%n"));
-    const auto appender = std::make_shared<BoundedAppender>(layout, STDOUT_FILENO, BudgetLimits());
+        LOG4CXX_STR("%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %c{1}: %m%n"));
+    const auto appender = std::make_shared<BoundedAppender>(layout, descriptor, limits);
+    log4cxx::BasicConfigurator::resetConfiguration();
     log4cxx::BasicConfigurator::configure(appender);
     log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::toLevel(level));
 }
@@ -26,4 +34,9 @@
     return log4cxx::Logger::getLogger(part);
 }
 
+log4cxx::LoggerPtr essentialLogger(const std::string &part)
+{
+    return log4cxx::Logger::getLogger(std::string(essentialPrefix) + part);
+}
+
 } // namespace Log
--- a/include/LibLog/LineBudget.h
+++ b/include/LibLog/LineBudget.h
@@ -7,11 +7,19 @@
 
 namespace Log {
 
+enum class LineKind {
+    Ordinary,
+    /// What an engineer on call can't do without; rare.
+    Essential,
+};
+
 struct BudgetLimits
 {
     double linesPerSecond = 200;
     /// So many lines may come at once after a quiet time.
     double burstLines = 400;
+    /// The last lines of a burst, which only essential lines may use.
+    double reservedLines = 100;
 
     auto operator<=>(const BudgetLimits &) const = default;
 };
@@ -26,7 +34,7 @@
     {
     }
 
-    bool take(Core::Instant now);
+    bool take(Core::Instant now, LineKind kind);
 
 private:
     BudgetLimits m_limits;
