LibSite: Log ownership and loss of the store as essential lines

Cause: the lines on claim, own, release, claim-seen, regained, caught-up, start, stop, leaving and reload are INFO like the decisions and so had no share in what the log keeps for essential lines. Ruled out: each call choosing its logger (in these parts the exceptions are fewer than the rule). Evidence: TestLibSite "A hand-over is told on both nodes..." on the commit before: 6 of 13 checks failed (claim, own, claim-seen, release, the successor's own, regained: 0 lines each; deposed and lost, being warnings, were there). Result: it passes (13 assertions).

--- a/Libraries/LibSite/JobFollower.cpp
+++ b/Libraries/LibSite/JobFollower.cpp
@@ -21,7 +21,7 @@
 static constexpr Core::Duration failureReportSpacing = std::chrono::seconds(1);
 /// Reads begin at least this far apart; callers that come meanwhile share the next.
 static constexpr Core::Duration shortestSpacing = std::chrono::milliseconds(20);
-static const auto partLogger = Log::logger("jobs");
+static const auto partLogger = Log::essentialLogger("jobs");
 
 JobFollower::JobFollower(SiteState &state, KeyedLog &log, const asio::any_io_executor &executor)
     : m_state(state)
--- a/Libraries/LibSite/OwnerPart.cpp
+++ b/Libraries/LibSite/OwnerPart.cpp
@@ -13,7 +13,7 @@
 static constexpr Core::Duration refreshTime = std::chrono::milliseconds(900);
 /// How often it is looked whether the jobs can be claimed.
 static constexpr Core::Duration lookSpacing = std::chrono::milliseconds(50);
-static const auto partLogger = Log::logger("owner");
+static const auto partLogger = Log::essentialLogger("owner");
 
 OwnerPart::OwnerPart(SiteState &state, KeyedLog &log, WorkerGateway &workers,
                      const SiteDecoder &decoder, JobFollower &follower,
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -25,7 +25,9 @@
 static constexpr Core::Duration workersReadSpacing = std::chrono::milliseconds(50);
 static constexpr Core::Duration retrySpacing = std::chrono::milliseconds(250);
 static constexpr Core::Duration metricsInterval = std::chrono::seconds(1);
-static const auto partLogger = Log::logger("owner");
+static const auto partLogger = Log::essentialLogger("owner");
+/// For lines that come with each task or worker.
+static const auto detailLogger = Log::logger("owner");
 
 OwnerSession::OwnerSession(SiteState &state, KeyedLog &log, WorkerGateway &workers,
                            const SiteDecoder &decoder, JobFollower &follower,
@@ -104,7 +106,7 @@
 void OwnerSession::note(std::string_view subject, std::string_view event, std::string_view inputs)
 {
     m_state.metrics.countDecision(std::string(event));
-    LOG4CXX_INFO(partLogger, "event=" << event << " task=" << subject << ' ' << inputs);
+    LOG4CXX_INFO(detailLogger, "event=" << event << " task=" << subject << ' ' << inputs);
 }
 
 void OwnerSession::depose(const std::string &reason)
@@ -196,7 +198,7 @@
     const std::size_t waiting = m_scheduler.waitingCount();
     m_state.metrics.setTasks(static_cast<double>(m_scheduler.runningCount()),
                              static_cast<double>(waiting));
-    LOG4CXX_INFO(partLogger,
+    LOG4CXX_INFO(detailLogger,
                  "event=load running=" << m_scheduler.runningCount() << " waiting=" << waiting
                                        << " free_millicores=" << m_scheduler.freeMilliCores()
                                        << " idle_millicores=" << m_scheduler.idleMilliCores());
@@ -324,7 +326,7 @@
     } catch (const FencedError &error) {
         depose(error.what());
     } catch (const Core::Error &error) {
-        LOG4CXX_INFO(partLogger,
+        LOG4CXX_INFO(detailLogger,
                      "event=renewal-failed worker=" << command.worker << " reason=\""
                                                     << error.what() << '"');
     }
--- /dev/null
+++ b/Tests/LibSite/TestEssentialLines.cpp
@@ -0,0 +1,68 @@
+#include "../LibLog/LogPipe.h"
+#include "SiteFixture.h"
+
+static int countLines(const std::vector<std::string> &lines, const std::string &beginning)
+{
+    int count = 0;
+    for (const std::string &line : lines)
+        count += line.starts_with(beginning) ? 1 : 0;
+    return count;
+}
+
+TEST_CASE("A hand-over is told on both nodes however many decisions are logged")
+{
+    // Decisions have used up their share, which isn't filled again while the test runs.
+    LogPipe pipe({ 1e-6, 110, 100 });
+    for (int i = 0; i < 20; ++i)
+        LOG4CXX_INFO(Log::logger("owner"), "event=start task=" << i);
+    pipe.takeLines();
+    SiteFixture site;
+    site.log.put(Topic::Workers, { "w1", "a" });
+    TestNode &first = site.addNode("one#1");
+    TestNode &second = site.addNode("two#1");
+
+    SECTION("by the node that claims the jobs and by the one that sees it")
+    {
+        site.own(first);
+        site.run(600);
+        const std::vector<std::string> lines = pipe.takeLines();
+        CHECK(countLines(lines, "INFO  owner: event=claim term=0 won=1") == 1);
+        CHECK(countLines(lines, "INFO  owner: event=own term=0") == 1);
+        CHECK(countLines(lines, "INFO  jobs: event=claim-seen owner=one#1 term=0") == 2);
+
+        SECTION("and by the one that gives them up")
+        {
+            site.own(second);
+            first.state.isLeaving = true;
+            first.owner.beginLeaving();
+            site.run(1000);
+            const std::vector<std::string> after = pipe.takeLines();
+            CHECK(countLines(after, "INFO  owner: event=release term=0 written=1") == 1);
+            CHECK(countLines(after, "WARN  owner: event=deposed term=0") == 1);
+            CHECK(countLines(after, "INFO  owner: event=own term=1") == 1);
+        }
+    }
+    SECTION("as are the loss of the store and its end")
+    {
+        site.run(100);
+        site.log.isDown = true;
+        site.run(1500);
+        CHECK(countLines(pipe.takeLines(), "WARN  jobs: event=lost dependency=store") == 2);
+        site.log.isDown = false;
+        site.run(1000);
+        CHECK(countLines(pipe.takeLines(), "INFO  jobs: event=regained dependency=store") == 2);
+    }
+    SECTION("while a task's start isn't written any more")
+    {
+        site.own(first);
+        site.run(600);
+        site.await(second.desk.submit(job("a"), site.in(1000)));
+        site.run(700);
+        REQUIRE(site.workers.starts == 2);
+        const std::vector<std::string> lines = pipe.takeLines();
+        CHECK(countLines(lines, "INFO  owner: event=start") == 0);
+        CHECK(countLines(lines, "INFO  owner: event=load") == 0);
+        CHECK(countLines(lines, "INFO  desk: event=submit") == 0);
+    }
+    site.context.stop();
+}
