LibSite: Let an owner that gives the jobs up decide nothing more

Cause: calls under way outlive the session's loop. Their answers went to the scheduler whatever had become of the ownership, and it decides and logs at once; the orders stay in its list, since only the loop sends them. The same from the wish to release on: the loop takes no orders then, but the release waits for the append that is under way, and that append's end let the scheduler log start for what it had made durable. Ruled out: orders that are sent late: the tests' worker got no stop and no start, before as after. Change: isGivingOrders() is false from the wish to release on and after deposal; then reports, failed renewals and outcomes of starts don't reach the scheduler, and decisions of an append's end are neither logged nor counted. Starts whose answer comes late still count by outcome. Why nothing is lost: no commit begins after the wish to release, so no end is acknowledged and the next owner is told it again. Evidence: TestLibSite "An owner that has lost the jobs..." (3 of its sections) and "An owner that gives the jobs up..." failed: stop-unknown once each and start twice; 4 of 36 checks.

--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -61,6 +61,11 @@
     return { Core::suspendAwareNow(), Core::unixMillisecondsNow() };
 }
 
+bool OwnerSession::isGivingOrders() const
+{
+    return !m_isOver && !m_isReleasing;
+}
+
 bool OwnerSession::isProven() const
 {
     return Core::suspendAwareNow() - m_provenAt < m_state.settings.scheduler.longestUnproven;
@@ -105,6 +110,9 @@
 
 void OwnerSession::note(std::string_view subject, std::string_view event, std::string_view inputs)
 {
+    // What is decided now is never sent.
+    if (!isGivingOrders())
+        return;
     m_state.metrics.countDecision(std::string(event));
     LOG4CXX_INFO(detailLogger, "event=" << event << " task=" << subject << ' ' << inputs);
 }
@@ -284,7 +292,8 @@
         outcome = co_await m_workers.start(command, began + orderTime);
     const std::chrono::duration<double> took = Core::steadyNow() - began;
     m_state.metrics.countStart(Jobs::startOutcomeText(outcome), took.count());
-    m_scheduler.onStartOutcome(command, outcome, now());
+    if (isGivingOrders())
+        m_scheduler.onStartOutcome(command, outcome, now());
 }
 
 asio::awaitable<void> OwnerSession::send(Jobs::StopCommand command)
@@ -321,7 +330,8 @@
         const Core::Duration allowed = std::chrono::milliseconds(command.waitMs) + renewalTime;
         const Jobs::WorkerReport report
             = co_await m_workers.renew(command, Core::steadyNow() + allowed);
-        m_scheduler.onReport(command.worker, report, sentAt, now());
+        if (isGivingOrders())
+            m_scheduler.onReport(command.worker, report, sentAt, now());
         co_return;
     } catch (const FencedError &error) {
         depose(error.what());
@@ -330,7 +340,8 @@
                      "event=renewal-failed worker=" << command.worker << " reason=\""
                                                     << error.what() << '"');
     }
-    m_scheduler.onRenewalFailed(command.worker, now());
+    if (isGivingOrders())
+        m_scheduler.onRenewalFailed(command.worker, now());
 }
 
 asio::awaitable<void> OwnerSession::watchLag()
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -47,6 +47,8 @@
 
     Jobs::Moment now() const;
     bool isProven() const;
+    /// False from the wish to release the jobs on: what comes later is for the next owner.
+    bool isGivingOrders() const;
     void loadState();
     void spawnOrders();
     void spawnCommit();
