LibSite: Log the return of the store also when a write notices it first

What engineers saw: event=lost dependency=store without a regained after it. Cause: RecordWriter noted the success but not that it was the first after a loss; it tries each 100 ms, the reader each 250 ms, so with a job waiting to be written it comes first, and nobody else learns that the state has changed. Ruled out: lines dropped by the budget (the test keeps 100 lines for essential ones). Change: the writer logs regained, with the essential logger.

--- a/Libraries/LibSite/RecordWriter.cpp
+++ b/Libraries/LibSite/RecordWriter.cpp
@@ -17,7 +17,7 @@
 /// How long one append may take before it is repeated.
 static constexpr Core::Duration appendTime = std::chrono::milliseconds(900);
 static constexpr Core::Duration retrySpacing = std::chrono::milliseconds(100);
-static const auto partLogger = Log::logger("writer");
+static const auto partLogger = Log::essentialLogger("writer");
 
 RecordWriter::RecordWriter(SiteState &state, KeyedLog &log, const asio::any_io_executor &executor)
     : m_state(state)
@@ -76,7 +76,8 @@
         for (const auto &pending : batch)
             decide(*pending, WriteOutcome::Written);
         batch.clear();
-        m_state.health.noteSuccess(Core::steadyNow());
+        if (m_state.health.noteSuccess(Core::steadyNow()))
+            LOG4CXX_INFO(partLogger, "event=regained dependency=store");
         co_return;
     } catch (const Core::OutcomeUnknownError &error) {
         LOG4CXX_WARN(partLogger,
--- a/Tests/LibSite/TestEssentialLines.cpp
+++ b/Tests/LibSite/TestEssentialLines.cpp
@@ -66,3 +66,28 @@
     }
     site.context.stop();
 }
+
+TEST_CASE("The return of a lost store is logged also if a write is the first to notice it")
+{
+    LogPipe pipe({ 1e-6, 200, 100 });
+    SiteFixture site;
+    TestNode &node = site.addNode("one#1");
+    site.run(50);
+    int lost = 0;
+    int regained = 0;
+    for (int i = 0; i < 5; ++i) {
+        site.log.isDown = true;
+        asio::co_spawn(site.context, node.desk.submit(job(std::to_string(i)), site.in(5000)),
+                       asio::detached);
+        for (int j = 0; j < 200 && node.state.health.isReachable(); ++j)
+            site.run(5);
+        site.log.isDown = false;
+        site.run(600);
+        for (const std::string &line : pipe.takeLines()) {
+            lost += line.find("event=lost dependency=store") != std::string::npos ? 1 : 0;
+            regained += line.find("event=regained dependency=store") != std::string::npos ? 1 : 0;
+        }
+    }
+    CHECK(lost == 5);
+    CHECK(regained == 5);
+}
