LibJob: Count a job as begun only once a worker has or may have begun it

What callers would see: `waiting` too low. The owner recorded a job as running when it planned a start, before anything was sent. Cause: planUse() wrote the state with the workers that may be used. After a refusal (not sent, 429, 503, no room, late, other incarnation, invalid) noteWithdrawn() left it so, as noteStarted() came before the outcome; and a new owner took each recorded plan for a start. Ruled out: writing the state back (to queued after a refusal, or after a takeover once all workers were asked). It changes to and fro with each try, is too low between plan and outcome, and a worker that was born anew has forgotten what it began. JobTable::waitingCount() and JobEntry::state() are right as they are: they only read the record. Change: a plan records its workers only. The job has begun, for good, once a start was accepted or its outcome is unknown, once a run or an end of it was reported, or once the lease of a run that was sent has expired. OldRun counts as well: a run was there, or a stop of a start without an answer. What a new owner abandons without knowing of a start doesn't count. The state goes with the next append, at the latest the heartbeat's, so no append is added; an end that shows it isn't acknowledged before. TwoWorkers writes heartbeats like the shell, for that. Not covered: what an owner of the former build recorded as running stays so. Evidence, before: TestStarts failed for each of six refusals and for a plan that a former owner never sent (0 waiting, 1 expected); with the guard on acknowledged ends left out, the test on it fails (1 acknowledged, 0 expected). TestLibJob passes, 20 cases.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -167,6 +167,8 @@
 {
     Commit commit;
     commit.number = ++m_lastCommit;
+    m_dirty.merge(m_begun);
+    m_begun.clear();
     for (const JobId &id : m_dirty) {
         OwnedJob *job = findJob(id);
         if (!job)
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -83,7 +83,9 @@
         onEnd(*worker, end, now);
     }
     if (lastEnd > worker->processedEnd()) {
-        worker->noteProcessedEnd(lastEnd, needsCommit() ? m_lastCommit + 1 : m_lastCommit);
+        // The worker mustn't forget what shows that a job has begun before that is durable.
+        const bool isAllRecorded = !needsCommit() && m_begun.empty();
+        worker->noteProcessedEnd(lastEnd, isAllRecorded ? m_lastCommit : m_lastCommit + 1);
         worker->noteCommitted(m_committed);
     }
     for (const RunningEntry &entry : report.running)
@@ -116,6 +118,8 @@
 void JobScheduler::onRunning(WorkerState &worker, const RunningEntry &entry, const Moment &now)
 {
     OwnedJob *job = findJob(entry.task.job);
+    if (job)
+        noteBegun(*job);
     TaskState *task = job ? job->findTask(entry.task) : nullptr;
     const bool isWanted = task && !job->isTaskDone(entry.task);
     if (!isWanted) {
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -18,8 +18,6 @@
     task.run->phaseBeganAt = now.instant;
     task.run->progressedAt = now.instant;
     task.lastRun = std::max(task.lastRun, number);
-    if (phase != RunPhase::Planned)
-        job.noteStarted();
     worker.addRun(name, spec, job.images[static_cast<std::size_t>(name.step)]);
     job.refresh(name.occurrence);
     ++m_runs;
@@ -40,8 +38,6 @@
     job.refresh(name.occurrence);
     --m_runs;
     m_needsPass = true;
-    if (wasPlanned && job.noteWithdrawn())
-        markDirty(job);
     // Its record is written once more, and then the job is done with.
     if (job.isOver() && !job.hasRuns()) {
         job.isDirty = true;
@@ -89,6 +85,19 @@
     }
 }
 
+/// OldRun says that a run was there, or a stop of a start that may have been carried out.
+static bool mayHaveBegun(StartOutcome outcome)
+{
+    return outcome == StartOutcome::Started || outcome == StartOutcome::Unknown
+        || outcome == StartOutcome::OldRun;
+}
+
+void JobScheduler::noteBegun(OwnedJob &job)
+{
+    if (job.noteBegun())
+        m_begun.insert(job.id());
+}
+
 void JobScheduler::onStartOutcome(const StartCommand &command, StartOutcome outcome,
                                   const Moment &now)
 {
@@ -101,6 +110,8 @@
         return;
     }
     OwnedJob *job = findJob(command.task.job);
+    if (job && mayHaveBegun(outcome))
+        noteBegun(*job);
     TaskState *task = job ? job->findTask(command.task) : nullptr;
     const bool isCurrent = task && task->run && task->run->number == command.run
         && task->run->worker->info().id == command.worker;
@@ -190,6 +201,8 @@
 void JobScheduler::onEnd(WorkerState &worker, const EndedEntry &end, const Moment &now)
 {
     OwnedJob *job = findJob(end.task.job);
+    if (job)
+        noteBegun(*job);
     TaskState *task = job ? job->findTask(end.task) : nullptr;
     if (!task || job->isTaskDone(end.task))
         return;
@@ -251,6 +264,7 @@
              "worker=" + worker.info().id.text() + " run=" + std::to_string(task->run->number)
                  + " silent_ms=" + std::to_string(silentFor.count()));
         const std::int64_t run = task->run->number;
+        noteBegun(*job);
         removeRun(*job, name);
         abandon(*job, name, run);
     }
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -332,7 +332,6 @@
     command.checkpoint = job.findTask(task)->checkpoint;
     command.leaseDeadlineMs = worker.grantLease(now.instant, m_settings.lease);
     command.token = m_ownership.token;
-    job.noteStarted();
     run.phase = RunPhase::Starting;
     run.phaseBeganAt = now.instant;
     run.startBound = worker.leaseBound();
--- a/Libraries/LibJob/OwnedJob.cpp
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -9,8 +9,6 @@
 {
     if (entry.progress)
         m_progress = *entry.progress;
-    // Whether what a former owner planned was started isn't known.
-    m_hasStarted = m_progress.state == JobState::Running;
     m_durableWorkers = m_progress.workers;
     unsurveyedWorkers = m_progress.workers;
     measure();
@@ -179,18 +177,13 @@
 void OwnedJob::planUse(const Core::VmId &worker)
 {
     isDirty |= m_progress.workers.insert(worker).second;
-    if (m_progress.state != JobState::Queued)
-        return;
-    m_progress.state = JobState::Running;
-    isDirty = true;
 }
 
-bool OwnedJob::noteWithdrawn()
+bool OwnedJob::noteBegun()
 {
-    if (m_hasStarted || m_progress.state != JobState::Running || hasRuns())
+    if (m_progress.state != JobState::Queued)
         return false;
-    m_progress.state = JobState::Queued;
-    isDirty = true;
+    m_progress.state = JobState::Running;
     return true;
 }
 
--- a/Tests/LibJob/TestRecords.cpp
+++ b/Tests/LibJob/TestRecords.cpp
@@ -124,7 +124,7 @@
         table.apply(job);
         CHECK(table.find(job.id)->state() == JobState::Cancelled);
     }
-    SECTION("jobs wait until a worker is planned for them; scheduled ones aren't counted")
+    SECTION("jobs wait until they have begun; scheduled ones aren't counted")
     {
         Submission plain = submission("b");
         plain.spec.repeatCount = 0;
--- a/Tests/LibJob/TwoWorkers.cpp
+++ b/Tests/LibJob/TwoWorkers.cpp
@@ -57,6 +57,14 @@
     m_scheduler.addJob(*m_table.find(JobId("job")), m_now);
 }
 
+void TwoWorkers::takeOver(const TwoWorkers &former)
+{
+    m_now = former.m_now;
+    m_table = former.m_table;
+    for (const auto &[id, entry] : m_table.jobs())
+        m_scheduler.addJob(entry, m_now);
+}
+
 void TwoWorkers::report(const Core::VmId &worker, const std::vector<EndedEntry> &ended,
                         const std::vector<RunningEntry> &running)
 {
@@ -105,18 +113,21 @@
 
 std::vector<StartCommand> TwoWorkers::settle()
 {
+    constexpr int stepsPerHeartbeat = 50;
     std::vector<StartCommand> starts;
     for (int i = 0; i < 200; ++i) {
         pass(10);
-        if (m_isStoreReachable)
+        const bool isHeartbeatDue = i % stepsPerHeartbeat == 0;
+        if (m_isStoreReachable && (isHeartbeatDue || m_scheduler.needsCommit()))
             commit();
         for (const Command &command : m_scheduler.takeCommands(m_now)) {
             const auto *start = std::get_if<StartCommand>(&command);
             if (!start)
                 continue;
             starts.push_back(*start);
-            m_hosts[start->worker].runs[start->task] = start->run;
-            m_scheduler.onStartOutcome(*start, StartOutcome::Started, m_now);
+            if (m_startOutcome == StartOutcome::Started)
+                m_hosts[start->worker].runs[start->task] = start->run;
+            m_scheduler.onStartOutcome(*start, m_startOutcome, m_now);
         }
     }
     return starts;
@@ -181,8 +192,6 @@
 
 void TwoWorkers::commit()
 {
-    if (!m_scheduler.needsCommit())
-        return;
     const Commit commit = m_scheduler.takeCommit();
     for (const JobRecord &record : commit.records)
         m_table.apply(record);
--- a/Tests/LibJob/TwoWorkers.h
+++ b/Tests/LibJob/TwoWorkers.h
@@ -19,6 +19,8 @@
     void submit(const Jobs::StepSpec &step, const std::string &id = "job");
     /// As a predecessor has recorded it, with both workers planned for it.
     void takeOver(const Jobs::StepSpec &step, int mostAttempts);
+    /// As another owner has recorded it.
+    void takeOver(const TwoWorkers &former);
 
     /// Both workers answer with what was started there; serving tasks have this tail latency.
     void reportAll(std::int64_t tailMs);
@@ -28,12 +30,14 @@
     void report(const Core::VmId &worker, const std::vector<Jobs::EndedEntry> &ended,
                 const std::vector<Jobs::RunningEntry> &running = {});
     void setStoreReachable(bool isReachable);
+    /// What workers answer to starts from now on.
+    void answerStarts(Jobs::StartOutcome outcome) { m_startOutcome = outcome; }
     /// Chooses workers; nothing becomes durable.
     void plan();
     /// Makes durable what the owner wants to record.
     void commit();
     /// Lets two seconds pass, makes everything durable while the store can be reached, and returns
-    /// the tasks that were started.
+    /// the tasks that were told to start.
     std::vector<Jobs::StartCommand> settle();
 
     Jobs::JobScheduler &scheduler() { return m_scheduler; }
@@ -77,6 +81,7 @@
     Jobs::JobScheduler m_scheduler;
     Jobs::JobTable m_table;
     bool m_isStoreReachable = true;
+    Jobs::StartOutcome m_startOutcome = Jobs::StartOutcome::Started;
     int m_recordsWritten = 0;
     std::map<Core::VmId, Jobs::RenewCommand> m_renewals;
     std::map<Core::VmId, Host> m_hosts;
--- a/include/LibJob/JobProgress.h
+++ b/include/LibJob/JobProgress.h
@@ -42,7 +42,7 @@
 /// The durable part of a job's execution. Runs aren't part of it: a new owner asks the workers.
 struct JobProgress
 {
-    /// Queued until a start is planned, then running until the end is decided.
+    /// Queued until a worker has begun a task or may have, then running until the end is decided.
     JobState state = JobState::Queued;
     /// Steps of each occurrence that is due and hasn't ended.
     std::map<int, std::vector<StepProgress>> occurrences;
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -67,7 +67,7 @@
     /// While the store can't be reached, only durably planned workers are used.
     void setStoreReachable(bool isReachable);
 
-    // Commits, one at a time.
+    // Commits, one at a time. One is taken for each heartbeat, too.
     bool needsCommit() const { return !m_dirty.empty() || !m_expired.empty() || m_isProofWanted; }
     Commit takeCommit();
     /// \p provenAt is when the append that succeeded was sent: no newer owner was known then.
@@ -175,6 +175,7 @@
     void removeMissingRuns(WorkerState &worker, const WorkerReport &report, Core::Instant sentAt);
     void expireLeases(const Moment &now);
     void expireRunsOf(WorkerState &worker, const Moment &now);
+    void noteBegun(OwnedJob &job);
     /// What became of the task's runs up to \p run will never be known.
     void abandon(OwnedJob &job, const TaskName &name, std::int64_t run);
     void abandonUnknownRuns(OwnedJob &job);
@@ -211,6 +212,9 @@
     /// Ended jobs by the time of their end.
     std::multimap<std::int64_t, JobId> m_ended;
     std::set<JobId> m_dirty;
+    /// Jobs that have begun, which goes with the next append, whatever that is for: nothing waits
+    /// for it, and an append more for each job would make starts wait.
+    std::set<JobId> m_begun;
     std::vector<JobId> m_expired;
     std::int64_t m_lastCommit = 0;
     std::int64_t m_committed = 0;
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -58,10 +58,8 @@
 
     bool mayUse(const Core::VmId &worker) const { return m_durableWorkers.contains(worker); }
     void planUse(const Core::VmId &worker);
-    /// A start was sent, or a run was found: the job has begun for good.
-    void noteStarted() { m_hasStarted = true; }
-    /// A planned start was given up. True if the job waits again, which is to be recorded.
-    bool noteWithdrawn();
+    /// A worker has begun a task or may have: the job has begun for good. True if that is new.
+    bool noteBegun();
     /// The progress as of a commit became durable.
     void noteDurable(const std::set<Core::VmId> &workers);
 
@@ -87,7 +85,6 @@
     Submission m_submission;
     JobProgress m_progress;
     std::set<Core::VmId> m_durableWorkers;
-    bool m_hasStarted = false;
     std::map<int, std::vector<OwnedStep>> m_occurrences;
     std::vector<std::int64_t> m_chainMs;
     std::int64_t m_wholeChainMs = 0;
