Tests: Hold in all random worlds that a job counts as begun only if it may have

Cause: no world refused starts, and none looked at what is recorded of a job that hasn't begun. Change: JobWorld fails when a job is recorded as begun of which no worker has begun a task and no start is unanswered, or as waiting after it had begun; a world in which workers refuse most starts and owners change. The sequences of chance of the other worlds stay as they are.

--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -226,6 +226,7 @@
 {
     TaskHistory &history = m_history[task];
     history.startedAtMs.push_back(m_nowMs);
+    m_mayHaveBegun.insert(task.job);
     m_nodes.front()->log.note(task.text(), "STARTS", "");
     const JobEntry *entry = m_table.find(task.job);
     if (history.isDone && entry->progress && entry->progress->isFinal())
@@ -255,10 +256,15 @@
     const std::size_t target = indexOf(command);
     const auto answer = [this, index, generation, command](StartOutcome outcome) {
         Node &node = *m_nodes[index];
+        if (outcome == StartOutcome::Unknown)
+            m_mayHaveBegun.insert(command.task.job);
         if (node.generation == generation && node.scheduler)
             node.scheduler->onStartOutcome(command, outcome, moment());
     };
     const auto carryOut = [this, target, command]() {
+        // Chance is asked only where it matters, so that other worlds stay as they are.
+        if (m_faults.refusedStart > 0 && chance(m_faults.refusedStart))
+            return StartOutcome::Refused;
         ModelWorker::Run work;
         work.endsAtMs
             = m_nowMs + (command.payload == lastingPayload ? lastingMs : between(100, 1500));
@@ -377,7 +383,10 @@
 void JobWorld::checkRecords(const JobRecord &record)
 {
     const auto *progress = std::get_if<ProgressRecord>(&record);
-    if (!progress || progress->progress.state != JobState::Completed)
+    if (!progress)
+        return;
+    checkBegun(*progress);
+    if (progress->progress.state != JobState::Completed)
         return;
     const JobEntry *entry = m_table.find(progress->id);
     for (std::size_t step = 0; step < entry->submission.spec.steps.size(); ++step) {
@@ -388,6 +397,17 @@
     }
 }
 
+void JobWorld::checkBegun(const ProgressRecord &record)
+{
+    const JobState state = record.progress.state;
+    if (state == JobState::Running && !m_mayHaveBegun.contains(record.id))
+        fail("a job is recorded as begun that no worker has begun: " + record.id.text());
+    const JobEntry *entry = m_table.find(record.id);
+    const bool hadBegun = entry->progress && entry->progress->state != JobState::Queued;
+    if (state == JobState::Queued && hadBegun)
+        fail("a job that has begun is recorded as waiting: " + record.id.text());
+}
+
 void JobWorld::actAsOwner(std::size_t index)
 {
     Node &node = *m_nodes[index];
--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -19,6 +19,8 @@
     double lostAnswer = 0;
     /// An order gets no answer and is carried out 2 to 12 s later.
     double lateOrder = 0;
+    /// A worker answers that it did nothing.
+    double refusedStart = 0;
     double workerCrash = 0;
     double workerCut = 0;
     double storeCut = 0;
@@ -108,6 +110,8 @@
     void checkAttempts(const Jobs::TaskName &task);
     void checkRuns();
     void checkRecords(const Jobs::JobRecord &record);
+    /// A job is recorded as begun only if it may have, and never as waiting after that.
+    void checkBegun(const Jobs::ProgressRecord &record);
     void fail(const std::string &what);
     bool chance(double probability);
     std::int64_t between(std::int64_t least, std::int64_t most);
@@ -127,6 +131,8 @@
     std::int64_t m_term = -1;
     std::int64_t m_lastSignMs = 0;
     std::map<Jobs::TaskName, TaskHistory> m_history;
+    /// Those of which a worker has begun a task, and those with a start that wasn't answered.
+    std::set<Jobs::JobId> m_mayHaveBegun;
     int m_submitted = 0;
     double m_stretch = Jobs::Queue().stretch;
     std::string m_violation;
--- a/Tests/LibJob/TestOwnership.cpp
+++ b/Tests/LibJob/TestOwnership.cpp
@@ -66,6 +66,21 @@
     return faults;
 }
 
+/// Workers refuse most starts, and owners change before one is accepted.
+WorldFaults worldOfRefusals()
+{
+    WorldFaults faults;
+    faults.lostAnswer = 0.03;
+    faults.lateOrder = 0.03;
+    faults.refusedStart = 0.7;
+    faults.workerCrash = 0.05;
+    faults.workerCut = 0.3;
+    faults.storeCut = 0.3;
+    faults.claim = 0.5;
+    faults.longestFaultMs = 4000;
+    return faults;
+}
+
 /// Two or three owners at once, cut from the store or from workers, each in turn.
 void playRoughWorld(JobWorld &world)
 {
@@ -135,6 +150,7 @@
         const JobId id = world.submit(job({ 6 }, true));
         world.run(2000);
         REQUIRE(world.runningCount() == 6);
+        CHECK(world.state(id) == JobState::Running);
         world.kill(0);
         world.run(2000);
         world.claim(1);
@@ -220,6 +236,22 @@
     }
 }
 
+TEST_CASE("No job is recorded as begun of which no worker has begun a task")
+{
+    rc::prop("also if most starts are refused and owners change, and all work ends once it is calm",
+             [] {
+                 const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+                 JobWorld world(seed, worldOfRefusals());
+                 playRoughWorld(world);
+                 RC_ASSERT(world.violation() == std::string());
+                 world.calm();
+                 world.claim(0);
+                 world.run(40000);
+                 RC_ASSERT(world.violation() == std::string());
+                 RC_ASSERT(world.areAllOver());
+             });
+}
+
 TEST_CASE("A rough world of one seed, to trace it by hand", "[.replay]")
 {
     // JOB_WORLD_TRACE=1 JOB_WORLD_SEED=7 TestLibJob "[.replay]"
