LibSite: Apply the owner's records in the log's order

Cause: the owner skipped records under its own keys when it read them, and applied them when the append was answered. So its table wasn't what the log says up to where it has read: (1) an append that was durable but not answered before the ownership ended was skipped for good; (2) an answer that came after the ownership put the old progress over the next owner's; (3) after lost history the table of an owner wasn't cleared, so jobs that the next owner had dropped stayed; (4) a job that was submitted anew behind its drop was erased with it; (5) a submission that stands before the drop, and was read after the drop was answered, started the whole job again.

Ruled out: keeping the skipped records until their commit is confirmed. It mends (1) only; drops and submissions interleave the same way.

Not measured: the owner's processor time.

--- a/Libraries/LibJob/JobRecord.cpp
+++ b/Libraries/LibJob/JobRecord.cpp
@@ -225,11 +225,6 @@
     return { { "c/" + id, "" }, { "p/" + id, "" }, { "s/" + id, "" } };
 }
 
-bool isOwnersKey(const std::string &key)
-{
-    return key == heartbeatKey || key.starts_with("p/");
-}
-
 JobRecord decodeRecord(const StoredRecord &record)
 {
     const std::string &key = record.key;
--- a/Libraries/LibSite/JobFollower.cpp
+++ b/Libraries/LibSite/JobFollower.cpp
@@ -171,17 +171,10 @@
     co_return isCompleteAsOf(wanted);
 }
 
-void JobFollower::applyOwn(const std::vector<Jobs::JobRecord> &records)
-{
-    for (const Jobs::JobRecord &record : records)
-        m_state.table.apply(record);
-}
-
 void JobFollower::beginSnapshot()
 {
     m_isInSnapshot = true;
-    if (!m_state.owner)
-        m_state.table.clear();
+    m_state.table.clear();
 }
 
 void JobFollower::endSnapshot()
@@ -189,16 +182,18 @@
     m_isInSnapshot = false;
 }
 
+Jobs::JobRecord JobFollower::decode(const Jobs::StoredRecord &stored)
+{
+    std::optional<Jobs::ProgressRecord> sent = m_sent.take(stored);
+    if (sent)
+        return std::move(*sent);
+    return Jobs::decodeRecord(stored);
+}
+
 void JobFollower::apply(const LoggedRecord &logged)
 {
-    if (m_state.owner && Jobs::isOwnersKey(logged.record.key)) {
-        // The owner has applied its own records when they became durable.
-        if (!m_isInSnapshot)
-            m_state.watch.noteSign(Core::steadyNow());
-        return;
-    }
     try {
-        applyJobRecord(logged, Jobs::decodeRecord(logged.record));
+        applyJobRecord(logged, decode(logged.record));
     } catch (const Core::FormatError &error) {
         LOG4CXX_WARN(partLogger,
                      "event=unreadable-record offset=" << logged.offset
@@ -225,9 +220,6 @@
         || std::holds_alternative<Jobs::JobDropped>(record);
     if (isFromOwner && !m_isInSnapshot)
         m_state.watch.noteSign(now);
-    // Other keys of a job that the owner has dropped.
-    if (isFromOwner && m_state.owner)
-        return;
     m_state.table.apply(record);
     if (!m_state.owner)
         return;
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace Site {
 
@@ -52,6 +53,7 @@
 
 OwnerSession::~OwnerSession()
 {
+    m_follower.forgetSent();
     if (m_state.owner == this)
         m_state.owner = nullptr;
 }
@@ -223,11 +225,13 @@
 
 asio::awaitable<void> OwnerSession::commit()
 {
-    const Jobs::Commit commit = m_scheduler.takeCommit();
+    Jobs::Commit commit = m_scheduler.takeCommit();
     std::vector<Jobs::StoredRecord> records;
-    for (const Jobs::JobRecord &record : commit.records) {
-        for (Jobs::StoredRecord &stored : Jobs::encodeRecord(record))
-            records.push_back(std::move(stored));
+    for (Jobs::JobRecord &record : commit.records) {
+        std::vector<Jobs::StoredRecord> encoded = Jobs::encodeRecord(record);
+        if (auto *progress = std::get_if<Jobs::ProgressRecord>(&record))
+            m_follower.noteSent(encoded.front(), std::move(*progress));
+        std::move(encoded.begin(), encoded.end(), std::back_inserter(records));
     }
     if (records.empty())
         records = Jobs::encodeRecord(Jobs::Heartbeat { m_ownership.term });
@@ -243,7 +247,6 @@
     }
     if (isWritten) {
         m_scheduler.setStoreReachable(true);
-        m_follower.applyOwn(commit.records);
         m_scheduler.onCommitted(commit.number, m_provenAt, now());
         m_wakeup.wake();
         co_await pause.sleepUntil(Core::steadyNow() + commitSpacing);
--- a/Tests/LibSite/MemoryLog.cpp
+++ b/Tests/LibSite/MemoryLog.cpp
@@ -33,10 +33,23 @@
         throw Core::NotDoneError(step, "memory", "down");
 }
 
+void MemoryLog::refuseReadIfLost(const std::string &step) const
+{
+    refuseIfDown(step);
+    if (refusesReads)
+        throw Core::NotDoneError(step, "memory", "reads are refused");
+}
+
 void MemoryLog::put(Topic topic, const Jobs::StoredRecord &record)
 {
     Stored &stored = m_topics[topic];
     stored.records.push_back({ stored.end++, record });
+    stored.history.push_back(stored.records.back());
+}
+
+const std::vector<LoggedRecord> &MemoryLog::history(Topic topic)
+{
+    return m_topics[topic].history;
 }
 
 void MemoryLog::compact(Topic topic)
@@ -59,9 +72,16 @@
     const std::int64_t offset = m_topics[Topic::Jobs].end;
     for (const Jobs::StoredRecord &record : records)
         put(Topic::Jobs, record);
+    co_await deliverAnswer();
+    co_return offset;
+}
+
+asio::awaitable<void> MemoryLog::deliverAnswer()
+{
     if (losesAnswers)
         throw Core::OutcomeUnknownError("append", "memory", "the answer is lost");
-    co_return offset;
+    if (answerMs > 0)
+        co_await delay(answerMs);
 }
 
 asio::awaitable<std::int64_t> MemoryLog::append(std::vector<Jobs::StoredRecord> records,
@@ -92,8 +112,11 @@
     if (writer.epoch < m_epoch)
         throw FencedError("append", "memory", "a higher epoch");
     const bool isRepeated = writer.epoch == m_epoch && writer.sequence == m_lastSequence;
-    if (isRepeated)
-        co_return m_lastOffset;
+    if (isRepeated) {
+        const std::int64_t offset = m_lastOffset;
+        co_await deliverAnswer();
+        co_return offset;
+    }
     if (writer.epoch == m_epoch && writer.sequence != m_lastSequence + 1)
         throw ConflictError("append", "memory", "sequence", m_lastSequence + 1);
     m_epoch = writer.epoch;
@@ -109,7 +132,7 @@
     co_await delay(callMs);
     for (std::int64_t waited = 0; waited < waitMs && m_topics[topic].end <= from; waited += 5)
         co_await delay(5);
-    refuseIfDown("read");
+    refuseReadIfLost("read");
     const Stored &stored = m_topics[topic];
     if (from < stored.firstRetained)
         throw HistoryLostError("read", "memory", "expired");
@@ -138,7 +161,7 @@
 {
     ++reads;
     co_await deliverPage(deadline);
-    refuseIfDown("newest");
+    refuseReadIfLost("newest");
     const Stored &stored = m_topics[topic];
     std::map<std::string, LoggedRecord> newest;
     for (const LoggedRecord &record : stored.records)
--- a/Tests/LibSite/MemoryLog.h
+++ b/Tests/LibSite/MemoryLog.h
@@ -32,11 +32,17 @@
     void put(Site::Topic topic, const Jobs::StoredRecord &record);
     /// Expires all but the newest record of each key.
     void compact(Site::Topic topic);
+    /// All that was ever appended, also what has expired.
+    const std::vector<Site::LoggedRecord> &history(Site::Topic topic);
 
     /// Calls are refused, and nothing happens.
     bool isDown = false;
+    /// Reads are refused, and appends happen.
+    bool refusesReads = false;
     /// Appends happen, and their answers are lost.
     bool losesAnswers = false;
+    /// How long the answer to an append is on its way.
+    std::int64_t answerMs = 0;
     /// How long a page of the newest records is on its way; a call that would end after its
     /// deadline isn't answered.
     std::int64_t pageMs = 1;
@@ -49,6 +55,7 @@
     struct Stored
     {
         std::vector<Site::LoggedRecord> records;
+        std::vector<Site::LoggedRecord> history;
         std::int64_t end = 0;
         std::int64_t firstRetained = 0;
     };
@@ -56,7 +63,9 @@
     boost::asio::awaitable<void> delay(std::int64_t milliseconds);
     boost::asio::awaitable<void> deliverPage(Core::Instant deadline);
     boost::asio::awaitable<std::int64_t> store(std::vector<Jobs::StoredRecord> records);
+    boost::asio::awaitable<void> deliverAnswer();
     void refuseIfDown(const std::string &step) const;
+    void refuseReadIfLost(const std::string &step) const;
 
     boost::asio::any_io_executor m_executor;
     std::map<Site::Topic, Stored> m_topics;
--- a/Tests/LibSite/SiteFixture.h
+++ b/Tests/LibSite/SiteFixture.h
@@ -86,10 +86,10 @@
 /// One node of a site on a log that it shares with others.
 struct TestNode
 {
-    TestNode(const std::string &name, asio::io_context &context, KeyedLog &sharedLog,
+    TestNode(const SiteSettings &settings, asio::io_context &context, KeyedLog &sharedLog,
              WorkerGateway &workers, const SiteDecoder &decoder)
         : log(context.get_executor(), sharedLog)
-        , state({ name, {}, {} })
+        , state(settings)
         , jobs(state, log, context.get_executor())
         , operators(state, log, decoder, context.get_executor())
         , writer(state, log, context.get_executor())
@@ -113,11 +113,13 @@
     MemoryLog log { context.get_executor() };
     QuickWorkers workers;
     PlainDecoder decoder;
+    Jobs::SchedulerSettings scheduler;
     std::vector<std::unique_ptr<TestNode>> nodes;
 
     TestNode &addNode(const std::string &name)
     {
-        nodes.push_back(std::make_unique<TestNode>(name, context, log, workers, decoder));
+        const SiteSettings settings { name, scheduler, {} };
+        nodes.push_back(std::make_unique<TestNode>(settings, context, log, workers, decoder));
         TestNode &node = *nodes.back();
         asio::co_spawn(context, node.jobs.run(), asio::detached);
         asio::co_spawn(context, node.operators.run(), asio::detached);
@@ -126,6 +128,14 @@
     void own(TestNode &node) { asio::co_spawn(context, node.owner.run(), asio::detached); }
     void run(int ms) { context.run_for(milliseconds(ms)); }
     Core::Instant in(int ms) const { return Core::steadyNow() + milliseconds(ms); }
+    /// What the job records say from the first to the last.
+    Jobs::JobTable tableOfLog()
+    {
+        Jobs::JobTable table;
+        for (const LoggedRecord &logged : log.history(Topic::Jobs))
+            table.apply(Jobs::decodeRecord(logged.record));
+        return table;
+    }
     WaitingCount countWaiting(TestNode &node)
     {
         return await(node.desk.countWaiting(Jobs::QueueId("queue"), in(1000)));
--- a/include/LibJob/JobRecord.h
+++ b/include/LibJob/JobRecord.h
@@ -82,9 +82,6 @@
 /// \throws nothing; JobDropped becomes three records, since a job's records have three keys.
 std::vector<StoredRecord> encodeRecord(const JobRecord &record);
 
-/// True for keys that only the owner writes; what it has written it needn't read.
-bool isOwnersKey(const std::string &key);
-
 /// \throws Core::FormatError for a record that isn't ours.
 JobRecord decodeRecord(const StoredRecord &record);
 
--- a/include/LibJob/JobTable.h
+++ b/include/LibJob/JobTable.h
@@ -17,6 +17,8 @@
 
     JobState state() const;
     bool isOver() const;
+
+    bool operator==(const JobEntry &) const = default;
 };
 
 /// The jobs as the store's records tell them: a pure function of the records in their order, the
@@ -33,6 +35,8 @@
 
     void clear();
 
+    bool operator==(const JobTable &) const = default;
+
 private:
     void applySubmission(const Submission &submission);
 
--- a/include/LibSite/JobFollower.h
+++ b/include/LibSite/JobFollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibSite/LogFollower.h>
+#include <LibSite/SentRecords.h>
 #include <LibSite/SiteState.h>
 #include <LibSupervision/Part.h>
 #include <LibSupervision/Wakeup.h>
@@ -9,10 +10,12 @@
 
 #include <cstdint>
 #include <set>
+#include <utility>
 
 namespace Site {
 
-/// Keeps a node's table of jobs, and its view of who owns them, in step with the store.
+/// Keeps a node's table of jobs, and its view of who owns them, in step with the store. The table
+/// holds exactly what the records up to `nextOffset()` say, on the owner too.
 class JobFollower final : public Supervision::Part, private RecordSink
 {
 public:
@@ -27,13 +30,18 @@
     std::int64_t nextOffset() const { return m_follower.nextOffset(); }
     /// Reads again soon.
     void wake() { m_wakeup.wake(); }
-    /// Applies records that this node has appended as the owner.
-    void applyOwn(const std::vector<Jobs::JobRecord> &records);
+    /// The owner is about to append \p record as \p stored; it counts once it is read.
+    void noteSent(const Jobs::StoredRecord &stored, Jobs::ProgressRecord record)
+    {
+        m_sent.note(stored, std::move(record));
+    }
+    void forgetSent() { m_sent.clear(); }
 
 private:
     void beginSnapshot() override;
     void endSnapshot() override;
     void apply(const LoggedRecord &record) override;
+    Jobs::JobRecord decode(const Jobs::StoredRecord &stored);
     void applyJobRecord(const LoggedRecord &logged, const Jobs::JobRecord &record);
     enum class ReadResult {
         Failed,
@@ -54,6 +62,7 @@
 
     SiteState &m_state;
     LogFollower m_follower;
+    SentRecords m_sent;
     boost::asio::any_io_executor m_executor;
     Supervision::Wakeup m_wakeup;
     /// Nobody wakes it.
