LibSite: Cut a commit of the owner into appends of 128 KiB

Cause: the owner wrote all changed records in one append of 900 ms. Where it exceeds what the store takes a call, or what a slow link brings in that time, the same append was repeated for ever, and the scheduler never learned that anything was durable.

Change: AppendParts cuts records into appends of at most 128 KiB or 256 records; the three keys of a dropped job stay in one. Parts go one after the other, each with the next sequence number and 900 ms of its own; an answered part isn't sent again, proves the ownership and tells that the store is reachable. onCommitted follows once all are durable. A fence ends the session at any part.

Ruled out: more time for one append: the store's limit stays, and the longer one takes the longer the owner is without proof.

Result: Tests/LibSite/TestAppends, 80 jobs of 4 KB progress each. Before: 0 of 80 written in 6 s, 0 starts, with 200,000 bytes a call, and with 250 bytes a millisecond. After: all 80 in both.

--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -223,37 +223,56 @@
     spawn(commit());
 }
 
-asio::awaitable<void> OwnerSession::commit()
+AppendParts OwnerSession::encode(std::vector<Jobs::JobRecord> records)
 {
-    Jobs::Commit commit = m_scheduler.takeCommit();
-    std::vector<Jobs::StoredRecord> records;
-    for (Jobs::JobRecord &record : commit.records) {
+    AppendParts parts;
+    for (Jobs::JobRecord &record : records) {
         std::vector<Jobs::StoredRecord> encoded = Jobs::encodeRecord(record);
         if (auto *progress = std::get_if<Jobs::ProgressRecord>(&record))
             m_follower.noteSent(encoded.front(), std::move(*progress));
-        std::move(encoded.begin(), encoded.end(), std::back_inserter(records));
+        parts.add(std::move(encoded));
     }
-    if (records.empty())
-        records = Jobs::encodeRecord(Jobs::Heartbeat { m_ownership.term });
-    Supervision::Wakeup pause(m_executor);
-    bool isWritten = false;
-    while (!isWritten && !m_isOver) {
-        isWritten = co_await appendOnce(records);
-        if (isWritten)
+    if (parts.isEmpty())
+        parts.add(Jobs::encodeRecord(Jobs::Heartbeat { m_ownership.term }));
+    return parts;
+}
+
+asio::awaitable<void> OwnerSession::commit()
+{
+    Jobs::Commit commit = m_scheduler.takeCommit();
+    const AppendParts parts = encode(std::move(commit.records));
+    bool isWritten = true;
+    for (const std::vector<Jobs::StoredRecord> &part : parts.parts()) {
+        isWritten = co_await appendUntilWritten(part);
+        if (!isWritten)
             break;
-        if (!m_state.health.isReachable())
-            m_scheduler.setStoreReachable(false);
-        co_await pause.sleepUntil(Core::steadyNow() + appendRetrySpacing);
     }
     if (isWritten) {
-        m_scheduler.setStoreReachable(true);
         m_scheduler.onCommitted(commit.number, m_provenAt, now());
         m_wakeup.wake();
+        Supervision::Wakeup pause(m_executor);
         co_await pause.sleepUntil(Core::steadyNow() + commitSpacing);
     }
     m_isCommitting = false;
 }
 
+asio::awaitable<bool>
+OwnerSession::appendUntilWritten(const std::vector<Jobs::StoredRecord> &records)
+{
+    Supervision::Wakeup pause(m_executor);
+    while (!m_isOver) {
+        const bool isWritten = co_await appendOnce(records);
+        if (isWritten) {
+            m_scheduler.setStoreReachable(true);
+            co_return true;
+        }
+        if (!m_state.health.isReachable())
+            m_scheduler.setStoreReachable(false);
+        co_await pause.sleepUntil(Core::steadyNow() + appendRetrySpacing);
+    }
+    co_return false;
+}
+
 asio::awaitable<bool> OwnerSession::appendOnce(const std::vector<Jobs::StoredRecord> &records)
 {
     const Core::Instant sentAt = Core::suspendAwareNow();
--- a/Tests/LibSite/MemoryLog.cpp
+++ b/Tests/LibSite/MemoryLog.cpp
@@ -66,6 +66,27 @@
     stored.firstRetained = stored.end;
 }
 
+asio::awaitable<void> MemoryLog::sendRecords(std::vector<Jobs::StoredRecord> records,
+                                             Core::Instant deadline)
+{
+    std::size_t bytes = 0;
+    for (const Jobs::StoredRecord &record : records)
+        bytes += record.key.size() + record.value.size();
+    const Core::Instant now = Core::steadyNow();
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count();
+    std::int64_t neededMs = callMs;
+    if (bytesPerMs > 0)
+        neededMs += static_cast<std::int64_t>(bytes) / bytesPerMs;
+    if (left < neededMs) {
+        co_await delay(std::max<std::int64_t>(left, 0));
+        throw Core::OutcomeUnknownError("append", "memory", "the deadline has passed");
+    }
+    co_await delay(neededMs);
+    refuseIfDown("append");
+    if (bytes > mostBytesPerCall)
+        throw Core::NotDoneError("append", "memory", "too many bytes");
+}
+
 asio::awaitable<std::int64_t> MemoryLog::store(std::vector<Jobs::StoredRecord> records)
 {
     ++appends;
@@ -85,19 +106,17 @@
 }
 
 asio::awaitable<std::int64_t> MemoryLog::append(std::vector<Jobs::StoredRecord> records,
-                                                Core::Instant)
+                                                Core::Instant deadline)
 {
-    co_await delay(callMs);
-    refuseIfDown("append");
+    co_await sendRecords(records, deadline);
     co_return co_await store(std::move(records));
 }
 
 asio::awaitable<std::int64_t> MemoryLog::appendAt(std::vector<Jobs::StoredRecord> records,
-                                                  std::int64_t expectedEnd, Core::Instant)
+                                                  std::int64_t expectedEnd, Core::Instant deadline)
 {
     ++conditionalAppends;
-    co_await delay(callMs);
-    refuseIfDown("append");
+    co_await sendRecords(records, deadline);
     const std::int64_t end = m_topics[Topic::Jobs].end;
     if (end != expectedEnd)
         throw ConflictError("append", "memory", "the log has grown", end);
@@ -105,10 +124,9 @@
 }
 
 asio::awaitable<std::int64_t> MemoryLog::appendFenced(std::vector<Jobs::StoredRecord> records,
-                                                      FencedWriter writer, Core::Instant)
+                                                      FencedWriter writer, Core::Instant deadline)
 {
-    co_await delay(callMs);
-    refuseIfDown("append");
+    co_await sendRecords(records, deadline);
     if (writer.epoch < m_epoch)
         throw FencedError("append", "memory", "a higher epoch");
     const bool isRepeated = writer.epoch == m_epoch && writer.sequence == m_lastSequence;
--- a/Tests/LibSite/MemoryLog.h
+++ b/Tests/LibSite/MemoryLog.h
@@ -4,6 +4,8 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -46,6 +48,11 @@
     /// How long a page of the newest records is on its way; a call that would end after its
     /// deadline isn't answered.
     std::int64_t pageMs = 1;
+    /// An append of more bytes is refused.
+    std::size_t mostBytesPerCall = 2000000;
+    /// How fast appends arrive; one that wouldn't arrive by its deadline isn't carried out, and its
+    /// caller can't know. 0: at once.
+    std::int64_t bytesPerMs = 0;
     int appends = 0;
     /// Appends under a condition, whether it held or not.
     int conditionalAppends = 0;
@@ -61,6 +68,8 @@
     };
 
     boost::asio::awaitable<void> delay(std::int64_t milliseconds);
+    boost::asio::awaitable<void> sendRecords(std::vector<Jobs::StoredRecord> records,
+                                             Core::Instant deadline);
     boost::asio::awaitable<void> deliverPage(Core::Instant deadline);
     boost::asio::awaitable<std::int64_t> store(std::vector<Jobs::StoredRecord> records);
     boost::asio::awaitable<void> deliverAnswer();
--- /dev/null
+++ b/Tests/LibSite/TestAppends.cpp
@@ -0,0 +1,93 @@
+#include "SiteFixture.h"
+
+#include <LibSite/AppendParts.h>
+
+static constexpr int jobCount = 80;
+
+/// Its progress takes 4 KB once its first task has begun.
+static Jobs::Submission jobOfManyTasks(const std::string &id)
+{
+    Jobs::Submission submission = job(id);
+    submission.spec.steps.front().taskCount = 1;
+    Jobs::StepSpec step = submission.spec.steps.front();
+    step.taskCount = 4000;
+    step.after = { 0 };
+    submission.spec.steps.push_back(step);
+    return submission;
+}
+
+static int jobsWithProgress(SiteFixture &site)
+{
+    int count = 0;
+    const Jobs::JobTable table = site.tableOfLog();
+    for (const auto &[id, entry] : table.jobs())
+        count += entry.progress ? 1 : 0;
+    return count;
+}
+
+TEST_CASE("An owner that has much to write makes progress with each append")
+{
+    SiteFixture site;
+    for (const char *worker : { "w1", "w2", "w3" })
+        site.log.put(Topic::Workers, { worker, "a" });
+    for (int i = 0; i < jobCount; ++i) {
+        const Jobs::Submission submission = jobOfManyTasks("j" + std::to_string(i));
+        site.log.put(Topic::Jobs, Jobs::encodeRecord(submission).front());
+    }
+
+    SECTION("where the store takes less than all of it in one append")
+    {
+        site.log.mostBytesPerCall = 200000;
+    }
+    SECTION("where all of it can't arrive within the time of one append")
+    {
+        site.log.bytesPerMs = 250;
+    }
+    TestNode &node = site.addNode("one#1");
+    site.own(node);
+    for (int i = 0; i < 60 && jobsWithProgress(site) < jobCount; ++i)
+        site.run(100);
+    CHECK(jobsWithProgress(site) == jobCount);
+    CHECK(node.state.owner);
+    CHECK(site.workers.starts >= jobCount);
+    site.context.stop();
+}
+
+TEST_CASE("Records are cut into appends of bounded size")
+{
+    AppendParts parts;
+    const auto record = [](std::size_t bytes) {
+        return std::vector<Jobs::StoredRecord> { { "k", std::string(bytes - 1, 'x') } };
+    };
+
+    SECTION("what fits goes together, up to the last byte")
+    {
+        parts.add(record(1024));
+        parts.add(record(mostBytesPerAppend - 1024));
+        CHECK(parts.parts().size() == 1);
+        parts.add(record(2));
+        CHECK(parts.parts().size() == 2);
+    }
+    SECTION("the number of records is bounded, too")
+    {
+        for (std::size_t i = 0; i <= mostRecordsPerAppend; ++i)
+            parts.add(record(2));
+        REQUIRE(parts.parts().size() == 2);
+        CHECK(parts.parts().front().size() == mostRecordsPerAppend);
+    }
+    SECTION("the three keys of a dropped job stay together")
+    {
+        for (std::size_t i = 0; i + 2 < mostRecordsPerAppend; ++i)
+            parts.add(record(2));
+        parts.add(Jobs::encodeRecord(Jobs::JobDropped { Jobs::JobId("a") }));
+        REQUIRE(parts.parts().size() == 2);
+        CHECK(parts.parts().back().size() == 3);
+    }
+    SECTION("a record that is too large by itself keeps its place")
+    {
+        parts.add(record(2));
+        parts.add(record(2 * mostBytesPerAppend));
+        parts.add(record(2));
+        CHECK(parts.parts().size() == 3);
+    }
+}
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -2,6 +2,7 @@
 
 #include <LibJob/DecisionLog.h>
 #include <LibJob/JobScheduler.h>
+#include <LibSite/AppendParts.h>
 #include <LibSite/JobFollower.h>
 #include <LibSite/KeyedLog.h>
 #include <LibSite/SiteDecoder.h>
@@ -53,7 +54,11 @@
     void spawnOrders();
     void spawnCommit();
     Core::Instant nextHeartbeatAt() const;
+    /// Cuts what a commit writes into appends, and remembers what is sent.
+    AppendParts encode(std::vector<Jobs::JobRecord> records);
     boost::asio::awaitable<void> commit();
+    /// False if the ownership ended before.
+    boost::asio::awaitable<bool> appendUntilWritten(const std::vector<Jobs::StoredRecord> &records);
     boost::asio::awaitable<bool> appendOnce(const std::vector<Jobs::StoredRecord> &records);
     boost::asio::awaitable<void> writeRelease();
     boost::asio::awaitable<void> send(Jobs::StartCommand command);
