LibSite: Write callers' records in appends of 128 KiB

Cause: RecordWriter put up to 1 MiB or 256 records into one append of 900 ms. On a slow link none arrives in time, and the same batch is sent again until its callers' deadlines.

Change: the bounds of AppendParts hold here, too (128 KiB, 256 records).

--- a/Libraries/LibSite/RecordWriter.cpp
+++ b/Libraries/LibSite/RecordWriter.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/SteadyClock.h>
 #include <LibLog/Logging.h>
+#include <LibSite/AppendParts.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -12,8 +13,6 @@
 
 namespace asio = boost::asio;
 
-static constexpr std::size_t mostRecordsPerAppend = 256;
-static constexpr std::size_t mostBytesPerAppend = 1024 * 1024;
 /// How long one append may take before it is repeated.
 static constexpr Core::Duration appendTime = std::chrono::milliseconds(900);
 static constexpr Core::Duration retrySpacing = std::chrono::milliseconds(100);
@@ -52,8 +51,7 @@
     Batch batch;
     std::size_t bytes = 0;
     while (!m_pending.empty() && batch.size() < mostRecordsPerAppend) {
-        const Jobs::StoredRecord &record = m_pending.front()->record;
-        bytes += record.key.size() + record.value.size();
+        bytes += sizeInBytes(m_pending.front()->record);
         if (bytes > mostBytesPerAppend && !batch.empty())
             break;
         batch.splice(batch.end(), m_pending, m_pending.begin());
--- a/Tests/LibSite/TestAppends.cpp
+++ b/Tests/LibSite/TestAppends.cpp
@@ -53,6 +53,25 @@
     site.context.stop();
 }
 
+TEST_CASE("Jobs that come together are accepted though one append doesn't carry them in time")
+{
+    SiteFixture site;
+    TestNode &node = site.addNode("one#1");
+    site.run(50);
+    site.log.bytesPerMs = 400;
+    int accepted = 0;
+    for (int i = 0; i < 100; ++i) {
+        Jobs::Submission submission = job("j" + std::to_string(i));
+        submission.spec.payload.assign(4000, 'x');
+        asio::co_spawn(site.context, node.desk.submit(submission, site.in(3000)),
+                       [&](const std::exception_ptr &, SubmitOutcome outcome) {
+                           accepted += outcome == SubmitOutcome::Accepted ? 1 : 0;
+                       });
+    }
+    site.run(2500);
+    CHECK(accepted == 100);
+}
+
 TEST_CASE("Records are cut into appends of bounded size")
 {
     AppendParts parts;
