LibSite: Let TableFreshness serve each copy of a topic

Ruled out: a second class of the same kind. Change: renamed to CopyFreshness; the longest age is an argument, 2 s for counts as before (SiteState.h). No behaviour changes.

--- a/Libraries/LibSite/TableFreshness.cpp
+++ b/Libraries/LibSite/CopyFreshness.cpp
@@ -1,17 +1,17 @@
-#include <LibSite/TableFreshness.h>
+#include <LibSite/CopyFreshness.h>
 
 #include <algorithm>
 
 namespace Site {
 
-void TableFreshness::noteComplete(Core::Instant sentAt)
+void CopyFreshness::noteComplete(Core::Instant sentAt)
 {
     m_completeAsOf = m_completeAsOf ? std::max(*m_completeAsOf, sentAt) : sentAt;
 }
 
-bool TableFreshness::isCurrent(Core::Instant now) const
+bool CopyFreshness::isCurrent(Core::Instant now) const
 {
-    return m_completeAsOf && now - *m_completeAsOf <= longestAge;
+    return m_completeAsOf && now - *m_completeAsOf <= m_longestAge;
 }
 
 std::string ageText(std::optional<Core::Instant> completeAsOf, Core::Instant now)
--- a/Libraries/LibSite/JobDesk.cpp
+++ b/Libraries/LibSite/JobDesk.cpp
@@ -120,7 +120,7 @@
 
 asio::awaitable<WaitingCount> JobDesk::countWaiting(Jobs::QueueId queue, Core::Instant deadline)
 {
-    const TableFreshness &freshness = m_state.freshness;
+    const CopyFreshness &freshness = m_state.freshness;
     if (!freshness.isCurrent(Core::suspendAwareNow()))
         co_await m_follower.refresh(refreshDeadline(deadline));
     const Core::Instant now = Core::suspendAwareNow();
--- a/include/LibSite/TableFreshness.h
+++ b/include/LibSite/CopyFreshness.h
@@ -7,13 +7,16 @@
 
 namespace Site {
 
-/// Knows up to which moment a node's copy of the job records is complete. Instants are on the
+/// Knows up to which moment a node's copy of a topic's records is complete. Instants are on the
 /// clock that also counts suspension: a copy grows old while its VM stands still.
-class TableFreshness
+class CopyFreshness
 {
 public:
-    /// Callers are told counts that are at most this old.
-    static constexpr Core::Duration longestAge = std::chrono::seconds(2);
+    /// A copy that is older than \p longestAge isn't current.
+    explicit CopyFreshness(Core::Duration longestAge)
+        : m_longestAge(longestAge)
+    {
+    }
 
     /// A read that was sent at \p sentAt has reached the end of the log.
     void noteComplete(Core::Instant sentAt);
@@ -22,10 +25,11 @@
     /// never been read to its end.
     std::optional<Core::Instant> completeAsOf() const { return m_completeAsOf; }
     bool wasEverComplete() const { return m_completeAsOf.has_value(); }
-    /// The copy lacks nothing that is older than `longestAge`.
+    /// The copy lacks nothing that is older than the longest age.
     bool isCurrent(Core::Instant now) const;
 
 private:
+    Core::Duration m_longestAge;
     std::optional<Core::Instant> m_completeAsOf;
 };
 
--- a/include/LibSite/SiteState.h
+++ b/include/LibSite/SiteState.h
@@ -5,10 +5,10 @@
 #include <LibJob/Catalogue.h>
 #include <LibJob/JobTable.h>
 #include <LibJob/OwnerWatch.h>
+#include <LibSite/CopyFreshness.h>
 #include <LibSite/SiteMetrics.h>
 #include <LibSite/SiteSettings.h>
 #include <LibSite/StoreHealth.h>
-#include <LibSite/TableFreshness.h>
 
 #include <optional>
 #include <set>
@@ -30,6 +30,9 @@
     virtual void onOperatorChange() = 0;
 };
 
+/// Callers are told counts of jobs that are at most this old.
+inline constexpr Core::Duration longestAgeOfCounts = std::chrono::seconds(2);
+
 /// What the parts of a node share.
 struct SiteState
 {
@@ -41,7 +44,7 @@
 
     const SiteSettings settings;
     Jobs::JobTable table;
-    TableFreshness freshness;
+    CopyFreshness freshness { longestAgeOfCounts };
     Jobs::OwnerWatch watch;
     std::optional<Jobs::Catalogue> catalogue;
     std::set<Core::FailureDomainId> outOfService;
