LibSite: Deny a queue only from a current catalogue

What callers saw: a final 404 for a queue that the operators had just added, from a node that had been suspended or that the store turned away. A long poll of 1.2 s that is answered empty left no trace of how old the copy was, either. Ruled out: a bound of 2 s with the poll of 1.2 s: a copy between two empty answers is up to 2.42 s old (by the constants); taking an empty answer for as new as its arrival: the store promises no such thing. Change: OperatorFollower notes when a read that reached the end was sent, on the clock that counts suspension; CopyFreshness with 1.6 s (bounds from 2 s on); polls are held back for 0.7 s, so that a calm node stays current (a static_assert, and a test over 3 s).

--- a/Libraries/LibSite/OperatorFollower.cpp
+++ b/Libraries/LibSite/OperatorFollower.cpp
@@ -3,14 +3,25 @@
 #include <LibCore/SteadyClock.h>
 #include <LibLog/Logging.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace Site {
 
 namespace asio = boost::asio;
 
 /// How long the store may hold a read back until there is something to read.
-static constexpr std::int64_t readWaitMs = 1200;
+static constexpr std::int64_t readWaitMs = 700;
 static constexpr Core::Duration retrySpacing = std::chrono::milliseconds(250);
 static constexpr Core::Duration readSpacing = std::chrono::milliseconds(20);
+// An answer without records is as old as its read; the next one is held back as long again. What
+// is left is for the calls' own time.
+static_assert(2 * std::chrono::milliseconds(readWaitMs) + readSpacing
+              <= longestAgeOfCatalogue - std::chrono::milliseconds(150));
+/// Looks at the store begin at least this far apart; callers that come meanwhile share the next.
+static constexpr Core::Duration lookSpacing = std::chrono::milliseconds(20);
 static const auto partLogger = Log::logger("operators");
 
 OperatorFollower::OperatorFollower(SiteState &state, KeyedLog &log, const SiteDecoder &decoder,
@@ -18,6 +29,7 @@
     : m_state(state)
     , m_decoder(decoder)
     , m_follower(log, Topic::Operators, *this)
+    , m_executor(executor)
     , m_wakeup(executor)
 {
 }
@@ -25,19 +37,84 @@
 asio::awaitable<void> OperatorFollower::run()
 {
     m_isStopping = false;
+    std::int64_t waitMs = 0;
     while (!m_isStopping) {
         Core::Duration pause = readSpacing;
         try {
-            // Without a first catalogue there is nothing to wait for but its arrival.
-            co_await m_follower.readOnce(readWaitMs);
+            const bool isSnapshotPage = m_follower.needsSnapshot();
+            co_await readOnce(waitMs);
+            waitMs = isSnapshotPage ? 0 : readWaitMs;
         } catch (const Core::Error &error) {
             LOG4CXX_DEBUG(partLogger, "event=read-failed reason=\"" << error.what() << '"');
             pause = retrySpacing;
+            // Once the store answers again, the copy becomes current at once.
+            waitMs = 0;
         }
         co_await m_wakeup.sleepUntil(Core::steadyNow() + pause);
     }
 }
 
+asio::awaitable<bool> OperatorFollower::readOnce(std::int64_t waitMs)
+{
+    const Core::Instant sentAt = Core::suspendAwareNow();
+    const bool isAtEnd = co_await m_follower.readOnce(waitMs);
+    if (isAtEnd) {
+        m_state.catalogueFreshness.noteComplete(sentAt);
+        wakeWaiting();
+    }
+    co_return isAtEnd;
+}
+
+bool OperatorFollower::isCurrent() const
+{
+    return m_state.catalogueFreshness.isCurrent(Core::suspendAwareNow());
+}
+
+void OperatorFollower::wakeWaiting()
+{
+    for (Supervision::Wakeup *waiting : m_waiting)
+        waiting->wake();
+}
+
+asio::awaitable<void> OperatorFollower::look()
+{
+    asio::steady_timer timer(m_executor);
+    timer.expires_at(Core::toSteadyTimePoint(m_lastLookAt + lookSpacing));
+    co_await timer.async_wait(asio::use_awaitable);
+    m_lastLookAt = Core::steadyNow();
+    try {
+        bool isAtEnd = false;
+        std::int64_t from = -1;
+        // A page that brings nothing nearer to the end is the last.
+        while (!isAtEnd && !m_follower.needsSnapshot() && m_follower.nextOffset() != from) {
+            from = m_follower.nextOffset();
+            isAtEnd = co_await readOnce(0);
+        }
+    } catch (const Core::Error &error) {
+        LOG4CXX_DEBUG(partLogger, "event=look-failed reason=\"" << error.what() << '"');
+    }
+    // The snapshot is read by run() alone; its end is waited for.
+    if (!m_follower.needsSnapshot())
+        ++m_looks;
+    m_isLooking = false;
+    wakeWaiting();
+}
+
+asio::awaitable<void> OperatorFollower::refresh(Core::Instant deadline)
+{
+    const std::int64_t looksBefore = m_looks;
+    Supervision::Wakeup wakeup(m_executor);
+    m_waiting.insert(&wakeup);
+    while (!isCurrent() && m_looks == looksBefore && Core::steadyNow() < deadline) {
+        if (!m_isLooking && !m_follower.needsSnapshot()) {
+            m_isLooking = true;
+            asio::co_spawn(m_executor, look(), asio::detached);
+        }
+        co_await wakeup.sleepUntil(deadline);
+    }
+    m_waiting.erase(&wakeup);
+}
+
 void OperatorFollower::requestStop()
 {
     m_isStopping = true;
--- a/Tests/LibSite/MemoryLog.cpp
+++ b/Tests/LibSite/MemoryLog.cpp
@@ -160,6 +160,8 @@
         if (record.offset >= from)
             page.records.push_back(record);
     }
+    if (readAnswerMs > 0)
+        co_await delay(readAnswerMs);
     co_return page;
 }
 
--- a/Tests/LibSite/MemoryLog.h
+++ b/Tests/LibSite/MemoryLog.h
@@ -53,6 +53,8 @@
     /// How fast appends arrive; one that wouldn't arrive by its deadline isn't carried out, and its
     /// caller can't know. 0: at once.
     std::int64_t bytesPerMs = 0;
+    /// How long the answer to a read is on its way.
+    std::int64_t readAnswerMs = 0;
     int appends = 0;
     /// Appends under a condition, whether it held or not.
     int conditionalAppends = 0;
--- a/Tests/platform/TestCallerDoor.cpp
+++ b/Tests/platform/TestCallerDoor.cpp
@@ -1,10 +1,14 @@
 #include "CallerDoor.h"
 #include "PlatformDecoder.h"
 
+#include <LibCore/Json.h>
 #include <LibSite/QueueDesk.h>
 #include <LibSite/SiteFixture.h>
 
 #include <boost/beast/http/field.hpp>
+#include <json/value.h>
+
+#include <thread>
 
 namespace http = boost::beast::http;
 
@@ -29,20 +33,26 @@
     /// Publishes a version whose queues have these prefixes.
     void publish(int version, const std::vector<std::string> &prefixes)
     {
-        std::string routes;
+        Json::Value catalogue(Json::objectValue);
+        catalogue["version"] = version;
         for (const std::string &prefix : prefixes) {
-            routes += routes.empty() ? "" : ",";
-            routes += R"({"name":"r)" + prefix + R"(","host":"h.example","pathPrefix":")" + prefix
-                + R"(","kind":"unsafe","timeoutMs":3000,"sloMs":250,"priority":0,"service":"s",)"
-                  R"("maxAttempts":3,"stretch":1.5})";
+            Json::Value &route = catalogue["routes"].append(Json::Value(Json::objectValue));
+            route["name"] = prefix;
+            route["host"] = "h.example";
+            route["pathPrefix"] = prefix;
+            route["service"] = "s";
+            route["priority"] = 0;
+            route["maxAttempts"] = 3;
+            route["stretch"] = 1.5;
+            route["sloMs"] = 250;
         }
-        const std::string limits = R"({"headerBytes":16384,"bodyBytes":262144,)"
-                                   R"("headerTimeoutMs":3000,"idleTimeoutMs":15000})";
-        log.put(Topic::Operators,
-                { "config",
-                  R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes
-                      + R"(],"services":[{"name":"s","rejectsOverload":true}],"limits":)" + limits
-                      + "}" });
+        catalogue["services"][0]["name"] = "s";
+        catalogue["services"][0]["rejectsOverload"] = true;
+        catalogue["limits"]["headerBytes"] = 16384;
+        catalogue["limits"]["bodyBytes"] = 262144;
+        catalogue["limits"]["headerTimeoutMs"] = 3000;
+        catalogue["limits"]["idleTimeoutMs"] = 15000;
+        log.put(Topic::Operators, { "config", Core::Json::write(catalogue) });
     }
     Http::ServerResponse call(http::verb method, const std::string &target,
                               const std::string &body = "")
@@ -53,6 +63,8 @@
         request.body() = body;
         return await(door.answer(std::move(request)));
     }
+    /// The VM is suspended, and the store goes on.
+    static void standStill(int ms) { std::this_thread::sleep_for(milliseconds(ms)); }
     unsigned count(const std::string &queue) { return call(http::verb::get, queue).result_int(); }
     Http::ServerResponse submit(const std::string &queue)
     {
@@ -90,3 +102,64 @@
         CHECK(site.count(newQueue) == 404);
     }
 }
+
+TEST_CASE("A queue is denied only from a catalogue that is known to be current")
+{
+    DoorFixture site;
+    site.publish(1, { oldQueue });
+    site.run(100);
+    REQUIRE(site.count(newQueue) == 404);
+
+    SECTION("a node that follows calmly stays current between its reads")
+    {
+        for (int i = 0; i < 30; ++i) {
+            site.run(100);
+            CHECK(site.node.state.catalogueFreshness.isCurrent(Core::suspendAwareNow()));
+        }
+    }
+    SECTION("a node that stood still finds the queue that was added meanwhile")
+    {
+        site.publish(2, { oldQueue, newQueue });
+        site.log.readAnswerMs = 200;
+        site.standStill(2000);
+        CHECK(site.submit(newQueue).result_int() == 200);
+    }
+    SECTION("a node that stood still and finds no store says that it doesn't know")
+    {
+        site.publish(2, { oldQueue, newQueue });
+        site.log.isDown = true;
+        site.standStill(2000);
+        const Http::ServerResponse response = site.submit(newQueue);
+        CHECK(response.result_int() == 503);
+        CHECK(response[http::field::retry_after] == "1");
+        CHECK(response.body().find("not run") != std::string::npos);
+    }
+    SECTION("a node that the store turns away stops to deny, and knows the queue soon after")
+    {
+        site.log.isDown = true;
+        site.publish(2, { oldQueue, newQueue });
+        site.run(2500);
+        CHECK(site.count(newQueue) == 503);
+        site.log.isDown = false;
+        site.run(600);
+        CHECK(site.count(newQueue) == 200);
+    }
+    SECTION("callers that come together share a look at the store")
+    {
+        site.log.readAnswerMs = 100;
+        site.standStill(2000);
+        const int reads = site.log.reads;
+        int denied = 0;
+        for (int i = 0; i < 20; ++i) {
+            Http::ServerRequest request(http::verb::get, newQueue, 11);
+            request.set(http::field::host, "h.example");
+            asio::co_spawn(site.context, site.door.answer(std::move(request)),
+                           [&](const std::exception_ptr &, const Http::ServerResponse &response) {
+                               denied += response.result_int() == 404 ? 1 : 0;
+                           });
+        }
+        site.run(150);
+        CHECK(denied == 20);
+        CHECK(site.log.reads - reads <= 3);
+    }
+}
--- a/include/LibSite/SiteState.h
+++ b/include/LibSite/SiteState.h
@@ -33,6 +33,10 @@
 /// Callers are told counts of jobs that are at most this old.
 inline constexpr Core::Duration longestAgeOfCounts = std::chrono::seconds(2);
 
+/// What the operators publish has to be in force everywhere within 2 s at the shortest: an answer
+/// that a newer catalogue would forbid is given from one that is at most this old.
+inline constexpr Core::Duration longestAgeOfCatalogue = std::chrono::milliseconds(1600);
+
 /// What the parts of a node share.
 struct SiteState
 {
@@ -47,6 +51,8 @@
     CopyFreshness freshness { longestAgeOfCounts };
     Jobs::OwnerWatch watch;
     std::optional<Jobs::Catalogue> catalogue;
+    /// Of the copy of what the operators publish.
+    CopyFreshness catalogueFreshness { longestAgeOfCatalogue };
     std::set<Core::FailureDomainId> outOfService;
     StoreHealth health;
     SiteMetrics metrics;
