LibSite: Accept a job only under a queue of a current catalogue

What callers saw: a job accepted, or jobs counted, under a queue that the operators had dropped, by a node whose catalogue was old. Ruled out: the same for a job's state and its cancellation: accepted jobs outlive their queue's change, and an outage must not hide them. Evidence: TestPlatform "A job is accepted under a queue only..." before the change: 200 instead of 404 for a submission and a count after standing still for 2 s; 200 instead of 503, and the job in the store, on a node that could write but not read the operators' records. Change: QueueDesk looks first whenever the catalogue isn't current; if that fails, submissions and counts get 503 with Retry-After and event=queue outcome=unavailable. A repetition of a known job is answered as before. With the store known to be lost nothing is waited for.

--- a/Libraries/LibSite/QueueDesk.cpp
+++ b/Libraries/LibSite/QueueDesk.cpp
@@ -36,19 +36,18 @@
                                               Core::Instant deadline)
 {
     QueueFinding finding = lookUp(host, path);
-    if (!finding.queue && !finding.isCurrent && m_state.health.isReachable()) {
+    if (!finding.isCurrent && m_state.health.isReachable()) {
         const Core::Instant latest
             = std::min(deadline - answerMargin, Core::steadyNow() + longestLook);
         co_await m_follower.refresh(latest);
         finding = lookUp(host, path);
     }
-    if (!finding.queue)
-        note(path, finding.isCurrent ? "no-such-queue" : "unavailable");
     co_return finding;
 }
 
-void QueueDesk::note(const std::string &path, const char *outcome) const
+void QueueDesk::noteAnswer(const std::string &path, const QueueFinding &finding) const
 {
+    const char *outcome = finding.isCurrent ? "no-such-queue" : "unavailable";
     const std::optional<Core::Instant> asOf = m_state.catalogueFreshness.completeAsOf();
     LOG4CXX_INFO(partLogger,
                  "event=queue path=" << path << " outcome=" << outcome << " catalogue_age_ms="
--- a/Tests/LibSite/MemoryLog.cpp
+++ b/Tests/LibSite/MemoryLog.cpp
@@ -33,10 +33,10 @@
         throw Core::NotDoneError(step, "memory", "down");
 }
 
-void MemoryLog::refuseReadIfLost(const std::string &step) const
+void MemoryLog::refuseIfUnreadable(Topic topic, const std::string &step) const
 {
     refuseIfDown(step);
-    if (refusesReads)
+    if (refusesReads || unreadable == topic)
         throw Core::NotDoneError(step, "memory", "reads are refused");
 }
 
@@ -150,7 +150,7 @@
     co_await delay(callMs);
     for (std::int64_t waited = 0; waited < waitMs && m_topics[topic].end <= from; waited += 5)
         co_await delay(5);
-    refuseReadIfLost("read");
+    refuseIfUnreadable(topic, "read");
     const Stored &stored = m_topics[topic];
     if (from < stored.firstRetained)
         throw HistoryLostError("read", "memory", "expired");
@@ -181,7 +181,7 @@
 {
     ++reads;
     co_await deliverPage(deadline);
-    refuseReadIfLost("newest");
+    refuseIfUnreadable(topic, "newest");
     const Stored &stored = m_topics[topic];
     std::map<std::string, LoggedRecord> newest;
     for (const LoggedRecord &record : stored.records)
--- a/Tests/LibSite/MemoryLog.h
+++ b/Tests/LibSite/MemoryLog.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
     bool isDown = false;
     /// Reads are refused, and appends happen.
     bool refusesReads = false;
+    /// Reads of this topic are refused; everything else works.
+    std::optional<Site::Topic> unreadable;
     /// Appends happen, and their answers are lost.
     bool losesAnswers = false;
     /// How long the answer to an append is on its way.
@@ -76,7 +79,7 @@
     boost::asio::awaitable<std::int64_t> store(std::vector<Jobs::StoredRecord> records);
     boost::asio::awaitable<void> deliverAnswer();
     void refuseIfDown(const std::string &step) const;
-    void refuseReadIfLost(const std::string &step) const;
+    void refuseIfUnreadable(Site::Topic topic, const std::string &step) const;
 
     boost::asio::any_io_executor m_executor;
     std::map<Site::Topic, Stored> m_topics;
--- a/Tests/platform/TestCallerDoor.cpp
+++ b/Tests/platform/TestCallerDoor.cpp
@@ -163,3 +163,56 @@
         CHECK(site.log.reads - reads <= 3);
     }
 }
+
+TEST_CASE("A job is accepted under a queue only from a catalogue that is known to be current")
+{
+    DoorFixture site;
+    site.publish(1, { oldQueue, newQueue });
+    site.run(100);
+
+    SECTION("a node that stood still refuses a job under a queue that was dropped meanwhile")
+    {
+        site.publish(2, { newQueue });
+        site.log.readAnswerMs = 200;
+        site.standStill(2000);
+        CHECK(site.submit(oldQueue).result_int() == 404);
+        CHECK(site.node.state.table.jobs().empty());
+    }
+    SECTION("nor does it count the jobs of such a queue")
+    {
+        site.publish(2, { newQueue });
+        site.log.readAnswerMs = 200;
+        site.standStill(2000);
+        CHECK(site.count(oldQueue) == 404);
+    }
+    SECTION("a node that can write but not read the operators' records sends callers elsewhere")
+    {
+        site.publish(2, { newQueue });
+        site.log.unreadable = Topic::Operators;
+        site.standStill(2000);
+        site.run(50);
+        const Http::ServerResponse response = site.submit(oldQueue);
+        CHECK(response.result_int() == 503);
+        CHECK(response[http::field::retry_after] == "1");
+        CHECK(response.body().find("not run") != std::string::npos);
+        CHECK(site.node.state.table.jobs().empty());
+        CHECK(site.count(oldQueue) == 503);
+    }
+    SECTION("once the store is known to be lost, jobs are refused at once")
+    {
+        site.log.isDown = true;
+        site.run(2500);
+        const Core::Instant began = Core::steadyNow();
+        CHECK(site.submit(oldQueue).result_int() == 503);
+        CHECK(Core::steadyNow() - began < milliseconds(50));
+    }
+    SECTION("what a node knows of accepted jobs it tells on, and a repetition is the same job")
+    {
+        REQUIRE(site.submit(oldQueue).result_int() == 200);
+        REQUIRE(site.call(http::verb::get, oldQueue + jobId).result_int() == 200);
+        site.log.isDown = true;
+        site.run(2500);
+        CHECK(site.call(http::verb::get, oldQueue + jobId).result_int() == 200);
+        CHECK(site.submit(oldQueue).result_int() == 200);
+    }
+}
--- a/include/LibSite/JobDesk.h
+++ b/include/LibSite/JobDesk.h
@@ -63,6 +63,8 @@
 public:
     JobDesk(SiteState &state, JobFollower &follower, RecordWriter &writer);
 
+    /// The job is in this node's copy of the job records.
+    bool isKnown(const Jobs::JobId &id) const { return m_state.table.find(id) != nullptr; }
     boost::asio::awaitable<SubmitOutcome> submit(Jobs::Submission submission,
                                                  Core::Instant deadline);
     boost::asio::awaitable<CancelOutcome> cancel(Jobs::JobId id, Core::Instant deadline);
--- a/include/LibSite/QueueDesk.h
+++ b/include/LibSite/QueueDesk.h
@@ -23,14 +23,14 @@
 public:
     QueueDesk(SiteState &state, OperatorFollower &follower);
 
-    /// Looks at the store before a queue is denied from a catalogue that isn't current.
+    /// Looks at the store first if the catalogue isn't current.
     boost::asio::awaitable<QueueFinding> find(std::string host, std::string path,
                                               Core::Instant deadline);
+    /// The log says that a caller was sent away, and from how old a catalogue.
+    void noteAnswer(const std::string &path, const QueueFinding &finding) const;
 
 private:
     QueueFinding lookUp(const std::string &host, const std::string &path) const;
-    /// Says what was answered, and from how old a catalogue.
-    void note(const std::string &path, const char *outcome) const;
 
     SiteState &m_state;
     OperatorFollower &m_follower;
