LibSite: Hold starts while the owner can't see domains being taken out

What operators saw: possible, not observed: tasks starting in a failure domain long after it was taken out, without an end. Its appends prove that it owns the jobs, not that it reads; reads of one topic may be refused, or drown on a full link, while appends succeed. A new owner that had never read these records started tasks as well. Ruled out: a bound on the copy's age by the clock: it would stop starts in an outage for all nodes, in which they go on on purpose, and nobody can take a domain out then. Change: starts are held while the copy is over 3 s older than the last append that succeeded: an owner that appends each 0.5 s starts from a copy of 3.5 s at most. JobScheduler::setStartsHeld drops chosen places, runs go on; event=starts-held and starts-resumed.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -86,9 +86,23 @@
         return;
     m_isStoreReachable = isReachable;
     m_needsPass = true;
-    if (isReachable)
-        return;
     // What can't be made durable for now must not keep its room from what can start.
+    if (!isReachable)
+        dropAllPlanned();
+}
+
+void JobScheduler::setStartsHeld(bool areHeld)
+{
+    if (m_areStartsHeld == areHeld)
+        return;
+    m_areStartsHeld = areHeld;
+    m_needsPass = true;
+    if (areHeld)
+        dropAllPlanned();
+}
+
+void JobScheduler::dropAllPlanned()
+{
     for (const auto &[id, job] : m_jobs)
         dropPlanned(*job);
 }
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -59,6 +59,8 @@
     m_needsPass = false;
     for (const JobId &id : m_scheduled)
         beginDueOccurrences(*m_jobs.at(id), now);
+    if (m_areStartsHeld)
+        return;
     std::vector<Waiting> steps = waitingSteps(now);
     m_nextPassAt = now.instant + passSpacing + steps.size() * passSpacingPerStep;
     putLargeJobsFirst(steps);
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -26,6 +26,10 @@
 static constexpr Core::Duration workersReadSpacing = std::chrono::milliseconds(50);
 static constexpr Core::Duration retrySpacing = std::chrono::milliseconds(250);
 static constexpr Core::Duration metricsInterval = std::chrono::seconds(1);
+/// A domain that was taken out must get no more starts after 5 s at the latest. While the store
+/// answers the owner, its copy of what the operators publish may be this much older than the last
+/// append; while it answers nobody, nothing can be taken out, and starts go on.
+static constexpr Core::Duration longestLagOfCopy = std::chrono::seconds(3);
 static const auto partLogger = Log::essentialLogger("owner");
 /// For lines that come with each task or worker.
 static const auto detailLogger = Log::logger("owner");
@@ -191,6 +195,7 @@
 {
     if (!isProven())
         return;
+    holdStarts();
     for (Jobs::RenewCommand &command : m_scheduler.takeRenewals(now()))
         spawn(renew(std::move(command)));
     for (Jobs::Command &command : m_scheduler.takeCommands(now())) {
@@ -199,6 +204,25 @@
     updateMetrics();
 }
 
+bool OwnerSession::isCopyForStartsOld() const
+{
+    const std::optional<Core::Instant> asOf = m_state.catalogueFreshness.completeAsOf();
+    return !asOf || m_provenAt - *asOf > longestLagOfCopy;
+}
+
+void OwnerSession::holdStarts()
+{
+    const bool areHeld = isCopyForStartsOld();
+    if (areHeld != m_areStartsHeld) {
+        const std::optional<Core::Instant> asOf = m_state.catalogueFreshness.completeAsOf();
+        LOG4CXX_WARN(partLogger,
+                     "event=" << (areHeld ? "starts-held" : "starts-resumed")
+                              << " catalogue_age_ms=" << ageText(asOf, Core::suspendAwareNow()));
+    }
+    m_areStartsHeld = areHeld;
+    m_scheduler.setStartsHeld(areHeld);
+}
+
 void OwnerSession::updateMetrics()
 {
     const Core::Instant now = Core::steadyNow();
--- a/Tests/LibJob/TestStarts.cpp
+++ b/Tests/LibJob/TestStarts.cpp
@@ -42,6 +42,17 @@
         CHECK(site.settle().size() == 1);
         CHECK(site.waitingCount() == 0);
     }
+    SECTION("a job whose start is held waits, also if its worker was chosen already")
+    {
+        site.submit(TwoWorkers::step(1));
+        site.plan();
+        site.scheduler().setStartsHeld(true);
+        CHECK(site.settle().empty());
+        CHECK(site.waitingCount() == 1);
+        site.scheduler().setStartsHeld(false);
+        CHECK(site.settle().size() == 1);
+        CHECK(site.waitingCount() == 0);
+    }
 }
 
 TEST_CASE("A job waits until a worker has begun one of its tasks")
--- a/Tests/LibSite/SiteFixture.h
+++ b/Tests/LibSite/SiteFixture.h
@@ -15,6 +15,7 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -25,12 +26,17 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-/// Reads a worker's entry as `DOMAIN`, and a catalogue as its version.
+/// Reads a worker's entry as `DOMAIN`, a catalogue as its version, and the key `out/DOMAIN` as a
+/// domain out of service.
 class PlainDecoder final : public SiteDecoder
 {
 public:
     OperatorChange decodeOperatorRecord(const Jobs::StoredRecord &record) const override
     {
+        if (record.key.starts_with("out/")) {
+            const Core::FailureDomainId domain(record.key.substr(4));
+            return DomainChange { domain, !record.value.empty() };
+        }
         CatalogueChange change;
         change.catalogue.version = std::stoll(record.value);
         return change;
@@ -48,7 +54,7 @@
     }
 };
 
-/// Workers that finish each task before they are asked again.
+/// Workers that finish each task before they are asked again, unless they hold them.
 class QuickWorkers final : public WorkerGateway
 {
 public:
@@ -57,8 +63,9 @@
         if (command.token < m_token)
             co_return Jobs::StartOutcome::Fenced;
         ++starts;
-        ends[command.worker].push_back(
-            { ++m_lastEnd, command.task, command.run, Jobs::EndKind::Done, "" });
+        running[command.worker].push_back({ command.task, command.run, "", 0, 0 });
+        if (!isHolding)
+            finishAll();
         co_return Jobs::StartOutcome::Started;
     }
     asio::awaitable<void> stop(Jobs::StopCommand, Core::Instant) override { co_return; }
@@ -72,10 +79,25 @@
         report.clockMs = 1000;
         report.bornUnixMs = 1;
         report.ended = ends[command.worker];
+        for (Jobs::RunningEntry &entry : running[command.worker])
+            entry.percentDone = std::min(entry.percentDone + 1, 99);
+        report.running = running[command.worker];
         co_return report;
     }
+    void finishAll()
+    {
+        for (auto &[worker, entries] : running) {
+            for (const Jobs::RunningEntry &entry : entries)
+                ends[worker].push_back(
+                    { ++m_lastEnd, entry.task, entry.run, Jobs::EndKind::Done, "" });
+            entries.clear();
+        }
+    }
 
+    /// Tasks run until they are finished.
+    bool isHolding = false;
     int starts = 0;
+    std::map<Core::VmId, std::vector<Jobs::RunningEntry>> running;
     std::map<Core::VmId, std::vector<Jobs::EndedEntry>> ends;
 
 private:
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -66,6 +66,8 @@
     void cancelJob(const JobId &id, const Moment &now);
     /// While the store can't be reached, only durably planned workers are used.
     void setStoreReachable(bool isReachable);
+    /// While starts are held nothing starts; what runs goes on.
+    void setStartsHeld(bool areHeld);
 
     // Commits, one at a time. One is taken for each heartbeat, too.
     bool needsCommit() const { return !m_dirty.empty() || !m_expired.empty() || m_isProofWanted; }
@@ -131,6 +133,7 @@
     void markDirty(OwnedJob &job);
     Core::Instant dueAt(const OwnedJob &job, int occurrence, const Moment &now) const;
 
+    void dropAllPlanned();
     static bool wantsRenewal(const WorkerState &worker);
     /// Whoever granted a lease, it ends within this time.
     Core::Duration longestLease() const;
@@ -223,6 +226,7 @@
     std::vector<Command> m_commands;
     std::size_t m_runs = 0;
     bool m_isStoreReachable = true;
+    bool m_areStartsHeld = false;
     bool m_isDeposed = false;
     bool m_isUnderused = false;
     /// A worker has been met for the first time since the last proof of ownership.
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -72,6 +72,9 @@
     void spawn(boost::asio::awaitable<void> work);
     void depose(const std::string &reason);
     void updateMetrics();
+    /// Holds starts while the copy of the operators' records is old though the store answers.
+    void holdStarts();
+    bool isCopyForStartsOld() const;
 
     SiteState &m_state;
     KeyedLog &m_log;
@@ -90,6 +93,7 @@
     bool m_isCommitting = false;
     bool m_isOver = false;
     bool m_isReleasing = false;
+    bool m_areStartsHeld = false;
     std::size_t m_inProgress = 0;
 };
 
