--- /dev/null
+++ b/Tests/LibSite/TestSnapshots.cpp
@@ -0,0 +1,93 @@
+#include "SiteFixture.h"
+
+#include <LibSite/WorkerFollower.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+
+namespace {
+
+/// Notes what an owner is shown of the domains out of service.
+class DomainWatcher final : public SiteObserver
+{
+public:
+    explicit DomainWatcher(const SiteState &state)
+        : m_state(state)
+    {
+    }
+
+    void onJob(const Jobs::JobEntry &) override { }
+    void onCancellation(const Jobs::JobId &) override { }
+    void onClaim() override { }
+    void onOperatorChange() override
+    {
+        ++changes;
+        fewest = std::min(fewest, m_state.outOfService.size());
+    }
+
+    int changes = 0;
+    std::size_t fewest = 100;
+
+private:
+    const SiteState &m_state;
+};
+
+} // namespace
+
+TEST_CASE("Domains out of service are never forgotten while the newest records are read again")
+{
+    SiteFixture site;
+    for (const char *domain : { "out/a", "out/b", "out/c" })
+        site.log.put(Topic::Operators, { domain, "1" });
+    TestNode &node = site.addNode("one#1");
+    site.run(100);
+    REQUIRE(node.state.outOfService.size() == 3);
+    DomainWatcher watcher(node.state);
+    node.state.owner = &watcher;
+
+    // Two pages, and one record that only the snapshot brings.
+    site.log.put(Topic::Operators, { "out/d", "1" });
+    site.log.compact(Topic::Operators);
+    site.log.pageMs = 100;
+    std::size_t fewestBetween = 100;
+    for (int i = 0; i < 100; ++i) {
+        site.run(10);
+        fewestBetween = std::min(fewestBetween, node.state.outOfService.size());
+    }
+    CHECK(node.state.outOfService.size() == 4);
+    CHECK(watcher.changes > 0);
+    CHECK(watcher.fewest == 4);
+    CHECK(fewestBetween == 3);
+    node.state.owner = nullptr;
+}
+
+TEST_CASE("Workers are never forgotten while the newest records are read again")
+{
+    SiteFixture site;
+    const auto guard = asio::make_work_guard(site.context);
+    for (const char *worker : { "w1", "w2", "w3" })
+        site.log.put(Topic::Workers, { worker, "a" });
+    WorkerFollower follower(site.log, site.decoder);
+    while (follower.workers().empty())
+        site.await(follower.read(0));
+    REQUIRE(follower.workers().size() == 3);
+
+    site.log.put(Topic::Workers, { "w4", "a" });
+    site.log.compact(Topic::Workers);
+    std::size_t fewest = 100;
+    bool isHistoryLost = false;
+    const auto read = [&]() -> asio::awaitable<bool> {
+        try {
+            co_return co_await follower.read(0);
+        } catch (const HistoryLostError &) {
+            isHistoryLost = true;
+        }
+        co_return false;
+    };
+    for (int i = 0; i < 6; ++i) {
+        site.await(read());
+        fewest = std::min(fewest, follower.workers().size());
+    }
+    CHECK(isHistoryLost);
+    CHECK(follower.workers().size() == 4);
+    CHECK(fewest == 3);
+}
