LibSite: Hold starts while the owner's copy of the jobs is old

Ruled out: a bound by the clock alone: it would stop starts in an outage for all nodes, in which nobody can cancel. Evidence: TestLibSite "nothing of a job starts seconds after its cancellation, though that can't be read" failed before: 6 starts instead of 4. Change: starts are held while the copy of the jobs is over 2 s older than the last append that succeeded, as they are for the operators' records.

--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -29,7 +29,9 @@
 /// A domain that was taken out must get no more starts after 5 s at the latest. While the store
 /// answers the owner, its copy of what the operators publish may be this much older than the last
 /// append; while it answers nobody, nothing can be taken out, and starts go on.
-static constexpr Core::Duration longestLagOfCopy = std::chrono::seconds(3);
+static constexpr Core::Duration longestLagOfCatalogue = std::chrono::seconds(3);
+/// The same for the jobs: what was cancelled must get no more starts after 3 s.
+static constexpr Core::Duration longestLagOfJobs = std::chrono::seconds(2);
 static const auto partLogger = Log::essentialLogger("owner");
 /// For lines that come with each task or worker.
 static const auto detailLogger = Log::logger("owner");
@@ -206,8 +208,12 @@
 
 bool OwnerSession::isCopyForStartsOld() const
 {
-    const std::optional<Core::Instant> asOf = m_state.catalogueFreshness.completeAsOf();
-    return !asOf || m_provenAt - *asOf > longestLagOfCopy;
+    const auto isOld = [this](const CopyFreshness &copy, Core::Duration longestLag) {
+        const std::optional<Core::Instant> asOf = copy.completeAsOf();
+        return !asOf || m_provenAt - *asOf > longestLag;
+    };
+    return isOld(m_state.catalogueFreshness, longestLagOfCatalogue)
+        || isOld(m_state.freshness, longestLagOfJobs);
 }
 
 void OwnerSession::holdStarts()
@@ -215,9 +221,11 @@
     const bool areHeld = isCopyForStartsOld();
     if (areHeld != m_areStartsHeld) {
         const std::optional<Core::Instant> asOf = m_state.catalogueFreshness.completeAsOf();
-        LOG4CXX_WARN(partLogger,
-                     "event=" << (areHeld ? "starts-held" : "starts-resumed")
-                              << " catalogue_age_ms=" << ageText(asOf, Core::suspendAwareNow()));
+        LOG4CXX_WARN(
+            partLogger,
+            "event=" << (areHeld ? "starts-held" : "starts-resumed") << " catalogue_age_ms="
+                     << ageText(asOf, Core::suspendAwareNow()) << " table_age_ms="
+                     << ageText(m_state.freshness.completeAsOf(), Core::suspendAwareNow()));
     }
     m_areStartsHeld = areHeld;
     m_scheduler.setStartsHeld(areHeld);
--- a/Tests/LibSite/TestOwnersCopies.cpp
+++ b/Tests/LibSite/TestOwnersCopies.cpp
@@ -29,6 +29,23 @@
             CHECK(site.workers.ends[Core::VmId("w2")].empty());
         }
     }
+    SECTION("nothing of a job starts seconds after its cancellation, though that can't be read")
+    {
+        site.workers.isHolding = true;
+        Jobs::Submission submission = job("a");
+        // Four fit at a time.
+        submission.spec.steps.front().taskCount = 6;
+        submission.spec.steps.front().need.milliCores = 2000;
+        site.await(node.desk.submit(submission, site.in(1000)));
+        site.run(700);
+        REQUIRE(site.workers.starts == 4);
+        site.log.unreadable = Topic::Jobs;
+        site.log.put(Topic::Jobs, Jobs::encodeRecord(Jobs::Cancellation { submission.id }).front());
+        site.run(3000);
+        site.workers.finishAll();
+        site.run(900);
+        CHECK(site.workers.starts == 4);
+    }
     SECTION("while the store is lost for all, tasks of a recorded job go on starting")
     {
         site.workers.isHolding = true;
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -72,7 +72,9 @@
     void spawn(boost::asio::awaitable<void> work);
     void depose(const std::string &reason);
     void updateMetrics();
-    /// Holds starts while the copy of the operators' records is old though the store answers.
+    /// Holds starts while the copy of the jobs or of the operators' records is old though the store
+    /// answers.
+    /// answers.
     void holdStarts();
     bool isCopyForStartsOld() const;
 
