Tests: Let the deposed owner's appends be answered in the end; run the known-red test

Cause: MemoryLog now loses the answers to repeated appends too while losesAnswers is set; TestDeposedOwner relied on getting them. Ruled out: a fault: once answers come again, the same checks hold. Change: two sections let answers come before their checks, which stay as they are; [!shouldfail] in place of a hidden tag.

--- a/Tests/LibSite/TestCopies.cpp
+++ b/Tests/LibSite/TestCopies.cpp
@@ -124,7 +124,7 @@
 
 TEST_CASE(
     "A job that was submitted twice is the same at a node that never read the first submission",
-    "[.known-red]")
+    "[!shouldfail][known-red]")
 {
     SiteFixture site;
     TestNode &node = site.addNode("one#1");
--- a/Tests/LibSite/TestDeposedOwner.cpp
+++ b/Tests/LibSite/TestDeposedOwner.cpp
@@ -158,6 +158,7 @@
 
     SECTION("a start is logged and sent once its record is known to be written")
     {
+        site.log.losesAnswers = false;
         site.run(300);
         CHECK(site.lines->count("start") == 2);
         CHECK(site.worker.starts == 2);
@@ -165,6 +166,7 @@
     SECTION("but not if the owner has begun to leave meanwhile")
     {
         site.leave();
+        site.log.losesAnswers = false;
         site.run(300);
         CHECK(site.lines->count("deposed") == 1);
         CHECK(site.lines->count("start") == 0);
