--- a/Tests/platform/TestMessages.cpp
+++ b/Tests/platform/TestMessages.cpp
@@ -117,6 +117,12 @@
     SECTION("what can't be run is refused with the reason")
     {
         CHECK_THROWS_AS(JobMessages::decodeJob("[]"), Core::FormatError);
+        std::string steps = R"({"count":10000})";
+        for (int i = 0; i < 9; ++i)
+            steps += R"(,{"count":10000})";
+        CHECK_NOTHROW(JobMessages::decodeJob(R"({"steps":[)" + steps + "]}"));
+        CHECK_THROWS_AS(JobMessages::decodeJob(R"({"steps":[{"count":1},)" + steps + "]}"),
+                        Core::FormatError);
         CHECK_THROWS_AS(JobMessages::decodeJob(R"({"steps":[]})"), Core::FormatError);
         CHECK_THROWS_AS(JobMessages::decodeJob(R"({"steps":[{"cpu":1}]})"), Core::FormatError);
         CHECK_THROWS_AS(JobMessages::decodeJob(R"({"steps":[{"count":1,"after":[0]}]})"),
