LibSite: Refuse a submission that no record can hold at once

Cause: RecordWriter sent such a record again until its caller's deadline; all that shared its append went with it, the store was taken for lost, and the node refused other jobs.

Result: Tests/LibSite/TestAppends, a submission of 300,000 bytes on a log that takes 262,144 a record.

--- a/Libraries/LibSite/AppendParts.cpp
+++ b/Libraries/LibSite/AppendParts.cpp
@@ -10,6 +10,11 @@
     return record.key.size() + record.value.size();
 }
 
+bool isTooLarge(const Jobs::StoredRecord &record)
+{
+    return sizeInBytes(record) > mostBytesPerRecord;
+}
+
 void AppendParts::add(std::vector<Jobs::StoredRecord> group)
 {
     std::size_t bytes = 0;
--- a/Libraries/LibSite/RecordWriter.cpp
+++ b/Libraries/LibSite/RecordWriter.cpp
@@ -27,6 +27,12 @@
 
 asio::awaitable<WriteOutcome> RecordWriter::write(Jobs::StoredRecord record, Core::Instant deadline)
 {
+    if (isTooLarge(record)) {
+        LOG4CXX_WARN(partLogger,
+                     "event=record-too-large key=" << record.key
+                                                   << " bytes=" << sizeInBytes(record));
+        co_return WriteOutcome::NotWritten;
+    }
     const auto pending = std::make_shared<Pending>(
         Pending { std::move(record), deadline, Supervision::Wakeup(m_executor) });
     m_pending.push_back(pending);
--- a/Tests/LibSite/MemoryLog.cpp
+++ b/Tests/LibSite/MemoryLog.cpp
@@ -70,8 +70,12 @@
                                              Core::Instant deadline)
 {
     std::size_t bytes = 0;
-    for (const Jobs::StoredRecord &record : records)
-        bytes += record.key.size() + record.value.size();
+    std::size_t largest = 0;
+    for (const Jobs::StoredRecord &record : records) {
+        const std::size_t size = record.key.size() + record.value.size();
+        bytes += size;
+        largest = std::max(largest, size);
+    }
     const Core::Instant now = Core::steadyNow();
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count();
     std::int64_t neededMs = callMs;
@@ -83,7 +87,7 @@
     }
     co_await delay(neededMs);
     refuseIfDown("append");
-    if (bytes > mostBytesPerCall)
+    if (bytes > mostBytesPerCall || largest > mostBytesPerRecord)
         throw Core::NotDoneError("append", "memory", "too many bytes");
 }
 
--- a/Tests/LibSite/MemoryLog.h
+++ b/Tests/LibSite/MemoryLog.h
@@ -53,6 +53,8 @@
     std::int64_t pageMs = 1;
     /// An append of more bytes is refused.
     std::size_t mostBytesPerCall = 2000000;
+    /// So is one that contains a record of more bytes.
+    std::size_t mostBytesPerRecord = 262144;
     /// How fast appends arrive; one that wouldn't arrive by its deadline isn't carried out, and its
     /// caller can't know. 0: at once.
     std::int64_t bytesPerMs = 0;
--- a/Tests/LibSite/TestAppends.cpp
+++ b/Tests/LibSite/TestAppends.cpp
@@ -72,6 +72,19 @@
     CHECK(accepted == 100);
 }
 
+TEST_CASE("A submission that no record can hold is refused at once, and holds up no other")
+{
+    SiteFixture site;
+    TestNode &node = site.addNode("one#1");
+    site.run(50);
+    Jobs::Submission large = job("large");
+    large.spec.payload.assign(300000, 'x');
+    const Core::Instant began = Core::steadyNow();
+    CHECK(site.await(node.desk.submit(large, site.in(3000))) == SubmitOutcome::Refused);
+    CHECK(Core::steadyNow() - began < milliseconds(300));
+    CHECK(site.await(node.desk.submit(job("small"), site.in(300))) == SubmitOutcome::Accepted);
+}
+
 TEST_CASE("Records are cut into appends of bounded size")
 {
     AppendParts parts;
