LibSite: Fail a job whose progress no record can hold

Cause: the owner sent a commit with a record above the store's limit (262,144 bytes) again for ever; no job's progress became durable any more, and the node took the store for lost. A scheduled job with many occurrences at once can get there whatever its submission says.

Change: before a record goes into an append its size is looked at. Above the limit the scheduler gives the job up: it fails, its runs are stopped, and its state and workers are written without its tasks in the same commit, so what the commit acknowledges is durable still. event=job-given-up (error) names the job and the bytes, once. An ended job's record is shortened the same way.

Ruled out: leaving the record out of the commit: the scheduler would start tasks on workers that aren't durable, and acknowledge ends that a later owner can't know.

Result: Tests/LibSite/TestAppends, a job of 270,002 tasks put into the log beside a small one. Before: the small one was refused, because the store was taken for lost. After: the small one completes, the large one fails and none of its tasks starts.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -168,15 +168,31 @@
 void JobScheduler::cancelJob(const JobId &id, const Moment &now)
 {
     OwnedJob *job = findJob(id);
-    if (!job || job->isOver())
+    if (job)
+        endEarly(*job, JobState::Cancelled, now);
+}
+
+void JobScheduler::endEarly(OwnedJob &job, JobState state, const Moment &now)
+{
+    if (job.isOver())
         return;
-    job->finish(JobState::Cancelled, now.unixMs);
-    markDirty(*job);
-    dropPlanned(*job);
-    stopAllRuns(*job, now);
+    job.finish(state, now.unixMs);
+    markDirty(job);
+    dropPlanned(job);
+    stopAllRuns(job, now);
     m_needsPass = true;
 }
 
+ProgressRecord JobScheduler::giveUp(const JobId &id, const Moment &now)
+{
+    OwnedJob *job = findJob(id);
+    endEarly(*job, JobState::Failed, now);
+    ProgressRecord record { id, job->progress() };
+    record.progress.occurrences.clear();
+    record.progress.endedOccurrences.clear();
+    return record;
+}
+
 Commit JobScheduler::takeCommit()
 {
     Commit commit;
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -255,14 +255,32 @@
     spawn(commit());
 }
 
+Jobs::StoredRecord OwnerSession::encodeProgress(Jobs::ProgressRecord progress)
+{
+    Jobs::StoredRecord stored = Jobs::encodeRecord(progress).front();
+    if (isTooLarge(stored)) {
+        // Once the job is over, it may come again.
+        if (!progress.progress.isFinal())
+            LOG4CXX_ERROR(partLogger,
+                          "event=job-given-up job=" << progress.id
+                                                    << " bytes=" << sizeInBytes(stored)
+                                                    << " most_bytes=" << mostBytesPerRecord
+                                                    << " reason=\"its progress fits no record\"");
+        progress = m_scheduler.giveUp(progress.id, now());
+        stored = Jobs::encodeRecord(progress).front();
+    }
+    m_follower.noteSent(stored, std::move(progress));
+    return stored;
+}
+
 AppendParts OwnerSession::encode(std::vector<Jobs::JobRecord> records)
 {
     AppendParts parts;
     for (Jobs::JobRecord &record : records) {
-        std::vector<Jobs::StoredRecord> encoded = Jobs::encodeRecord(record);
         if (auto *progress = std::get_if<Jobs::ProgressRecord>(&record))
-            m_follower.noteSent(encoded.front(), std::move(*progress));
-        parts.add(std::move(encoded));
+            parts.add({ encodeProgress(std::move(*progress)) });
+        else
+            parts.add(Jobs::encodeRecord(record));
     }
     if (parts.isEmpty())
         parts.add(Jobs::encodeRecord(Jobs::Heartbeat { m_ownership.term }));
--- a/Tests/LibSite/TestAppends.cpp
+++ b/Tests/LibSite/TestAppends.cpp
@@ -72,6 +72,31 @@
     CHECK(accepted == 100);
 }
 
+TEST_CASE("A job whose progress no record can hold fails, and keeps no other from being written")
+{
+    SiteFixture site;
+    site.log.put(Topic::Workers, { "w1", "a" });
+    Jobs::Submission large = job("large");
+    Jobs::StepSpec step = large.spec.steps.front();
+    step.taskCount = 10000;
+    step.after = { 0 };
+    large.spec.steps.insert(large.spec.steps.end(), 27, step);
+    site.log.put(Topic::Jobs, Jobs::encodeRecord(large).front());
+    TestNode &node = site.addNode("one#1");
+    site.own(node);
+    site.run(600);
+    REQUIRE(node.state.owner);
+    REQUIRE(site.await(node.desk.submit(job("small"), site.in(1000))) == SubmitOutcome::Accepted);
+    site.run(1000);
+
+    const Jobs::JobTable table = site.tableOfLog();
+    CHECK(table.find(Jobs::JobId("small"))->state() == Jobs::JobState::Completed);
+    CHECK(table.find(Jobs::JobId("large"))->state() == Jobs::JobState::Failed);
+    CHECK(node.state.table == table);
+    CHECK(site.workers.starts == 2);
+    site.context.stop();
+}
+
 TEST_CASE("A submission that no record can hold is refused at once, and holds up no other")
 {
     SiteFixture site;
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -64,6 +64,9 @@
     void setOutOfService(const std::set<Core::FailureDomainId> &domains);
     void addJob(const JobEntry &entry, const Moment &now);
     void cancelJob(const JobId &id, const Moment &now);
+    /// The job's progress has grown too large for the store: the job fails unless it is over.
+    /// Returns what is to be written instead, without the tasks.
+    ProgressRecord giveUp(const JobId &id, const Moment &now);
     /// While the store can't be reached, only durably planned workers are used.
     void setStoreReachable(bool isReachable);
     /// While starts are held nothing starts; what runs goes on.
@@ -131,6 +134,8 @@
     WorkerState *findWorkerState(const Core::VmId &id);
     const Queue *queueOf(const OwnedJob &job) const;
     void markDirty(OwnedJob &job);
+    /// Unless the job is over.
+    void endEarly(OwnedJob &job, JobState state, const Moment &now);
     Core::Instant dueAt(const OwnedJob &job, int occurrence, const Moment &now) const;
 
     void dropAllPlanned();
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -54,6 +54,8 @@
     void spawnOrders();
     void spawnCommit();
     Core::Instant nextHeartbeatAt() const;
+    /// Gives the job up if no record can hold its progress.
+    Jobs::StoredRecord encodeProgress(Jobs::ProgressRecord progress);
     /// Cuts what a commit writes into appends, and remembers what is sent.
     AppendParts encode(std::vector<Jobs::JobRecord> records);
     boost::asio::awaitable<void> commit();
