Tests: Fence an owner off between two appends of its commit

Cause: since a commit goes out in parts, another node can claim between two of them; no test held what happens then.

--- a/Tests/LibSite/TestAppends.cpp
+++ b/Tests/LibSite/TestAppends.cpp
@@ -16,6 +16,17 @@
     return submission;
 }
 
+/// All their first tasks find room at once.
+static void putManyJobs(SiteFixture &site)
+{
+    for (const char *worker : { "w1", "w2", "w3" })
+        site.log.put(Topic::Workers, { worker, "a" });
+    for (int i = 0; i < jobCount; ++i) {
+        const Jobs::Submission submission = jobOfManyTasks("j" + std::to_string(i));
+        site.log.put(Topic::Jobs, Jobs::encodeRecord(submission).front());
+    }
+}
+
 static int jobsWithProgress(SiteFixture &site)
 {
     int count = 0;
@@ -28,12 +39,7 @@
 TEST_CASE("An owner that has much to write makes progress with each append")
 {
     SiteFixture site;
-    for (const char *worker : { "w1", "w2", "w3" })
-        site.log.put(Topic::Workers, { worker, "a" });
-    for (int i = 0; i < jobCount; ++i) {
-        const Jobs::Submission submission = jobOfManyTasks("j" + std::to_string(i));
-        site.log.put(Topic::Jobs, Jobs::encodeRecord(submission).front());
-    }
+    putManyJobs(site);
 
     SECTION("where the store takes less than all of it in one append")
     {
@@ -53,6 +59,29 @@
     site.context.stop();
 }
 
+TEST_CASE("An owner that is fenced off between two appends of a commit writes and starts no more")
+{
+    SiteFixture site;
+    putManyJobs(site);
+    site.log.bytesPerMs = 250;
+    TestNode &node = site.addNode("one#1");
+    site.own(node);
+    for (int i = 0; i < 60 && jobsWithProgress(site) == 0; ++i)
+        site.run(20);
+    const int written = jobsWithProgress(site);
+    REQUIRE(written > 0);
+    REQUIRE(written < jobCount);
+    const FencedWriter newer { 1000000, 0 };
+    site.await(site.log.appendFenced({}, newer, site.in(1000)));
+    site.run(1000);
+
+    CHECK_FALSE(node.state.owner);
+    CHECK(jobsWithProgress(site) == written);
+    CHECK(site.workers.starts == 0);
+    CHECK(node.state.table == site.tableOfLog());
+    site.context.stop();
+}
+
 TEST_CASE("Jobs that come together are accepted though one append doesn't carry them in time")
 {
     SiteFixture site;
