LibSite: Ask the log for a job's state when the owner's copy is old

Cause: an owner answered from its table whatever its age; since its own records too count when they are read, that table is as old as its last read. Ruled out: refusing: the state known so far is still answered if the read fails.

--- a/Libraries/LibSite/JobDesk.cpp
+++ b/Libraries/LibSite/JobDesk.cpp
@@ -100,7 +100,9 @@
     JobFinding finding;
     const Jobs::JobEntry *entry = m_state.table.find(id);
     // The owner's table is the newest; an end never changes.
-    const bool isCertain = entry && (entry->isOver() || m_state.owner);
+    const bool isOwnersAndCurrent
+        = m_state.owner && m_state.freshness.isCurrent(Core::suspendAwareNow());
+    const bool isCertain = entry && (entry->isOver() || isOwnersAndCurrent);
     bool isFresh = true;
     if (!isCertain) {
         isFresh = co_await m_follower.refresh(entry ? refreshDeadline(deadline)
