Tests: Wait for the starts that follow a large commit

Its loop ended as soon as the last part was in the log, before the owner had its answer and could send a start. Ruled out: starts that never come: with the loop waiting for them, within the same 6 s, all come. Change: the loop waits for both; the checks and the bound of 6 s stay.

--- a/Tests/LibSite/TestAppends.cpp
+++ b/Tests/LibSite/TestAppends.cpp
@@ -51,7 +51,9 @@
     }
     TestNode &node = site.addNode("one#1");
     site.own(node);
-    for (int i = 0; i < 60 && jobsWithProgress(site) < jobCount; ++i)
+    const auto isDone
+        = [&] { return jobsWithProgress(site) == jobCount && site.workers.starts >= jobCount; };
+    for (int i = 0; i < 60 && !isDone(); ++i)
         site.run(100);
     CHECK(jobsWithProgress(site) == jobCount);
     CHECK(node.state.owner);
