LibJob: Remember which jobs have ended until they are dropped

What callers would have seen: tasks done twice. Ruled out: an order carried out late (the same owner sent both); a takeover (same term). Evidence: TestLibJob "A submission that is read again when its job has ended starts no task twice" fails without the look at m_settled. Change: the scheduler remembers ended jobs by id until it drops them, and takes no submission of them.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -143,13 +143,20 @@
     }
 }
 
+void JobScheduler::noteSettled(const JobId &id, std::int64_t endedUnixMs)
+{
+    const bool isNew = m_settled.insert(id).second;
+    if (isNew)
+        m_ended.emplace(endedUnixMs, id);
+}
+
 void JobScheduler::addJob(const JobEntry &entry, const Moment &now)
 {
     const JobId &id = entry.submission.id;
-    if (m_jobs.contains(id))
+    if (m_jobs.contains(id) || m_settled.contains(id))
         return;
     if (entry.progress && entry.progress->isFinal()) {
-        m_ended.emplace(entry.progress->endedUnixMs, id);
+        noteSettled(id, entry.progress->endedUnixMs);
         return;
     }
     JobPtr &job = m_jobs[id];
@@ -231,7 +238,7 @@
         releasePlanned(*job, now);
         const bool isSettled = job->isOver() && !job->isDirty && !job->hasRuns();
         if (isSettled) {
-            m_ended.emplace(job->progress().endedUnixMs, id);
+            noteSettled(id, job->progress().endedUnixMs);
             m_scheduled.erase(id);
             m_jobs.erase(id);
         }
@@ -251,6 +258,7 @@
         = std::chrono::duration_cast<milliseconds>(m_settings.retention).count();
     while (!m_ended.empty() && m_ended.begin()->first + kept < now.unixMs) {
         m_expired.push_back(m_ended.begin()->second);
+        m_settled.erase(m_ended.begin()->second);
         m_ended.erase(m_ended.begin());
     }
 }
--- a/Tests/LibJob/TestReports.cpp
+++ b/Tests/LibJob/TestReports.cpp
@@ -106,3 +106,22 @@
     CHECK(owner.settle().empty());
     CHECK(owner.state() == JobState::Completed);
 }
+
+TEST_CASE("A submission that is read again when its job has ended starts no task twice")
+{
+    TwoWorkers owner({ 1, 0, Core::Instant() });
+    owner.report(TwoWorkers::first, {});
+    owner.report(TwoWorkers::second, {});
+    owner.settle();
+    const StepSpec step = TwoWorkers::step(1);
+    owner.submit(step);
+    REQUIRE(owner.settle().size() == 1);
+    owner.endTask(TwoWorkers::task(0), EndKind::Done);
+    owner.reportAll(0);
+    REQUIRE(owner.settle().empty());
+    REQUIRE(owner.state() == JobState::Completed);
+
+    owner.readSubmissionAgain(step);
+    CHECK(owner.settle().empty());
+    CHECK(owner.state() == JobState::Completed);
+}
--- a/Tests/LibJob/TwoWorkers.cpp
+++ b/Tests/LibJob/TwoWorkers.cpp
@@ -47,6 +47,14 @@
     m_scheduler.addJob(*m_table.find(JobId(id)), m_now);
 }
 
+void TwoWorkers::readSubmissionAgain(const StepSpec &step, const std::string &id)
+{
+    constexpr int mostAttempts = 3;
+    JobEntry entry;
+    entry.submission = submission(id, step, mostAttempts);
+    m_scheduler.addJob(entry, m_now);
+}
+
 void TwoWorkers::takeOver(const StepSpec &step, int mostAttempts)
 {
     m_table.apply(submission("job", step, mostAttempts));
--- a/Tests/LibJob/TwoWorkers.h
+++ b/Tests/LibJob/TwoWorkers.h
@@ -17,6 +17,8 @@
     explicit TwoWorkers(const Jobs::Ownership &ownership);
 
     void submit(const Jobs::StepSpec &step, const std::string &id = "job");
+    /// A repetition of the submission is read, which was written before anything of the job.
+    void readSubmissionAgain(const Jobs::StepSpec &step, const std::string &id = "job");
     /// As a predecessor has recorded it, with both workers planned for it.
     void takeOver(const Jobs::StepSpec &step, int mostAttempts);
     /// As another owner has recorded it.
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace Jobs {
@@ -139,6 +140,7 @@
     Core::Instant dueAt(const OwnedJob &job, int occurrence, const Moment &now) const;
 
     void dropAllPlanned();
+    void noteSettled(const JobId &id, std::int64_t endedUnixMs);
     static bool wantsRenewal(const WorkerState &worker);
     /// Whoever granted a lease, it ends within this time.
     Core::Duration longestLease() const;
@@ -219,6 +221,9 @@
     std::set<JobId> m_scheduled;
     /// Ended jobs by the time of their end.
     std::multimap<std::int64_t, JobId> m_ended;
+    /// The same jobs: a repetition of a submission may be read before the end that was written
+    /// behind it.
+    std::unordered_set<JobId> m_settled;
     std::set<JobId> m_dirty;
     /// Jobs that have begun, which goes with the next append, whatever that is for: nothing waits
     /// for it, and an append more for each job would make starts wait.
