LibSite: Hold starts while the copy of the workers' records is old

Cause: the owner's copy of the workers' records has no age; behind 10 Mbit/s it falls behind by seconds, and the owner starts tasks from it. Ruled out: orders carried out late by the workers (the orders were sent after the announcement). Change: the list of workers knows as of when it is complete; while that is older than the last append by more than the time in which a leaving worker may get starts, less 0.8 s, nothing starts. That time comes from the settings (bounds.drain-ms). A poll waits 0.5 s in place of 1 s, the first one not at all. Test: 'nothing starts on workers that have announced their leaving, though that can't be read' failed before (2 starts).

--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -22,7 +22,7 @@
 static constexpr Core::Duration orderTime = std::chrono::milliseconds(1000);
 /// How long a worker may take to answer beyond the time that it was allowed to wait.
 static constexpr Core::Duration renewalTime = std::chrono::milliseconds(1000);
-static constexpr std::int64_t workersReadWaitMs = 1000;
+static constexpr std::int64_t workersReadWaitMs = 500;
 static constexpr Core::Duration workersReadSpacing = std::chrono::milliseconds(50);
 static constexpr Core::Duration retrySpacing = std::chrono::milliseconds(250);
 static constexpr Core::Duration metricsInterval = std::chrono::seconds(1);
@@ -32,6 +32,11 @@
 static constexpr Core::Duration longestLagOfCatalogue = std::chrono::seconds(3);
 /// The same for the jobs: what was cancelled must get no more starts after 3 s.
 static constexpr Core::Duration longestLagOfJobs = std::chrono::seconds(2);
+/// The same for the workers: what is left of the time in which a start may still reach a leaving
+/// worker when the last append is as old as it gets and the start is on its way.
+static constexpr Core::Duration startOnLeavingWorker = std::chrono::milliseconds(800);
+/// Reads of the workers' records are this far apart even if all goes well.
+static constexpr Core::Duration shortestLagOfWorkers = std::chrono::milliseconds(700);
 static const auto partLogger = Log::essentialLogger("owner");
 /// For lines that come with each task or worker.
 static const auto detailLogger = Log::logger("owner");
@@ -208,24 +213,27 @@
 
 bool OwnerSession::isCopyForStartsOld() const
 {
-    const auto isOld = [this](const CopyFreshness &copy, Core::Duration longestLag) {
-        const std::optional<Core::Instant> asOf = copy.completeAsOf();
+    const auto isOld = [this](std::optional<Core::Instant> asOf, Core::Duration longestLag) {
         return !asOf || m_provenAt - *asOf > longestLag;
     };
-    return isOld(m_state.catalogueFreshness, longestLagOfCatalogue)
-        || isOld(m_state.freshness, longestLagOfJobs);
+    const Core::Duration longestLagOfWorkers
+        = std::max(m_state.settings.drainTime - startOnLeavingWorker, shortestLagOfWorkers);
+    return isOld(m_state.catalogueFreshness.completeAsOf(), longestLagOfCatalogue)
+        || isOld(m_state.freshness.completeAsOf(), longestLagOfJobs)
+        || isOld(m_workerFollower.completeAsOf(), longestLagOfWorkers);
 }
 
 void OwnerSession::holdStarts()
 {
     const bool areHeld = isCopyForStartsOld();
     if (areHeld != m_areStartsHeld) {
-        const std::optional<Core::Instant> asOf = m_state.catalogueFreshness.completeAsOf();
+        const Core::Instant now = Core::suspendAwareNow();
         LOG4CXX_WARN(
             partLogger,
             "event=" << (areHeld ? "starts-held" : "starts-resumed") << " catalogue_age_ms="
-                     << ageText(asOf, Core::suspendAwareNow()) << " table_age_ms="
-                     << ageText(m_state.freshness.completeAsOf(), Core::suspendAwareNow()));
+                     << ageText(m_state.catalogueFreshness.completeAsOf(), now)
+                     << " table_age_ms=" << ageText(m_state.freshness.completeAsOf(), now)
+                     << " workers_age_ms=" << ageText(m_workerFollower.completeAsOf(), now));
     }
     m_areStartsHeld = areHeld;
     m_scheduler.setStartsHeld(areHeld);
@@ -431,7 +439,10 @@
     while (!m_isOver) {
         Core::Duration pause = workersReadSpacing;
         try {
-            const bool isChanged = co_await m_workerFollower.read(workersReadWaitMs);
+            // Nothing starts before the first copy is complete.
+            const bool isComplete = m_workerFollower.completeAsOf().has_value();
+            const bool isChanged
+                = co_await m_workerFollower.read(isComplete ? workersReadWaitMs : 0);
             if (isChanged && !m_isOver) {
                 m_scheduler.setWorkers(m_workerFollower.workers(), now());
                 m_wakeup.wake();
--- a/Libraries/LibSite/WorkerFollower.cpp
+++ b/Libraries/LibSite/WorkerFollower.cpp
@@ -1,5 +1,6 @@
 #include <LibSite/WorkerFollower.h>
 
+#include <LibCore/SteadyClock.h>
 #include <LibLog/Logging.h>
 
 #include <utility>
@@ -26,7 +27,10 @@
 
 asio::awaitable<bool> WorkerFollower::read(std::int64_t waitMs)
 {
-    co_await m_follower.readOnce(waitMs);
+    const Core::Instant sentAt = Core::suspendAwareNow();
+    const bool isAtEnd = co_await m_follower.readOnce(waitMs);
+    if (isAtEnd)
+        m_completeAsOf = sentAt;
     co_return std::exchange(m_isChanged, false);
 }
 
--- a/Tests/LibSite/SiteFixture.h
+++ b/Tests/LibSite/SiteFixture.h
@@ -26,8 +26,8 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-/// Reads a worker's entry as `DOMAIN`, a catalogue as its version, and the key `out/DOMAIN` as a
-/// domain out of service.
+/// Reads a worker's entry as `DOMAIN`, or `DOMAIN!` for one that is leaving, a catalogue as its
+/// version, and the key `out/DOMAIN` as a domain out of service.
 class PlainDecoder final : public SiteDecoder
 {
 public:
@@ -46,7 +46,9 @@
         Jobs::WorkerInfo worker;
         worker.id = Core::VmId(record.key);
         worker.address = record.key;
-        worker.failureDomain = Core::FailureDomainId(record.value);
+        worker.isDraining = record.value.ends_with('!');
+        worker.failureDomain
+            = Core::FailureDomainId(record.value.substr(0, record.value.find('!')));
         worker.service = Jobs::ServiceId("service");
         worker.capacity = { 4000, 4000, 0 };
         worker.bornUnixMs = 1;
@@ -141,7 +143,7 @@
 
     TestNode &addNode(const std::string &name)
     {
-        const SiteSettings settings { name, scheduler, ownerWatch };
+        const SiteSettings settings { name, scheduler, ownerWatch, std::chrono::seconds(2) };
         nodes.push_back(std::make_unique<TestNode>(settings, context, log, workers, decoder));
         TestNode &node = *nodes.back();
         asio::co_spawn(context, node.jobs.run(), asio::detached);
--- a/Tests/LibSite/TestDeposedOwner.cpp
+++ b/Tests/LibSite/TestDeposedOwner.cpp
@@ -57,8 +57,8 @@
     {
         log4cxx::Logger::getRootLogger()->addAppender(lines);
         log.put(Topic::Workers, { "w1", "a" });
-        node = std::make_unique<TestNode>(SiteSettings { "one#1", {}, {} }, context, log, worker,
-                                          decoder);
+        node = std::make_unique<TestNode>(SiteSettings { "one#1", {}, {}, std::chrono::seconds(2) },
+                                          context, log, worker, decoder);
         asio::co_spawn(context, node->jobs.run(), asio::detached);
         asio::co_spawn(context, node->operators.run(), asio::detached);
         own(*node);
--- a/Tests/LibSite/TestOwnersCopies.cpp
+++ b/Tests/LibSite/TestOwnersCopies.cpp
@@ -29,6 +29,26 @@
             CHECK(site.workers.ends[Core::VmId("w2")].empty());
         }
     }
+    SECTION(
+        "nothing starts on workers that have announced their leaving, though that can't be read")
+    {
+        site.log.unreadable = Topic::Workers;
+        site.log.put(Topic::Workers, { "w1", "a!" });
+        site.log.put(Topic::Workers, { "w2", "b!" });
+        site.run(1900);
+        site.await(node.desk.submit(job("a"), site.in(1000)));
+        site.run(700);
+        CHECK(site.workers.starts == 0);
+
+        SECTION("once it can be, what waited starts where it may")
+        {
+            site.log.put(Topic::Workers, { "w2", "b" });
+            site.log.unreadable.reset();
+            site.run(1000);
+            CHECK(site.workers.starts == 2);
+            CHECK(site.workers.ends[Core::VmId("w1")].empty());
+        }
+    }
     SECTION("nothing of a job starts seconds after its cancellation, though that can't be read")
     {
         site.workers.isHolding = true;
--- a/Tests/platform/TestCallerDoor.cpp
+++ b/Tests/platform/TestCallerDoor.cpp
@@ -22,7 +22,8 @@
 struct DoorFixture : SiteFixture
 {
     DoorFixture()
-        : node(SiteSettings { "one#1", {}, {} }, context, log, workers, platformDecoder)
+        : node(SiteSettings { "one#1", {}, {}, std::chrono::seconds(2) }, context, log, workers,
+               platformDecoder)
         , queues(node.state, node.operators)
         , door(node.state, queues, node.desk)
     {
--- a/Tests/platform/TestMessages.cpp
+++ b/Tests/platform/TestMessages.cpp
@@ -49,6 +49,7 @@
 megabits-per-second = 10.5
 [bounds]
 lease-ms = 6000
+drain-ms = 2000
 retention-s = 120
 shutdown-s = 6
 [log]
--- a/Tests/platform/TestReadiness.cpp
+++ b/Tests/platform/TestReadiness.cpp
@@ -18,7 +18,7 @@
 
 TEST_CASE("A node is ready while its copy of the job records is current")
 {
-    Site::SiteState state(Site::SiteSettings { "one#1", {}, {} });
+    Site::SiteState state(Site::SiteSettings { "one#1", {}, {}, std::chrono::seconds(2) });
     state.catalogue.emplace();
     CHECK(readiness(state) == 503);
 
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -74,9 +74,8 @@
     void spawn(boost::asio::awaitable<void> work);
     void depose(const std::string &reason);
     void updateMetrics();
-    /// Holds starts while the copy of the jobs or of the operators' records is old though the store
-    /// answers.
-    /// answers.
+    /// Holds starts while the copy of the jobs, of the operators' or of the workers' records is old
+    /// though the store answers.
     void holdStarts();
     bool isCopyForStartsOld() const;
 
--- a/include/LibSite/SiteSettings.h
+++ b/include/LibSite/SiteSettings.h
@@ -16,6 +16,8 @@
     std::string nodeName;
     Jobs::SchedulerSettings scheduler;
     Jobs::OwnerWatchSettings ownerWatch;
+    /// How soon after a worker has announced its leaving nothing may start there any more.
+    Core::Duration drainTime = std::chrono::seconds(2);
 
     bool operator==(const SiteSettings &) const = default;
 };
--- a/include/LibSite/WorkerFollower.h
+++ b/include/LibSite/WorkerFollower.h
@@ -5,6 +5,7 @@
 #include <LibSite/SiteDecoder.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,9 @@
     /// True if the list may have changed. \throws Core::Error
     boost::asio::awaitable<bool> read(std::int64_t waitMs);
     std::vector<Jobs::WorkerInfo> workers() const;
+    /// All that the workers had published by this moment is in the list. Nothing before the first
+    /// read to the end.
+    std::optional<Core::Instant> completeAsOf() const { return m_completeAsOf; }
 
 private:
     void beginSnapshot() override;
@@ -29,6 +33,8 @@
     LogFollower m_follower;
     std::map<std::string, Jobs::WorkerInfo> m_workers;
     bool m_isChanged = false;
+    /// On the clock that counts suspension.
+    std::optional<Core::Instant> m_completeAsOf;
 };
 
 } // namespace Site
