--- a/Benchmarks/lease/BenchmarkSlotShares.cpp
+++ b/Benchmarks/lease/BenchmarkSlotShares.cpp
@@ -1,4 +1,4 @@
-#include "LeaseWorld.h"
+#include "LeaseSimulation.h"
 #include "SkewedLoad.h"
 
 #include <LibLease/SlotShares.h>
@@ -25,7 +25,7 @@
     DomainView view;
     for (int vm = 1; vm <= vmCount; ++vm)
         view.members.emplace_back("vm" + std::to_string(vm));
-    view.seats = view.members;
+    view.reservations = view.members;
     return view;
 }
 
@@ -34,7 +34,8 @@
     int slots = 0;
     for (int server = 0; server < serverCount; ++server) {
         const Core::VmId name("worker" + std::to_string(server));
-        slots += SlotShares::share(view, vm, name, slotsPerServer, MembershipSettings().floorSlots);
+        slots
+            += SlotShares::share(view, vm, name, slotsPerServer, MembershipSettings().minimumSlots);
     }
     return slots;
 }
@@ -103,7 +104,7 @@
     }
 }
 
-int usableSlots(const LeaseWorld &world, int deadPosition)
+int usableSlots(const LeaseSimulation &world, int deadPosition)
 {
     int slots = 0;
     for (int position = 0; position < vmCount; ++position)
@@ -113,11 +114,11 @@
 
 void printDeath(const char *who, int offset)
 {
-    WorldSettings settings;
+    SimulationSettings settings;
     settings.positions = vmCount;
     settings.logLatency = 20ms;
     settings.readInterval = 200ms;
-    LeaseWorld world(settings, 1);
+    LeaseSimulation world(settings, 1);
     world.advance(60s);
     const int dead = (world.holder() + offset) % vmCount;
     const int before = usableSlots(world, -1);
@@ -144,7 +145,7 @@
 
 void printLookupCost()
 {
-    LeaseWorld world({}, 1);
+    LeaseSimulation world({}, 1);
     world.advance(60s);
     constexpr int lookups = 1'000'000;
     int sum = 0;
--- a/Libraries/LibLease/JsonForms.cpp
+++ b/Libraries/LibLease/LeaseJson.cpp
@@ -1,4 +1,4 @@
-#include "JsonForms.h"
+#include "LeaseJson.h"
 
 #include <LibCore/Error.h>
 #include <LibCore/Json.h>
@@ -47,7 +47,7 @@
     Json::Value value;
     value["version"] = toJson(view.version);
     value["members"] = toJson(view.members);
-    value["seats"] = toJson(view.seats);
+    value["seats"] = toJson(view.reservations);
     for (const int weight : view.weights)
         value["weights"].append(weight);
     return value;
@@ -112,7 +112,7 @@
     DomainView view;
     view.version = countMember(value, "version");
     view.members = vmsMember(value, "members");
-    view.seats = vmsMember(value, "seats");
+    view.reservations = vmsMember(value, "seats");
     if (!value.isMember("weights"))
         return view;
     for (const Json::Value &weight : Core::Json::arrayMember(value, "weights"))
--- a/Libraries/LibLease/LeaseMachine.cpp
+++ b/Libraries/LibLease/LeaseManager.cpp
@@ -1,23 +1,23 @@
-#include <LibLease/LeaseMachine.h>
+#include <LibLease/LeaseManager.h>
 
 #include <algorithm>
 #include <utility>
 
 namespace Lease {
 
-LeaseMachine::LeaseMachine(LeaseSettings settings, Core::Instant now)
-    : LeaseMachine(std::move(settings), now, Guards {})
+LeaseManager::LeaseManager(LeaseSettings settings, Core::Instant now)
+    : LeaseManager(std::move(settings), now, Guards {})
 {
 }
 
-LeaseMachine::LeaseMachine(LeaseSettings settings, Core::Instant now, Guards guards)
+LeaseManager::LeaseManager(LeaseSettings settings, Core::Instant now, Guards guards)
     : m_settings(std::move(settings))
     , m_guards(guards)
     , m_holderHeardAt(now)
 {
 }
 
-void LeaseMachine::onStreamStart(std::uint64_t firstOffset, Core::Instant now)
+void LeaseManager::onStreamStart(std::uint64_t firstOffset, Core::Instant now)
 {
     const LeaseState before = m_register.state();
     m_register.start(firstOffset);
@@ -27,7 +27,7 @@
     onStateChanged(before, now);
 }
 
-void LeaseMachine::onRecord(std::uint64_t offset, const LeaseRecord &record, Core::Instant now)
+void LeaseManager::onRecord(std::uint64_t offset, const LeaseRecord &record, Core::Instant now)
 {
     const LeaseState before = m_register.state();
     m_appliedEnd = std::max(m_appliedEnd, offset + 1);
@@ -35,7 +35,7 @@
         onStateChanged(before, now);
 }
 
-void LeaseMachine::onCaughtUp(std::uint64_t endOffset, Core::Instant readBegan)
+void LeaseManager::onCaughtUp(std::uint64_t endOffset, Core::Instant readBegan)
 {
     m_appliedEnd = std::max(m_appliedEnd, endOffset);
     m_isLogReachable = true;
@@ -45,16 +45,16 @@
         m_lastCleanRead = readBegan;
 }
 
-void LeaseMachine::onAppendOutcome(const std::string &recordId, AppendOutcome outcome)
+void LeaseManager::onAppendOutcome(const std::string &recordId, AppendOutcome outcome)
 {
-    if (outcome != AppendOutcome::NotLanded)
+    if (outcome != AppendOutcome::NotAppended)
         return;
     m_claimsInDoubt.erase(recordId);
     std::erase_if(m_pendingChanges,
                   [&](const PendingChange &change) { return change.id == recordId; });
 }
 
-void LeaseMachine::onStateChanged(const LeaseState &before, Core::Instant now)
+void LeaseManager::onStateChanged(const LeaseState &before, Core::Instant now)
 {
     const LeaseState &state = m_register.state();
     if (state.epoch != before.epoch) {
@@ -84,9 +84,9 @@
                   [&](const auto &claim) { return claim.second < state.view.version; });
 }
 
-PromiseAnswer LeaseMachine::onPromiseRequest(const PromiseRequest &request, Core::Instant now)
+PromiseResponse LeaseManager::onPromiseRequest(const PromiseRequest &request, Core::Instant now)
 {
-    PromiseAnswer answer;
+    PromiseResponse answer;
     answer.from = m_settings.self;
     answer.epoch = request.epoch;
     answer.sequence = request.sequence;
@@ -110,7 +110,7 @@
     return answer;
 }
 
-void LeaseMachine::onPromiseAnswer(const PromiseAnswer &answer, Core::Instant now)
+void LeaseManager::onPromiseResponse(const PromiseResponse &answer, Core::Instant now)
 {
     if (!isRecordedHolder() || answer.epoch != epoch())
         return;
@@ -131,13 +131,13 @@
     }
     const Core::Instant promisedFrom = m_guards.countsFromRequest ? round->sentAt : now;
     peer.promisedFrom = std::max(peer.promisedFrom, promisedFrom);
-    if (now - m_settings.dropAfter > peer.lastAnswer)
+    if (now - m_settings.witnessTimeout > peer.lastAnswer)
         peer.inReachSince = now;
     peer.lastAnswer = now;
     peer.hasRefused = false;
 }
 
-void LeaseMachine::setCandidates(const std::vector<Incarnation> &candidates, Core::Instant now)
+void LeaseManager::setCandidates(const std::vector<Incarnation> &candidates, Core::Instant now)
 {
     for (auto &[incarnation, peer] : m_peers) {
         if (std::find(candidates.begin(), candidates.end(), incarnation) == candidates.end())
@@ -159,7 +159,7 @@
     });
 }
 
-void LeaseMachine::release(Core::Instant now)
+void LeaseManager::release(Core::Instant now)
 {
     if (m_isReleased)
         return;
@@ -167,7 +167,7 @@
     m_nextAppend = now;
 }
 
-std::vector<LeaseAction> LeaseMachine::poll(Core::Instant now)
+std::vector<LeaseAction> LeaseManager::poll(Core::Instant now)
 {
     std::vector<LeaseAction> actions;
     notePauses(now);
@@ -185,7 +185,7 @@
     return actions;
 }
 
-Core::Instant LeaseMachine::nextWakeUp(Core::Instant now) const
+Core::Instant LeaseManager::nextWakeUp(Core::Instant now) const
 {
     const Core::Instant usual = now + m_settings.claimDelay;
     if (!isRecordedHolder())
@@ -193,14 +193,14 @@
     return std::clamp(m_nextRenewal, now + std::chrono::milliseconds(1), usual);
 }
 
-void LeaseMachine::notePauses(Core::Instant now)
+void LeaseManager::notePauses(Core::Instant now)
 {
     if (m_lastPoll && now - *m_lastPoll > m_settings.renewInterval)
         m_noClaimBefore = now + m_settings.renewInterval;
     m_lastPoll = now;
 }
 
-Core::Instant LeaseMachine::leaseDeadline() const
+Core::Instant LeaseManager::leaseDeadline() const
 {
     if (!isRecordedHolder() || !m_lastCleanRead || m_rounds.empty())
         return Core::Instant::min();
@@ -220,7 +220,7 @@
     return deadline;
 }
 
-Core::Instant LeaseMachine::earliestPromise(const std::vector<Incarnation> &witnesses) const
+Core::Instant LeaseManager::earliestPromise(const std::vector<Incarnation> &witnesses) const
 {
     Core::Instant earliest = Core::Instant::max();
     for (const Incarnation &witness : witnesses)
@@ -228,7 +228,7 @@
     return earliest;
 }
 
-Core::Instant LeaseMachine::promiseDeadline(const Incarnation &witness) const
+Core::Instant LeaseManager::promiseDeadline(const Incarnation &witness) const
 {
     const auto peer = m_peers.find(witness);
     if (peer == m_peers.end())
@@ -236,38 +236,38 @@
     return peer->second.promisedFrom + m_settings.leaseLength;
 }
 
-std::optional<Incarnation> LeaseMachine::currentHolder() const
+std::optional<Incarnation> LeaseManager::recordedHolder() const
 {
     if (epoch() == 0)
         return std::nullopt;
     return m_register.state().holder;
 }
 
-bool LeaseMachine::isRecordedHolder() const
+bool LeaseManager::isRecordedHolder() const
 {
     const LeaseState &state = m_register.state();
-    return !m_isReleased && m_register.isFounded() && state.epoch > 0 && state.end == LeaseEnd::None
-        && isSelf(state.holder);
+    return !m_isReleased && m_register.isInitialized() && state.epoch > 0
+        && state.end == LeaseEnd::None && isSelf(state.holder);
 }
 
-bool LeaseMachine::isSelf(const Incarnation &incarnation) const
+bool LeaseManager::isSelf(const Incarnation &incarnation) const
 {
     if (!m_guards.promiseBindsOneRun)
         return incarnation.vm == m_settings.self.vm;
     return incarnation == m_settings.self;
 }
 
-bool LeaseMachine::isLogFresh(Core::Instant now) const
+bool LeaseManager::isLogFresh(Core::Instant now) const
 {
-    return m_isLogReachable && m_lastRead && now - *m_lastRead <= m_settings.logFreshness;
+    return m_isLogReachable && m_lastRead && now - *m_lastRead <= m_settings.maximumLogAge;
 }
 
-Core::Duration LeaseMachine::drifted(Core::Duration length) const
+Core::Duration LeaseManager::drifted(Core::Duration length) const
 {
-    return m_guards.allowsForDrift ? m_settings.withDrift(length) : length;
+    return m_guards.allowsForDrift ? m_settings.withDriftAllowance(length) : length;
 }
 
-std::string LeaseMachine::nextRecordId()
+std::string LeaseManager::nextRecordId()
 {
     ++m_recordCount;
     return m_settings.self.vm.text() + "/" + m_settings.self.run + "/lease-"
--- a/Libraries/LibLease/LeaseMachineHolder.cpp
+++ b/Libraries/LibLease/LeaseManagerHolder.cpp
@@ -1,6 +1,6 @@
-// What a LeaseMachine does while the log names it as the holder.
+// What a LeaseManager does while the log names it as the holder.
 
-#include <LibLease/LeaseMachine.h>
+#include <LibLease/LeaseManager.h>
 
 #include <algorithm>
 
@@ -9,7 +9,7 @@
 /// Enough rounds for every answer that can still extend the lease.
 static constexpr std::size_t maximumRounds = 16;
 
-void LeaseMachine::renew(Core::Instant now, std::vector<LeaseAction> &actions)
+void LeaseManager::renew(Core::Instant now, std::vector<LeaseAction> &actions)
 {
     if (now < m_nextRenewal)
         return;
@@ -39,15 +39,15 @@
     }
 }
 
-void LeaseMachine::changeWitnesses(Core::Instant now, std::vector<LeaseAction> &actions)
+void LeaseManager::changeWitnesses(Core::Instant now, std::vector<LeaseAction> &actions)
 {
     if (!isLogFresh(now) || now < m_nextAppend)
         return;
     const LeaseState &state = m_register.state();
     const std::vector<Incarnation> desired = desiredWitnesses(now);
-    const std::vector<Core::VmId> releasedSeats = seatsToRelease();
+    const std::vector<Core::VmId> releasedReservations = seatsToRelease();
     const bool isSettled = desired == state.witnesses && m_pendingChanges.empty();
-    if (isSettled && !state.hasOpenIntent && releasedSeats.empty() && !hasOtherWeights())
+    if (isSettled && !state.hasOpenIntent && releasedReservations.empty() && !hasOtherWeights())
         return;
 
     m_nextAppend = now + m_settings.appendRetryDelay;
@@ -57,26 +57,26 @@
     record.epoch = state.epoch;
     record.baseVersion = state.view.version;
     record.witnesses = desired;
-    record.releasedSeats = releasedSeats;
+    record.releasedReservations = releasedReservations;
     record.weights = m_weights;
     m_pendingChanges.push_back({ record.id, record.baseVersion, record.witnesses });
     actions.emplace_back(AppendRecord { record });
 }
 
-std::vector<Incarnation> LeaseMachine::desiredWitnesses(Core::Instant now) const
+std::vector<Incarnation> LeaseManager::desiredWitnesses(Core::Instant now) const
 {
     std::vector<Incarnation> desired;
     for (const Incarnation &witness : witnessSet()) {
         if (!isLost(witness, now))
             desired.push_back(witness);
     }
-    const std::vector<Core::VmId> &seats = m_register.state().view.seats;
-    std::size_t seatCount = seats.size();
+    const std::vector<Core::VmId> &reservations = m_register.state().view.reservations;
+    std::size_t seatCount = reservations.size();
     for (const Incarnation &candidate : reachablePeers()) {
         if (!mayJoin(candidate, now))
             continue;
-        const bool hasSeat = std::count(seats.begin(), seats.end(), candidate.vm) > 0;
-        if (!hasSeat && seatCount >= m_settings.maximumSeats)
+        const bool hasSeat = std::count(reservations.begin(), reservations.end(), candidate.vm) > 0;
+        if (!hasSeat && seatCount >= m_settings.maximumReservations)
             continue;
         seatCount += hasSeat ? 0 : 1;
         desired.push_back(candidate);
@@ -85,17 +85,17 @@
     return desired;
 }
 
-bool LeaseMachine::isLost(const Incarnation &witness, Core::Instant now) const
+bool LeaseManager::isLost(const Incarnation &witness, Core::Instant now) const
 {
     const auto peer = m_peers.find(witness);
     if (peer == m_peers.end())
-        return now - m_epochSeenAt > m_settings.dropAfter;
+        return now - m_epochSeenAt > m_settings.witnessTimeout;
     if (peer->second.hasRefused || !peer->second.isCandidate)
         return true;
-    return now - std::max(peer->second.lastAnswer, m_epochSeenAt) > m_settings.dropAfter;
+    return now - std::max(peer->second.lastAnswer, m_epochSeenAt) > m_settings.witnessTimeout;
 }
 
-bool LeaseMachine::mayJoin(const Incarnation &candidate, Core::Instant now) const
+bool LeaseManager::mayJoin(const Incarnation &candidate, Core::Instant now) const
 {
     if (m_register.state().hasWitness(candidate))
         return false;
@@ -106,7 +106,7 @@
     return promiseDeadline(candidate) > now;
 }
 
-std::vector<Incarnation> LeaseMachine::reachablePeers() const
+std::vector<Incarnation> LeaseManager::reachablePeers() const
 {
     std::vector<Incarnation> peers;
     for (const auto &[incarnation, peer] : m_peers) {
@@ -116,26 +116,27 @@
     return peers;
 }
 
-std::vector<Core::VmId> LeaseMachine::seatsToRelease() const
+std::vector<Core::VmId> LeaseManager::seatsToRelease() const
 {
     const DomainView &view = m_register.state().view;
-    std::vector<Core::VmId> seats;
-    for (const Core::VmId &seat : m_releasableSeats) {
-        const bool isSeated = std::count(view.seats.begin(), view.seats.end(), seat) > 0;
+    std::vector<Core::VmId> reservations;
+    for (const Core::VmId &seat : m_releasableReservations) {
+        const bool isSeated
+            = std::count(view.reservations.begin(), view.reservations.end(), seat) > 0;
         if (isSeated && !view.hasMember(seat))
-            seats.push_back(seat);
+            reservations.push_back(seat);
     }
-    return seats;
+    return reservations;
 }
 
-bool LeaseMachine::hasOtherWeights() const
+bool LeaseManager::hasOtherWeights() const
 {
     DomainView wanted = m_register.state().view;
     wanted.setWeights(m_weights);
     return wanted.weights != m_register.state().view.weights;
 }
 
-void LeaseMachine::writeSnapshot(Core::Instant now, std::vector<LeaseAction> &actions)
+void LeaseManager::writeSnapshot(Core::Instant now, std::vector<LeaseAction> &actions)
 {
     if (!isHolder(now) || !isLogFresh(now) || now < m_nextSnapshot)
         return;
@@ -144,10 +145,10 @@
         AppendRecord { LeaseSnapshotRecord { nextRecordId(), m_appliedEnd, m_register.state() } });
 }
 
-void LeaseMachine::writeRelease(Core::Instant now, std::vector<LeaseAction> &actions)
+void LeaseManager::writeRelease(Core::Instant now, std::vector<LeaseAction> &actions)
 {
     const LeaseState &state = m_register.state();
-    const bool isNamed = m_register.isFounded() && state.holder == m_settings.self;
+    const bool isNamed = m_register.isInitialized() && state.holder == m_settings.self;
     if (!isNamed || state.end != LeaseEnd::None || !isLogFresh(now) || now < m_nextAppend)
         return;
     m_nextAppend = now + m_settings.appendRetryDelay;
--- a/Libraries/LibLease/LeaseMachineClaims.cpp
+++ b/Libraries/LibLease/LeaseManagerTakeover.cpp
@@ -1,6 +1,6 @@
-// How a LeaseMachine takes over from a holder that has died or stopped.
+// How a LeaseManager takes over from a holder that has died or stopped.
 
-#include <LibLease/LeaseMachine.h>
+#include <LibLease/LeaseManager.h>
 
 #include <algorithm>
 
@@ -9,11 +9,11 @@
 /// Intents against a holder that lives, but isn't in our reach, are rare beside the silence bound.
 static constexpr int intentsPerSilenceBound = 20;
 
-void LeaseMachine::considerClaim(Core::Instant now, std::vector<LeaseAction> &actions)
+void LeaseManager::considerClaim(Core::Instant now, std::vector<LeaseAction> &actions)
 {
     // A witness withdraws only while it reaches the log: in an outage it would stop the holder and
     // help nobody.
-    if (!m_register.isFounded() || !isLogFresh(now))
+    if (!m_register.isInitialized() || !isLogFresh(now))
         return;
     if (now < m_nextAppend || now < m_noClaimBefore)
         return;
@@ -27,7 +27,7 @@
     actions.emplace_back(AppendRecord { claim });
 }
 
-Core::Instant LeaseMachine::claimTime() const
+Core::Instant LeaseManager::claimTime() const
 {
     const LeaseState &state = m_register.state();
     if (state.epoch == 0)
@@ -42,7 +42,7 @@
     return Core::Instant::max();
 }
 
-Core::Instant LeaseMachine::witnessClaimTime() const
+Core::Instant LeaseManager::witnessClaimTime() const
 {
     Core::Instant time = m_promise.epoch >= epoch() ? m_promise.until : Core::Instant::min();
     // A new witness waits as long even if it never promised: commands that were given before it was
@@ -52,7 +52,7 @@
     return time + claimStagger();
 }
 
-bool LeaseMachine::isWitness() const
+bool LeaseManager::isWitness() const
 {
     if (!m_guards.onlyWitnessesClaim)
         return true;
@@ -60,7 +60,7 @@
                        [&](const Incarnation &witness) { return isSelf(witness); });
 }
 
-Core::Duration LeaseMachine::claimStagger() const
+Core::Duration LeaseManager::claimStagger() const
 {
     int rank = 0;
     for (const Incarnation &peer : reachablePeers())
@@ -68,7 +68,7 @@
     return m_settings.claimDelay * rank;
 }
 
-void LeaseMachine::announceTakeover(Core::Instant now, std::vector<LeaseAction> &actions)
+void LeaseManager::announceTakeover(Core::Instant now, std::vector<LeaseAction> &actions)
 {
     const LeaseState &state = m_register.state();
     if (state.epoch == 0 || state.end != LeaseEnd::None || state.hasOpenIntent || isWitness())
@@ -84,7 +84,7 @@
                                                                state.epoch, state.view.version } });
 }
 
-bool LeaseMachine::hasReachableElector() const
+bool LeaseManager::hasReachableElector() const
 {
     const LeaseState &state = m_register.state();
     const std::vector<Incarnation> peers = reachablePeers();
@@ -93,15 +93,15 @@
     });
 }
 
-ClaimRecord LeaseMachine::makeClaim()
+ClaimRecord LeaseManager::makeClaim()
 {
     const LeaseState &state = m_register.state();
-    const std::vector<Core::VmId> &seats = state.view.seats;
-    std::size_t seatCount = seats.size();
+    const std::vector<Core::VmId> &reservations = state.view.reservations;
+    std::size_t seatCount = reservations.size();
     std::vector<Incarnation> witnesses;
     for (const Incarnation &peer : reachablePeers()) {
-        const bool hasSeat = std::count(seats.begin(), seats.end(), peer.vm) > 0;
-        if (!hasSeat && seatCount + 1 >= m_settings.maximumSeats)
+        const bool hasSeat = std::count(reservations.begin(), reservations.end(), peer.vm) > 0;
+        if (!hasSeat && seatCount + 1 >= m_settings.maximumReservations)
             continue;
         seatCount += hasSeat ? 0 : 1;
         witnesses.push_back(peer);
--- a/Libraries/LibLease/LeaseMessageCodec.cpp
+++ b/Libraries/LibLease/LeaseMessageCodec.cpp
@@ -1,4 +1,4 @@
-#include "JsonForms.h"
+#include "LeaseJson.h"
 
 #include <LibCore/Error.h>
 #include <LibCore/Json.h>
@@ -26,8 +26,8 @@
     Json::Value value;
     value["version"] = toJson(grant.version);
     value["settled"] = toJson(grant.settledVersion);
-    if (grant.stamp)
-        value["stamp"] = toJson(*grant.stamp);
+    if (grant.acknowledgedAt)
+        value["stamp"] = toJson(*grant.acknowledgedAt);
     for (const DomainView &view : grant.views)
         value["views"].append(toJson(view));
     return value;
@@ -39,7 +39,7 @@
     grant.version = countMember(value, "version");
     grant.settledVersion = countMember(value, "settled");
     if (value.isMember("stamp"))
-        grant.stamp = instantMember(value, "stamp");
+        grant.acknowledgedAt = instantMember(value, "stamp");
     if (!value.isMember("views"))
         return grant;
     for (const Json::Value &view : Core::Json::arrayMember(value, "views"))
@@ -61,7 +61,7 @@
     return value;
 }
 
-Json::Value LeaseMessageCodec::encode(const PromiseAnswer &answer)
+Json::Value LeaseMessageCodec::encode(const PromiseResponse &answer)
 {
     Json::Value value;
     value["from"] = toJson(answer.from);
@@ -70,7 +70,7 @@
     value["granted"] = answer.isGranted;
     if (!answer.acknowledgement)
         return value;
-    value["stamp"] = toJson(answer.acknowledgement->stamp);
+    value["stamp"] = toJson(answer.acknowledgement->acknowledgedAt);
     value["version"] = toJson(answer.acknowledgement->version);
     value["drained"] = toJson(answer.acknowledgement->drainedVersion);
     value["demand"] = answer.acknowledgement->demand;
@@ -86,7 +86,7 @@
     request.version = countMember(value, "version");
     request.sequence = countMember(value, "sequence");
     request.leaseLength = Core::Duration(integerMember(value, "length"));
-    if (request.leaseLength > longestLease || request.leaseLength < Core::Duration::zero())
+    if (request.leaseLength > maximumLeaseLength || request.leaseLength < Core::Duration::zero())
         throw Core::FormatError("read JSON", "length", "the lease length is out of range");
     if (value.isMember("grant"))
         request.grant = grantFromJson(value["grant"]);
@@ -96,12 +96,12 @@
 static int demandMember(const Json::Value &value)
 {
     const std::uint64_t demand = countMember(value, "demand");
-    return static_cast<int>(std::min<std::uint64_t>(demand, MembershipSettings::greatestDemand));
+    return static_cast<int>(std::min<std::uint64_t>(demand, MembershipSettings::maximumDemand));
 }
 
-PromiseAnswer LeaseMessageCodec::decodeAnswer(const Json::Value &value)
+PromiseResponse LeaseMessageCodec::decodeResponse(const Json::Value &value)
 {
-    PromiseAnswer answer;
+    PromiseResponse answer;
     answer.from = incarnationMember(value, "from");
     answer.epoch = countMember(value, "epoch");
     answer.sequence = countMember(value, "sequence");
--- a/Libraries/LibLease/LeaseRecordCodec.cpp
+++ b/Libraries/LibLease/LeaseRecordCodec.cpp
@@ -1,4 +1,4 @@
-#include "JsonForms.h"
+#include "LeaseJson.h"
 
 #include <LibCore/Error.h>
 #include <LibCore/Json.h>
@@ -67,7 +67,7 @@
     value["epoch"] = toJson(record.epoch);
     value["baseVersion"] = toJson(record.baseVersion);
     value["witnesses"] = toJson(record.witnesses);
-    value["releasedSeats"] = toJson(record.releasedSeats);
+    value["releasedSeats"] = toJson(record.releasedReservations);
     value["weights"] = toJson(record.weights);
     return value;
 }
--- a/Libraries/LibLease/LeaseSettings.cpp
+++ b/Libraries/LibLease/LeaseSettings.cpp
@@ -2,7 +2,7 @@
 
 namespace Lease {
 
-Core::Duration LeaseSettings::withDrift(Core::Duration length) const
+Core::Duration LeaseSettings::withDriftAllowance(Core::Duration length) const
 {
     constexpr int thousand = 1000;
     // One microsecond more covers the division's remainder.
--- a/Libraries/LibLease/LeaseRegister.cpp
+++ b/Libraries/LibLease/LeaseStateReplica.cpp
@@ -1,10 +1,10 @@
-#include <LibLease/LeaseRegister.h>
+#include <LibLease/LeaseStateReplica.h>
 
 #include <algorithm>
 
 namespace Lease {
 
-void LeaseRegister::start(std::uint64_t firstOffset)
+void LeaseStateReplica::start(std::uint64_t firstOffset)
 {
     m_firstOffset = firstOffset;
     m_isFounded = firstOffset == 0;
@@ -13,7 +13,7 @@
     m_unfounded.clear();
 }
 
-bool LeaseRegister::apply(std::uint64_t offset, const LeaseRecord &record)
+bool LeaseStateReplica::apply(std::uint64_t offset, const LeaseRecord &record)
 {
     const auto *snapshot = std::get_if<LeaseSnapshotRecord>(&record);
     if (snapshot != nullptr)
@@ -24,7 +24,7 @@
     return false;
 }
 
-bool LeaseRegister::found(const LeaseSnapshotRecord &snapshot)
+bool LeaseStateReplica::found(const LeaseSnapshotRecord &snapshot)
 {
     // Records between the snapshot's end and our first one would be missing.
     if (snapshot.end < m_firstOffset)
@@ -40,7 +40,7 @@
     return true;
 }
 
-bool LeaseRegister::applyToState(const LeaseRecord &record)
+bool LeaseStateReplica::applyToState(const LeaseRecord &record)
 {
     if (const auto *claim = std::get_if<ClaimRecord>(&record))
         return apply(*claim);
@@ -55,7 +55,7 @@
     return false;
 }
 
-bool LeaseRegister::apply(const ClaimRecord &record)
+bool LeaseStateReplica::apply(const ClaimRecord &record)
 {
     if (record.epoch != m_state.epoch + 1 || record.baseVersion != m_state.view.version)
         return false;
@@ -65,17 +65,17 @@
     return true;
 }
 
-bool LeaseRegister::apply(const WitnessSetRecord &record)
+bool LeaseStateReplica::apply(const WitnessSetRecord &record)
 {
     if (record.epoch != m_state.epoch || record.holder != m_state.holder)
         return false;
     if (record.baseVersion != m_state.view.version || m_state.end != LeaseEnd::None)
         return false;
-    setMembers(record.holder, record.witnesses, record.releasedSeats, record.weights);
+    setMembers(record.holder, record.witnesses, record.releasedReservations, record.weights);
     return true;
 }
 
-bool LeaseRegister::apply(const TakeoverIntentRecord &record)
+bool LeaseStateReplica::apply(const TakeoverIntentRecord &record)
 {
     if (record.epoch != m_state.epoch || record.baseVersion != m_state.view.version)
         return false;
@@ -85,7 +85,7 @@
     return true;
 }
 
-bool LeaseRegister::apply(const OperatorTakeoverRecord &record)
+bool LeaseStateReplica::apply(const OperatorTakeoverRecord &record)
 {
     if (record.epoch != m_state.epoch || record.baseVersion != m_state.view.version)
         return false;
@@ -95,7 +95,7 @@
     return true;
 }
 
-bool LeaseRegister::apply(const ReleaseRecord &record)
+bool LeaseStateReplica::apply(const ReleaseRecord &record)
 {
     if (record.epoch != m_state.epoch || record.holder != m_state.holder)
         return false;
@@ -105,9 +105,10 @@
     return true;
 }
 
-void LeaseRegister::setMembers(const Incarnation &holder, const std::vector<Incarnation> &witnesses,
-                               const std::vector<Core::VmId> &releasedSeats,
-                               const std::vector<MemberWeight> &weights)
+void LeaseStateReplica::setMembers(const Incarnation &holder,
+                                   const std::vector<Incarnation> &witnesses,
+                                   const std::vector<Core::VmId> &releasedReservations,
+                                   const std::vector<MemberWeight> &weights)
 {
     m_state.holder = holder;
     m_state.witnesses = witnesses;
@@ -123,12 +124,12 @@
     const auto duplicates = std::unique(view.members.begin(), view.members.end());
     view.members.erase(duplicates, view.members.end());
 
-    std::erase_if(view.seats, [&](const Core::VmId &seat) {
-        return std::count(releasedSeats.begin(), releasedSeats.end(), seat) > 0;
+    std::erase_if(view.reservations, [&](const Core::VmId &seat) {
+        return std::count(releasedReservations.begin(), releasedReservations.end(), seat) > 0;
     });
     for (const Core::VmId &member : view.members) {
-        if (std::count(view.seats.begin(), view.seats.end(), member) == 0)
-            view.seats.push_back(member);
+        if (std::count(view.reservations.begin(), view.reservations.end(), member) == 0)
+            view.reservations.push_back(member);
     }
     view.setWeights(weights);
     m_views.push_back(view);
--- a/Libraries/LibLease/MembershipMachine.cpp
+++ b/Libraries/LibLease/MembershipManager.cpp
@@ -1,17 +1,17 @@
-#include <LibLease/MembershipMachine.h>
+#include <LibLease/MembershipManager.h>
 
 #include <algorithm>
 #include <utility>
 
 namespace Lease {
 
-MembershipMachine::MembershipMachine(LeaseMachine &lease, MembershipSettings settings,
+MembershipManager::MembershipManager(LeaseManager &lease, MembershipSettings settings,
                                      Core::Instant now)
-    : MembershipMachine(lease, settings, now, Guards {})
+    : MembershipManager(lease, settings, now, Guards {})
 {
 }
 
-MembershipMachine::MembershipMachine(LeaseMachine &lease, MembershipSettings settings,
+MembershipManager::MembershipManager(LeaseManager &lease, MembershipSettings settings,
                                      Core::Instant now, Guards guards)
     : m_lease(lease)
     , m_settings(settings)
@@ -20,7 +20,7 @@
 {
 }
 
-std::vector<LeaseAction> MembershipMachine::poll(Core::Instant now)
+std::vector<LeaseAction> MembershipManager::poll(Core::Instant now)
 {
     noteEarlierRun();
     if (m_lease.isHolder(now)) {
@@ -28,7 +28,7 @@
         grantToSelf(now);
         settle(now);
         reweigh(now);
-        m_lease.setReleasableSeats(releasableSeats(now));
+        m_lease.setReleasableReservations(releasableSeats(now));
     }
     std::vector<LeaseAction> actions = m_lease.poll(now);
     for (LeaseAction &action : actions) {
@@ -38,9 +38,10 @@
     return actions;
 }
 
-PromiseAnswer MembershipMachine::onPromiseRequest(const PromiseRequest &request, Core::Instant now)
+PromiseResponse MembershipManager::onPromiseRequest(const PromiseRequest &request,
+                                                    Core::Instant now)
 {
-    PromiseAnswer answer = m_lease.onPromiseRequest(request, now);
+    PromiseResponse answer = m_lease.onPromiseRequest(request, now);
     if (request.to != m_lease.self() || !request.grant || request.epoch < m_lease.epoch())
         return answer;
     applyGrant(*request.grant, now);
@@ -49,33 +50,33 @@
     return answer;
 }
 
-void MembershipMachine::onPromiseAnswer(const PromiseAnswer &answer, Core::Instant now)
+void MembershipManager::onPromiseResponse(const PromiseResponse &answer, Core::Instant now)
 {
-    m_lease.onPromiseAnswer(answer, now);
+    m_lease.onPromiseResponse(answer, now);
     if (!answer.acknowledgement || answer.epoch != m_heldEpoch)
         return;
     applyAcknowledgement(answer.from, *answer.acknowledgement, now);
 }
 
-void MembershipMachine::noteDrained(Core::Instant now)
+void MembershipManager::markDrained(Core::Instant now)
 {
     if (hasWaitedForEarlierRun(now))
         m_drainedVersion = m_latestVersion;
 }
 
-const DomainView &MembershipMachine::view() const
+const DomainView &MembershipManager::view() const
 {
     static const DomainView none;
     const auto latest = m_views.find(m_latestVersion);
     return latest == m_views.end() ? none : latest->second;
 }
 
-std::optional<Core::Instant> MembershipMachine::memberSince(Core::Instant now) const
+std::optional<Core::Instant> MembershipManager::memberSince(Core::Instant now) const
 {
     return isMember(now) ? m_memberSince : std::nullopt;
 }
 
-std::vector<const DomainView *> MembershipMachine::bindingViews(Core::Instant now) const
+std::vector<const DomainView *> MembershipManager::effectiveViews(Core::Instant now) const
 {
     if (!hasWaitedForEarlierRun(now) || now >= m_floorUntil)
         return {};
@@ -91,25 +92,26 @@
     return views;
 }
 
-bool MembershipMachine::hasWaitedForEarlierRun(Core::Instant now) const
+bool MembershipManager::hasWaitedForEarlierRun(Core::Instant now) const
 {
     if (!m_guards.waitsAfterRestart)
         return true;
     if (!m_mayHaveEarlierRun)
         return false;
-    return !*m_mayHaveEarlierRun || now >= m_startedAt + withDrift(longestRequest());
+    return !*m_mayHaveEarlierRun
+        || now >= m_startedAt + withDriftAllowance(maximumRequestDuration());
 }
 
-void MembershipMachine::noteEarlierRun()
+void MembershipManager::noteEarlierRun()
 {
-    if (m_mayHaveEarlierRun || !m_lease.hasCaughtUp() || !m_lease.leaseRegister().isFounded())
+    if (m_mayHaveEarlierRun || !m_lease.hasCaughtUp() || !m_lease.replica().isInitialized())
         return;
     // A run of this VM that may have left requests behind still has its seat.
-    const std::vector<Core::VmId> &seats = m_lease.leaseRegister().state().view.seats;
-    m_mayHaveEarlierRun = std::count(seats.begin(), seats.end(), self()) > 0;
+    const std::vector<Core::VmId> &reservations = m_lease.replica().state().view.reservations;
+    m_mayHaveEarlierRun = std::count(reservations.begin(), reservations.end(), self()) > 0;
 }
 
-void MembershipMachine::applyGrant(const MemberGrant &grant, Core::Instant now)
+void MembershipManager::applyGrant(const MemberGrant &grant, Core::Instant now)
 {
     // A former holder's grant, delayed on its way.
     if (grant.version < m_latestVersion)
@@ -119,20 +121,20 @@
     m_latestVersion = grant.version;
     m_settledVersion = std::max(m_settledVersion, grant.settledVersion);
     m_views.erase(m_views.begin(), m_views.lower_bound(m_settledVersion));
-    if (!grant.stamp)
+    if (!grant.acknowledgedAt)
         return;
 
-    const Core::Instant grantedFrom = m_guards.leaseRunsFromStamp ? *grant.stamp : now;
+    const Core::Instant grantedFrom = m_guards.leaseRunsFromStamp ? *grant.acknowledgedAt : now;
     const bool wasMember = isMember(now);
-    m_leaseUntil = std::max(m_leaseUntil, grantedFrom + m_settings.memberLease);
-    m_floorUntil = std::max(m_floorUntil, grantedFrom + m_settings.floorLength);
+    m_leaseUntil = std::max(m_leaseUntil, grantedFrom + m_settings.memberLeaseLength);
+    m_floorUntil = std::max(m_floorUntil, grantedFrom + m_settings.minimumShareDuration);
     if (!wasMember)
         m_memberSince = now;
 }
 
-Core::Duration MembershipMachine::longestRequest() const
+Core::Duration MembershipManager::maximumRequestDuration() const
 {
-    return m_guards.waitsForRequests ? m_settings.longestRequest : Core::Duration::zero();
+    return m_guards.waitsForRequests ? m_settings.maximumRequestDuration : Core::Duration::zero();
 }
 
 } // namespace Lease
--- a/Libraries/LibLease/MembershipMachineHolder.cpp
+++ b/Libraries/LibLease/MembershipManagerHolder.cpp
@@ -1,6 +1,6 @@
-// What a MembershipMachine does while its VM holds the domain's lease.
+// What a MembershipManager does while its VM holds the domain's lease.
 
-#include <LibLease/MembershipMachine.h>
+#include <LibLease/MembershipManager.h>
 
 #include <algorithm>
 #include <cstdint>
@@ -8,7 +8,7 @@
 
 namespace Lease {
 
-void MembershipMachine::noteHeldEpoch(Core::Instant now)
+void MembershipManager::noteHeldEpoch(Core::Instant now)
 {
     if (m_heldEpoch == m_lease.epoch())
         return;
@@ -18,11 +18,11 @@
     m_members.clear();
     m_lease.setWeights({});
     // The first requests of an epoch carry no grants yet.
-    m_lease.renewSoon();
-    m_nextReweighing = now + m_settings.memberLease;
+    m_lease.requestRenewal();
+    m_nextReweighing = now + m_settings.memberLeaseLength;
 }
 
-void MembershipMachine::grantToSelf(Core::Instant now)
+void MembershipManager::grantToSelf(Core::Instant now)
 {
     MemberState &state = m_members[m_lease.self()];
     state.lastStamp = now;
@@ -33,10 +33,10 @@
     applyAcknowledgement(m_lease.self(), { now, m_latestVersion, m_drainedVersion, m_demand }, now);
 }
 
-std::optional<MemberGrant> MembershipMachine::makeGrant(const Incarnation &member,
+std::optional<MemberGrant> MembershipManager::makeGrant(const Incarnation &member,
                                                         Core::Instant now)
 {
-    const LeaseState &lease = m_lease.leaseRegister().state();
+    const LeaseState &lease = m_lease.replica().state();
     const bool isNamed = member == m_lease.self() || lease.hasWitness(member);
     if (!m_lease.isHolder(now) || !isNamed)
         return std::nullopt;
@@ -44,23 +44,24 @@
     MemberState &state = m_members[member];
     MemberGrant grant { lease.view.version, m_settledVersion, state.lastStamp, {} };
     const std::uint64_t firstUnknown = std::max(m_settledVersion, state.version + 1);
-    for (const DomainView &view : m_lease.leaseRegister().views()) {
+    for (const DomainView &view : m_lease.replica().views()) {
         if (view.version >= firstUnknown)
             grant.views.push_back(view);
     }
-    if (grant.stamp)
+    if (grant.acknowledgedAt)
         state.lastGrant = now;
     return grant;
 }
 
-void MembershipMachine::applyAcknowledgement(const Incarnation &member,
+void MembershipManager::applyAcknowledgement(const Incarnation &member,
                                              const MemberAcknowledgement &answer, Core::Instant now)
 {
     MemberState &state = m_members[member];
     // The first stamp makes a lease possible; members of a former holder wait for it.
     if (!state.lastStamp)
-        m_lease.renewSoon();
-    state.lastStamp = std::max(state.lastStamp.value_or(answer.stamp), answer.stamp);
+        m_lease.requestRenewal();
+    state.lastStamp
+        = std::max(state.lastStamp.value_or(answer.acknowledgedAt), answer.acknowledgedAt);
     if (answer.version > state.version) {
         state.version = answer.version;
         state.versionSince = now;
@@ -69,12 +70,12 @@
     state.demand = answer.demand;
 }
 
-void MembershipMachine::settle(Core::Instant now)
+void MembershipManager::settle(Core::Instant now)
 {
-    const std::uint64_t version = m_lease.leaseRegister().state().view.version;
+    const std::uint64_t version = m_lease.replica().state().view.version;
     if (version <= m_settledVersion)
         return;
-    const std::deque<DomainView> &views = m_lease.leaseRegister().views();
+    const std::deque<DomainView> &views = m_lease.replica().views();
     // Members of views that we never read may still use shares that a former holder granted.
     if (views.front().version > m_settledVersion && now < unknownGrantsEnd())
         return;
@@ -88,10 +89,10 @@
     grantToSelf(now);
 }
 
-std::set<Core::VmId> MembershipMachine::possiblyLeased() const
+std::set<Core::VmId> MembershipManager::possiblyLeased() const
 {
     std::set<Core::VmId> leased;
-    for (const DomainView &view : m_lease.leaseRegister().views()) {
+    for (const DomainView &view : m_lease.replica().views()) {
         if (view.version >= m_settledVersion)
             leased.insert(view.members.begin(), view.members.end());
     }
@@ -101,9 +102,9 @@
     return leased;
 }
 
-void MembershipMachine::reweigh(Core::Instant now)
+void MembershipManager::reweigh(Core::Instant now)
 {
-    const DomainView &view = m_lease.leaseRegister().state().view;
+    const DomainView &view = m_lease.replica().state().view;
     // Half-settled views would only pile up.
     if (now < m_nextReweighing || view.version != m_settledVersion)
         return;
@@ -118,13 +119,13 @@
     }
     if (greatestChange < MembershipSettings::weightHysteresis)
         return;
-    m_nextReweighing = now + m_settings.reweighInterval;
+    m_nextReweighing = now + m_settings.weightUpdateInterval;
     m_lease.setWeights(wanted);
 }
 
-std::vector<MemberWeight> MembershipMachine::weightsByDemand() const
+std::vector<MemberWeight> MembershipManager::weightsByDemand() const
 {
-    const DomainView &view = m_lease.leaseRegister().state().view;
+    const DomainView &view = m_lease.replica().state().view;
     std::int64_t sum = 0;
     for (const Core::VmId &member : view.members)
         sum += demandOf(member);
@@ -139,7 +140,7 @@
     return weights;
 }
 
-int MembershipMachine::demandOf(const Core::VmId &vm) const
+int MembershipManager::demandOf(const Core::VmId &vm) const
 {
     int demand = 0;
     for (const auto &[member, state] : m_members) {
@@ -149,26 +150,28 @@
     return demand;
 }
 
-bool MembershipMachine::obeysView(const Core::VmId &vm, std::uint64_t version,
+bool MembershipManager::obeysView(const Core::VmId &vm, std::uint64_t version,
                                   Core::Instant now) const
 {
     for (const auto &[member, state] : m_members) {
         if (member.vm != vm || state.version < version)
             continue;
         const bool isDrained = state.drainedVersion >= version;
-        if (isDrained || now >= state.versionSince + withDrift(longestRequest()))
+        if (isDrained || now >= state.versionSince + withDriftAllowance(maximumRequestDuration()))
             return true;
     }
-    const Core::Duration untilUnused = withDrift(m_settings.memberLease + longestRequest());
+    const Core::Duration untilUnused
+        = withDriftAllowance(m_settings.memberLeaseLength + maximumRequestDuration());
     return now >= lastGrantTo(vm) + untilUnused;
 }
 
-Core::Instant MembershipMachine::unknownGrantsEnd() const
+Core::Instant MembershipManager::unknownGrantsEnd() const
 {
-    return m_heldSince + withDrift(m_settings.memberLease + longestRequest());
+    return m_heldSince
+        + withDriftAllowance(m_settings.memberLeaseLength + maximumRequestDuration());
 }
 
-Core::Instant MembershipMachine::lastGrantTo(const Core::VmId &vm) const
+Core::Instant MembershipManager::lastGrantTo(const Core::VmId &vm) const
 {
     Core::Instant lastGrant = m_heldSince;
     for (const auto &[member, state] : m_members) {
@@ -178,23 +181,23 @@
     return lastGrant;
 }
 
-std::vector<Core::VmId> MembershipMachine::releasableSeats(Core::Instant now) const
+std::vector<Core::VmId> MembershipManager::releasableSeats(Core::Instant now) const
 {
     const Core::Duration untilUnused = m_guards.reservesFloors
-        ? withDrift(m_settings.floorLength + longestRequest())
+        ? withDriftAllowance(m_settings.minimumShareDuration + maximumRequestDuration())
         : Core::Duration::zero();
-    const DomainView &view = m_lease.leaseRegister().state().view;
-    std::vector<Core::VmId> seats;
-    for (const Core::VmId &seat : view.seats) {
+    const DomainView &view = m_lease.replica().state().view;
+    std::vector<Core::VmId> reservations;
+    for (const Core::VmId &seat : view.reservations) {
         if (!view.hasMember(seat) && now >= lastGrantTo(seat) + untilUnused)
-            seats.push_back(seat);
+            reservations.push_back(seat);
     }
-    return seats;
+    return reservations;
 }
 
-Core::Duration MembershipMachine::withDrift(Core::Duration length) const
+Core::Duration MembershipManager::withDriftAllowance(Core::Duration length) const
 {
-    return m_lease.settings().withDrift(length);
+    return m_lease.settings().withDriftAllowance(length);
 }
 
 } // namespace Lease
--- a/Libraries/LibLease/SlotShares.cpp
+++ b/Libraries/LibLease/SlotShares.cpp
@@ -8,7 +8,7 @@
 
 namespace Lease {
 
-SlotShares::SlotShares(const MembershipMachine &membership)
+SlotShares::SlotShares(const MembershipManager &membership)
     : m_membership(membership)
 {
 }
@@ -18,9 +18,9 @@
 {
     if (floor <= 0)
         return 0;
-    const auto seat = std::find(view.seats.begin(), view.seats.end(), vm);
-    const auto position = static_cast<int>(seat - view.seats.begin());
-    const bool hasFloor = seat != view.seats.end() && position < total / floor;
+    const auto seat = std::find(view.reservations.begin(), view.reservations.end(), vm);
+    const auto position = static_cast<int>(seat - view.reservations.begin());
+    const bool hasFloor = seat != view.reservations.end() && position < total / floor;
     return hasFloor ? floor : 0;
 }
 
@@ -31,7 +31,7 @@
     if (member == view.members.end() || *member != vm)
         return 0;
     const int floorCount
-        = floor > 0 ? std::min(static_cast<int>(view.seats.size()), total / floor) : 0;
+        = floor > 0 ? std::min(static_cast<int>(view.reservations.size()), total / floor) : 0;
     const int remainder = total - floorCount * floor;
     const std::vector<int> equalWeights(view.members.size(), 1);
     const std::vector<int> &weights = view.weights.empty() ? equalWeights : view.weights;
@@ -59,10 +59,10 @@
 {
     const MembershipSettings &settings = m_membership.settings();
     const Core::VmId &self = m_membership.self();
-    const std::vector<const DomainView *> views = m_membership.bindingViews(now);
+    const std::vector<const DomainView *> views = m_membership.effectiveViews(now);
     if (views.empty())
         return {};
-    const bool isReduced = m_membership.isReducedToFloor(now);
+    const bool isReduced = m_membership.isLimitedToMinimum(now);
     const auto partOf = [&](const DomainView &view, int total, int floor) {
         if (isReduced)
             return floorShare(view, self, total, floor);
@@ -70,9 +70,9 @@
     };
     ShareLimit limit { slots, connections };
     for (const DomainView *view : views) {
-        limit.slots = std::min(limit.slots, partOf(*view, slots, settings.floorSlots));
+        limit.slots = std::min(limit.slots, partOf(*view, slots, settings.minimumSlots));
         limit.connections
-            = std::min(limit.connections, partOf(*view, connections, settings.floorConnections));
+            = std::min(limit.connections, partOf(*view, connections, settings.minimumConnections));
     }
     return limit;
 }
--- a/Services/lagoonfordd/AdminService.cpp
+++ b/Services/lagoonfordd/AdminService.cpp
@@ -39,7 +39,7 @@
     value["member"] = m_node.membership().isMember(now);
     value["epoch"] = Json::UInt64(m_node.lease().epoch());
     value["rulesFresh"] = m_node.freshness().isFresh(now);
-    const auto holder = m_node.lease().currentHolder();
+    const auto holder = m_node.lease().recordedHolder();
     value["holder"] = holder ? holder->vm.text() : "";
     Json::Value peers(Json::arrayValue);
     for (const auto &[id, word] : m_node.peerWords()) {
@@ -170,7 +170,7 @@
         co_return errorResponse(http::status::bad_request, "the body must say by whom");
     record.id = m_node.makeId("takeover");
     record.epoch = m_node.lease().epoch();
-    record.baseVersion = m_node.lease().leaseRegister().state().view.version;
+    record.baseVersion = m_node.lease().replica().state().view.version;
     const std::string body
         = Core::Json::write(Lease::LeaseRecordCodec::encode(Lease::LeaseRecord(record)));
     try {
--- a/Services/lagoonfordd/DomainFollower.cpp
+++ b/Services/lagoonfordd/DomainFollower.cpp
@@ -108,7 +108,7 @@
             node().placer().onLeaseClaim(record.offset, node().lease().epoch());
             LOG4CXX_INFO(partLogger,
                          "epoch " << node().lease().epoch() << " at offset " << record.offset
-                                  << ", holder " << node().lease().currentHolder()->vm);
+                                  << ", holder " << node().lease().recordedHolder()->vm);
         }
     } else if (const auto taskRecord = Task::decode(value)) {
         node().placer().onRecord(record.offset, *taskRecord, now);
--- a/Services/lagoonfordd/KeyService.cpp
+++ b/Services/lagoonfordd/KeyService.cpp
@@ -53,7 +53,7 @@
 void KeyService::refresh(Core::Instant now)
 {
     m_table.expire(now);
-    const std::vector<const Lease::DomainView *> views = m_node.membership().bindingViews(now);
+    const std::vector<const Lease::DomainView *> views = m_node.membership().effectiveViews(now);
     // Owners of an earlier view may still decide until all members have left that view behind.
     const bool isSettled = views.size() == 1 && m_node.membership().isMember(now);
     if (!isSettled)
--- a/Services/lagoonfordd/LeasePart.cpp
+++ b/Services/lagoonfordd/LeasePart.cpp
@@ -72,9 +72,9 @@
         bodies.push_back(body);
         co_await node().log().append(m_stream, std::move(bodies),
                                      Core::steadyNow() + appendTimeout);
-        outcome = Lease::AppendOutcome::Landed;
+        outcome = Lease::AppendOutcome::Appended;
     } catch (const Core::NotDoneError &error) {
-        outcome = Lease::AppendOutcome::NotLanded;
+        outcome = Lease::AppendOutcome::NotAppended;
         LOG4CXX_WARN(partLogger, "record " << id << " not appended: " << error.what());
     } catch (const Core::Error &error) {
         LOG4CXX_WARN(partLogger, "record " << id << " in doubt: " << error.what());
@@ -91,8 +91,8 @@
         const Json::Value answer = co_await node().peers().call(
             action.to.vm, Lease::LeaseMessageCodec::methodName,
             Lease::LeaseMessageCodec::encode(action.request), deadline);
-        node().membership().onPromiseAnswer(Lease::LeaseMessageCodec::decodeAnswer(answer),
-                                            Core::steadyNow());
+        node().membership().onPromiseResponse(Lease::LeaseMessageCodec::decodeResponse(answer),
+                                              Core::steadyNow());
         node().leaseWakeup().wake();
     } catch (const Core::Error &error) {
         LOG4CXX_DEBUG(partLogger, error.what());
--- a/Services/lagoonfordd/Node.cpp
+++ b/Services/lagoonfordd/Node.cpp
@@ -55,7 +55,7 @@
     lease.self = { settings.vmId, run };
     lease.leaseLength = settings.leaseLength;
     lease.renewInterval = settings.leaseLength * 3 / 10;
-    lease.dropAfter = settings.leaseLength * 65 / 100;
+    lease.witnessTimeout = settings.leaseLength * 65 / 100;
     lease.joinDelay = settings.leaseLength / 2;
     lease.logSilenceBound = settings.logSilenceBound;
     lease.snapshotInterval = settings.snapshotAge;
@@ -213,7 +213,7 @@
 
 bool Node::isReady(Core::Instant now) const
 {
-    return !m_isLeaving && !m_membership.bindingViews(now).empty();
+    return !m_isLeaving && !m_membership.effectiveViews(now).empty();
 }
 
 std::string Node::makeId(const std::string &prefix)
--- a/Services/lagoonfordd/Node.h
+++ b/Services/lagoonfordd/Node.h
@@ -5,8 +5,8 @@
 #include <LibSupervision/Wakeup.h>
 
 #include <LibCore/Identifier.h>
-#include <LibLease/LeaseMachine.h>
-#include <LibLease/MembershipMachine.h>
+#include <LibLease/LeaseManager.h>
+#include <LibLease/MembershipManager.h>
 #include <LibLease/SlotShares.h>
 #include <LibPeer/TcpPeerLink.h>
 #include <LibPlatform/Http/HttpLogService.h>
@@ -62,8 +62,8 @@
 
     Rules::RuleBook &ruleBook() { return m_ruleBook; }
     Rules::FreshnessGate &freshness() { return m_freshness; }
-    Lease::LeaseMachine &lease() { return m_lease; }
-    Lease::MembershipMachine &membership() { return m_membership; }
+    Lease::LeaseManager &lease() { return m_lease; }
+    Lease::MembershipManager &membership() { return m_membership; }
     const Lease::SlotShares &shares() const { return m_shares; }
     Task::DomainPlacer &placer() { return *m_placer; }
     /// Begins the life of tasks anew, because the stream is read from another place.
@@ -112,8 +112,8 @@
     Peer::TcpPeerLink m_peers;
     Rules::RuleBook m_ruleBook;
     Rules::FreshnessGate m_freshness;
-    Lease::LeaseMachine m_lease;
-    Lease::MembershipMachine m_membership;
+    Lease::LeaseManager m_lease;
+    Lease::MembershipManager m_membership;
     Lease::SlotShares m_shares;
     std::unique_ptr<Task::SchedulerFactory> m_schedulers;
     std::unique_ptr<Task::DomainPlacer> m_placer;
--- a/Services/lagoonfordd/RequestService.cpp
+++ b/Services/lagoonfordd/RequestService.cpp
@@ -88,7 +88,7 @@
     perform(m_router.setServers(servers(now), now));
     perform(m_router.setSpillOver(otherDoors(now), now));
     m_demand += demandSmoothing * (static_cast<double>(m_router.inProgress()) - m_demand);
-    m_node.membership().noteDemand(static_cast<int>(std::ceil(m_demand)));
+    m_node.membership().setDemand(static_cast<int>(std::ceil(m_demand)));
     m_node.setQueued(m_router.queued());
     m_node.metrics().setQueued(static_cast<double>(m_router.queued()));
 }
--- a/Services/lagoonfordd/StreamRecovery.cpp
+++ b/Services/lagoonfordd/StreamRecovery.cpp
@@ -2,7 +2,7 @@
 
 #include <LibCore/Json.h>
 #include <LibLease/LeaseRecordCodec.h>
-#include <LibLease/LeaseRegister.h>
+#include <LibLease/LeaseStateReplica.h>
 #include <LibTask/TaskRecordCodec.h>
 
 namespace Daemon {
@@ -26,7 +26,7 @@
 
 void StreamRecovery::findEpochs()
 {
-    Lease::LeaseRegister lease;
+    Lease::LeaseStateReplica lease;
     lease.start(m_firstRetained);
     std::uint64_t knownFrom = m_firstRetained;
     if (m_firstRetained > 0) {
@@ -69,7 +69,7 @@
         m_isComplete = false;
 }
 
-void StreamRecovery::applyTo(Lease::LeaseMachine &lease, Task::DomainPlacer &placer,
+void StreamRecovery::applyTo(Lease::LeaseManager &lease, Task::DomainPlacer &placer,
                              Core::Instant now) const
 {
     lease.onStreamStart(m_firstRetained, now);
--- a/Services/lagoonfordd/StreamRecovery.h
+++ b/Services/lagoonfordd/StreamRecovery.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
-#include <LibLease/LeaseMachine.h>
+#include <LibLease/LeaseManager.h>
 #include <LibLease/LeaseRecords.h>
 #include <LibPlatform/LogService.h>
 #include <LibTask/DomainPlacer.h>
@@ -28,7 +28,7 @@
     /// False if no snapshots cover what retention took.
     bool isComplete() const { return m_isComplete; }
 
-    void applyTo(Lease::LeaseMachine &lease, Task::DomainPlacer &placer, Core::Instant now) const;
+    void applyTo(Lease::LeaseManager &lease, Task::DomainPlacer &placer, Core::Instant now) const;
 
 private:
     void findEpochs();
--- a/Tests/LibLease/LeaseWorld.cpp
+++ b/Tests/LibLease/LeaseSimulation.cpp
@@ -1,4 +1,4 @@
-#include "LeaseWorld.h"
+#include "LeaseSimulation.h"
 
 #include <algorithm>
 
@@ -10,19 +10,19 @@
 /// One backend server stands for slots, the other one for connections.
 static constexpr std::array<int, 2> totals { 8, 64 };
 
-Core::Instant LeaseWorld::Process::local(Core::Duration trueTime) const
+Core::Instant LeaseSimulation::Process::local(Core::Duration trueTime) const
 {
     const auto scaled = static_cast<double>(trueTime.count()) * rate;
     return Core::Instant(offset + Core::Duration(static_cast<std::int64_t>(scaled)));
 }
 
-Core::Duration LeaseWorld::Process::toTrue(Core::Instant localTime) const
+Core::Duration LeaseSimulation::Process::toTrue(Core::Instant localTime) const
 {
     const auto scaled = static_cast<double>((localTime.time_since_epoch() - offset).count()) / rate;
     return Core::Duration(static_cast<std::int64_t>(scaled));
 }
 
-LeaseWorld::LeaseWorld(const WorldSettings &settings, std::uint32_t seed)
+LeaseSimulation::LeaseSimulation(const SimulationSettings &settings, std::uint32_t seed)
     : m_settings(settings)
     , m_random(seed)
 {
@@ -32,7 +32,7 @@
     schedule(0ms, [this] { tick(); });
 }
 
-void LeaseWorld::advance(Core::Duration length)
+void LeaseSimulation::advance(Core::Duration length)
 {
     const Core::Duration end = m_now + length;
     while (!m_events.empty() && m_events.top().at <= end && m_violation.empty()) {
@@ -46,12 +46,12 @@
     m_now = end;
 }
 
-void LeaseWorld::cutPeers(unsigned groupMask)
+void LeaseSimulation::cutPeers(unsigned groupMask)
 {
     m_group = groupMask;
 }
 
-void LeaseWorld::heal()
+void LeaseSimulation::heal()
 {
     m_group = 0;
     m_logCuts = 0;
@@ -60,13 +60,13 @@
     m_isRough = false;
 }
 
-void LeaseWorld::pause(int position, Core::Duration length)
+void LeaseSimulation::pause(int position, Core::Duration length)
 {
     Process &process = *m_processes[position];
     process.pausedUntil = std::max(process.pausedUntil, m_now + length);
 }
 
-void LeaseWorld::kill(int position)
+void LeaseSimulation::kill(int position)
 {
     Process &process = *m_processes[position];
     process.isAlive = false;
@@ -77,7 +77,7 @@
     }
 }
 
-void LeaseWorld::start(int position, bool isNewVm)
+void LeaseSimulation::start(int position, bool isNewVm)
 {
     const ProcessPointer former = m_processes[position];
     auto process = std::make_shared<Process>();
@@ -107,13 +107,13 @@
     read(process);
 }
 
-void LeaseWorld::release(int position)
+void LeaseSimulation::release(int position)
 {
     Process &process = *m_processes[position];
     process.lease->release(process.local(m_now));
 }
 
-void LeaseWorld::expireRecords()
+void LeaseSimulation::expireRecords()
 {
     for (const LeaseRecord &record : m_log) {
         if (const auto *snapshot = std::get_if<LeaseSnapshotRecord>(&record))
@@ -121,7 +121,7 @@
     }
 }
 
-int LeaseWorld::holder() const
+int LeaseSimulation::holder() const
 {
     for (const ProcessPointer &process : m_processes) {
         if (process->isAlive && process->lease->isHolder(process->local(m_now)))
@@ -130,7 +130,7 @@
     return -1;
 }
 
-Core::Duration LeaseWorld::timeToHolder(Core::Duration limit)
+Core::Duration LeaseSimulation::timeToHolder(Core::Duration limit)
 {
     const Core::Duration began = m_now;
     while (holder() < 0 && m_now - began < limit)
@@ -138,20 +138,20 @@
     return m_now - began;
 }
 
-ShareLimit LeaseWorld::limit(int position) const
+ShareLimit LeaseSimulation::limit(int position) const
 {
     const Process &process = *m_processes[position];
     return process.shares->limitFor(Core::VmId("worker"), totals[0], totals[1],
                                     process.local(m_now));
 }
 
-void LeaseWorld::schedule(Core::Duration delay, std::function<void()> action)
+void LeaseSimulation::schedule(Core::Duration delay, std::function<void()> action)
 {
     m_events.push({ m_now + delay, ++m_order, std::move(action) });
 }
 
-void LeaseWorld::scheduleOn(const ProcessPointer &process, Core::Duration delay,
-                            std::function<void()> action)
+void LeaseSimulation::scheduleOn(const ProcessPointer &process, Core::Duration delay,
+                                 std::function<void()> action)
 {
     schedule(delay, [this, process, action = std::move(action)] {
         if (!process->isAlive)
@@ -165,7 +165,7 @@
     });
 }
 
-void LeaseWorld::tick()
+void LeaseSimulation::tick()
 {
     schedule(tickLength, [this] { tick(); });
     for (const ProcessPointer &process : m_processes) {
@@ -181,7 +181,7 @@
     checkShares();
 }
 
-void LeaseWorld::poll(const ProcessPointer &process)
+void LeaseSimulation::poll(const ProcessPointer &process)
 {
     const Core::Instant local = process->local(m_now);
     for (const LeaseAction &action : process->membership->poll(local)) {
@@ -193,7 +193,7 @@
     process->nextPoll = process->toTrue(process->lease->nextWakeUp(local));
 }
 
-void LeaseWorld::read(const ProcessPointer &process)
+void LeaseSimulation::read(const ProcessPointer &process)
 {
     scheduleOn(process, m_settings.readInterval, [this, process] { read(process); });
     if (!reachesLog(process->position)) {
@@ -211,7 +211,7 @@
     });
 }
 
-void LeaseWorld::applyRead(const ProcessPointer &process, std::size_t end, Core::Instant began)
+void LeaseSimulation::applyRead(const ProcessPointer &process, std::size_t end, Core::Instant began)
 {
     process->isReading = false;
     const Core::Instant local = process->local(m_now);
@@ -225,13 +225,13 @@
     process->lease->onCaughtUp(process->nextOffset, began);
 }
 
-void LeaseWorld::append(const ProcessPointer &process, const LeaseRecord &record)
+void LeaseSimulation::append(const ProcessPointer &process, const LeaseRecord &record)
 {
     const auto land = [this, record] { m_log.push_back(record); };
     const bool isCut = (m_appendCuts >> process->position & 1U) != 0;
     const bool isReached = reachesLog(process->position) && !isCut;
     if (!isReached && chance(50)) {
-        report(process, record, AppendOutcome::NotLanded, m_settings.logLatency);
+        report(process, record, AppendOutcome::NotAppended, m_settings.logLatency);
         return;
     }
     if (!isReached || (m_isRough && chance(40))) {
@@ -241,20 +241,20 @@
         return;
     }
     schedule(m_settings.logLatency / 2, land);
-    report(process, record, AppendOutcome::Landed, m_settings.logLatency);
+    report(process, record, AppendOutcome::Appended, m_settings.logLatency);
 }
 
-void LeaseWorld::report(const ProcessPointer &process, const LeaseRecord &record,
-                        AppendOutcome outcome, Core::Duration delay)
+void LeaseSimulation::report(const ProcessPointer &process, const LeaseRecord &record,
+                             AppendOutcome outcome, Core::Duration delay)
 {
     scheduleOn(process, delay, [this, process, id = recordId(record), outcome] {
         process->lease->onAppendOutcome(id, outcome);
-        if (outcome == AppendOutcome::Landed)
+        if (outcome == AppendOutcome::Appended)
             read(process);
     });
 }
 
-void LeaseWorld::send(const ProcessPointer &process, const SendPromiseRequest &action)
+void LeaseSimulation::send(const ProcessPointer &process, const SendPromiseRequest &action)
 {
     const auto receiver
         = std::find_if(m_processes.begin(), m_processes.end(),
@@ -267,18 +267,18 @@
         if (peer->id.vm != request.to.vm)
             return;
         scheduleOn(peer, 0ms, [this, process, peer, request] {
-            const PromiseAnswer answer
+            const PromiseResponse answer
                 = peer->membership->onPromiseRequest(request, peer->local(m_now));
             if (!isLinked(process->position, peer->position))
                 return;
             scheduleOn(process, linkDelay(), [this, process, answer] {
-                process->membership->onPromiseAnswer(answer, process->local(m_now));
+                process->membership->onPromiseResponse(answer, process->local(m_now));
             });
         });
     });
 }
 
-void LeaseWorld::updateCandidates(const ProcessPointer &process)
+void LeaseSimulation::updateCandidates(const ProcessPointer &process)
 {
     std::vector<Incarnation> candidates;
     for (const ProcessPointer &peer : m_processes) {
@@ -291,7 +291,7 @@
     process->lease->setCandidates(candidates, process->local(m_now));
 }
 
-void LeaseWorld::useShares(Process &process)
+void LeaseSimulation::useShares(Process &process)
 {
     bool isDrained = true;
     const ShareLimit limit = this->limit(process.position);
@@ -300,16 +300,16 @@
         std::vector<Core::Duration> &inWork = process.inWork[server];
         std::erase_if(inWork, [&](Core::Duration end) { return end <= m_now; });
         while (static_cast<int>(inWork.size()) < limits[server])
-            inWork.push_back(m_now + between(50ms, m_settings.membership.longestRequest));
+            inWork.push_back(m_now + between(50ms, m_settings.membership.maximumRequestDuration));
         isDrained = isDrained && static_cast<int>(inWork.size()) <= limits[server];
     }
     if (m_settings.hasChangingDemand && chance(5))
-        process.membership->noteDemand(static_cast<int>(between(0us, 100us).count()));
+        process.membership->setDemand(static_cast<int>(between(0us, 100us).count()));
     if (isDrained && chance(50))
-        process.membership->noteDrained(process.local(m_now));
+        process.membership->markDrained(process.local(m_now));
 }
 
-void LeaseWorld::checkLeases()
+void LeaseSimulation::checkLeases()
 {
     int holders = 0;
     for (const ProcessPointer &process : m_processes) {
@@ -330,7 +330,7 @@
         fail("two VMs hold the lease");
 }
 
-void LeaseWorld::checkShares()
+void LeaseSimulation::checkShares()
 {
     for (std::size_t server = 0; server < totals.size(); ++server) {
         std::vector<Core::Duration> &left = m_leftBehind[server];
@@ -347,34 +347,34 @@
     }
 }
 
-void LeaseWorld::fail(const std::string &what)
+void LeaseSimulation::fail(const std::string &what)
 {
     if (m_violation.empty())
         m_violation = what;
 }
 
-bool LeaseWorld::isLinked(int left, int right) const
+bool LeaseSimulation::isLinked(int left, int right) const
 {
     return (m_group >> left & 1U) == (m_group >> right & 1U);
 }
 
-bool LeaseWorld::reachesLog(int position) const
+bool LeaseSimulation::reachesLog(int position) const
 {
     return !m_isLogOut && (m_logCuts >> position & 1U) == 0;
 }
 
-bool LeaseWorld::chance(int percent)
+bool LeaseSimulation::chance(int percent)
 {
     return std::uniform_int_distribution<int>(0, 99)(m_random) < percent;
 }
 
-Core::Duration LeaseWorld::between(Core::Duration low, Core::Duration high)
+Core::Duration LeaseSimulation::between(Core::Duration low, Core::Duration high)
 {
     return Core::Duration(
         std::uniform_int_distribution<std::int64_t>(low.count(), high.count())(m_random));
 }
 
-Core::Duration LeaseWorld::linkDelay()
+Core::Duration LeaseSimulation::linkDelay()
 {
     if (m_isRough && chance(10))
         return between(1ms, 700ms);
--- a/Tests/LibLease/LeaseWorld.h
+++ b/Tests/LibLease/LeaseSimulation.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibLease/LeaseMachine.h>
-#include <LibLease/MembershipMachine.h>
+#include <LibLease/LeaseManager.h>
+#include <LibLease/MembershipManager.h>
 #include <LibLease/SlotShares.h>
 
 #include <array>
@@ -15,28 +15,28 @@
 
 namespace Lease {
 
-class GuardedLease : public LeaseMachine
+class GuardedLease : public LeaseManager
 {
 public:
-    using LeaseMachine::Guards;
+    using LeaseManager::Guards;
     GuardedLease(const LeaseSettings &settings, Core::Instant now, Guards guards)
-        : LeaseMachine(settings, now, guards)
+        : LeaseManager(settings, now, guards)
     {
     }
 };
 
-class GuardedMembership : public MembershipMachine
+class GuardedMembership : public MembershipManager
 {
 public:
-    using MembershipMachine::Guards;
-    GuardedMembership(LeaseMachine &lease, MembershipSettings settings, Core::Instant now,
+    using MembershipManager::Guards;
+    GuardedMembership(LeaseManager &lease, MembershipSettings settings, Core::Instant now,
                       Guards guards)
-        : MembershipMachine(lease, settings, now, guards)
+        : MembershipManager(lease, settings, now, guards)
     {
     }
 };
 
-struct WorldSettings
+struct SimulationSettings
 {
     LeaseSettings lease;
     MembershipSettings membership;
@@ -53,10 +53,10 @@
 
 /// The entry VMs of one failure domain, their links and the log, in virtual time. Each position
 /// holds one VM at a time. After each event the invariants are checked at the true time.
-class LeaseWorld
+class LeaseSimulation
 {
 public:
-    LeaseWorld(const WorldSettings &settings, std::uint32_t seed);
+    LeaseSimulation(const SimulationSettings &settings, std::uint32_t seed);
 
     void advance(Core::Duration length);
     void cutPeers(unsigned groupMask);
@@ -82,13 +82,10 @@
     Core::Duration timeToHolder(Core::Duration limit);
     /// Empty as long as no invariant was broken.
     const std::string &violation() const { return m_violation; }
-    const LeaseMachine &lease(int position) const { return *m_processes.at(position)->lease; }
+    const LeaseManager &lease(int position) const { return *m_processes.at(position)->lease; }
     ShareLimit limit(int position) const;
     void keepDemand() { m_settings.hasChangingDemand = false; }
-    void noteDemand(int position, int slots)
-    {
-        m_processes[position]->membership->noteDemand(slots);
-    }
+    void setDemand(int position, int slots) { m_processes[position]->membership->setDemand(slots); }
     Core::Duration now() const { return m_now; }
 
 private:
@@ -146,7 +143,7 @@
     Core::Duration between(Core::Duration low, Core::Duration high);
     Core::Duration linkDelay();
 
-    WorldSettings m_settings;
+    SimulationSettings m_settings;
     std::mt19937 m_random;
     Core::Duration m_now { 0 };
     std::uint64_t m_order = 0;
--- a/Tests/LibLease/Scenario.cpp
+++ b/Tests/LibLease/Scenario.cpp
@@ -38,30 +38,30 @@
         seeds, rc::gen::scale(0.4, rc::gen::container<std::vector<Step>>(steps())));
 }
 
-WorldSettings roughSettings()
+SimulationSettings roughSettings()
 {
-    WorldSettings settings;
+    SimulationSettings settings;
     settings.lease.leaseLength = 500ms;
     settings.lease.renewInterval = 150ms;
-    settings.lease.dropAfter = 320ms;
+    settings.lease.witnessTimeout = 320ms;
     settings.lease.joinDelay = 200ms;
     settings.lease.claimDelay = 40ms;
     settings.lease.appendRetryDelay = 250ms;
-    settings.lease.logFreshness = 500ms;
+    settings.lease.maximumLogAge = 500ms;
     settings.lease.logSilenceBound = 1500ms;
     settings.lease.driftPerThousand = 100;
     settings.clockRateSpread = 4500;
     settings.logLatency = 1ms;
     settings.lease.snapshotInterval = 5s;
-    settings.membership.memberLease = 800ms;
-    settings.membership.floorLength = 3s;
-    settings.membership.longestRequest = 1500ms;
-    settings.membership.reweighInterval = 300ms;
+    settings.membership.memberLeaseLength = 800ms;
+    settings.membership.minimumShareDuration = 3s;
+    settings.membership.maximumRequestDuration = 1500ms;
+    settings.membership.weightUpdateInterval = 300ms;
     settings.hasChangingDemand = true;
     return settings;
 }
 
-static void apply(LeaseWorld &world, const Step &step, int positions)
+static void apply(LeaseSimulation &world, const Step &step, int positions)
 {
     const int position = static_cast<int>(step.argument) % positions;
     const int other = static_cast<int>(step.argument) / positions % positions;
@@ -102,7 +102,7 @@
 /// After the last fault, so that late appends and requests in work meet what it led to.
 static constexpr Core::Duration settlingTime = 3s;
 
-void run(LeaseWorld &world, const Scenario &scenario, int positions)
+void run(LeaseSimulation &world, const Scenario &scenario, int positions)
 {
     world.advance(1500ms);
     for (const Step &step : scenario.steps) {
@@ -112,13 +112,13 @@
     world.advance(settlingTime);
 }
 
-std::string findViolation(const WorldSettings &settings, const rc::Gen<Scenario> &generator,
+std::string findViolation(const SimulationSettings &settings, const rc::Gen<Scenario> &generator,
                           int limit)
 {
     constexpr int size = 100;
     for (int seed = 0; seed < limit; ++seed) {
         const Scenario scenario = generator(rc::Random(seed), size).value();
-        LeaseWorld world(settings, scenario.seed);
+        LeaseSimulation world(settings, scenario.seed);
         run(world, scenario, settings.positions);
         if (!world.violation().empty())
             return world.violation() + " in run " + std::to_string(seed);
--- a/Tests/LibLease/Scenario.h
+++ b/Tests/LibLease/Scenario.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LeaseWorld.h"
+#include "LeaseSimulation.h"
 
 #include <rapidcheck.h>
 
@@ -46,13 +46,13 @@
 rc::Gen<Scenario> scenarios();
 
 /// Short lengths, so that faults, lapses and late appends meet often.
-WorldSettings roughSettings();
+SimulationSettings roughSettings();
 
-void run(LeaseWorld &world, const Scenario &scenario, int positions);
+void run(LeaseSimulation &world, const Scenario &scenario, int positions);
 
 /// Runs scenarios of \p generator until one breaks an invariant; returns what it broke, or an empty
 /// text after \p limit runs.
-std::string findViolation(const WorldSettings &settings, const rc::Gen<Scenario> &generator,
+std::string findViolation(const SimulationSettings &settings, const rc::Gen<Scenario> &generator,
                           int limit);
 
 /// A witness claims while its holder is cut off from the log, and is in reach again while its claim
--- a/Tests/LibLease/TestGuards.cpp
+++ b/Tests/LibLease/TestGuards.cpp
@@ -8,12 +8,12 @@
 /// Enough runs for every one of the naive variants below; most need far fewer.
 static constexpr int naiveRunLimit = 2000;
 
-static bool &guardOf(WorldSettings &settings, bool GuardedLease::Guards::*guard)
+static bool &guardOf(SimulationSettings &settings, bool GuardedLease::Guards::*guard)
 {
     return settings.leaseGuards.*guard;
 }
 
-static bool &guardOf(WorldSettings &settings, bool GuardedMembership::Guards::*guard)
+static bool &guardOf(SimulationSettings &settings, bool GuardedMembership::Guards::*guard)
 {
     return settings.membershipGuards.*guard;
 }
@@ -21,7 +21,7 @@
 template<typename Guard>
 static void checkThatItIsNeeded(Guard guard, const rc::Gen<Scenario> &generator = scenarios())
 {
-    WorldSettings settings = roughSettings();
+    SimulationSettings settings = roughSettings();
     guardOf(settings, guard) = false;
     const std::string violation = findViolation(settings, generator, naiveRunLimit);
     CHECK_FALSE(violation.empty());
@@ -30,7 +30,7 @@
 
 TEST_CASE("With all rules the runs that break the naive variants break nothing")
 {
-    const WorldSettings settings = roughSettings();
+    const SimulationSettings settings = roughSettings();
     CHECK(findViolation(settings, scenarios(), runLimit).empty());
     CHECK(findViolation(settings, healsAfterClaim(), runLimit).empty());
     CHECK(findViolation(settings, restartsAfterClaim(), runLimit).empty());
--- a/Tests/LibLease/TestLeaseCodec.cpp
+++ b/Tests/LibLease/TestLeaseCodec.cpp
@@ -1,4 +1,4 @@
-#include "LeaseWorld.h"
+#include "LeaseSimulation.h"
 
 #include <LibCore/Error.h>
 #include <LibCore/Json.h>
@@ -66,7 +66,7 @@
     return request;
 }
 
-static PromiseAnswer sampleAnswer(const Incarnation &from)
+static PromiseResponse sampleAnswer(const Incarnation &from)
 {
     return { from, 12, 1234567, true,
              MemberAcknowledgement { Core::Instant(100000s), 345, 345, 300 } };
@@ -77,10 +77,10 @@
     PromiseRequest request = sampleRequest(vms[1]);
     CHECK(LeaseMessageCodec::decodeRequest(LeaseMessageCodec::encode(request)) == request);
     request.grant->views = { sampleView(344), sampleView(345) };
-    request.grant->stamp.reset();
+    request.grant->acknowledgedAt.reset();
     CHECK(LeaseMessageCodec::decodeRequest(LeaseMessageCodec::encode(request)) == request);
-    const PromiseAnswer answer = sampleAnswer(vms[1]);
-    CHECK(LeaseMessageCodec::decodeAnswer(LeaseMessageCodec::encode(answer)) == answer);
+    const PromiseResponse answer = sampleAnswer(vms[1]);
+    CHECK(LeaseMessageCodec::decodeResponse(LeaseMessageCodec::encode(answer)) == answer);
 
     SECTION("a promise for ever is refused")
     {
--- a/Tests/LibLease/TestLeaseProperties.cpp
+++ b/Tests/LibLease/TestLeaseProperties.cpp
@@ -6,10 +6,10 @@
 
 namespace Lease {
 
-static void checkInvariants(const WorldSettings &settings)
+static void checkInvariants(const SimulationSettings &settings)
 {
     const Scenario scenario = *scenarios();
-    LeaseWorld world(settings, scenario.seed);
+    LeaseSimulation world(settings, scenario.seed);
     run(world, scenario, settings.positions);
     RC_LOG(world.violation());
     RC_ASSERT(world.violation().empty());
@@ -30,7 +30,7 @@
 
     // Seats of the dead are free by then, and nothing is withheld.
     world.keepDemand();
-    world.advance(2 * settings.membership.floorLength + 5s);
+    world.advance(2 * settings.membership.minimumShareDuration + 5s);
     ShareLimit sum;
     for (int position = 0; position < settings.positions; ++position) {
         sum.slots += world.limit(position).slots;
@@ -42,7 +42,7 @@
 TEST_CASE("At most one VM of a failure domain places, and shares stay within limits")
 {
     for (const int positions : { 2, 3, 4 }) {
-        WorldSettings settings = roughSettings();
+        SimulationSettings settings = roughSettings();
         settings.positions = positions;
         rc::prop("with " + std::to_string(positions)
                      + " VMs under cuts, pauses, late appends, restarts",
@@ -53,9 +53,9 @@
 TEST_CASE("A restarted process with a fast clock waits for its former run's requests")
 {
     // Found by exploration with seed 23 in place of the fixed one.
-    WorldSettings settings = roughSettings();
+    SimulationSettings settings = roughSettings();
     settings.positions = 2;
-    LeaseWorld world(settings, 49266608);
+    LeaseSimulation world(settings, 49266608);
     run(world, { 49266608, { { Fault::None, 0, 140 }, { Fault::Restart, 0, 20 } } }, 2);
     CHECK(world.violation().empty());
 }
--- a/Tests/LibLease/TestSlotShares.cpp
+++ b/Tests/LibLease/TestSlotShares.cpp
@@ -1,4 +1,4 @@
-#include "LeaseWorld.h"
+#include "LeaseSimulation.h"
 
 #include <rapidcheck/catch.h>
 
@@ -14,9 +14,9 @@
     DomainView view;
     const int seatCount = *rc::gen::inRange(1, 12);
     for (int seat = 0; seat < seatCount; ++seat) {
-        view.seats.emplace_back("vm" + std::to_string(seat * 7 % 12));
+        view.reservations.emplace_back("vm" + std::to_string(seat * 7 % 12));
         if (seat == 0 || *rc::gen::arbitrary<bool>())
-            view.members.push_back(view.seats.back());
+            view.members.push_back(view.reservations.back());
     }
     std::sort(view.members.begin(), view.members.end());
     if (*rc::gen::arbitrary<bool>()) {
@@ -34,10 +34,10 @@
         const int floor = *rc::gen::inRange(0, 9);
         const Core::VmId server("worker" + std::to_string(*rc::gen::inRange(0, 100)));
         int sum = 0;
-        for (const Core::VmId &seat : view.seats)
+        for (const Core::VmId &seat : view.reservations)
             sum += SlotShares::share(view, seat, server, total, floor);
         RC_ASSERT(sum <= total);
-        RC_ASSERT(sum == total || view.members.size() < view.seats.size());
+        RC_ASSERT(sum == total || view.members.size() < view.reservations.size());
     });
     SECTION("what doesn't divide evenly goes to each member in turn")
     {
@@ -55,7 +55,7 @@
 
 TEST_CASE("Shares follow the members")
 {
-    LeaseWorld world({}, 1);
+    LeaseSimulation world({}, 1);
     world.advance(60s);
     const int holder = world.holder();
     const int member = (holder + 1) % 3;
@@ -87,9 +87,9 @@
     }
     SECTION("they follow the demand")
     {
-        world.noteDemand(member, 300);
-        world.noteDemand(other, 50);
-        world.noteDemand(holder, 50);
+        world.setDemand(member, 300);
+        world.setDemand(other, 50);
+        world.setDemand(holder, 50);
         world.advance(90s);
         CHECK(world.limit(member).slots > world.limit(other).slots);
         CHECK(world.limit(member).slots > world.limit(holder).slots);
--- a/Tests/LibLease/TestTakeover.cpp
+++ b/Tests/LibLease/TestTakeover.cpp
@@ -1,4 +1,4 @@
-#include "LeaseWorld.h"
+#include "LeaseSimulation.h"
 
 #include <catch2/catch.hpp>
 
@@ -10,9 +10,9 @@
 namespace Lease {
 
 /// The defaults, with an append and a read of the log that take 20 ms each.
-static WorldSettings defaultSettings(int positions)
+static SimulationSettings defaultSettings(int positions)
 {
-    WorldSettings settings;
+    SimulationSettings settings;
     settings.positions = positions;
     settings.logLatency = 20ms;
     settings.readInterval = 200ms;
@@ -23,7 +23,7 @@
 
 TEST_CASE("A failure domain keeps its placer")
 {
-    LeaseWorld world(defaultSettings(3), 1);
+    LeaseSimulation world(defaultSettings(3), 1);
     CHECK(world.timeToHolder(10s) < takeoverTarget);
     world.advance(60s);
     const int first = world.holder();
@@ -110,7 +110,7 @@
         }
         SECTION("an operator's word spares the wait")
         {
-            const LeaseState &state = world.lease(0).leaseRegister().state();
+            const LeaseState &state = world.lease(0).replica().state();
             world.append(
                 OperatorTakeoverRecord { "word", "depot Ogre", state.epoch, state.view.version });
             CHECK(world.timeToHolder(10s) < takeoverTarget);
@@ -134,7 +134,7 @@
     for (const int positions : { 2, 3 }) {
         std::vector<Core::Duration> times;
         for (std::uint32_t seed = 1; seed <= 100; ++seed) {
-            LeaseWorld world(defaultSettings(positions), seed);
+            LeaseSimulation world(defaultSettings(positions), seed);
             world.advance(20s + seed * 7ms);
             world.kill(world.holder());
             times.push_back(world.timeToHolder(60s));
--- a/Tests/lagoonfordd/TestStreamRecovery.cpp
+++ b/Tests/lagoonfordd/TestStreamRecovery.cpp
@@ -74,8 +74,8 @@
     }
 
     std::vector<Platform::LogRecord> m_records;
-    Lease::LeaseRegister m_lease = [] {
-        Lease::LeaseRegister lease;
+    Lease::LeaseStateReplica m_lease = [] {
+        Lease::LeaseStateReplica lease;
         lease.start(0);
         return lease;
     }();
@@ -116,7 +116,7 @@
             continue;
         ++complete;
         INFO("retention begins at offset " << firstRetained);
-        Lease::LeaseMachine lease(leaseSettings(), start);
+        Lease::LeaseManager lease(leaseSettings(), start);
         Task::DomainPlacer placer(schedulers, {});
         recovery.applyTo(lease, placer, start);
         CHECK(lease.epoch() == stream.epoch());
--- a/include/LibLease/DomainView.h
+++ b/include/LibLease/DomainView.h
@@ -26,7 +26,7 @@
     std::vector<Core::VmId> members;
     /// VMs whose floor of slots is reserved, in the order in which they were seated: the members,
     /// and former members that may still serve from their floor.
-    std::vector<Core::VmId> seats;
+    std::vector<Core::VmId> reservations;
     /// The weight of each member, in the order of \c members; empty if all are equal.
     std::vector<int> weights;
 
--- a/include/LibLease/LeaseAction.h
+++ b/include/LibLease/LeaseAction.h
@@ -8,7 +8,7 @@
 namespace Lease {
 
 /// Append the record to the domain's stream and report the outcome by
-/// LeaseMachine::onAppendOutcome.
+/// LeaseManager::onAppendOutcome.
 struct AppendRecord
 {
     LeaseRecord record;
@@ -28,9 +28,9 @@
 using LeaseAction = std::variant<AppendRecord, SendPromiseRequest>;
 
 enum class AppendOutcome {
-    Landed,
+    Appended,
     /// It certainly hasn't landed and never will.
-    NotLanded,
+    NotAppended,
     Unknown,
 };
 
--- a/include/LibLease/LeaseMachine.h
+++ b/include/LibLease/LeaseManager.h
@@ -4,8 +4,8 @@
 #include <LibLease/LeaseAction.h>
 #include <LibLease/LeaseMessages.h>
 #include <LibLease/LeaseRecords.h>
-#include <LibLease/LeaseRegister.h>
 #include <LibLease/LeaseSettings.h>
+#include <LibLease/LeaseStateReplica.h>
 
 #include <cstdint>
 #include <deque>
@@ -25,11 +25,11 @@
 ///
 /// The machine is driven by the shell: records and stream ends from the log, messages from peers,
 /// and poll() at nextWakeUp() or after any input.
-class LeaseMachine
+class LeaseManager
 {
 public:
     /// \p now is the start of the process.
-    LeaseMachine(LeaseSettings settings, Core::Instant now);
+    LeaseManager(LeaseSettings settings, Core::Instant now);
 
     /// Reading (re)starts at \p firstOffset, the oldest retained offset. Must come first, and again
     /// when the reader fell behind retention.
@@ -40,17 +40,20 @@
     void onLogUnreachable() { m_isLogReachable = false; }
     void onAppendOutcome(const std::string &recordId, AppendOutcome outcome);
 
-    PromiseAnswer onPromiseRequest(const PromiseRequest &request, Core::Instant now);
-    void onPromiseAnswer(const PromiseAnswer &answer, Core::Instant now);
+    PromiseResponse onPromiseRequest(const PromiseRequest &request, Core::Instant now);
+    void onPromiseResponse(const PromiseResponse &answer, Core::Instant now);
 
     /// The reachable peers of the domain that are neither leaving nor gone, without this VM.
     void setCandidates(const std::vector<Incarnation> &candidates, Core::Instant now);
     /// Former members whose floor is certainly unused; the next witness set frees their seats.
-    void setReleasableSeats(std::vector<Core::VmId> seats) { m_releasableSeats = std::move(seats); }
+    void setReleasableReservations(std::vector<Core::VmId> reservations)
+    {
+        m_releasableReservations = std::move(reservations);
+    }
     /// How the holder wants the remainder of the slots to be divided.
     void setWeights(std::vector<MemberWeight> weights) { m_weights = std::move(weights); }
     /// Lets the next poll() ask all peers again.
-    void renewSoon() { m_nextRenewal = Core::Instant::min(); }
+    void requestRenewal() { m_nextRenewal = Core::Instant::min(); }
     /// Stops holding for good, and says so in the log if this VM is the holder.
     void release(Core::Instant now);
 
@@ -68,10 +71,10 @@
     const Incarnation &self() const { return m_settings.self; }
     const LeaseSettings &settings() const { return m_settings; }
     /// What the log says, as far as it was read.
-    const LeaseRegister &leaseRegister() const { return m_register; }
+    const LeaseStateReplica &replica() const { return m_register; }
     std::uint64_t epoch() const { return m_register.state().epoch; }
     /// The holder that the log names, if any. It may have died since.
-    std::optional<Incarnation> currentHolder() const;
+    std::optional<Incarnation> recordedHolder() const;
     const std::vector<Incarnation> &witnessSet() const { return m_register.state().witnesses; }
 
 protected:
@@ -91,7 +94,7 @@
         bool ownPromiseCounts = true;
     };
 
-    LeaseMachine(LeaseSettings settings, Core::Instant now, Guards guards);
+    LeaseManager(LeaseSettings settings, Core::Instant now, Guards guards);
 
 private:
     struct PeerState
@@ -151,7 +154,7 @@
 
     LeaseSettings m_settings;
     Guards m_guards;
-    LeaseRegister m_register;
+    LeaseStateReplica m_register;
     std::uint64_t m_appliedEnd = 0;
 
     bool m_isLogReachable = false;
@@ -164,7 +167,7 @@
     std::uint64_t m_sequence = 0;
     Core::Instant m_nextRenewal = Core::Instant::min();
     std::vector<PendingChange> m_pendingChanges;
-    std::vector<Core::VmId> m_releasableSeats;
+    std::vector<Core::VmId> m_releasableReservations;
     std::vector<MemberWeight> m_weights;
 
     Promise m_promise;
--- a/include/LibLease/LeaseMessageCodec.h
+++ b/include/LibLease/LeaseMessageCodec.h
@@ -13,15 +13,15 @@
 public:
     static constexpr const char *methodName = "lease.renew";
     /// A request for a longer promise is malformed: it could keep a domain without a placer.
-    static constexpr Core::Duration longestLease = std::chrono::minutes(1);
+    static constexpr Core::Duration maximumLeaseLength = std::chrono::minutes(1);
 
     static Json::Value encode(const PromiseRequest &request);
-    static Json::Value encode(const PromiseAnswer &answer);
+    static Json::Value encode(const PromiseResponse &answer);
 
     /// \throws Core::FormatError if the message is malformed.
     static PromiseRequest decodeRequest(const Json::Value &value);
     /// \throws Core::FormatError if the message is malformed.
-    static PromiseAnswer decodeAnswer(const Json::Value &value);
+    static PromiseResponse decodeResponse(const Json::Value &value);
 };
 
 } // namespace Lease
--- a/include/LibLease/LeaseMessages.h
+++ b/include/LibLease/LeaseMessages.h
@@ -19,17 +19,17 @@
     std::uint64_t settledVersion = 0;
     /// The stamp of the member's last acknowledgement, by the member's clock. The lease runs from
     /// there, so a grant that arrives late extends nothing. Unset in the first grant.
-    std::optional<Core::Instant> stamp;
+    std::optional<Core::Instant> acknowledgedAt;
     /// The views that the member hasn't acknowledged yet.
     std::vector<DomainView> views;
 
     bool operator==(const MemberGrant &) const = default;
 };
 
-/// The member's answer to a MemberGrant, carried by a PromiseAnswer.
+/// The member's answer to a MemberGrant, carried by a PromiseResponse.
 struct MemberAcknowledgement
 {
-    Core::Instant stamp;
+    Core::Instant acknowledgedAt;
     std::uint64_t version = 0;
     /// The highest version that the requests in work and open connections already fit.
     std::uint64_t drainedVersion = 0;
@@ -55,7 +55,7 @@
     bool operator==(const PromiseRequest &) const = default;
 };
 
-struct PromiseAnswer
+struct PromiseResponse
 {
     Incarnation from;
     std::uint64_t epoch = 0;
@@ -63,7 +63,7 @@
     bool isGranted = false;
     std::optional<MemberAcknowledgement> acknowledgement;
 
-    bool operator==(const PromiseAnswer &) const = default;
+    bool operator==(const PromiseResponse &) const = default;
 };
 
 } // namespace Lease
--- a/include/LibLease/LeaseRecords.h
+++ b/include/LibLease/LeaseRecords.h
@@ -32,7 +32,7 @@
     std::uint64_t baseVersion = 0;
     std::vector<Incarnation> witnesses;
     /// Former members whose floor of slots is certainly unused from now on.
-    std::vector<Core::VmId> releasedSeats;
+    std::vector<Core::VmId> releasedReservations;
     /// How the remainder of the slots is divided; empty for equal parts.
     std::vector<MemberWeight> weights;
 
--- a/include/LibLease/LeaseRegister.h
+++ b/include/LibLease/LeaseStateReplica.h
@@ -13,7 +13,7 @@
 
 /// Applies the records of a stream in order. The log's order decides between rivals: of two records
 /// with the same base version the first one wins and the second one is void.
-class LeaseRegister
+class LeaseStateReplica
 {
 public:
     /// Starts over for a reader whose first record has offset \p firstOffset. Unless that is 0 the
@@ -24,7 +24,7 @@
     bool apply(std::uint64_t offset, const LeaseRecord &record);
 
     /// False until the state is known.
-    bool isFounded() const { return m_isFounded; }
+    bool isInitialized() const { return m_isFounded; }
     const LeaseState &state() const { return m_state; }
 
     /// Consecutive views, the current one last. Begins with version 0 if nothing was left out.
@@ -39,7 +39,7 @@
     bool apply(const ReleaseRecord &record);
     bool found(const LeaseSnapshotRecord &snapshot);
     void setMembers(const Incarnation &holder, const std::vector<Incarnation> &witnesses,
-                    const std::vector<Core::VmId> &releasedSeats,
+                    const std::vector<Core::VmId> &releasedReservations,
                     const std::vector<MemberWeight> &weights);
 
     static constexpr std::size_t maximumViews = 64;
--- a/include/LibLease/MembershipMachine.h
+++ b/include/LibLease/MembershipManager.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibLease/DomainView.h>
-#include <LibLease/LeaseMachine.h>
+#include <LibLease/LeaseManager.h>
 #include <LibLease/MembershipSettings.h>
 
 #include <cstdint>
@@ -14,25 +14,25 @@
 namespace Lease {
 
 /// Keeps track of the members of the failure domain: grants member leases while this VM holds the
-/// domain's lease, and counts its own one on every VM. It stands in front of the LeaseMachine: the
-/// shell passes peers' messages and poll() through here, and the log's records to the LeaseMachine.
-class MembershipMachine
+/// domain's lease, and counts its own one on every VM. It stands in front of the LeaseManager: the
+/// shell passes peers' messages and poll() through here, and the log's records to the LeaseManager.
+class MembershipManager
 {
 public:
     /// \p now is the start of the process. \p lease must outlive this object.
-    MembershipMachine(LeaseMachine &lease, MembershipSettings settings, Core::Instant now);
+    MembershipManager(LeaseManager &lease, MembershipSettings settings, Core::Instant now);
 
     std::vector<LeaseAction> poll(Core::Instant now);
-    PromiseAnswer onPromiseRequest(const PromiseRequest &request, Core::Instant now);
-    void onPromiseAnswer(const PromiseAnswer &answer, Core::Instant now);
+    PromiseResponse onPromiseRequest(const PromiseRequest &request, Core::Instant now);
+    void onPromiseResponse(const PromiseResponse &answer, Core::Instant now);
 
     /// Says that the requests in work and the open connections of every backend server are within
     /// SlotShares::limitFor(). Optional: without it the longest request time is waited for.
-    void noteDrained(Core::Instant now);
+    void markDrained(Core::Instant now);
 
     /// How many slots over all backend servers this VM would use lately: requests in work and
     /// waiting, averaged over some seconds. Optional: without it the shares stay even.
-    void noteDemand(int slots) { m_demand = slots; }
+    void setDemand(int slots) { m_demand = slots; }
 
     bool isMember(Core::Instant now) const { return now < m_leaseUntil; }
     /// Until when this VM is a member unless its lease is renewed.
@@ -44,9 +44,9 @@
 
     /// The views whose shares bind this VM at \p now: from the settled one to the latest. Empty if
     /// it may use nothing. Valid until the next call of poll() or onPromiseRequest().
-    std::vector<const DomainView *> bindingViews(Core::Instant now) const;
+    std::vector<const DomainView *> effectiveViews(Core::Instant now) const;
     /// True if at most the floor may be used at \p now.
-    bool isReducedToFloor(Core::Instant now) const { return !isMember(now); }
+    bool isLimitedToMinimum(Core::Instant now) const { return !isMember(now); }
 
     const Core::VmId &self() const { return m_lease.self().vm; }
     const MembershipSettings &settings() const { return m_settings; }
@@ -63,7 +63,7 @@
         bool waitsAfterRestart = true;
     };
 
-    MembershipMachine(LeaseMachine &lease, MembershipSettings settings, Core::Instant now,
+    MembershipManager(LeaseManager &lease, MembershipSettings settings, Core::Instant now,
                       Guards guards);
 
 private:
@@ -95,10 +95,10 @@
     void noteHeldEpoch(Core::Instant now);
     void noteEarlierRun();
     bool hasWaitedForEarlierRun(Core::Instant now) const;
-    Core::Duration longestRequest() const;
-    Core::Duration withDrift(Core::Duration length) const;
+    Core::Duration maximumRequestDuration() const;
+    Core::Duration withDriftAllowance(Core::Duration length) const;
 
-    LeaseMachine &m_lease;
+    LeaseManager &m_lease;
     MembershipSettings m_settings;
     Guards m_guards;
     Core::Instant m_startedAt;
--- a/include/LibLease/MembershipSettings.h
+++ b/include/LibLease/MembershipSettings.h
@@ -4,21 +4,21 @@
 
 namespace Lease {
 
-/// The settings of a MembershipMachine; the same on all entry VMs of a failure domain.
+/// The settings of a MembershipManager; the same on all entry VMs of a failure domain.
 struct MembershipSettings
 {
     /// How long a member may use its share of the remainder after its last acknowledgement. Longer
     /// than a takeover, so that shares outlive the holder.
-    Core::Duration memberLease = std::chrono::milliseconds(4000);
+    Core::Duration memberLeaseLength = std::chrono::milliseconds(4000);
     /// How long a member that is cut off may serve from its floor.
-    Core::Duration floorLength = std::chrono::minutes(10);
+    Core::Duration minimumShareDuration = std::chrono::minutes(10);
     /// The longest time that a backend server works on a request whose entry VM died.
-    Core::Duration longestRequest = std::chrono::seconds(30);
+    Core::Duration maximumRequestDuration = std::chrono::seconds(30);
     /// The part of each backend server's limits that a member keeps while it is cut off.
-    int floorSlots = 1;
-    int floorConnections = 8;
+    int minimumSlots = 1;
+    int minimumConnections = 8;
     /// The shortest time between two changes of the members' weights.
-    Core::Duration reweighInterval = std::chrono::seconds(30);
+    Core::Duration weightUpdateInterval = std::chrono::seconds(30);
     /// Weights follow the members' demand only if it comes to this many slots together.
     int minimumDemand = 32;
 
@@ -27,7 +27,7 @@
     /// Weights are changed if one is off by this much, so that noise causes no records.
     static constexpr int weightHysteresis = 2;
     /// The most slots that a member's demand may name.
-    static constexpr int greatestDemand = 1'000'000;
+    static constexpr int maximumDemand = 1'000'000;
 };
 
 } // namespace Lease
--- a/include/LibLease/SlotShares.h
+++ b/include/LibLease/SlotShares.h
@@ -3,7 +3,7 @@
 #include <LibCore/Identifier.h>
 #include <LibCore/Time.h>
 #include <LibLease/DomainView.h>
-#include <LibLease/MembershipMachine.h>
+#include <LibLease/MembershipManager.h>
 
 #include <compare>
 
@@ -25,7 +25,7 @@
 {
 public:
     /// \p membership must outlive this object.
-    explicit SlotShares(const MembershipMachine &membership);
+    explicit SlotShares(const MembershipManager &membership);
 
     /// What this VM may use of \p backendServer at \p now, out of \p slots and \p connections.
     ShareLimit limitFor(const Core::VmId &backendServer, int slots, int connections,
@@ -36,7 +36,7 @@
                      int total, int floor);
 
 private:
-    const MembershipMachine &m_membership;
+    const MembershipManager &m_membership;
 };
 
 } // namespace Lease
