Tree: Rename LibPeer's PeerLink and TcpPeerLink to PeerClient and TcpPeerClient

A "link" said nothing of its use: the class makes JSON-RPC calls to peers and is the client beside PeerServer.

--- a/Libraries/LibPeer/PeerChannel.h
+++ b/Libraries/LibPeer/PeerChannel.h
@@ -18,7 +18,7 @@
     void start();
     void stop();
 
-    /// As PeerLink::call().
+    /// As PeerClient::call().
     boost::asio::awaitable<Json::Value> call(std::string method, Json::Value parameters,
                                              Core::Instant deadline);
 
--- a/Libraries/LibPeer/TcpPeerLink.cpp
+++ b/Libraries/LibPeer/TcpPeerClient.cpp
@@ -1,4 +1,4 @@
-#include <LibPeer/TcpPeerLink.h>
+#include <LibPeer/TcpPeerClient.h>
 
 #include "PeerChannel.h"
 
@@ -6,17 +6,17 @@
 
 namespace Peer {
 
-TcpPeerLink::TcpPeerLink(boost::asio::any_io_executor executor)
+TcpPeerClient::TcpPeerClient(boost::asio::any_io_executor executor)
     : m_executor(std::move(executor))
 {
 }
 
-TcpPeerLink::~TcpPeerLink()
+TcpPeerClient::~TcpPeerClient()
 {
     setPeers({});
 }
 
-void TcpPeerLink::setPeers(const std::vector<PeerAddress> &peers)
+void TcpPeerClient::setPeers(const std::vector<PeerAddress> &peers)
 {
     auto previous = std::exchange(m_channels, {});
     for (const PeerAddress &address : peers) {
@@ -33,9 +33,9 @@
         channel->stop();
 }
 
-boost::asio::awaitable<Json::Value> TcpPeerLink::call(Core::VmId peer, std::string method,
-                                                      Json::Value parameters,
-                                                      Core::Instant deadline)
+boost::asio::awaitable<Json::Value> TcpPeerClient::call(Core::VmId peer, std::string method,
+                                                        Json::Value parameters,
+                                                        Core::Instant deadline)
 {
     const auto found = m_channels.find(peer);
     if (found == m_channels.end())
--- a/Services/lagoonfordd/Node.h
+++ b/Services/lagoonfordd/Node.h
@@ -8,7 +8,7 @@
 #include <LibLease/LeaseManager.h>
 #include <LibLease/MembershipManager.h>
 #include <LibLease/SlotShares.h>
-#include <LibPeer/TcpPeerLink.h>
+#include <LibPeer/TcpPeerClient.h>
 #include <LibPlatform/Http/HttpLogService.h>
 #include <LibPlatform/Http/HttpVmDirectory.h>
 #include <LibPlatform/Http/HttpWorkerControl.h>
@@ -58,7 +58,7 @@
     Platform::LogService &log() { return m_log; }
     Platform::WorkerControl &workers() { return m_workers; }
     Platform::VmDirectory &directory() { return m_directory; }
-    Peer::TcpPeerLink &peers() { return m_peers; }
+    Peer::TcpPeerClient &peers() { return m_peers; }
 
     Rules::RuleBook &ruleBook() { return m_ruleBook; }
     Rules::FreshnessGate &freshness() { return m_freshness; }
@@ -109,7 +109,7 @@
     Platform::HttpLogService m_log;
     Platform::HttpWorkerControl m_workers;
     Platform::HttpVmDirectory m_directory;
-    Peer::TcpPeerLink m_peers;
+    Peer::TcpPeerClient m_peers;
     Rules::RuleBook m_ruleBook;
     Rules::FreshnessGate m_freshness;
     Lease::LeaseManager m_lease;
--- a/Tests/LibPeer/TestPeerServer.cpp
+++ b/Tests/LibPeer/TestPeerServer.cpp
@@ -2,7 +2,7 @@
 #include <LibCore/Error.h>
 #include <LibPeer/PeerServer.h>
 #include <LibPeer/RemoteError.h>
-#include <LibPeer/TcpPeerLink.h>
+#include <LibPeer/TcpPeerClient.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -28,7 +28,7 @@
     asio::io_context context;
     std::optional<PeerServer> server;
     int count = 0;
-    Peer::TcpPeerLink link { context.get_executor() };
+    Peer::TcpPeerClient link { context.get_executor() };
 
     ServerFixture()
     {
--- a/Tests/LibPeer/TestTcpPeerLink.cpp
+++ b/Tests/LibPeer/TestTcpPeerClient.cpp
@@ -3,7 +3,7 @@
 #include <Common/Await.h>
 #include <LibCore/Error.h>
 #include <LibPeer/RemoteError.h>
-#include <LibPeer/TcpPeerLink.h>
+#include <LibPeer/TcpPeerClient.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -22,7 +22,7 @@
 {
     boost::asio::io_context context;
     FakePeer fake;
-    Peer::TcpPeerLink link { context.get_executor() };
+    Peer::TcpPeerClient link { context.get_executor() };
 
     explicit LinkFixture(FakePeer::Script script)
         : fake(context, std::move(script))
--- a/include/LibPeer/PeerLink.h
+++ b/include/LibPeer/PeerClient.h
@@ -11,13 +11,13 @@
 namespace Peer {
 
 /// Calls to the other entry VMs over long-lived connections.
-class PeerLink
+class PeerClient
 {
 public:
-    PeerLink() = default;
-    PeerLink(const PeerLink &) = delete;
-    PeerLink &operator=(const PeerLink &) = delete;
-    virtual ~PeerLink() = default;
+    PeerClient() = default;
+    PeerClient(const PeerClient &) = delete;
+    PeerClient &operator=(const PeerClient &) = delete;
+    virtual ~PeerClient() = default;
 
     /// Calls the JSON-RPC method \p method of \p peer.
     /// \throws Core::NotDoneError if the request was never sent.
--- a/include/LibPeer/TcpPeerLink.h
+++ b/include/LibPeer/TcpPeerClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibPeer/PeerAddress.h>
-#include <LibPeer/PeerLink.h>
+#include <LibPeer/PeerClient.h>
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -19,11 +19,11 @@
 /// The link keeps its connections up by itself. A call waits, bounded by its deadline, while the
 /// connection is being opened; it fails at once while the peer refuses connections. The link is
 /// used from one thread only, and its executor's context must outlive it.
-class TcpPeerLink final : public PeerLink
+class TcpPeerClient final : public PeerClient
 {
 public:
-    explicit TcpPeerLink(boost::asio::any_io_executor executor);
-    ~TcpPeerLink() override;
+    explicit TcpPeerClient(boost::asio::any_io_executor executor);
+    ~TcpPeerClient() override;
 
     /// Replaces the set of peers. Connections to unchanged peers stay open.
     void setPeers(const std::vector<PeerAddress> &peers);
