LibPeer: Name and describe the code in the terms of the field

Connections "fell silent", were "kept up" and "brought" messages, calls were "abandoned" and answers "delivered"; members had names like m_taken and m_reason. Comments, error texts, test names, private members and locals now speak of requests and responses, timeouts and closed connections. The time limits are named as timeouts with their scope (clientReceiveTimeout, serverIoTimeout, connectTimeout).

JSON-RPC members, `peer.ping` and the error codes are unchanged: the string literals of include/LibPeer and Libraries/LibPeer differ only in texts of errors, which no test and no other code matches.

--- a/Libraries/LibPeer/FrameBuffer.h
+++ b/Libraries/LibPeer/FrameBuffer.h
@@ -7,23 +7,23 @@
 
 namespace Peer {
 
-/// Cuts a stream of bytes into messages, each ended by a newline.
+/// Splits a byte stream into messages that are terminated by a newline.
 class FrameBuffer
 {
 public:
-    /// Adds received bytes.
+    /// Appends received bytes.
     void append(std::string_view bytes);
 
-    /// Takes the next whole message, if there is one.
-    /// \throws Core::FormatError if a message is larger than maximumFrameBytes.
+    /// Removes and returns the next complete message, if there is one.
+    /// \throws Core::FormatError if the message is larger than maximumFrameBytes.
     std::optional<std::string> takeFrame();
 
 private:
     std::string m_bytes;
-    /// How many bytes at the front were taken already.
-    std::size_t m_taken = 0;
-    /// Up to where no newline was found.
-    std::size_t m_searched = 0;
+    /// The number of bytes at the front that belong to messages already taken.
+    std::size_t m_consumed = 0;
+    /// The position up to which there is no newline after the consumed bytes.
+    std::size_t m_searchedEnd = 0;
 };
 
 } // namespace Peer
--- a/Libraries/LibPeer/PeerChannel.cpp
+++ b/Libraries/LibPeer/PeerChannel.cpp
@@ -24,7 +24,7 @@
     return asio::redirect_error(asio::use_awaitable, error);
 }
 
-/// A call that waits for a connection. It takes itself off the channel's list even if its
+/// A call that waits for a connection. It removes itself from the channel's set even if its
 /// coroutine is destroyed while it waits.
 class PeerChannel::Waiter
 {
@@ -49,7 +49,7 @@
 PeerChannel::PeerChannel(asio::any_io_executor executor, PeerAddress address)
     : m_executor(std::move(executor))
     , m_address(std::move(address))
-    , m_pauseTimer(m_executor)
+    , m_reconnectTimer(m_executor)
     , m_reconnectDelay(minimumReconnectDelay)
 {
 }
@@ -57,20 +57,21 @@
 void PeerChannel::start()
 {
     asio::co_spawn(
-        m_executor, [self = shared_from_this()] { return self->keepConnected(); }, asio::detached);
+        m_executor, [self = shared_from_this()] { return self->maintainConnection(); },
+        asio::detached);
 }
 
 void PeerChannel::stop()
 {
     m_isStopped = true;
-    m_reason = "the peer was removed";
-    m_pauseTimer.cancel();
+    m_unavailableReason = "the peer was removed";
+    m_reconnectTimer.cancel();
     if (m_connection)
-        m_connection->close(m_reason);
+        m_connection->close(m_unavailableReason);
     wakeWaiters();
 }
 
-asio::awaitable<void> PeerChannel::keepConnected()
+asio::awaitable<void> PeerChannel::maintainConnection()
 {
     while (!m_isStopped) {
         co_await connect();
@@ -81,7 +82,7 @@
                 m_reconnectDelay = minimumReconnectDelay;
             m_connection.reset();
         }
-        co_await pause();
+        co_await waitBeforeReconnect();
     }
 }
 
@@ -91,24 +92,24 @@
     const auto ip = asio::ip::make_address(m_address.address, error);
     if (!error) {
         boost::beast::tcp_stream stream(m_executor);
-        stream.expires_after(connectLimit);
+        stream.expires_after(connectTimeout);
         const asio::ip::tcp::endpoint endpoint(ip, m_address.port);
         co_await stream.async_connect(endpoint, awaitInto(error));
         if (!error && !m_isStopped)
             m_connection = std::make_shared<PeerConnection>(stream.release_socket(), m_nextId);
     }
     if (!m_isStopped)
-        m_reason = error ? "connect: " + error.message() : "";
+        m_unavailableReason = error ? "connect: " + error.message() : "";
 }
 
-asio::awaitable<void> PeerChannel::pause()
+asio::awaitable<void> PeerChannel::waitBeforeReconnect()
 {
     if (m_isStopped)
         co_return;
     error_code ignored;
-    m_pauseTimer.expires_after(m_reconnectDelay);
+    m_reconnectTimer.expires_after(m_reconnectDelay);
     m_reconnectDelay = std::min(2 * m_reconnectDelay, maximumReconnectDelay);
-    co_await m_pauseTimer.async_wait(awaitInto(ignored));
+    co_await m_reconnectTimer.async_wait(awaitInto(ignored));
 }
 
 void PeerChannel::wakeWaiters()
@@ -117,14 +118,15 @@
         waiter->timer().cancel();
 }
 
-asio::awaitable<std::shared_ptr<PeerConnection>> PeerChannel::connected(std::string method,
-                                                                        Core::Instant deadline)
+asio::awaitable<std::shared_ptr<PeerConnection>>
+PeerChannel::waitForConnection(std::string method, Core::Instant deadline)
 {
     while (true) {
         if (Core::steadyNow() >= deadline)
-            throw Core::NotDoneError(method, m_address.peer.text(), "no connection in time");
-        if (!m_reason.empty())
-            throw Core::NotDoneError(method, m_address.peer.text(), m_reason);
+            throw Core::NotDoneError(method, m_address.peer.text(),
+                                     "no connection before the deadline");
+        if (!m_unavailableReason.empty())
+            throw Core::NotDoneError(method, m_address.peer.text(), m_unavailableReason);
         if (m_connection)
             co_return m_connection;
         error_code ignored;
@@ -137,32 +139,33 @@
                                                Core::Instant deadline)
 {
     const auto self = shared_from_this();
-    const std::shared_ptr<PeerConnection> connection = co_await connected(method, deadline);
+    const std::shared_ptr<PeerConnection> connection = co_await waitForConnection(method, deadline);
     const auto call = connection->send(method, parameters, deadline);
     if (!call)
         throw Core::NotDoneError(method, m_address.peer.text(),
-                                 "the connection ended or its queue is full");
+                                 "the connection is closed or its queue is full");
     error_code ignored;
     co_await call->timer.async_wait(awaitInto(ignored));
-    connection->abandon(call);
-    co_return result(method, *call);
+    connection->removeCall(call);
+    co_return resultOf(method, *call);
 }
 
-Json::Value PeerChannel::result(const std::string &method, const PendingCall &call) const
+Json::Value PeerChannel::resultOf(const std::string &method, const PendingCall &call) const
 {
     using Stage = PendingCall::Stage;
     const std::string &peer = m_address.peer.text();
-    const std::string reason = call.reason.empty() ? "no answer in time" : call.reason;
+    const std::string reason
+        = call.reason.empty() ? "no response before the deadline" : call.reason;
     if (call.stage == Stage::Queued || call.stage == Stage::NeverSent)
         throw Core::NotDoneError(method, peer, reason);
-    if (call.stage != Stage::Answered)
+    if (call.stage != Stage::ResponseReceived)
         throw Core::OutcomeUnknownError(method, peer, reason);
-    const Json::Value &error = call.answer["error"];
+    const Json::Value &error = call.response["error"];
     if (error.isObject() && error["code"].isInt() && error["message"].isString())
         throw RemoteError(method, peer, error["message"].asString(), error["code"].asInt());
-    if (!error.isNull() || !call.answer.isMember("result"))
-        throw Core::OutcomeUnknownError(method, peer, "the answer is malformed");
-    return call.answer["result"];
+    if (!error.isNull() || !call.response.isMember("result"))
+        throw Core::OutcomeUnknownError(method, peer, "the response is malformed");
+    return call.response["result"];
 }
 
 } // namespace Peer
--- a/Libraries/LibPeer/PeerConnection.cpp
+++ b/Libraries/LibPeer/PeerConnection.cpp
@@ -22,7 +22,7 @@
     : m_socket(std::move(socket))
     , m_heartbeatTimer(m_socket.get_executor())
     , m_nextId(std::move(nextId))
-    , m_lastReceived(Core::steadyNow())
+    , m_lastReceivedAt(Core::steadyNow())
 {
     error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -41,12 +41,12 @@
             close(error.message());
             co_return;
         }
-        m_lastReceived = Core::steadyNow();
+        m_lastReceivedAt = Core::steadyNow();
         m_hasReceivedBytes = true;
         try {
             m_frames.append({ chunk.data(), length });
             while (const std::optional<std::string> frame = m_frames.takeFrame())
-                deliver(*frame);
+                handleResponse(*frame);
         } catch (const Core::FormatError &malformed) {
             close(malformed.what());
         }
@@ -115,7 +115,7 @@
                       });
 }
 
-void PeerConnection::abandon(const std::shared_ptr<PendingCall> &call)
+void PeerConnection::removeCall(const std::shared_ptr<PendingCall> &call)
 {
     m_pending.erase(call->id);
     const auto queued = std::find(m_queue.begin(), m_queue.end(), call);
@@ -125,21 +125,21 @@
     m_queue.erase(queued);
 }
 
-void PeerConnection::deliver(const std::string &frame)
+void PeerConnection::handleResponse(const std::string &frame)
 {
-    const Json::Value answer = Core::Json::parse(frame, "peer");
-    if (!answer.isObject() || !answer["id"].isUInt64())
-        throw Core::FormatError("read answer", "peer", "the message is no answer");
-    const auto found = m_pending.find(answer["id"].asUInt64());
-    // A heartbeat's answer, or one that comes after its call's deadline.
+    const Json::Value response = Core::Json::parse(frame, "peer");
+    if (!response.isObject() || !response["id"].isUInt64())
+        throw Core::FormatError("read response", "peer", "the message isn't a response");
+    const auto found = m_pending.find(response["id"].asUInt64());
+    // The response is for a heartbeat, or the deadline of its call has passed.
     if (found == m_pending.end())
         return;
     const std::shared_ptr<PendingCall> call = found->second;
     if (call->stage != PendingCall::Stage::Sent)
-        throw Core::FormatError("read answer", "peer", "the request wasn't sent yet");
+        throw Core::FormatError("read response", "peer", "the request hasn't been sent yet");
     m_pending.erase(found);
-    call->stage = PendingCall::Stage::Answered;
-    call->answer = answer;
+    call->stage = PendingCall::Stage::ResponseReceived;
+    call->response = response;
     call->timer.cancel();
 }
 
@@ -148,19 +148,19 @@
     m_heartbeatTimer.expires_after(heartbeatInterval);
     m_heartbeatTimer.async_wait([self = shared_from_this()](error_code error) {
         if (!error && !self->m_isClosed)
-            self->beat();
+            self->sendHeartbeatIfIdle();
     });
 }
 
-void PeerConnection::beat()
+void PeerConnection::sendHeartbeatIfIdle()
 {
-    const Core::Duration silence = Core::steadyNow() - m_lastReceived;
-    if (silence >= clientSilenceLimit) {
-        close("the connection has gone silent");
+    const Core::Duration silentFor = Core::steadyNow() - m_lastReceivedAt;
+    if (silentFor >= clientReceiveTimeout) {
+        close("the peer hasn't sent any data in time");
         return;
     }
-    // A request that waits to be written serves as well.
-    if (silence >= heartbeatInterval && m_queue.empty() && !m_isWriting)
+    // No heartbeat is needed if another request is about to be sent.
+    if (silentFor >= heartbeatInterval && m_queue.empty() && !m_isWriting)
         enqueue(makeCall(heartbeatMethod, {}));
     scheduleHeartbeat();
 }
@@ -171,7 +171,7 @@
         return;
     m_isClosed = true;
     error_code ignored;
-    // Requests given up on must not reach the peer much later.
+    // Discards unsent data, so that requests that have failed here don't reach the peer much later.
     m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
     m_socket.close(ignored);
     m_heartbeatTimer.cancel();
@@ -179,7 +179,7 @@
     m_queue.clear();
     for (const auto &[id, call] : pending) {
         const bool isUnsent = call->stage == PendingCall::Stage::Queued;
-        call->stage = isUnsent ? PendingCall::Stage::NeverSent : PendingCall::Stage::Unanswered;
+        call->stage = isUnsent ? PendingCall::Stage::NeverSent : PendingCall::Stage::NoResponse;
         call->reason = reason;
         call->timer.cancel();
     }
--- a/Libraries/LibPeer/PeerConnection.h
+++ b/Libraries/LibPeer/PeerConnection.h
@@ -20,26 +20,27 @@
 
 namespace Peer {
 
-/// The caller's side of one connection: a bounded queue of requests to write, the calls that wait
-/// for their answers, and heartbeats while it is idle.
+/// The client side of one connection: a bounded queue of requests to write, the calls that wait for
+/// their responses, and heartbeats while the connection is idle.
 ///
-/// Answers find their call by its id among those sent on this connection. An id is never used
-/// twice, so a late answer finds nothing and is dropped.
+/// A response is assigned to the call with the same id that was sent on this connection. Ids are
+/// never reused, so a late response doesn't match any call and is dropped.
 class PeerConnection : public std::enable_shared_from_this<PeerConnection>
 {
 public:
     /// \p nextId is shared by all connections to the peer.
     PeerConnection(boost::asio::ip::tcp::socket socket, std::shared_ptr<std::uint64_t> nextId);
 
-    /// Reads answers until the connection ends, falls silent or brings a malformed message.
+    /// Reads responses until the connection is closed, times out or receives a malformed message.
     boost::asio::awaitable<void> run();
 
-    /// Queues a request. Returns null if the queue is full or the connection has ended.
+    /// Queues a request. Returns nullptr if the request is too long, the queue is full or the
+    /// connection is closed.
     std::shared_ptr<PendingCall> send(const std::string &method, const Json::Value &parameters,
                                       Core::Instant deadline);
 
-    /// Forgets \p call, whose deadline has passed.
-    void abandon(const std::shared_ptr<PendingCall> &call);
+    /// Removes \p call after it was completed or its deadline has passed.
+    void removeCall(const std::shared_ptr<PendingCall> &call);
 
     void close(const std::string &reason);
 
@@ -49,9 +50,9 @@
     std::shared_ptr<PendingCall> makeCall(const std::string &method, const Json::Value &parameters);
     void enqueue(const std::shared_ptr<PendingCall> &call);
     void writeNext();
-    void deliver(const std::string &frame);
+    void handleResponse(const std::string &frame);
     void scheduleHeartbeat();
-    void beat();
+    void sendHeartbeatIfIdle();
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_heartbeatTimer;
@@ -60,7 +61,7 @@
     std::deque<std::shared_ptr<PendingCall>> m_queue;
     std::size_t m_queuedBytes = 0;
     std::map<std::uint64_t, std::shared_ptr<PendingCall>> m_pending;
-    Core::Instant m_lastReceived;
+    Core::Instant m_lastReceivedAt;
     bool m_hasReceivedBytes = false;
     bool m_isWriting = false;
     bool m_isClosed = false;
--- a/Libraries/LibPeer/PeerDispatcher.cpp
+++ b/Libraries/LibPeer/PeerDispatcher.cpp
@@ -20,7 +20,7 @@
 
 void PeerDispatcher::addMethod(const std::string &name, PeerServer::Method method)
 {
-    // No parameter is declared: the methods check theirs themselves.
+    // No parameters are declared, because the methods check their parameters themselves.
     m_protocol->AddProcedure(
         jsonrpc::Procedure(name, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, nullptr));
     m_methods[name] = std::move(method);
@@ -28,14 +28,15 @@
 
 std::string PeerDispatcher::handle(const std::string &frame)
 {
-    // The library's own reader is lenient and nests deeply; ours comes first.
+    // The library's own parser is lenient and allows deep nesting, so the message is checked by our
+    // parser first.
     if (!Core::Json::parse(frame, "peer").isObject())
-        throw Core::FormatError("read request", "peer", "the message is no object");
-    std::string answer;
-    m_protocol->HandleRequest(frame, answer);
-    while (!answer.empty() && answer.back() == '\n')
-        answer.pop_back();
-    return answer;
+        throw Core::FormatError("read request", "peer", "the message isn't an object");
+    std::string response;
+    m_protocol->HandleRequest(frame, response);
+    while (!response.empty() && response.back() == '\n')
+        response.pop_back();
+    return response;
 }
 
 void PeerDispatcher::HandleMethodCall(jsonrpc::Procedure &procedure, const Json::Value &input,
@@ -52,7 +53,7 @@
 void PeerDispatcher::HandleNotificationCall(jsonrpc::Procedure & /*procedure*/,
                                             const Json::Value & /*input*/)
 {
-    // All procedures are methods, so the library never gets here.
+    // Never called, because all procedures are registered as methods.
 }
 
 } // namespace Peer
--- a/Libraries/LibPeer/PeerDispatcher.h
+++ b/Libraries/LibPeer/PeerDispatcher.h
@@ -11,8 +11,8 @@
 
 namespace Peer {
 
-/// Feeds messages to libjsonrpccpp's protocol handler, which validates them, finds the method and
-/// writes the answer.
+/// Passes messages to the protocol handler of libjsonrpccpp, which validates them, looks up the
+/// method and encodes the response.
 class PeerDispatcher final : public jsonrpc::IProcedureInvokationHandler
 {
 public:
@@ -21,8 +21,8 @@
 
     void addMethod(const std::string &name, PeerServer::Method method);
 
-    /// Carries out the request \p frame and returns the answer, empty for a notification.
-    /// \throws Core::FormatError if the frame is no JSON object.
+    /// Executes the request \p frame and returns the response, which is empty for a notification.
+    /// \throws Core::FormatError if the frame isn't a JSON object.
     std::string handle(const std::string &frame);
 
     void HandleMethodCall(jsonrpc::Procedure &procedure, const Json::Value &input,
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -20,7 +20,7 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-/// The pause after a failed accept, most likely for want of file descriptors.
+/// The delay after a failed accept, whose most likely cause is a lack of file descriptors.
 static constexpr Core::Duration acceptRetryDelay = std::chrono::milliseconds(100);
 
 class PeerServer::Listener : public std::enable_shared_from_this<Listener>
@@ -34,8 +34,8 @@
     PeerDispatcher &dispatcher() { return *m_dispatcher; }
 
 private:
-    asio::awaitable<void> acceptAll();
-    void serve(asio::ip::tcp::socket socket);
+    asio::awaitable<void> acceptConnections();
+    void startSession(asio::ip::tcp::socket socket);
 
     asio::any_io_executor m_executor;
     asio::ip::tcp::acceptor m_acceptor;
@@ -64,25 +64,26 @@
 void PeerServer::Listener::start()
 {
     asio::co_spawn(
-        m_executor, [self = shared_from_this()] { return self->acceptAll(); }, asio::detached);
+        m_executor, [self = shared_from_this()] { return self->acceptConnections(); },
+        asio::detached);
 }
 
-asio::awaitable<void> PeerServer::Listener::acceptAll()
+asio::awaitable<void> PeerServer::Listener::acceptConnections()
 {
     while (m_acceptor.is_open()) {
         error_code error;
         asio::ip::tcp::socket socket(m_executor);
         co_await m_acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
         if (!error) {
-            serve(std::move(socket));
+            startSession(std::move(socket));
             continue;
         }
-        asio::steady_timer pause(m_executor, acceptRetryDelay);
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        asio::steady_timer retryTimer(m_executor, acceptRetryDelay);
+        co_await retryTimer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     }
 }
 
-void PeerServer::Listener::serve(asio::ip::tcp::socket socket)
+void PeerServer::Listener::startSession(asio::ip::tcp::socket socket)
 {
     if (!m_acceptor.is_open() || m_sessions.size() >= maximumSessions)
         return;
--- a/Libraries/LibPeer/PeerSession.cpp
+++ b/Libraries/LibPeer/PeerSession.cpp
@@ -28,12 +28,13 @@
     try {
         while (!m_isStopping && co_await receive()) {
             while (const std::optional<std::string> frame = m_frames.takeFrame()) {
-                if (m_isStopping || !co_await answer(m_dispatcher->handle(*frame)))
+                if (m_isStopping || !co_await writeResponse(m_dispatcher->handle(*frame)))
                     co_return;
             }
         }
     } catch (const std::exception &) {
-        // A malformed message: whoever sent it doesn't speak our protocol, so the connection ends.
+        // The message is malformed. Its sender doesn't follow the protocol, so the connection is
+        // closed.
     }
     error_code ignored;
     m_stream.socket().close(ignored);
@@ -43,21 +44,21 @@
 {
     error_code error;
     std::array<char, readChunkBytes> chunk;
-    m_stream.expires_after(serverSilenceLimit);
+    m_stream.expires_after(serverIoTimeout);
     const std::size_t length = co_await m_stream.async_read_some(
         asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, error));
     m_frames.append({ chunk.data(), length });
     co_return !error;
 }
 
-asio::awaitable<bool> PeerSession::answer(std::string text)
+asio::awaitable<bool> PeerSession::writeResponse(std::string text)
 {
     if (text.empty())
         co_return true;
     text += '\n';
     error_code error;
     m_isWriting = true;
-    m_stream.expires_after(serverSilenceLimit);
+    m_stream.expires_after(serverIoTimeout);
     co_await asio::async_write(m_stream, asio::buffer(text),
                                asio::redirect_error(asio::use_awaitable, error));
     m_isWriting = false;
--- a/Libraries/LibPeer/PeerSession.h
+++ b/Libraries/LibPeer/PeerSession.h
@@ -12,21 +12,22 @@
 
 namespace Peer {
 
-/// The server's side of one connection. It carries out one request after the other, and reads no
-/// further one before an answer is written: a peer that doesn't read its answers isn't served.
+/// The server side of one connection. Requests are executed one at a time, and the next one is read
+/// only after the response has been written. So a peer that doesn't read its responses isn't
+/// served.
 class PeerSession
 {
 public:
     PeerSession(boost::asio::ip::tcp::socket socket, std::shared_ptr<PeerDispatcher> dispatcher);
 
-    /// Serves until the connection ends, falls silent or brings a malformed message.
+    /// Serves requests until the connection is closed, times out or receives a malformed message.
     boost::asio::awaitable<void> run();
 
     void stop();
 
 private:
     boost::asio::awaitable<bool> receive();
-    boost::asio::awaitable<bool> answer(std::string text);
+    boost::asio::awaitable<bool> writeResponse(std::string text);
 
     boost::beast::tcp_stream m_stream;
     std::shared_ptr<PeerDispatcher> m_dispatcher;
--- a/Libraries/LibPeer/PendingCall.h
+++ b/Libraries/LibPeer/PendingCall.h
@@ -9,18 +9,18 @@
 
 namespace Peer {
 
-/// One call on one connection.
+/// A call on a connection.
 struct PendingCall
 {
     enum class Stage {
         Queued,
-        /// Bytes may have left, so the peer may have acted.
+        /// Some bytes may have been sent, so the peer may have executed the request.
         Sent,
-        Answered,
-        /// The connection ended before any byte left.
+        ResponseReceived,
+        /// The connection was closed before any byte was sent.
         NeverSent,
-        /// The connection ended without an answer.
-        Unanswered,
+        /// The connection was closed before a response was received.
+        NoResponse,
     };
 
     explicit PendingCall(const boost::asio::any_io_executor &executor)
@@ -29,14 +29,14 @@
     }
 
     std::uint64_t id = 0;
-    /// The request with the newline that ends it.
+    /// The request with the terminating newline.
     std::string frame;
     Stage stage = Stage::Queued;
-    /// The whole JSON-RPC answer.
-    Json::Value answer;
-    /// Why the connection ended.
+    /// The complete JSON-RPC response.
+    Json::Value response;
+    /// Why the connection was closed.
     std::string reason;
-    /// Expires at the call's deadline and is cancelled when the stage is final.
+    /// Expires at the call's deadline. Cancelled when the stage is final.
     boost::asio::steady_timer timer;
 };
 
--- a/Libraries/LibPeer/TcpPeerClient.cpp
+++ b/Libraries/LibPeer/TcpPeerClient.cpp
@@ -39,7 +39,7 @@
 {
     const auto found = m_channels.find(peer);
     if (found == m_channels.end())
-        throw Core::NotDoneError(method, peer.text(), "the peer isn't known");
+        throw Core::NotDoneError(method, peer.text(), "unknown peer");
     const std::shared_ptr<PeerChannel> channel = found->second;
     co_return co_await channel->call(std::move(method), std::move(parameters), deadline);
 }
--- a/Tests/LibPeer/FakePeer.cpp
+++ b/Tests/LibPeer/FakePeer.cpp
@@ -11,20 +11,20 @@
 
 namespace asio = boost::asio;
 
-FakePeer::FakePeer(asio::io_context &context, Script script)
+FakePeer::FakePeer(asio::io_context &context, ResponseScript script)
     : m_acceptor(context, { asio::ip::address_v4::loopback(), 0 })
-    , m_script(std::move(script))
+    , m_responseScript(std::move(script))
 {
     asio::co_spawn(
-        context, [this] { return acceptAll(); }, asio::detached);
+        context, [this] { return acceptConnections(); }, asio::detached);
 }
 
-asio::awaitable<void> FakePeer::acceptAll()
+asio::awaitable<void> FakePeer::acceptConnections()
 {
     while (true) {
         asio::ip::tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
-        ++m_connections;
-        asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket), m_connections),
+        ++m_connectionCount;
+        asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket), m_connectionCount),
                        asio::detached);
     }
 }
@@ -41,16 +41,16 @@
             socket, asio::dynamic_buffer(received), '\n', asio::use_awaitable);
         const Json::Value request = Core::Json::parse(received.substr(0, length), "test");
         received.erase(0, length);
-        const std::string bytes = m_script(number, request);
+        const std::string bytes = m_responseScript(number, request);
         co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
     }
 }
 
-std::string answerTo(const Json::Value &request, const Json::Value &result)
+std::string responseTo(const Json::Value &request, const Json::Value &result)
 {
-    Json::Value answer;
-    answer["jsonrpc"] = "2.0";
-    answer["id"] = request["id"];
-    answer["result"] = result;
-    return Core::Json::write(answer) + '\n';
+    Json::Value response;
+    response["jsonrpc"] = "2.0";
+    response["id"] = request["id"];
+    response["result"] = result;
+    return Core::Json::write(response) + '\n';
 }
--- a/Tests/LibPeer/FakePeer.h
+++ b/Tests/LibPeer/FakePeer.h
@@ -10,30 +10,29 @@
 #include <functional>
 #include <string>
 
-/// A peer whose answers the test makes up byte by byte. Heartbeats are answered unless it is told
-/// not to.
+/// A server whose responses to all requests, including heartbeats, are determined by the test.
 class FakePeer
 {
 public:
-    /// Gets the number of the connection, from 1, and a request; returns the bytes to send.
-    using Script = std::function<std::string(int connection, const Json::Value &request)>;
+    /// Returns the bytes to send for a request. Connections are numbered from 1.
+    using ResponseScript = std::function<std::string(int connection, const Json::Value &request)>;
 
-    FakePeer(boost::asio::io_context &context, Script script);
+    FakePeer(boost::asio::io_context &context, ResponseScript script);
 
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
-    int connections() const { return m_connections; }
+    int connectionCount() const { return m_connectionCount; }
 
-    /// While false nothing is read from new connections.
+    /// If false, nothing is read from new connections.
     bool isReading = true;
 
 private:
-    boost::asio::awaitable<void> acceptAll();
+    boost::asio::awaitable<void> acceptConnections();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket, int number);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
-    Script m_script;
-    int m_connections = 0;
+    ResponseScript m_responseScript;
+    int m_connectionCount = 0;
 };
 
-/// A well-formed answer to \p request.
-std::string answerTo(const Json::Value &request, const Json::Value &result);
+/// Returns a well-formed response to \p request.
+std::string responseTo(const Json::Value &request, const Json::Value &result);
--- a/Tests/LibPeer/TestPeerServer.cpp
+++ b/Tests/LibPeer/TestPeerServer.cpp
@@ -22,18 +22,18 @@
 
 const Core::VmId peer("e2");
 
-/// A server with a method that counts its calls, and a link to it.
+/// A server with a method that counts its calls, and a client of it.
 struct ServerFixture
 {
     asio::io_context context;
     std::optional<PeerServer> server;
     int count = 0;
-    Peer::TcpPeerClient link { context.get_executor() };
+    Peer::TcpPeerClient client { context.get_executor() };
 
     ServerFixture()
     {
         listen(0);
-        link.setPeers({ { peer, "127.0.0.1", server->port() } });
+        client.setPeers({ { peer, "127.0.0.1", server->port() } });
     }
 
     void listen(std::uint16_t port)
@@ -48,11 +48,11 @@
 
     Json::Value call(const std::string &method, const Json::Value &parameters = {})
     {
-        return await(context, link.call(peer, method, parameters, amply()));
+        return await(context, client.call(peer, method, parameters, amply()));
     }
 
-    /// Sends \p bytes on a connection of their own and reads until the server ends it. Returns what
-    /// it answered.
+    /// Sends \p bytes on a new connection and reads until the server closes it. Returns the
+    /// received bytes.
     asio::awaitable<std::string> sendRaw(std::string bytes)
     {
         boost::system::error_code ignored;
@@ -62,10 +62,10 @@
         co_await asio::async_write(socket, asio::buffer(bytes),
                                    asio::redirect_error(asio::use_awaitable, ignored));
         socket.shutdown(asio::socket_base::shutdown_send, ignored);
-        std::string answer;
-        co_await asio::async_read(socket, asio::dynamic_buffer(answer),
+        std::string response;
+        co_await asio::async_read(socket, asio::dynamic_buffer(response),
                                   asio::redirect_error(asio::use_awaitable, ignored));
-        co_return answer;
+        co_return response;
     }
 };
 
@@ -81,26 +81,26 @@
 
 } // namespace
 
-TEST_CASE("A server answers its peers' calls")
+TEST_CASE("A server executes its peers' calls")
 {
     ServerFixture fixture;
     Json::Value parameters;
     parameters["epoch"] = Json::Int64(1) << 60;
     CHECK(fixture.call("echo", parameters) == parameters);
-    SECTION("a method's exception is an error of the call, and of nothing else")
+    SECTION("an exception in a method fails only its call")
     {
         CHECK(errorCode(fixture, "fail") == -32603);
         CHECK(errorCode(fixture, "unknown") == -32601);
         CHECK(fixture.call("count") == 1);
     }
-    SECTION("while it is stopped nothing is done")
+    SECTION("a stopped server doesn't execute calls")
     {
         const std::uint16_t port = fixture.server->port();
         fixture.server.reset();
         CHECK_THROWS_AS(fixture.call("count"), Core::Error);
         CHECK_THROWS_AS(fixture.call("count"), Core::NotDoneError);
         CHECK(fixture.count == 0);
-        SECTION("once restarted it is found again")
+        SECTION("the client reconnects when the server is restarted")
         {
             fixture.listen(port);
             const Core::Instant limit = amply();
@@ -114,36 +114,36 @@
             CHECK(fixture.count == 1);
         }
     }
-    SECTION("a peer that was removed isn't called")
+    SECTION("calls to a removed peer fail without being sent")
     {
-        fixture.link.setPeers({});
+        fixture.client.setPeers({});
         CHECK_THROWS_AS(fixture.call("count"), Core::NotDoneError);
     }
 }
 
-TEST_CASE("Whatever bytes come, a server carries out only what was asked for")
+TEST_CASE("A server executes only well-formed requests")
 {
     ServerFixture fixture;
-    SECTION("a message that is too long ends its connection only")
+    SECTION("a message that is too long closes only its own connection")
     {
         const std::string request = R"({"jsonrpc":"2.0","id":7,"method":"count"})";
         await(fixture.context, fixture.sendRaw(std::string(3 * 1024 * 1024, ' ') + request + '\n'));
         CHECK(fixture.count == 0);
         CHECK(fixture.call("count") == 1);
     }
-    SECTION("a well-formed request by hand is carried out")
+    SECTION("a well-formed raw request is executed")
     {
         const std::string request = R"({"jsonrpc":"2.0","id":7,"method":"count"})";
         CHECK(await(fixture.context, fixture.sendRaw(request + '\n'))
               == "{\"id\":7,\"jsonrpc\":\"2.0\",\"result\":1}\n");
     }
-    rc::prop("bytes that don't name the method never call it", [&](const std::string &garbage) {
+    rc::prop("random bytes don't call a method", [&](const std::string &garbage) {
         const int before = fixture.count;
         await(fixture.context, fixture.sendRaw(garbage + '\n'));
         RC_ASSERT(fixture.count == before);
         RC_ASSERT(fixture.call("count") == before + 1);
     });
-    rc::prop("a request that was cut short is never carried out", [&] {
+    rc::prop("a truncated request is never executed", [&] {
         const std::string request = R"({"jsonrpc":"2.0","id":7,"method":"count"})";
         const auto length = *rc::gen::inRange<std::size_t>(0, request.size());
         const int before = fixture.count;
--- a/Tests/LibPeer/TestTcpPeerClient.cpp
+++ b/Tests/LibPeer/TestTcpPeerClient.cpp
@@ -17,22 +17,22 @@
 
 const Core::VmId peer("e2");
 
-/// A link to a fake peer in one thread.
-struct LinkFixture
+/// A client and a fake peer that share one thread.
+struct ClientFixture
 {
     boost::asio::io_context context;
     FakePeer fake;
-    Peer::TcpPeerClient link { context.get_executor() };
+    Peer::TcpPeerClient client { context.get_executor() };
 
-    explicit LinkFixture(FakePeer::Script script)
+    explicit ClientFixture(FakePeer::ResponseScript script)
         : fake(context, std::move(script))
     {
-        link.setPeers({ { peer, "127.0.0.1", fake.port() } });
+        client.setPeers({ { peer, "127.0.0.1", fake.port() } });
     }
 
     Json::Value call(const std::string &method, Core::Instant deadline)
     {
-        return await(context, link.call(peer, method, {}, deadline));
+        return await(context, client.call(peer, method, {}, deadline));
     }
 };
 
@@ -41,41 +41,42 @@
     return request["method"] == "peer.ping";
 }
 
-/// Answers with the method's name.
+/// Returns a response whose result is the method's name.
 std::string echo(const Json::Value &request)
 {
-    return answerTo(request, request["method"]);
+    return responseTo(request, request["method"]);
 }
 
 } // namespace
 
-TEST_CASE("A late answer reaches no other call")
+TEST_CASE("A late response isn't assigned to another call")
 {
-    Json::Value late;
-    LinkFixture fixture([&late](int, const Json::Value &request) {
+    Json::Value lateRequest;
+    ClientFixture fixture([&lateRequest](int, const Json::Value &request) {
         if (isHeartbeat(request))
             return echo(request);
-        if (late.isNull()) {
-            late = request;
+        if (lateRequest.isNull()) {
+            lateRequest = request;
             return std::string();
         }
-        return answerTo(late, "late") + echo(request);
+        return responseTo(lateRequest, "late") + echo(request);
     });
     CHECK_THROWS_AS(fixture.call("first", soon()), Core::OutcomeUnknownError);
     CHECK(fixture.call("second", amply()) == "second");
-    CHECK(fixture.fake.connections() == 1);
+    CHECK(fixture.fake.connectionCount() == 1);
 }
 
-TEST_CASE("Calls under way at once get each its own answer")
+TEST_CASE("Concurrent calls get their own responses")
 {
-    std::string held;
-    LinkFixture fixture([&held](int, const Json::Value &request) {
+    std::string firstResponse;
+    ClientFixture fixture([&firstResponse](int, const Json::Value &request) {
         if (isHeartbeat(request))
             return echo(request);
-        // The answer to the first goes out behind that to the second.
-        return held.empty() ? (held = echo(request), std::string()) : echo(request) + held;
+        // The response to the first call is sent after the response to the second one.
+        return firstResponse.empty() ? (firstResponse = echo(request), std::string())
+                                     : echo(request) + firstResponse;
     });
-    auto first = boost::asio::co_spawn(fixture.context, fixture.link.call(peer, "a", {}, amply()),
+    auto first = boost::asio::co_spawn(fixture.context, fixture.client.call(peer, "a", {}, amply()),
                                        boost::asio::use_future);
     CHECK(fixture.call("b", amply()) == "b");
     while (first.wait_for(std::chrono::seconds(0)) != std::future_status::ready)
@@ -83,37 +84,37 @@
     CHECK(first.get() == "a");
 }
 
-TEST_CASE("A connection gone silent is found and replaced")
+TEST_CASE("A connection without responses is detected and replaced")
 {
-    LinkFixture fixture([](int connection, const Json::Value &request) {
+    ClientFixture fixture([](int connection, const Json::Value &request) {
         return connection == 1 ? std::string() : echo(request);
     });
-    SECTION("a call on it fails long before its own deadline")
+    SECTION("a call on it fails long before the call's deadline")
     {
         CHECK_THROWS_AS(fixture.call("first", amply()), Core::OutcomeUnknownError);
         CHECK(fixture.call("second", amply()) == "second");
     }
-    SECTION("heartbeats find it without any call")
+    SECTION("heartbeats detect it without a call")
     {
         boost::asio::steady_timer timer(fixture.context, std::chrono::seconds(2));
         await(fixture.context, timer.async_wait(boost::asio::use_awaitable));
-        CHECK(fixture.fake.connections() >= 2);
+        CHECK(fixture.fake.connectionCount() >= 2);
         CHECK(fixture.call("first", amply()) == "first");
     }
 }
 
-TEST_CASE("A peer that takes no bytes doesn't make the queue grow without bound")
+TEST_CASE("The queue for a peer that doesn't read is bounded")
 {
-    LinkFixture fixture([](int, const Json::Value &request) { return echo(request); });
+    ClientFixture fixture([](int, const Json::Value &request) { return echo(request); });
     fixture.fake.isReading = false;
     static constexpr int calls = 40;
     const Json::Value large = std::string(900 * 1024, 'x');
-    int refused = 0;
-    const auto count = [&refused](const std::exception_ptr &failure, const Json::Value &) {
+    int rejectedCalls = 0;
+    const auto count = [&rejectedCalls](const std::exception_ptr &failure, const Json::Value &) {
         try {
             std::rethrow_exception(failure);
         } catch (const Core::NotDoneError &) {
-            ++refused;
+            ++rejectedCalls;
         } catch (const Core::OutcomeUnknownError &) {
         }
     };
@@ -121,32 +122,32 @@
     Json::Value parameters;
     parameters["text"] = large;
     for (int index = 0; index < calls; ++index)
-        boost::asio::co_spawn(fixture.context, fixture.link.call(peer, "m", parameters, amply()),
+        boost::asio::co_spawn(fixture.context, fixture.client.call(peer, "m", parameters, amply()),
                               count);
     fixture.context.poll();
-    CHECK(refused >= calls / 2);
+    CHECK(rejectedCalls >= calls / 2);
 }
 
-TEST_CASE("Malformed answers give no result and harm nothing")
+TEST_CASE("Malformed responses leave the outcome unknown and don't affect later calls")
 {
-    SECTION("an answer that is too long ends the connection")
+    SECTION("a response that is too long closes the connection")
     {
-        LinkFixture fixture([](int connection, const Json::Value &request) {
+        ClientFixture fixture([](int connection, const Json::Value &request) {
             return connection == 1 ? std::string(2 * 1024 * 1024, ' ') : echo(request);
         });
         CHECK_THROWS_AS(fixture.call("first", amply()), Core::OutcomeUnknownError);
         CHECK(fixture.call("second", amply()) == "second");
     }
-    SECTION("an answer without result or error isn't one")
+    SECTION("a response without a result or an error is malformed")
     {
-        LinkFixture fixture([](int, const Json::Value &request) {
+        ClientFixture fixture([](int, const Json::Value &request) {
             return "{\"id\":" + request["id"].asString() + "}\n";
         });
         CHECK_THROWS_AS(fixture.call("first", amply()), Core::OutcomeUnknownError);
     }
-    rc::prop("any bytes in place of an answer leave the outcome unknown",
+    rc::prop("random bytes instead of a response leave the outcome unknown",
              [](const std::string &garbage) {
-                 LinkFixture fixture([&garbage](int connection, const Json::Value &request) {
+                 ClientFixture fixture([&garbage](int connection, const Json::Value &request) {
                      return connection == 1 ? garbage + '\n' : echo(request);
                  });
                  RC_ASSERT_THROWS_AS(fixture.call("first", amply()), Core::OutcomeUnknownError);
--- a/include/LibPeer/PeerAddress.h
+++ b/include/LibPeer/PeerAddress.h
@@ -8,11 +8,11 @@
 
 namespace Peer {
 
-/// Where another entry VM listens for its peers.
+/// The address at which another entry VM listens for connections of its peers.
 struct PeerAddress
 {
     Core::VmId peer;
-    /// An IP number.
+    /// A numeric IP address.
     std::string address;
     std::uint16_t port = 0;
 
--- a/include/LibPeer/PeerClient.h
+++ b/include/LibPeer/PeerClient.h
@@ -10,7 +10,7 @@
 
 namespace Peer {
 
-/// Calls to the other entry VMs over long-lived connections.
+/// Makes calls to the other entry VMs over persistent connections.
 class PeerClient
 {
 public:
@@ -20,9 +20,9 @@
     virtual ~PeerClient() = default;
 
     /// Calls the JSON-RPC method \p method of \p peer.
-    /// \throws Core::NotDoneError if the request was never sent.
-    /// \throws Core::OutcomeUnknownError if no answer came before \p deadline.
-    /// \throws Core::Error if the peer answered with an error.
+    /// \throws Core::NotDoneError if the request wasn't sent.
+    /// \throws Core::OutcomeUnknownError if no valid response was received before \p deadline.
+    /// \throws Core::Error if the peer responded with an error.
     virtual boost::asio::awaitable<Json::Value> call(Core::VmId peer, std::string method,
                                                      Json::Value parameters, Core::Instant deadline)
         = 0;
--- a/include/LibPeer/PeerServer.h
+++ b/include/LibPeer/PeerServer.h
@@ -12,33 +12,34 @@
 
 namespace Peer {
 
-/// Answers the calls of other entry VMs. It is used from one thread only, and its executor's
-/// context must outlive it.
+/// Serves the calls of other entry VMs. A server may be used from one thread only, and its
+/// executor's context must outlive it.
 class PeerServer
 {
 public:
-    /// Computes the result of a call. It runs on the executor's thread and should be quick, since
-    /// heartbeats are answered there too. An exception becomes a JSON-RPC error.
+    /// Computes the result of a call. Methods run on the executor's thread and should return
+    /// quickly, because heartbeats are served there too. An exception is returned as a JSON-RPC
+    /// error.
     using Method = std::function<Json::Value(const Json::Value &parameters)>;
 
-    /// Listens on \p address, an IP number, and \p port; port 0 takes any free one.
-    /// \throws Core::Error if that isn't possible.
+    /// Listens on \p address, a numeric IP address, and \p port; port 0 selects a free port.
+    /// \throws Core::Error if listening fails.
     PeerServer(const boost::asio::any_io_executor &executor, const std::string &address,
                std::uint16_t port);
-    /// Stops.
+    /// Calls stop().
     ~PeerServer();
     PeerServer(const PeerServer &) = delete;
     PeerServer &operator=(const PeerServer &) = delete;
 
-    /// The port that it listens on.
+    /// The port on which the server listens.
     std::uint16_t port() const;
 
-    /// Parameters reach \p method as an object or an array, or null if the call has none.
-    /// `peer.ping` is there from the start.
+    /// Adds a method, in addition to the built-in `peer.ping`. The parameters passed to \p method
+    /// are an object or an array, or null if the call has none.
     void addMethod(const std::string &name, Method method);
 
-    /// Accepts no more connections and closes the open ones. An answer that is being written is
-    /// written to its end first.
+    /// Stops accepting connections and closes the open ones. A response that is being written is
+    /// completed first.
     void stop();
 
 private:
--- a/include/LibPeer/RemoteError.h
+++ b/include/LibPeer/RemoteError.h
@@ -6,7 +6,7 @@
 
 namespace Peer {
 
-/// The peer received the call and answered with a JSON-RPC error.
+/// The peer received the call and returned a JSON-RPC error.
 class RemoteError : public Core::Error
 {
 public:
--- a/include/LibPeer/TcpPeerClient.h
+++ b/include/LibPeer/TcpPeerClient.h
@@ -13,12 +13,12 @@
 
 class PeerChannel;
 
-/// JSON-RPC 2.0 over one long-lived TCP connection to each peer; docs/design/PEERS.md has the
-/// format.
+/// Makes JSON-RPC 2.0 calls over one persistent TCP connection to each peer. The format is
+/// described in docs/design/PEERS.md.
 ///
-/// The link keeps its connections up by itself. A call waits, bounded by its deadline, while the
-/// connection is being opened; it fails at once while the peer refuses connections. The link is
-/// used from one thread only, and its executor's context must outlive it.
+/// The client opens and reopens the connections on its own. A call waits until its deadline while
+/// the connection is being opened, and fails immediately if the last attempt to connect failed. A
+/// client may be used from one thread only, and its executor's context must outlive it.
 class TcpPeerClient final : public PeerClient
 {
 public:
@@ -28,7 +28,8 @@
     /// Replaces the set of peers. Connections to unchanged peers stay open.
     void setPeers(const std::vector<PeerAddress> &peers);
 
-    /// Also throws Peer::RemoteError, a Core::Error, if the peer answered with an error.
+    /// \throws Peer::RemoteError (a Core::Error) if the peer responded with an error, in addition
+    /// to the exceptions of PeerClient::call().
     boost::asio::awaitable<Json::Value> call(Core::VmId peer, std::string method,
                                              Json::Value parameters,
                                              Core::Instant deadline) override;
