--- a/Benchmarks/lease/BenchmarkSlotShares.cpp
+++ b/Benchmarks/lease/BenchmarkSlotShares.cpp
@@ -1,4 +1,4 @@
-#include "LeaseWorld.h"
+#include "LeaseSimulation.h"
 #include "SkewedLoad.h"
 
 #include <LibLease/SlotShares.h>
@@ -25,7 +25,7 @@
     DomainView view;
     for (int vm = 1; vm <= vmCount; ++vm)
         view.members.emplace_back("vm" + std::to_string(vm));
-    view.seats = view.members;
+    view.reservations = view.members;
     return view;
 }
 
@@ -34,7 +34,8 @@
     int slots = 0;
     for (int server = 0; server < serverCount; ++server) {
         const Core::VmId name("worker" + std::to_string(server));
-        slots += SlotShares::share(view, vm, name, slotsPerServer, MembershipSettings().floorSlots);
+        slots
+            += SlotShares::share(view, vm, name, slotsPerServer, MembershipSettings().minimumSlots);
     }
     return slots;
 }
@@ -103,25 +104,25 @@
     }
 }
 
-int usableSlots(const LeaseWorld &world, int deadPosition)
+int usableSlots(const LeaseSimulation &simulation, int deadPosition)
 {
     int slots = 0;
     for (int position = 0; position < vmCount; ++position)
-        slots += position == deadPosition ? 0 : world.limit(position).slots;
+        slots += position == deadPosition ? 0 : simulation.shareLimit(position).slots;
     return slots;
 }
 
 void printDeath(const char *who, int offset)
 {
-    WorldSettings settings;
+    SimulationSettings settings;
     settings.positions = vmCount;
     settings.logLatency = 20ms;
     settings.readInterval = 200ms;
-    LeaseWorld world(settings, 1);
-    world.advance(60s);
-    const int dead = (world.holder() + offset) % vmCount;
-    const int before = usableSlots(world, -1);
-    world.kill(dead);
+    LeaseSimulation simulation(settings, 1);
+    simulation.advance(60s);
+    const int dead = (simulation.holder() + offset) % vmCount;
+    const int before = usableSlots(simulation, -1);
+    simulation.kill(dead);
 
     constexpr int seconds = 900;
     int lostSlotSeconds = 0;
@@ -129,12 +130,12 @@
     std::printf("%s dies; a server's slots that the others may use (of %d, fixed split %d):", who,
                 before, 2 * (slotsPerServer / vmCount));
     for (int second = 0; second < seconds; ++second) {
-        const int usable = usableSlots(world, dead);
+        const int usable = usableSlots(simulation, dead);
         if (usable != last)
             std::printf(" %d from %d s", usable, second);
         last = usable;
         lostSlotSeconds += slotsPerServer - usable;
-        world.advance(1s);
+        simulation.advance(1s);
     }
     const int lostByFixed = seconds * (slotsPerServer - 2 * (slotsPerServer / vmCount));
     std::printf("\n  slot seconds lost in %d s: leased grants %d, fixed split %d, ratio %.2f\n",
@@ -144,13 +145,13 @@
 
 void printLookupCost()
 {
-    LeaseWorld world({}, 1);
-    world.advance(60s);
+    LeaseSimulation simulation({}, 1);
+    simulation.advance(60s);
     constexpr int lookups = 1'000'000;
     int sum = 0;
     const auto began = std::chrono::steady_clock::now();
     for (int lookup = 0; lookup < lookups; ++lookup)
-        sum += world.limit(lookup % vmCount).slots;
+        sum += simulation.shareLimit(lookup % vmCount).slots;
     const std::chrono::duration<double, std::nano> taken = std::chrono::steady_clock::now() - began;
     std::printf("a lookup of one server's limits takes %.0f ns (sum %d)\n", taken.count() / lookups,
                 sum);
--- a/Services/lagoonfordd/Node.h
+++ b/Services/lagoonfordd/Node.h
@@ -5,10 +5,10 @@
 #include <LibSupervision/Wakeup.h>
 
 #include <LibCore/Identifier.h>
-#include <LibLease/LeaseMachine.h>
-#include <LibLease/MembershipMachine.h>
+#include <LibLease/LeaseManager.h>
+#include <LibLease/MembershipManager.h>
 #include <LibLease/SlotShares.h>
-#include <LibPeer/TcpPeerLink.h>
+#include <LibPeer/TcpPeerClient.h>
 #include <LibPlatform/Http/HttpLogService.h>
 #include <LibPlatform/Http/HttpVmDirectory.h>
 #include <LibPlatform/Http/HttpWorkerControl.h>
@@ -58,12 +58,12 @@
     Platform::LogService &log() { return m_log; }
     Platform::WorkerControl &workers() { return m_workers; }
     Platform::VmDirectory &directory() { return m_directory; }
-    Peer::TcpPeerLink &peers() { return m_peers; }
+    Peer::TcpPeerClient &peers() { return m_peers; }
 
     Rules::RuleBook &ruleBook() { return m_ruleBook; }
     Rules::FreshnessGate &freshness() { return m_freshness; }
-    Lease::LeaseMachine &lease() { return m_lease; }
-    Lease::MembershipMachine &membership() { return m_membership; }
+    Lease::LeaseManager &lease() { return m_lease; }
+    Lease::MembershipManager &membership() { return m_membership; }
     const Lease::SlotShares &shares() const { return m_shares; }
     Task::DomainPlacer &placer() { return *m_placer; }
     /// Begins the life of tasks anew, because the stream is read from another place.
@@ -109,11 +109,11 @@
     Platform::HttpLogService m_log;
     Platform::HttpWorkerControl m_workers;
     Platform::HttpVmDirectory m_directory;
-    Peer::TcpPeerLink m_peers;
+    Peer::TcpPeerClient m_peers;
     Rules::RuleBook m_ruleBook;
     Rules::FreshnessGate m_freshness;
-    Lease::LeaseMachine m_lease;
-    Lease::MembershipMachine m_membership;
+    Lease::LeaseManager m_lease;
+    Lease::MembershipManager m_membership;
     Lease::SlotShares m_shares;
     std::unique_ptr<Task::SchedulerFactory> m_schedulers;
     std::unique_ptr<Task::DomainPlacer> m_placer;
--- a/include/LibLease/LeaseAction.h
+++ b/include/LibLease/LeaseAction.h
@@ -7,8 +7,7 @@
 
 namespace Lease {
 
-/// Append the record to the domain's stream and report the outcome by
-/// LeaseMachine::onAppendOutcome.
+/// Append the record to the domain's stream, then call LeaseManager::onAppendOutcome.
 struct AppendRecord
 {
     LeaseRecord record;
@@ -16,7 +15,7 @@
     bool operator==(const AppendRecord &) const = default;
 };
 
-/// Send the request and report the answer, if one comes. Never sent again by the shell.
+/// Send the request once, without retries, and pass on the response if one arrives.
 struct SendPromiseRequest
 {
     Incarnation to;
@@ -28,9 +27,10 @@
 using LeaseAction = std::variant<AppendRecord, SendPromiseRequest>;
 
 enum class AppendOutcome {
-    Landed,
-    /// It certainly hasn't landed and never will.
-    NotLanded,
+    Appended,
+    /// The record isn't in the log and can't be appended later.
+    NotAppended,
+    /// The record may be in the log, or may still be appended.
     Unknown,
 };
 
