--- a/Tests/LibHttp/TestClient.cpp
+++ b/Tests/LibHttp/TestClient.cpp
@@ -20,6 +20,46 @@
 
 namespace {
 
+/// Answers each request, except that it never answers those for /silent.
+class KeepAliveServer
+{
+public:
+    explicit KeepAliveServer(asio::io_context &context)
+        : m_acceptor(context, { asio::ip::address_v4::loopback(), 0 })
+    {
+        asio::co_spawn(context, accept(), asio::detached);
+    }
+
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    int acceptedConnections() const { return m_acceptedConnections; }
+
+private:
+    asio::awaitable<void> accept()
+    {
+        while (true) {
+            asio::ip::tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+            ++m_acceptedConnections;
+            asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
+        }
+    }
+    static asio::awaitable<void> serve(asio::ip::tcp::socket socket)
+    {
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        std::string received;
+        while (true) {
+            const std::size_t size = co_await asio::async_read_until(
+                socket, asio::dynamic_buffer(received), "\r\n\r\n", asio::use_awaitable);
+            const bool isSilent = received.starts_with("GET /silent ");
+            received.erase(0, size);
+            if (!isSilent)
+                co_await asio::async_write(socket, asio::buffer(answer), asio::use_awaitable);
+        }
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    int m_acceptedConnections = 0;
+};
+
 /// Answers one call in pieces of 1,000 bytes with pauses between them.
 class SlowServer
 {
@@ -111,3 +151,31 @@
         CHECK_FALSE(fixture.bytesOf(request));
     }
 }
+
+TEST_CASE("A call that fails leaves the connections that answered since it began",
+          "[!shouldfail][known-red]")
+{
+    asio::io_context context;
+    const KeepAliveServer server(context);
+    Http::Client client(context.get_executor(), { "127.0.0.1", server.port() });
+    int endedCalls = 0;
+    const auto begin = [&](const std::string &target, milliseconds allowed) {
+        Http::Request request;
+        request.step = "read";
+        request.target = target;
+        asio::co_spawn(context, client.exchange(std::move(request), Core::steadyNow() + allowed),
+                       [&](const std::exception_ptr &, const Http::Answer &) { ++endedCalls; });
+    };
+    const auto runUntilEnded = [&](int calls) {
+        while (endedCalls < calls)
+            context.run_one();
+    };
+
+    begin("/silent", milliseconds(300));
+    begin("/", milliseconds(2000));
+    runUntilEnded(2);
+    REQUIRE(server.acceptedConnections() == 2);
+    begin("/", milliseconds(2000));
+    runUntilEnded(3);
+    CHECK(server.acceptedConnections() == 2);
+}
