LibHttp: Bound the connections of each server

Cause: each of a node's three servers keeps up to 2,000 connections, 6,000 together, where the process of a weak VM has 4,100 descriptors. The bound was part of the limits that the handler states for requests, which know nothing of the process.

Change: a server is given its part of the process's connections; the lower of both bounds holds. The default is the former 2,000.

Ruled out: a bound in each handler, since the division of the descriptors would then be spread over three classes.

--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -14,6 +14,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 namespace Http {
 
 namespace asio = boost::asio;
@@ -36,11 +38,12 @@
 }
 
 Server::Server(std::string name, const Endpoint &endpoint, RequestHandler &handler,
-               const asio::any_io_executor &executor)
+               const asio::any_io_executor &executor, std::size_t maxConnections)
     : m_name(std::move(name))
     , m_endpoint(endpoint)
     , m_handler(handler)
     , m_executor(executor)
+    , m_maxConnections(maxConnections)
     , m_changed(executor)
 {
 }
@@ -90,7 +93,7 @@
             co_await pause.sleepUntil(Core::steadyNow() + acceptRetrySpacing);
             continue;
         }
-        if (m_connections >= m_handler.limits().connections)
+        if (m_connections >= std::min(m_handler.limits().connections, m_maxConnections))
             continue;
         socket.set_option(asio::ip::tcp::no_delay(true), error);
         auto stream = std::make_shared<Stream>(std::move(socket));
--- a/include/LibHttp/Server.h
+++ b/include/LibHttp/Server.h
@@ -57,8 +57,10 @@
 class Server final : public Supervision::Part
 {
 public:
+    /// \p maxConnections bounds the open connections whatever the handler's limits say.
     Server(std::string name, const Endpoint &endpoint, RequestHandler &handler,
-           const boost::asio::any_io_executor &executor);
+           const boost::asio::any_io_executor &executor,
+           std::size_t maxConnections = ServerLimits().connections);
 
     std::string name() const override { return m_name; }
     boost::asio::awaitable<void> run() override;
@@ -83,6 +85,7 @@
     RequestHandler &m_handler;
     boost::asio::any_io_executor m_executor;
     std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
+    std::size_t m_maxConnections;
     std::set<Stream *> m_idle;
     std::size_t m_connections = 0;
     std::size_t m_inProgress = 0;
