LibSite: Export connections to workers and calls refused for want of one

Cause: nothing told how many connections to workers a node holds. That the owner was near the end of its descriptors showed only in calls that failed.

Change: a gauge and a counter without labels.

--- a/Libraries/LibSite/SiteMetrics.cpp
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -45,6 +45,11 @@
     , m_waiting(gauge(m_registry, "lagoonford_tasks_waiting", "Tasks that wait for a worker"))
     , m_tableAge(gauge(m_registry, "lagoonford_table_age_seconds",
                        "Age of the copy of the job records; -1 while it was never complete"))
+    , m_workerConnections(gauge(m_registry, "lagoonford_worker_connections",
+                                "Open connections to workers, in use and idle"))
+    , m_refusedWorkerCalls(counters(m_registry, "lagoonford_worker_calls_refused_total",
+                                    "Calls to workers that got no connection within the budget")
+                               .Add({}))
 {
 }
 
@@ -89,6 +94,16 @@
     m_tableAge.Set(seconds);
 }
 
+void SiteMetrics::setWorkerConnections(double open)
+{
+    m_workerConnections.Set(open);
+}
+
+void SiteMetrics::setRefusedWorkerCalls(double total)
+{
+    m_refusedWorkerCalls.Increment(total - m_refusedWorkerCalls.Value());
+}
+
 std::string SiteMetrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_registry.Collect());
--- a/include/LibSite/SiteMetrics.h
+++ b/include/LibSite/SiteMetrics.h
@@ -25,6 +25,10 @@
     void setTasks(double running, double waiting);
     /// Sets the age of the copy of the job records; -1 if it was never complete.
     void setTableAge(double seconds);
+    /// Sets how many connections to workers are open, in use and idle.
+    void setWorkerConnections(double open);
+    /// Sets how many calls to workers have been refused a connection so far; never decreases.
+    void setRefusedWorkerCalls(double total);
 
     /// All metrics in the text format of Prometheus.
     std::string text() const;
@@ -42,6 +46,8 @@
     prometheus::Gauge &m_running;
     prometheus::Gauge &m_waiting;
     prometheus::Gauge &m_tableAge;
+    prometheus::Gauge &m_workerConnections;
+    prometheus::Counter &m_refusedWorkerCalls;
 };
 
 } // namespace Site
