--- a/Tests/platform/TestMessages.cpp
+++ b/Tests/platform/TestMessages.cpp
@@ -43,6 +43,8 @@
 callers = 10.0.0.1:81
 readiness = 10.0.0.1:82
 address = 10.0.0.1
+[limits]
+descriptors = 8192
 [store]
 address = 10.0.0.2:83
 [link]
@@ -251,6 +253,15 @@
         CHECK(settings.callerEndpoint == Http::Endpoint { "10.0.0.1", 81 });
         CHECK(settings.maxLease == std::chrono::milliseconds(6000));
         CHECK(settings.linkMegabitsPerSecond == 10.5);
+        CHECK(settings.descriptors == 8192);
+    }
+    SECTION("a node that isn't told its descriptors has as many as the weakest")
+    {
+        const std::string key = "descriptors = 8192";
+        std::string text = settingsText;
+        text.replace(text.find(key), key.size(), GENERATE("", "descriptors ="));
+        const NodeSettings settings = parseNodeSettings(text, "s.ini");
+        CHECK(settings.descriptors == DescriptorShares::defaultDescriptors);
     }
     SECTION("the error lists all invalid keys")
     {
@@ -258,6 +269,7 @@
         text.replace(text.find("10.0.0.1:81"), 11, "nowhere:81x");
         text.replace(text.find("lease-ms = 6000"), 15, "lease-ms = soon");
         text.replace(text.find("second = 10.5"), 13, "second = wide");
+        text.replace(text.find("descriptors = 8192"), 18, "descriptors = 1023");
         text += "other = 1\n";
         try {
             parseNodeSettings(text, "s.ini");
@@ -267,6 +279,8 @@
             CHECK(what.find("doors.callers") != std::string::npos);
             CHECK(what.find("bounds.lease-ms") != std::string::npos);
             CHECK(what.find("link.megabits-per-second") != std::string::npos);
+            CHECK(what.find("limits.descriptors: expected a whole number from 1024")
+                  != std::string::npos);
             CHECK(what.find("log.other") != std::string::npos);
         }
     }
