Platform: Keep connections to workers within their part of the descriptors

Cause: the worker client kept a client for each address for ever, each with up to 16 idle connections and 256 in use. A burst of starts opened one connection for each of them, and all became idle.

Change: the clients of all workers share one ConnectionBudget, the workers' part of the descriptors. Renewals and stops may use the whole of it; starts and throttles leave a connection for the renewal of each known worker, and beyond that fail at once as not sent, so the scheduler plans the start anew. A worker that hasn't been called for 60 s is forgotten; idle connections are closed after 60 s also if nothing is called any more, 64 a second, so that an owner that was deposed gives them back without a long turn. An address that can't be read no longer leaves an entry.

Ruled out: a shorter idle time. The connection of a start is used again by the next start on that worker, and opening one is priced too; the budget closes idle ones as soon as it needs the room.

--- a/Tests/platform/TestWorkerConnections.cpp
+++ b/Tests/platform/TestWorkerConnections.cpp
@@ -1,3 +1,4 @@
+#include "DescriptorShares.h"
 #include "LoopbackWorkers.h"
 #include "PlatformWorkerClient.h"
 
@@ -7,6 +8,8 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include <optional>
+
 #include <sys/resource.h>
 
 namespace asio = boost::asio;
@@ -45,7 +48,11 @@
     AllDescriptors allDescriptors;
     asio::io_context context;
     LoopbackWorkers workers { context };
-    Adapter::PlatformWorkerClient client { context.get_executor() };
+    Site::SiteMetrics metrics;
+    Adapter::PlatformWorkerClient client {
+        context.get_executor(), Adapter::DescriptorShares::divide(descriptors).workerConnections,
+        metrics
+    };
     std::size_t callsUnderWay = 0;
     std::size_t answeredRenewals = 0;
 
@@ -91,8 +98,7 @@
 
 } // namespace
 
-TEST_CASE("Bursts of starts on 1,100 workers don't take the descriptors of store and callers",
-          "[!shouldfail][known-red]")
+TEST_CASE("Bursts of starts on 1,100 workers don't take the descriptors of store and callers")
 {
     WorkersFixture fixture;
 
@@ -111,3 +117,39 @@
         CHECK(fixture.answeredRenewals == workerCount - workerCount / silentInterval);
     }
 }
+
+TEST_CASE("Workers that haven't been called for long are forgotten, some at a time")
+{
+    constexpr std::size_t calledWorkers = 100;
+    WorkersFixture fixture;
+    for (std::size_t worker = 0; worker < calledWorkers; ++worker)
+        fixture.renew(worker);
+    fixture.finishCalls();
+    REQUIRE(fixture.client.knownWorkers() == calledWorkers);
+    CHECK(fixture.workers.openConnections() == calledWorkers);
+
+    fixture.client.cleanUp(Core::steadyNow());
+    CHECK(fixture.client.knownWorkers() == calledWorkers);
+    CHECK(fixture.metrics.text().find("lagoonford_worker_connections 100\n") != std::string::npos);
+
+    const Core::Instant later = Core::steadyNow() + Adapter::PlatformWorkerClient::knownTime;
+    fixture.client.cleanUp(later);
+    CHECK(fixture.client.knownWorkers() > 0);
+    fixture.client.cleanUp(later);
+    CHECK(fixture.client.knownWorkers() == 0);
+    CHECK(fixture.workers.openConnections() == 0);
+}
+
+TEST_CASE("A worker whose address can't be read isn't known")
+{
+    WorkersFixture fixture;
+    Jobs::StartCommand command;
+    command.address = "nowhere";
+    std::optional<Jobs::StartOutcome> outcome;
+    asio::co_spawn(fixture.context, fixture.client.start(command, Core::steadyNow() + callTime),
+                   [&](const std::exception_ptr &, Jobs::StartOutcome given) { outcome = given; });
+    while (!outcome)
+        fixture.context.run_one();
+    CHECK(outcome == Jobs::StartOutcome::Invalid);
+    CHECK(fixture.client.knownWorkers() == 0);
+}
