--- a/Tests/LibHttp/TestClient.cpp
+++ b/Tests/LibHttp/TestClient.cpp
@@ -12,14 +12,56 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
 namespace {
 
+/// Answers each request, except that it never answers those for /silent.
+class KeepAliveServer
+{
+public:
+    explicit KeepAliveServer(asio::io_context &context)
+        : m_acceptor(context, { asio::ip::address_v4::loopback(), 0 })
+    {
+        asio::co_spawn(context, accept(), asio::detached);
+    }
+
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    int acceptedConnections() const { return m_acceptedConnections; }
+
+private:
+    asio::awaitable<void> accept()
+    {
+        while (true) {
+            asio::ip::tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+            ++m_acceptedConnections;
+            asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
+        }
+    }
+    static asio::awaitable<void> serve(asio::ip::tcp::socket socket)
+    {
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        std::string received;
+        while (true) {
+            const std::size_t size = co_await asio::async_read_until(
+                socket, asio::dynamic_buffer(received), "\r\n\r\n", asio::use_awaitable);
+            const bool isSilent = received.starts_with("GET /silent ");
+            received.erase(0, size);
+            if (!isSilent)
+                co_await asio::async_write(socket, asio::buffer(answer), asio::use_awaitable);
+        }
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    int m_acceptedConnections = 0;
+};
+
 /// Answers one call in pieces of 1,000 bytes with pauses between them.
 class SlowServer
 {
@@ -111,3 +153,113 @@
         CHECK_FALSE(fixture.bytesOf(request));
     }
 }
+
+TEST_CASE("A call that fails leaves the connections that answered since it began")
+{
+    asio::io_context context;
+    const KeepAliveServer server(context);
+    Http::Client client(context.get_executor(), { "127.0.0.1", server.port() });
+    int endedCalls = 0;
+    const auto begin = [&](const std::string &target, milliseconds allowed) {
+        Http::Request request;
+        request.step = "read";
+        request.target = target;
+        asio::co_spawn(context, client.exchange(std::move(request), Core::steadyNow() + allowed),
+                       [&](const std::exception_ptr &, const Http::Answer &) { ++endedCalls; });
+    };
+    const auto runUntilEnded = [&](int calls) {
+        while (endedCalls < calls)
+            context.run_one();
+    };
+
+    begin("/silent", milliseconds(300));
+    begin("/", milliseconds(2000));
+    runUntilEnded(2);
+    REQUIRE(server.acceptedConnections() == 2);
+    begin("/", milliseconds(2000));
+    runUntilEnded(3);
+    CHECK(server.acceptedConnections() == 2);
+}
+
+TEST_CASE(
+    "Clients that share a budget close each other's idle connections before they refuse a call")
+{
+    asio::io_context context;
+    const KeepAliveServer firstServer(context);
+    const KeepAliveServer secondServer(context);
+    const auto budget = std::make_shared<Http::ConnectionBudget>(1);
+    Http::Client first(context.get_executor(), { "127.0.0.1", firstServer.port() }, budget);
+    Http::Client second(context.get_executor(), { "127.0.0.1", secondServer.port() }, budget);
+    int answers = 0;
+    std::vector<std::string> refusals;
+    const auto begin = [&](Http::Client &client, const std::string &target) {
+        Http::Request request;
+        request.step = "read";
+        request.target = target;
+        const Core::Instant deadline = Core::steadyNow() + milliseconds(200);
+        asio::co_spawn(context, client.exchange(std::move(request), deadline),
+                       [&](const std::exception_ptr &failure, const Http::Answer &) {
+                           try {
+                               if (failure)
+                                   std::rethrow_exception(failure);
+                               ++answers;
+                           } catch (const Core::NotDoneError &error) {
+                               refusals.emplace_back(error.what());
+                           } catch (const Core::OutcomeUnknownError &) {
+                               // The silent call.
+                           }
+                       });
+    };
+    const auto runUntil = [&](const auto &isDone) {
+        while (!isDone())
+            context.run_one();
+    };
+
+    begin(first, "/");
+    runUntil([&] { return answers == 1; });
+    REQUIRE(budget->idle() == 1);
+
+    SECTION("an idle connection makes room")
+    {
+        begin(second, "/");
+        runUntil([&] { return answers == 2; });
+        CHECK(budget->open() == 1);
+        CHECK(refusals.empty());
+    }
+    SECTION("one in use doesn't: the other call is refused at once, and nothing is sent")
+    {
+        begin(second, "/silent");
+        begin(first, "/");
+        runUntil([&] { return !refusals.empty(); });
+        CHECK(refusals.front().find("the connection budget is exhausted") != std::string::npos);
+        CHECK(budget->refusedCalls() == 1);
+        runUntil([&] { return budget->open() == 0; });
+        begin(first, "/");
+        runUntil([&] { return answers == 2; });
+    }
+}
+
+TEST_CASE("A client that is destroyed returns its connections to the shared budget")
+{
+    asio::io_context context;
+    const KeepAliveServer server(context);
+    const auto budget = std::make_shared<Http::ConnectionBudget>(4);
+    bool isAnswered = false;
+    {
+        Http::Client client(context.get_executor(), { "127.0.0.1", server.port() }, budget);
+        Http::Request request;
+        request.step = "read";
+        request.target = "/";
+        const Core::Instant deadline = Core::steadyNow() + milliseconds(2000);
+        asio::co_spawn(context, client.exchange(std::move(request), deadline),
+                       [&](const std::exception_ptr &failure, const Http::Answer &) {
+                           isAnswered = !failure;
+                       });
+        while (!isAnswered)
+            context.run_one();
+        CHECK(budget->open() == 1);
+    }
+    context.poll();
+    CHECK(budget->open() == 0);
+    CHECK(budget->idle() == 0);
+}
