LibSite: Measure what delays the owner's event loop

The owner's log didn't say how late its loop was nor why: `event=load` names tasks and processors only, and it is a line that the budget leaves out just when the owner is overloaded.

LoopMeter keeps, for each second, the longest lateness of a timer, the longest piece of work with its name, and the longest time between two answers to appends. `event=load` ends in them, the gauge lagoonford_owner_lag_seconds shows the lateness, and an essential line, `event=behind`, repeats them while the loop is behind and when the owner is deposed. `load` itself stays a line that may be left out, as TestEssentialLines demands.

--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -26,6 +26,9 @@
 static constexpr Core::Duration workersReadPause = std::chrono::milliseconds(50);
 static constexpr Core::Duration retryDelay = std::chrono::milliseconds(250);
 static constexpr Core::Duration metricsInterval = std::chrono::seconds(1);
+/// A loop whose timers are later, or whose appends are further apart, is logged as behind.
+static constexpr Core::Duration loggedTimerLag = std::chrono::milliseconds(300);
+static constexpr Core::Duration loggedAppendGap = std::chrono::milliseconds(1000);
 /// A failure domain that was taken out of service must get no more starts after 5 s at the latest.
 /// While the store answers the owner, the owner's copy of the operators' records may be this much
 /// older than its last append. While the store answers no node, no domain can be taken out of
@@ -59,6 +62,7 @@
     , m_wakeup(executor)
     , m_workersWakeup(executor)
     , m_provenAt(provenAt)
+    , m_loopMeter(Core::steadyNow())
 {
     loadState();
     m_state.owner = this;
@@ -89,6 +93,7 @@
 
 void OwnerSession::loadState()
 {
+    const LoopMeter::Work work(m_loopMeter, "load-state");
     onOperatorChange();
     const Jobs::TimePoint moment = now();
     for (const auto &[id, entry] : m_state.table.jobs())
@@ -142,6 +147,7 @@
         m_state.owner = nullptr;
     LOG4CXX_WARN(partLogger,
                  "event=deposed term=" << m_ownership.term << " reason=\"" << reason << '"');
+    logIfBehind(m_loopMeter.takeSummary(Core::steadyNow()));
     m_wakeup.wake();
     m_workersWakeup.wake();
 }
@@ -190,6 +196,7 @@
         if (!m_isReleasing)
             spawnCommands();
         spawnCommit();
+        updateMetrics();
         const Jobs::TimePoint moment = now();
         Core::Instant next
             = isOwnershipProven() ? m_scheduler.nextWakeup(moment) : moment.instant + retryDelay;
@@ -197,6 +204,7 @@
         co_await m_wakeup.sleepUntil(Core::steadyNow() + (next - moment.instant));
     }
     m_state.metrics.setOwner(false);
+    m_state.metrics.setOwnerLag(0);
     while (m_activeCoroutines > 0)
         co_await m_wakeup.sleepUntil(Core::steadyNow() + retryDelay);
 }
@@ -206,12 +214,23 @@
     if (!isOwnershipProven())
         return;
     updateStartHold();
+    spawnRenewals();
+    spawnPlannedCommands();
+}
+
+void OwnerSession::spawnRenewals()
+{
+    const LoopMeter::Work work(m_loopMeter, "renewals");
     for (Jobs::RenewCommand &command : m_scheduler.takeRenewals(now()))
         spawn(renew(std::move(command)));
+}
+
+void OwnerSession::spawnPlannedCommands()
+{
+    const LoopMeter::Work work(m_loopMeter, "planning");
     for (Jobs::Command &command : m_scheduler.takeCommands(now())) {
         std::visit([this](auto &typedCommand) { spawn(send(std::move(typedCommand))); }, command);
     }
-    updateMetrics();
 }
 
 bool OwnerSession::isCopyTooOldForStarts() const
@@ -242,19 +261,43 @@
     m_scheduler.setStartsHeld(areHeld);
 }
 
+static std::string formatLoop(const LoopSummary &loop)
+{
+    const auto inMs = [](Core::Duration duration) {
+        return std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    };
+    return "lag_ms=" + inMs(loop.timerLag) + " longest_turn_ms=" + inMs(loop.longestWork)
+        + " longest_turn=" + std::string(loop.longestWorkName)
+        + " append_gap_ms=" + inMs(loop.appendGap);
+}
+
 void OwnerSession::updateMetrics()
 {
     const Core::Instant now = Core::steadyNow();
     if (now < m_nextMetricsAt)
         return;
     m_nextMetricsAt = now + metricsInterval;
+    const LoopSummary loop = m_loopMeter.takeSummary(now);
+    const std::chrono::duration<double> timerLag = loop.timerLag;
+    m_state.metrics.setOwnerLag(timerLag.count());
+    logIfBehind(loop);
+    const LoopMeter::Work work(m_loopMeter, "metrics");
     const std::size_t waiting = m_scheduler.waitingCount();
     m_state.metrics.setTasks(static_cast<double>(m_scheduler.runningCount()),
                              static_cast<double>(waiting));
     LOG4CXX_INFO(detailLogger,
                  "event=load running=" << m_scheduler.runningCount() << " waiting=" << waiting
                                        << " free_millicores=" << m_scheduler.freeMilliCores()
-                                       << " idle_millicores=" << m_scheduler.idleMilliCores());
+                                       << " idle_millicores=" << m_scheduler.idleMilliCores() << ' '
+                                       << formatLoop(loop));
+}
+
+void OwnerSession::logIfBehind(const LoopSummary &loop)
+{
+    const bool isBehind = loop.timerLag >= loggedTimerLag || loop.appendGap >= loggedAppendGap;
+    if (isBehind)
+        LOG4CXX_INFO(partLogger, "event=behind " << formatLoop(loop));
 }
 
 void OwnerSession::spawnCommit()
@@ -286,6 +329,7 @@
 
 AppendBatches OwnerSession::encodeCommit(std::vector<Jobs::JobRecord> records)
 {
+    const LoopMeter::Work work(m_loopMeter, "commit");
     AppendBatches batches;
     for (Jobs::JobRecord &record : records) {
         if (auto *progress = std::get_if<Jobs::ProgressRecord>(&record))
@@ -309,14 +353,20 @@
             break;
     }
     if (isWritten) {
-        m_scheduler.onCommitted(commit.number, m_provenAt, now());
-        m_wakeup.wake();
+        confirm(commit.number);
         Supervision::Wakeup pause(m_executor);
         co_await pause.sleepUntil(Core::steadyNow() + commitInterval);
     }
     m_isCommitting = false;
 }
 
+void OwnerSession::confirm(std::int64_t commitNumber)
+{
+    const LoopMeter::Work work(m_loopMeter, "committed");
+    m_scheduler.onCommitted(commitNumber, m_provenAt, now());
+    m_wakeup.wake();
+}
+
 asio::awaitable<bool>
 OwnerSession::appendUntilWritten(const std::vector<Jobs::StoredRecord> &records)
 {
@@ -342,6 +392,7 @@
         co_await m_log.appendFenced(records, writer, Core::steadyNow() + appendTimeout);
         ++m_nextSequence;
         m_provenAt = sentAt;
+        m_loopMeter.noteAppendAnswered(Core::steadyNow());
         if (m_state.health.noteSuccess(Core::steadyNow()))
             LOG4CXX_INFO(partLogger, "event=regained dependency=store");
         co_return true;
@@ -415,7 +466,7 @@
         const Jobs::WorkerReport report
             = co_await m_workers.renew(command, Core::steadyNow() + allowed);
         if (isIssuingCommands())
-            m_scheduler.onReport(command.worker, report, sentAt, now());
+            applyReport(command.worker, report, sentAt);
         co_return;
     } catch (const FencedError &error) {
         depose(error.what());
@@ -428,16 +479,32 @@
         m_scheduler.onRenewalFailed(command.worker, now());
 }
 
+void OwnerSession::applyReport(const Core::VmId &worker, const Jobs::WorkerReport &report,
+                               Core::Instant sentAt)
+{
+    const LoopMeter::Work work(m_loopMeter, "report");
+    m_scheduler.onReport(worker, report, sentAt, now());
+}
+
 asio::awaitable<void> OwnerSession::measureTimerLag()
 {
     Supervision::Wakeup pause(m_executor);
     while (!m_isOver) {
         const Core::Instant due = Core::steadyNow() + timerLagInterval;
         co_await pause.sleepUntil(due);
-        m_scheduler.setLag(Core::steadyNow() - due);
+        const Core::Duration lag = Core::steadyNow() - due;
+        m_scheduler.setLag(lag);
+        m_loopMeter.noteTimerLag(lag);
     }
 }
 
+void OwnerSession::applyWorkers()
+{
+    const LoopMeter::Work work(m_loopMeter, "workers");
+    m_scheduler.setWorkers(m_workerFollower.workers(), now());
+    m_wakeup.wake();
+}
+
 asio::awaitable<void> OwnerSession::followWorkers()
 {
     while (!m_isOver) {
@@ -447,10 +514,8 @@
             const bool isComplete = m_workerFollower.completeAsOf().has_value();
             const bool isChanged
                 = co_await m_workerFollower.read(isComplete ? workersReadWaitMs : 0);
-            if (isChanged && !m_isOver) {
-                m_scheduler.setWorkers(m_workerFollower.workers(), now());
-                m_wakeup.wake();
-            }
+            if (isChanged && !m_isOver)
+                applyWorkers();
         } catch (const Core::Error &error) {
             LOG4CXX_DEBUG(partLogger, "event=read-failed reason=\"" << error.what() << '"');
             pause = retryDelay;
--- a/Libraries/LibSite/SiteMetrics.cpp
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -45,6 +45,8 @@
     , m_waiting(gauge(m_registry, "lagoonford_tasks_waiting", "Tasks that wait for a worker"))
     , m_tableAge(gauge(m_registry, "lagoonford_table_age_seconds",
                        "Age of the copy of the job records; -1 while it was never complete"))
+    , m_ownerLag(gauge(m_registry, "lagoonford_owner_lag_seconds",
+                       "How late the owner's timers fired at most in the last second"))
 {
 }
 
@@ -89,6 +91,11 @@
     m_tableAge.Set(seconds);
 }
 
+void SiteMetrics::setOwnerLag(double seconds)
+{
+    m_ownerLag.Set(seconds);
+}
+
 std::string SiteMetrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_registry.Collect());
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -5,6 +5,7 @@
 #include <LibSite/AppendBatches.h>
 #include <LibSite/JobFollower.h>
 #include <LibSite/KeyedLog.h>
+#include <LibSite/LoopMeter.h>
 #include <LibSite/SiteDecoder.h>
 #include <LibSite/SiteState.h>
 #include <LibSite/WorkerFollower.h>
@@ -56,6 +57,8 @@
     void loadState();
     /// Sends the renewals and commands that are due if the ownership is proven.
     void spawnCommands();
+    void spawnRenewals();
+    void spawnPlannedCommands();
     /// Begins a commit if one is due and none is in flight.
     void spawnCommit();
     Core::Instant nextHeartbeatAt() const;
@@ -66,6 +69,8 @@
     /// commit without records becomes a heartbeat.
     AppendBatches encodeCommit(std::vector<Jobs::JobRecord> records);
     boost::asio::awaitable<void> commit();
+    /// Tells the scheduler that the commit is written.
+    void confirm(std::int64_t commitNumber);
     /// Retries until the records are written. Returns false if the session ended before.
     boost::asio::awaitable<bool> appendUntilWritten(const std::vector<Jobs::StoredRecord> &records);
     /// Returns false if the append failed or wasn't answered.
@@ -75,7 +80,12 @@
     boost::asio::awaitable<void> send(Jobs::StopCommand command);
     boost::asio::awaitable<void> send(Jobs::ThrottleCommand command);
     boost::asio::awaitable<void> renew(Jobs::RenewCommand command);
+    /// \p sentAt is when the renewal was sent that the report answers.
+    void applyReport(const Core::VmId &worker, const Jobs::WorkerReport &report,
+                     Core::Instant sentAt);
     boost::asio::awaitable<void> followWorkers();
+    /// Passes the list of workers on to the scheduler.
+    void applyWorkers();
     /// Reports to the scheduler how late timers of this process fire.
     boost::asio::awaitable<void> measureTimerLag();
     /// Runs \p work as a coroutine of its own. `run()` doesn't return before it has ended.
@@ -83,6 +93,9 @@
     /// Ends the session. \p reason is for the log.
     void depose(const std::string &reason);
     void updateMetrics();
+    /// Logs a loop that falls so far behind that other nodes may soon consider the owner dead.
+    /// Unlike the line of load, this one is essential.
+    static void logIfBehind(const LoopSummary &loop);
     /// Holds starts while the copy of the job, operator or worker records is too old though the
     /// store answers.
     void updateStartHold();
@@ -102,6 +115,7 @@
     /// When the last successful append was sent, on the suspend-aware clock.
     Core::Instant m_provenAt;
     Core::Instant m_nextMetricsAt = {};
+    LoopMeter m_loopMeter;
     bool m_isCommitting = false;
     bool m_isOver = false;
     bool m_isReleasing = false;
--- a/include/LibSite/SiteMetrics.h
+++ b/include/LibSite/SiteMetrics.h
@@ -25,6 +25,8 @@
     void setTasks(double running, double waiting);
     /// Sets the age of the copy of the job records; -1 if it was never complete.
     void setTableAge(double seconds);
+    /// Sets how late the owner's timers fired at most in the last second; 0 on other nodes.
+    void setOwnerLag(double seconds);
 
     /// All metrics in the text format of Prometheus.
     std::string text() const;
@@ -42,6 +44,7 @@
     prometheus::Gauge &m_running;
     prometheus::Gauge &m_waiting;
     prometheus::Gauge &m_tableAge;
+    prometheus::Gauge &m_ownerLag;
 };
 
 } // namespace Site
