Tests: Show how living, busy owners are deposed

Each call takes several passes through the loop's queue (begin, sent, received, decoded), and each pass waits behind what 1,100 workers have in that queue. Reads took about 1 s (starts-held at 7.3, 8.9, 12.5 s), and the append of a heartbeat takes the same way. After 900 ms + 100 ms the append is repeated; if the first one had arrived, the repetition writes no record, and the next heartbeat counts from the repetition: 1.50 s without a record (request lost: 1.36 s), of the 1.6 s that other nodes wait. - Ruled out by the code: batches of one commit. Each batch is written by itself and counts as a sign of life. - Not seen: missing descriptors.

--- a/Tests/LibSite/MemoryLog.cpp
+++ b/Tests/LibSite/MemoryLog.cpp
@@ -14,6 +14,8 @@
 
 static constexpr std::int64_t callMs = 1;
 static constexpr std::size_t keysPerPage = 2;
+/// A repetition of one of this many last fenced appends gets its first answer again.
+static constexpr std::size_t rememberedAppends = 5;
 
 MemoryLog::MemoryLog(asio::any_io_executor executor)
     : m_executor(std::move(executor))
@@ -127,15 +129,39 @@
     co_return co_await store(std::move(records));
 }
 
+AppendFault MemoryLog::takeFault(bool hasRecords)
+{
+    if (!hasRecords || appendFaults.empty())
+        return AppendFault::None;
+    const AppendFault fault = appendFaults.front();
+    appendFaults.pop_front();
+    return fault;
+}
+
+asio::awaitable<void> MemoryLog::stayUnanswered(Core::Instant deadline)
+{
+    asio::steady_timer timer(m_executor);
+    timer.expires_at(Core::toSteadyTimePoint(deadline));
+    co_await timer.async_wait(asio::use_awaitable);
+    throw Core::OutcomeUnknownError("append", "memory", "the deadline has passed");
+}
+
 asio::awaitable<std::int64_t> MemoryLog::appendFenced(std::vector<Jobs::StoredRecord> records,
                                                       FencedWriter writer, Core::Instant deadline)
 {
+    const AppendFault fault = takeFault(!records.empty());
+    if (fault == AppendFault::Lost)
+        co_await stayUnanswered(deadline);
+    if (fault == AppendFault::Delayed)
+        co_await delay(delayedArrivalMs);
     co_await sendRecords(records, deadline);
     if (writer.epoch < m_epoch)
         throw FencedError("append", "memory", "a higher epoch was seen");
-    const bool isRepeated = writer.epoch == m_epoch && writer.sequence == m_lastSequence;
-    if (isRepeated) {
-        const std::int64_t offset = m_lastOffset;
+    if (writer.epoch > m_epoch)
+        m_lastOffsets.clear();
+    const auto repeated = m_lastOffsets.find(writer.sequence);
+    if (repeated != m_lastOffsets.end()) {
+        const std::int64_t offset = repeated->second;
         co_await deliverAnswer();
         co_return offset;
     }
@@ -144,8 +170,13 @@
                             m_lastSequence + 1);
     m_epoch = writer.epoch;
     m_lastSequence = writer.sequence;
-    m_lastOffset = m_topics[Topic::Jobs].end;
-    co_return co_await store(std::move(records));
+    m_lastOffsets[writer.sequence] = m_topics[Topic::Jobs].end;
+    if (m_lastOffsets.size() > rememberedAppends)
+        m_lastOffsets.erase(m_lastOffsets.begin());
+    const std::int64_t offset = co_await store(std::move(records));
+    if (fault == AppendFault::Unanswered)
+        co_await stayUnanswered(deadline);
+    co_return offset;
 }
 
 asio::awaitable<LogPage> MemoryLog::read(Topic topic, std::int64_t from, std::int64_t waitMs,
--- a/Tests/LibSite/MemoryLog.h
+++ b/Tests/LibSite/MemoryLog.h
@@ -6,11 +6,23 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+/// What happens to one fenced append.
+enum class AppendFault {
+    None,
+    /// It never arrives, and the caller gets no answer before its deadline.
+    Lost,
+    /// It takes effect, but the caller gets no answer before its deadline.
+    Unanswered,
+    /// It arrives only after `MemoryLog::delayedArrivalMs`.
+    Delayed,
+};
+
 /// The platform's log in memory, with faults that tests can inject.
 class MemoryLog final : public Site::KeyedLog
 {
@@ -46,6 +58,9 @@
     std::optional<Site::Topic> unreadableTopic;
     /// Appends take effect, but their answers are lost.
     bool losesAnswers = false;
+    /// What happens to the next fenced appends with records, in their order.
+    std::deque<AppendFault> appendFaults;
+    std::int64_t delayedArrivalMs = 400;
     /// Delay of the answer to an append.
     std::int64_t answerMs = 0;
     /// Delay of a page of the newest records; a call that would end after its deadline isn't
@@ -80,6 +95,8 @@
     boost::asio::awaitable<void> deliverPage(Core::Instant deadline);
     boost::asio::awaitable<std::int64_t> store(std::vector<Jobs::StoredRecord> records);
     boost::asio::awaitable<void> deliverAnswer();
+    AppendFault takeFault(bool hasRecords);
+    boost::asio::awaitable<void> stayUnanswered(Core::Instant deadline);
     void refuseIfDown(const std::string &step) const;
     void refuseIfUnreadable(Site::Topic topic, const std::string &step) const;
 
@@ -87,5 +104,6 @@
     std::map<Site::Topic, Stored> m_topics;
     std::int64_t m_epoch = 0;
     std::int64_t m_lastSequence = -1;
-    std::int64_t m_lastOffset = 0;
+    /// The offsets of the last fenced appends of the epoch by their sequence numbers.
+    std::map<std::int64_t, std::int64_t> m_lastOffsets;
 };
