LibJob: Let large nodes own the jobs even after a restart of all

OwnerMonitorSettings gets `processorShare`. A slow link alone keeps its 0.6 s, and a small share alone changes nothing: there are sites of small nodes with fast links only, which would all wait for nobody.

The field isn't set yet: the settings' reader and template must pass the share of the processor on (platform/NodeProcess.cpp, siteSettings()). Until then nothing changes.

--- a/Libraries/LibJob/OwnerMonitor.cpp
+++ b/Libraries/LibJob/OwnerMonitor.cpp
@@ -15,6 +15,9 @@
 static constexpr double minOwnerLinkMegabitsPerSecond = 50;
 /// Exceeds the jitter, so that nodes with more bandwidth have had their chance to claim.
 static constexpr Core::Duration slowLinkClaimDelay = std::chrono::milliseconds(600);
+static constexpr double minOwnerProcessorShare = 0.25;
+/// Exceeds the time by which the first reads of restarted nodes lie apart.
+static constexpr Core::Duration smallNodeClaimDelay = std::chrono::seconds(3);
 
 OwnerMonitor::OwnerMonitor(std::string node, const OwnerMonitorSettings &settings)
     : m_node(std::move(node))
@@ -69,10 +72,13 @@
     return isInGrace ? graceTimeoutFactor * m_settings.ownerTimeout : m_settings.ownerTimeout;
 }
 
-Core::Duration OwnerMonitor::slowLinkDelay() const
+Core::Duration OwnerMonitor::suitabilityDelay() const
 {
     const bool isLinkSlow = m_settings.linkMegabitsPerSecond < minOwnerLinkMegabitsPerSecond;
-    return isLinkSlow ? slowLinkClaimDelay : Core::Duration(0);
+    if (!isLinkSlow)
+        return Core::Duration(0);
+    const bool isSmall = m_settings.processorShare < minOwnerProcessorShare;
+    return isSmall ? smallNodeClaimDelay : slowLinkClaimDelay;
 }
 
 std::optional<Core::Instant> OwnerMonitor::claimAt() const
@@ -82,8 +88,8 @@
     if (isOwner())
         return m_lastOwnerWriteAt;
     if (!m_claim || m_claim->isReleased)
-        return m_lastOwnerWriteAt + claimJitter() / releasedJitterDivisor + slowLinkDelay();
-    return m_lastOwnerWriteAt + ownerTimeout() + claimJitter() + slowLinkDelay();
+        return m_lastOwnerWriteAt + claimJitter() / releasedJitterDivisor + suitabilityDelay();
+    return m_lastOwnerWriteAt + ownerTimeout() + claimJitter() + suitabilityDelay();
 }
 
 } // namespace Jobs
--- a/include/LibJob/OwnerMonitor.h
+++ b/include/LibJob/OwnerMonitor.h
@@ -23,6 +23,10 @@
     /// Bandwidth of this node's link; infinity if it is unknown. The owner receives the reports of
     /// all workers, so a node with too little bandwidth lets other nodes claim first.
     double linkMegabitsPerSecond = std::numeric_limits<double>::infinity();
+    /// Share of a core that this node's process may use; infinity if it is unknown. A node with a
+    /// small share lets others claim first only if its link is slow, too: a site may consist of
+    /// small nodes with fast links.
+    double processorShare = std::numeric_limits<double>::infinity();
 
     auto operator<=>(const OwnerMonitorSettings &) const = default;
 };
@@ -59,8 +63,8 @@
     Core::Duration claimJitter() const;
     /// How long the owner may be silent, counted from its newest record.
     Core::Duration ownerTimeout() const;
-    /// Extra delay that lets nodes with more bandwidth claim first.
-    Core::Duration slowLinkDelay() const;
+    /// Extra delay that lets better suited nodes claim first.
+    Core::Duration suitabilityDelay() const;
 
     std::string m_node;
     OwnerMonitorSettings m_settings;
