LibSite: Pace the owner's turns, and send a due heartbeat before a turn

Every ended call wakes the owner's loop, and each wake-up runs a whole turn, which walks over all workers several times; with thousands of ended calls a second turns follow each other without a pause. Each turn planned first and looked whether a heartbeat was due afterwards, so a planning pass of some hundred ms made it late by its length.

TurnPacer lets the next turn begin after a pause as long as the last turn, 2 ms at least and 50 ms at most, so that turns take about half of the loop's time at most. A heartbeat ends the pause. If a turn as long as the last one would end after the heartbeat is due, the commit begins before the turn and gets 5 ms to be sent.

Ruled out: a fixed spacing (either too long for a small site, or without effect on turns of 100 ms); a commit before every turn (what the turn decides would wait for the next commit). Not covered: a single turn that is longer than the heartbeat's margin; that is the planning pass itself. The time of turns on the large site isn't measured.

--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -21,6 +21,8 @@
 static constexpr Core::Duration commitInterval = std::chrono::milliseconds(20);
 static constexpr Core::Duration timerLagInterval = std::chrono::milliseconds(100);
 static constexpr Core::Duration heartbeatInterval = std::chrono::milliseconds(500);
+/// A heartbeat that precedes a turn has this long to be sent.
+static constexpr Core::Duration heartbeatSendTime = std::chrono::milliseconds(5);
 static constexpr Core::Duration commandTimeout = std::chrono::milliseconds(1000);
 /// Time for a worker's answer, on top of the time that the renewal allows the worker to wait.
 static constexpr Core::Duration renewalTimeout = std::chrono::milliseconds(1000);
@@ -64,6 +66,7 @@
     , m_workerFollower(log, decoder)
     , m_wakeup(executor)
     , m_workersWakeup(executor)
+    , m_turnPause(executor)
     , m_provenAt(provenAt)
     , m_nextHeartbeatAt(provenAt + heartbeatInterval)
     , m_loopMeter(Core::steadyNow())
@@ -203,15 +206,10 @@
         }
         if (m_isOver)
             break;
-        if (!m_isReleasing)
-            spawnCommands();
-        spawnCommit();
-        updateMetrics();
-        const Jobs::TimePoint moment = now();
-        Core::Instant next
-            = isOwnershipProven() ? m_scheduler.nextWakeup(moment) : moment.instant + retryDelay;
-        next = std::min(next, std::max(m_nextHeartbeatAt, moment.instant + commitInterval));
-        co_await m_wakeup.sleepUntil(Core::steadyNow() + (next - moment.instant));
+        co_await sendHeartbeatBeforeTurn();
+        takeTurn();
+        co_await m_wakeup.sleepUntil(nextWakeup());
+        co_await m_turnPause.sleepUntil(turnPauseEndsAt());
     }
     m_state.metrics.setOwner(false);
     m_state.metrics.setOwnerLag(0);
@@ -219,6 +217,47 @@
         co_await m_wakeup.sleepUntil(Core::steadyNow() + retryDelay);
 }
 
+Core::Instant OwnerSession::heartbeatDueAt() const
+{
+    return Core::steadyNow() + (m_nextHeartbeatAt - Core::suspendAwareNow());
+}
+
+Core::Instant OwnerSession::nextWakeup() const
+{
+    const Jobs::TimePoint moment = now();
+    Core::Instant next
+        = isOwnershipProven() ? m_scheduler.nextWakeup(moment) : moment.instant + retryDelay;
+    next = std::min(next, std::max(m_nextHeartbeatAt, moment.instant + commitInterval));
+    return Core::steadyNow() + (next - moment.instant);
+}
+
+asio::awaitable<void> OwnerSession::sendHeartbeatBeforeTurn()
+{
+    const bool isDue = m_turnPacer.isHeartbeatFirst(Core::steadyNow(), heartbeatDueAt());
+    if (m_isCommitting || !isDue)
+        co_return;
+    beginCommit();
+    co_await m_turnPause.sleepUntil(Core::steadyNow() + heartbeatSendTime);
+}
+
+Core::Instant OwnerSession::turnPauseEndsAt() const
+{
+    const Core::Instant nextTurnAt = m_turnPacer.nextTurnAt();
+    return m_isCommitting ? nextTurnAt : std::min(nextTurnAt, heartbeatDueAt());
+}
+
+void OwnerSession::takeTurn()
+{
+    if (m_isOver)
+        return;
+    const Core::Instant beganAt = Core::steadyNow();
+    if (isIssuingCommands())
+        spawnCommands();
+    spawnCommit();
+    updateMetrics();
+    m_turnPacer.noteTurn(beganAt, Core::steadyNow());
+}
+
 void OwnerSession::spawnCommands()
 {
     if (!isOwnershipProven())
@@ -314,8 +353,12 @@
 void OwnerSession::spawnCommit()
 {
     const bool isDue = m_scheduler.needsCommit() || Core::suspendAwareNow() >= m_nextHeartbeatAt;
-    if (m_isCommitting || !isDue)
-        return;
+    if (!m_isCommitting && isDue)
+        beginCommit();
+}
+
+void OwnerSession::beginCommit()
+{
     m_isCommitting = true;
     spawn(commit());
 }
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -9,6 +9,7 @@
 #include <LibSite/LoopMeter.h>
 #include <LibSite/SiteDecoder.h>
 #include <LibSite/SiteState.h>
+#include <LibSite/TurnPacer.h>
 #include <LibSite/WorkerFollower.h>
 #include <LibSite/WorkerGateway.h>
 #include <LibSupervision/Wakeup.h>
@@ -56,12 +57,23 @@
     /// next owner.
     bool isIssuingCommands() const;
     void loadState();
+    /// When the next heartbeat is due, on the steady clock.
+    Core::Instant heartbeatDueAt() const;
+    /// When the next turn is due unless something wakes the session before, on the steady clock.
+    Core::Instant nextWakeup() const;
+    /// Begins a commit if the next turn may be so long that the heartbeat would be late after it.
+    boost::asio::awaitable<void> sendHeartbeatBeforeTurn();
+    /// Turns are paced, but a heartbeat doesn't wait for the next one.
+    Core::Instant turnPauseEndsAt() const;
+    /// Decides and begins everything that is due.
+    void takeTurn();
     /// Sends the renewals and commands that are due if the ownership is proven.
     void spawnCommands();
     void spawnRenewals();
     void spawnPlannedCommands();
     /// Begins a commit if one is due and none is in flight.
     void spawnCommit();
+    void beginCommit();
     /// Encodes the progress and remembers it as sent. If it exceeds the maximum record size, the
     /// job fails unless it is already over, and the record omits the progress of its tasks.
     Jobs::StoredRecord encodeProgress(Jobs::ProgressRecord progress);
@@ -117,6 +129,9 @@
     WorkerFollower m_workerFollower;
     Supervision::Wakeup m_wakeup;
     Supervision::Wakeup m_workersWakeup;
+    /// Nothing ends these pauses early; they are short.
+    Supervision::Wakeup m_turnPause;
+    TurnPacer m_turnPacer;
     std::int64_t m_nextSequence = 1;
     /// When the last successful append was sent, on the suspend-aware clock.
     Core::Instant m_provenAt;
