--- a/Tests/LibSite/TestHeartbeats.cpp
+++ b/Tests/LibSite/TestHeartbeats.cpp
@@ -38,10 +38,6 @@
     {
         log4cxx::Logger::getRootLogger()->addAppender(lines);
     }
-    OwnerSite()
-        : OwnerSite(workers)
-    {
-    }
     OwnerSite(const OwnerSite &) = delete;
     OwnerSite &operator=(const OwnerSite &) = delete;
     ~OwnerSite()
@@ -85,7 +81,8 @@
 
 TEST_CASE("An append without an answer doesn't silence the owner")
 {
-    OwnerSite site;
+    FakeWorkers workers;
+    OwnerSite site(workers);
     site.start();
     site.run(700);
     REQUIRE(site.node.state.owner);
@@ -97,7 +94,8 @@
 
 TEST_CASE("An append that arrives late, after its repetition, changes nothing")
 {
-    OwnerSite site;
+    FakeWorkers workers;
+    OwnerSite site(workers);
     site.start();
     site.run(700);
     REQUIRE(site.node.state.owner);
