--- a/Libraries/LibJob/OwnerMonitor.cpp
+++ b/Libraries/LibJob/OwnerMonitor.cpp
@@ -9,11 +9,15 @@
 /// After a longer gap between two reads the owner's timeout starts again, since its writes couldn't
 /// be seen.
 static constexpr Core::Duration maxReadGap = std::chrono::milliseconds(1200);
+static constexpr int graceTimeoutFactor = 2;
 /// Shortens the jitter after a release, when no node is acting as the owner.
 static constexpr int releasedJitterDivisor = 3;
 static constexpr double minOwnerLinkMegabitsPerSecond = 50;
 /// Exceeds the jitter, so that nodes with more bandwidth have had their chance to claim.
 static constexpr Core::Duration slowLinkClaimDelay = std::chrono::milliseconds(600);
+static constexpr double minOwnerProcessorShare = 0.25;
+/// Exceeds the time by which the first reads of restarted nodes lie apart.
+static constexpr Core::Duration smallNodeClaimDelay = std::chrono::seconds(3);
 
 OwnerMonitor::OwnerMonitor(std::string node, const OwnerMonitorSettings &settings)
     : m_node(std::move(node))
@@ -31,6 +35,9 @@
     if (offset <= m_claimOffset)
         return;
     m_claimOffset = offset;
+    const bool isTakeover = m_claim && !m_claim->isReleased && claim.term > m_claim->term;
+    if (isTakeover)
+        m_graceEndsAt = now + m_settings.takeoverGrace;
     m_claim = claim;
     noteOwnerWrite(now);
 }
@@ -59,10 +66,19 @@
     return Core::Duration(static_cast<std::int64_t>(hash % (maxJitter + 1)));
 }
 
-Core::Duration OwnerMonitor::slowLinkDelay() const
+Core::Duration OwnerMonitor::ownerTimeout() const
+{
+    const bool isInGrace = m_lastOwnerWriteAt < m_graceEndsAt;
+    return isInGrace ? graceTimeoutFactor * m_settings.ownerTimeout : m_settings.ownerTimeout;
+}
+
+Core::Duration OwnerMonitor::suitabilityDelay() const
 {
     const bool isLinkSlow = m_settings.linkMegabitsPerSecond < minOwnerLinkMegabitsPerSecond;
-    return isLinkSlow ? slowLinkClaimDelay : Core::Duration(0);
+    if (!isLinkSlow)
+        return Core::Duration(0);
+    const bool isSmall = m_settings.processorShare < minOwnerProcessorShare;
+    return isSmall ? smallNodeClaimDelay : slowLinkClaimDelay;
 }
 
 std::optional<Core::Instant> OwnerMonitor::claimAt() const
@@ -72,8 +88,8 @@
     if (isOwner())
         return m_lastOwnerWriteAt;
     if (!m_claim || m_claim->isReleased)
-        return m_lastOwnerWriteAt + claimJitter() / releasedJitterDivisor + slowLinkDelay();
-    return m_lastOwnerWriteAt + m_settings.ownerTimeout + claimJitter() + slowLinkDelay();
+        return m_lastOwnerWriteAt + claimJitter() / releasedJitterDivisor + suitabilityDelay();
+    return m_lastOwnerWriteAt + ownerTimeout() + claimJitter() + suitabilityDelay();
 }
 
 } // namespace Jobs
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -3,6 +3,8 @@
 #include <LibCore/SteadyClock.h>
 #include <LibCore/WallClock.h>
 #include <LibLog/Logging.h>
+#include <LibSite/BackgroundExecutor.h>
+#include <LibSite/FencedAppend.h>
 
 #include <boost/asio/co_spawn.hpp>
 
@@ -19,6 +21,8 @@
 static constexpr Core::Duration commitInterval = std::chrono::milliseconds(20);
 static constexpr Core::Duration timerLagInterval = std::chrono::milliseconds(100);
 static constexpr Core::Duration heartbeatInterval = std::chrono::milliseconds(500);
+/// A heartbeat that precedes a turn has this long to be sent.
+static constexpr Core::Duration heartbeatSendTime = std::chrono::milliseconds(5);
 static constexpr Core::Duration commandTimeout = std::chrono::milliseconds(1000);
 /// Time for a worker's answer, on top of the time that the renewal allows the worker to wait.
 static constexpr Core::Duration renewalTimeout = std::chrono::milliseconds(1000);
@@ -26,6 +30,9 @@
 static constexpr Core::Duration workersReadPause = std::chrono::milliseconds(50);
 static constexpr Core::Duration retryDelay = std::chrono::milliseconds(250);
 static constexpr Core::Duration metricsInterval = std::chrono::seconds(1);
+/// A loop whose timers are later, or whose appends are further apart, is logged as behind.
+static constexpr Core::Duration loggedTimerLag = std::chrono::milliseconds(300);
+static constexpr Core::Duration loggedAppendGap = std::chrono::milliseconds(1000);
 /// A failure domain that was taken out of service must get no more starts after 5 s at the latest.
 /// While the store answers the owner, the owner's copy of the operators' records may be this much
 /// older than its last append. While the store answers no node, no domain can be taken out of
@@ -53,12 +60,16 @@
     , m_workers(workers)
     , m_follower(follower)
     , m_executor(executor)
+    , m_background(std::make_shared<BackgroundQueue>(executor))
     , m_ownership(ownership)
     , m_scheduler(state.settings.scheduler, ownership, *this)
     , m_workerFollower(log, decoder)
     , m_wakeup(executor)
     , m_workersWakeup(executor)
+    , m_turnPause(executor)
     , m_provenAt(provenAt)
+    , m_nextHeartbeatAt(provenAt + heartbeatInterval)
+    , m_loopMeter(Core::steadyNow())
 {
     loadState();
     m_state.owner = this;
@@ -70,6 +81,7 @@
     m_follower.forgetSent();
     if (m_state.owner == this)
         m_state.owner = nullptr;
+    m_background->close();
 }
 
 Jobs::TimePoint OwnerSession::now() const
@@ -89,6 +101,7 @@
 
 void OwnerSession::loadState()
 {
+    const LoopMeter::Work work(m_loopMeter, "load-state");
     onOperatorChange();
     const Jobs::TimePoint moment = now();
     for (const auto &[id, entry] : m_state.table.jobs())
@@ -142,6 +155,7 @@
         m_state.owner = nullptr;
     LOG4CXX_WARN(partLogger,
                  "event=deposed term=" << m_ownership.term << " reason=\"" << reason << '"');
+    logIfBehind(m_loopMeter.takeSummary(Core::steadyNow()));
     m_wakeup.wake();
     m_workersWakeup.wake();
 }
@@ -153,9 +167,19 @@
 }
 
 void OwnerSession::spawn(asio::awaitable<void> work)
+{
+    spawnOn(m_executor, std::move(work));
+}
+
+void OwnerSession::spawnInBackground(asio::awaitable<void> work)
+{
+    spawnOn(BackgroundExecutor(m_background), std::move(work));
+}
+
+void OwnerSession::spawnOn(const asio::any_io_executor &executor, asio::awaitable<void> work)
 {
     ++m_activeCoroutines;
-    asio::co_spawn(m_executor, std::move(work), [this](const std::exception_ptr &failure) {
+    asio::co_spawn(executor, std::move(work), [this](const std::exception_ptr &failure) {
         --m_activeCoroutines;
         if (failure) {
             try {
@@ -168,16 +192,11 @@
     });
 }
 
-Core::Instant OwnerSession::nextHeartbeatAt() const
-{
-    return m_provenAt + heartbeatInterval;
-}
-
 asio::awaitable<void> OwnerSession::run()
 {
     m_state.metrics.setOwner(true);
     spawn(followWorkers());
-    spawn(measureTimerLag());
+    spawnInBackground(measureTimerLag());
     while (!m_isOver) {
         if (m_scheduler.isDeposed())
             depose("a worker has seen a higher fencing token");
@@ -187,31 +206,81 @@
         }
         if (m_isOver)
             break;
-        if (!m_isReleasing)
-            spawnCommands();
-        spawnCommit();
-        const Jobs::TimePoint moment = now();
-        Core::Instant next
-            = isOwnershipProven() ? m_scheduler.nextWakeup(moment) : moment.instant + retryDelay;
-        next = std::min(next, std::max(nextHeartbeatAt(), moment.instant + commitInterval));
-        co_await m_wakeup.sleepUntil(Core::steadyNow() + (next - moment.instant));
+        co_await sendHeartbeatBeforeTurn();
+        takeTurn();
+        co_await m_wakeup.sleepUntil(nextWakeup());
+        co_await m_turnPause.sleepUntil(turnPauseEndsAt());
     }
     m_state.metrics.setOwner(false);
+    m_state.metrics.setOwnerLag(0);
     while (m_activeCoroutines > 0)
         co_await m_wakeup.sleepUntil(Core::steadyNow() + retryDelay);
 }
 
+Core::Instant OwnerSession::heartbeatDueAt() const
+{
+    return Core::steadyNow() + (m_nextHeartbeatAt - Core::suspendAwareNow());
+}
+
+Core::Instant OwnerSession::nextWakeup() const
+{
+    const Jobs::TimePoint moment = now();
+    Core::Instant next
+        = isOwnershipProven() ? m_scheduler.nextWakeup(moment) : moment.instant + retryDelay;
+    next = std::min(next, std::max(m_nextHeartbeatAt, moment.instant + commitInterval));
+    return Core::steadyNow() + (next - moment.instant);
+}
+
+asio::awaitable<void> OwnerSession::sendHeartbeatBeforeTurn()
+{
+    const bool isDue = m_turnPacer.isHeartbeatFirst(Core::steadyNow(), heartbeatDueAt());
+    if (m_isCommitting || !isDue)
+        co_return;
+    beginCommit();
+    co_await m_turnPause.sleepUntil(Core::steadyNow() + heartbeatSendTime);
+}
+
+Core::Instant OwnerSession::turnPauseEndsAt() const
+{
+    const Core::Instant nextTurnAt = m_turnPacer.nextTurnAt();
+    return m_isCommitting ? nextTurnAt : std::min(nextTurnAt, heartbeatDueAt());
+}
+
+void OwnerSession::takeTurn()
+{
+    if (m_isOver)
+        return;
+    const Core::Instant beganAt = Core::steadyNow();
+    if (isIssuingCommands())
+        spawnCommands();
+    spawnCommit();
+    updateMetrics();
+    m_turnPacer.noteTurn(beganAt, Core::steadyNow());
+}
+
 void OwnerSession::spawnCommands()
 {
     if (!isOwnershipProven())
         return;
     updateStartHold();
+    spawnRenewals();
+    spawnPlannedCommands();
+}
+
+void OwnerSession::spawnRenewals()
+{
+    const LoopMeter::Work work(m_loopMeter, "renewals");
     for (Jobs::RenewCommand &command : m_scheduler.takeRenewals(now()))
-        spawn(renew(std::move(command)));
+        spawnInBackground(renew(std::move(command)));
+}
+
+void OwnerSession::spawnPlannedCommands()
+{
+    const LoopMeter::Work work(m_loopMeter, "planning");
     for (Jobs::Command &command : m_scheduler.takeCommands(now())) {
-        std::visit([this](auto &typedCommand) { spawn(send(std::move(typedCommand))); }, command);
+        std::visit([this](auto &typedCommand) { spawnInBackground(send(std::move(typedCommand))); },
+                   command);
     }
-    updateMetrics();
 }
 
 bool OwnerSession::isCopyTooOldForStarts() const
@@ -242,26 +311,54 @@
     m_scheduler.setStartsHeld(areHeld);
 }
 
+static std::string formatLoop(const LoopSummary &loop)
+{
+    const auto inMs = [](Core::Duration duration) {
+        return std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    };
+    return "lag_ms=" + inMs(loop.timerLag) + " longest_turn_ms=" + inMs(loop.longestWork)
+        + " longest_turn=" + std::string(loop.longestWorkName)
+        + " append_gap_ms=" + inMs(loop.appendGap);
+}
+
 void OwnerSession::updateMetrics()
 {
     const Core::Instant now = Core::steadyNow();
     if (now < m_nextMetricsAt)
         return;
     m_nextMetricsAt = now + metricsInterval;
+    const LoopSummary loop = m_loopMeter.takeSummary(now);
+    const std::chrono::duration<double> timerLag = loop.timerLag;
+    m_state.metrics.setOwnerLag(timerLag.count());
+    logIfBehind(loop);
+    const LoopMeter::Work work(m_loopMeter, "metrics");
     const std::size_t waiting = m_scheduler.waitingCount();
     m_state.metrics.setTasks(static_cast<double>(m_scheduler.runningCount()),
                              static_cast<double>(waiting));
     LOG4CXX_INFO(detailLogger,
                  "event=load running=" << m_scheduler.runningCount() << " waiting=" << waiting
                                        << " free_millicores=" << m_scheduler.freeMilliCores()
-                                       << " idle_millicores=" << m_scheduler.idleMilliCores());
+                                       << " idle_millicores=" << m_scheduler.idleMilliCores() << ' '
+                                       << formatLoop(loop));
+}
+
+void OwnerSession::logIfBehind(const LoopSummary &loop)
+{
+    const bool isBehind = loop.timerLag >= loggedTimerLag || loop.appendGap >= loggedAppendGap;
+    if (isBehind)
+        LOG4CXX_INFO(partLogger, "event=behind " << formatLoop(loop));
 }
 
 void OwnerSession::spawnCommit()
 {
-    const bool isDue = m_scheduler.needsCommit() || Core::suspendAwareNow() >= nextHeartbeatAt();
-    if (m_isCommitting || !isDue)
-        return;
+    const bool isDue = m_scheduler.needsCommit() || Core::suspendAwareNow() >= m_nextHeartbeatAt;
+    if (!m_isCommitting && isDue)
+        beginCommit();
+}
+
+void OwnerSession::beginCommit()
+{
     m_isCommitting = true;
     spawn(commit());
 }
@@ -286,6 +383,7 @@
 
 AppendBatches OwnerSession::encodeCommit(std::vector<Jobs::JobRecord> records)
 {
+    const LoopMeter::Work work(m_loopMeter, "commit");
     AppendBatches batches;
     for (Jobs::JobRecord &record : records) {
         if (auto *progress = std::get_if<Jobs::ProgressRecord>(&record))
@@ -309,21 +407,30 @@
             break;
     }
     if (isWritten) {
-        m_scheduler.onCommitted(commit.number, m_provenAt, now());
-        m_wakeup.wake();
+        confirm(commit.number);
         Supervision::Wakeup pause(m_executor);
         co_await pause.sleepUntil(Core::steadyNow() + commitInterval);
     }
     m_isCommitting = false;
 }
 
+void OwnerSession::confirm(std::int64_t commitNumber)
+{
+    const LoopMeter::Work work(m_loopMeter, "committed");
+    m_scheduler.onCommitted(commitNumber, m_provenAt, now());
+    m_wakeup.wake();
+}
+
 asio::awaitable<bool>
 OwnerSession::appendUntilWritten(const std::vector<Jobs::StoredRecord> &records)
 {
     Supervision::Wakeup pause(m_executor);
+    const Core::Instant firstSentAt = Core::suspendAwareNow();
     while (!m_isOver) {
         const bool isWritten = co_await appendOnce(records);
         if (isWritten) {
+            // The first call may have been the one that wrote the records.
+            m_nextHeartbeatAt = firstSentAt + heartbeatInterval;
             m_scheduler.setStoreReachable(true);
             co_return true;
         }
@@ -336,12 +443,14 @@
 
 asio::awaitable<bool> OwnerSession::appendOnce(const std::vector<Jobs::StoredRecord> &records)
 {
-    const Core::Instant sentAt = Core::suspendAwareNow();
     const FencedWriter writer { m_ownership.token, m_nextSequence };
+    const auto append = std::make_shared<FencedAppend>(m_log, m_executor, records, writer);
+    const FencedAppend::Spawn spawnCall
+        = [this](asio::awaitable<void> call) { spawn(std::move(call)); };
     try {
-        co_await m_log.appendFenced(records, writer, Core::steadyNow() + appendTimeout);
+        m_provenAt = co_await append->send(spawnCall, Core::steadyNow() + appendTimeout);
         ++m_nextSequence;
-        m_provenAt = sentAt;
+        m_loopMeter.noteAppendAnswered(Core::steadyNow());
         if (m_state.health.noteSuccess(Core::steadyNow()))
             LOG4CXX_INFO(partLogger, "event=regained dependency=store");
         co_return true;
@@ -415,7 +524,7 @@
         const Jobs::WorkerReport report
             = co_await m_workers.renew(command, Core::steadyNow() + allowed);
         if (isIssuingCommands())
-            m_scheduler.onReport(command.worker, report, sentAt, now());
+            applyReport(command.worker, report, sentAt);
         co_return;
     } catch (const FencedError &error) {
         depose(error.what());
@@ -428,16 +537,32 @@
         m_scheduler.onRenewalFailed(command.worker, now());
 }
 
+void OwnerSession::applyReport(const Core::VmId &worker, const Jobs::WorkerReport &report,
+                               Core::Instant sentAt)
+{
+    const LoopMeter::Work work(m_loopMeter, "report");
+    m_scheduler.onReport(worker, report, sentAt, now());
+}
+
 asio::awaitable<void> OwnerSession::measureTimerLag()
 {
     Supervision::Wakeup pause(m_executor);
     while (!m_isOver) {
         const Core::Instant due = Core::steadyNow() + timerLagInterval;
         co_await pause.sleepUntil(due);
-        m_scheduler.setLag(Core::steadyNow() - due);
+        const Core::Duration lag = Core::steadyNow() - due;
+        m_scheduler.setLag(lag);
+        m_loopMeter.noteTimerLag(lag);
     }
 }
 
+void OwnerSession::applyWorkers()
+{
+    const LoopMeter::Work work(m_loopMeter, "workers");
+    m_scheduler.setWorkers(m_workerFollower.workers(), now());
+    m_wakeup.wake();
+}
+
 asio::awaitable<void> OwnerSession::followWorkers()
 {
     while (!m_isOver) {
@@ -447,10 +572,8 @@
             const bool isComplete = m_workerFollower.completeAsOf().has_value();
             const bool isChanged
                 = co_await m_workerFollower.read(isComplete ? workersReadWaitMs : 0);
-            if (isChanged && !m_isOver) {
-                m_scheduler.setWorkers(m_workerFollower.workers(), now());
-                m_wakeup.wake();
-            }
+            if (isChanged && !m_isOver)
+                applyWorkers();
         } catch (const Core::Error &error) {
             LOG4CXX_DEBUG(partLogger, "event=read-failed reason=\"" << error.what() << '"');
             pause = retryDelay;
--- a/Libraries/LibSite/SiteMetrics.cpp
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -50,6 +50,8 @@
     , m_refusedWorkerCalls(counters(m_registry, "lagoonford_worker_calls_refused_total",
                                     "Calls to workers that got no connection within the budget")
                                .Add({}))
+    , m_ownerLag(gauge(m_registry, "lagoonford_owner_lag_seconds",
+                       "How late the owner's work with workers ran at most in the last second"))
 {
 }
 
@@ -104,6 +106,11 @@
     m_refusedWorkerCalls.Increment(total - m_refusedWorkerCalls.Value());
 }
 
+void SiteMetrics::setOwnerLag(double seconds)
+{
+    m_ownerLag.Set(seconds);
+}
+
 std::string SiteMetrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_registry.Collect());
--- a/Tests/platform/TestMessages.cpp
+++ b/Tests/platform/TestMessages.cpp
@@ -45,6 +45,7 @@
 address = 10.0.0.1
 [limits]
 descriptors = 8192
+processor-share = 0.069
 [store]
 address = 10.0.0.2:83
 [link]
@@ -253,6 +254,7 @@
         CHECK(settings.callerEndpoint == Http::Endpoint { "10.0.0.1", 81 });
         CHECK(settings.maxLease == std::chrono::milliseconds(6000));
         CHECK(settings.linkMegabitsPerSecond == 10.5);
+        CHECK(settings.processorShare == 0.069);
         CHECK(settings.descriptors == 8192);
     }
     SECTION("a node that isn't told its descriptors has as many as the weakest")
--- a/include/LibJob/OwnerMonitor.h
+++ b/include/LibJob/OwnerMonitor.h
@@ -14,11 +14,19 @@
 {
     /// An owner that hasn't written for this long is considered dead.
     Core::Duration ownerTimeout = std::chrono::milliseconds(1600);
+    /// For this long after a node has taken over from an owner that didn't release the jobs, the
+    /// timeout is doubled: a takeover is an owner's heaviest load, and another one would only add
+    /// to it. Twice the timeout must be less than `SchedulerSettings::ownershipProofTimeout`.
+    Core::Duration takeoverGrace = std::chrono::seconds(10);
     /// Each node delays its claim by up to this time, so that few nodes claim simultaneously.
     Core::Duration maxClaimJitter = std::chrono::milliseconds(300);
     /// Bandwidth of this node's link; infinity if it is unknown. The owner receives the reports of
     /// all workers, so a node with too little bandwidth lets other nodes claim first.
     double linkMegabitsPerSecond = std::numeric_limits<double>::infinity();
+    /// Share of a core that this node's process may use; infinity if it is unknown. A node with a
+    /// small share lets others claim first only if its link is slow, too: a site may consist of
+    /// small nodes with fast links.
+    double processorShare = std::numeric_limits<double>::infinity();
 
     auto operator<=>(const OwnerMonitorSettings &) const = default;
 };
@@ -53,13 +61,17 @@
 
 private:
     Core::Duration claimJitter() const;
-    /// Extra delay that lets nodes with more bandwidth claim first.
-    Core::Duration slowLinkDelay() const;
+    /// How long the owner may be silent, counted from its newest record.
+    Core::Duration ownerTimeout() const;
+    /// Extra delay that lets better suited nodes claim first.
+    Core::Duration suitabilityDelay() const;
 
     std::string m_node;
     OwnerMonitorSettings m_settings;
     std::optional<OwnerClaim> m_claim;
     std::int64_t m_claimOffset = -1;
+    /// Records of the owner that are read before this instant are followed by a longer timeout.
+    Core::Instant m_graceEndsAt = {};
     Core::Instant m_lastOwnerWriteAt = {};
     Core::Instant m_lastReadAt = {};
     bool m_isReadable = false;
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -3,10 +3,13 @@
 #include <LibJob/DecisionLog.h>
 #include <LibJob/JobScheduler.h>
 #include <LibSite/AppendBatches.h>
+#include <LibSite/BackgroundQueue.h>
 #include <LibSite/JobFollower.h>
 #include <LibSite/KeyedLog.h>
+#include <LibSite/LoopMeter.h>
 #include <LibSite/SiteDecoder.h>
 #include <LibSite/SiteState.h>
+#include <LibSite/TurnPacer.h>
 #include <LibSite/WorkerFollower.h>
 #include <LibSite/WorkerGateway.h>
 #include <LibSupervision/Wakeup.h>
@@ -54,11 +57,23 @@
     /// next owner.
     bool isIssuingCommands() const;
     void loadState();
+    /// When the next heartbeat is due, on the steady clock.
+    Core::Instant heartbeatDueAt() const;
+    /// When the next turn is due unless something wakes the session before, on the steady clock.
+    Core::Instant nextWakeup() const;
+    /// Begins a commit if the next turn may be so long that the heartbeat would be late after it.
+    boost::asio::awaitable<void> sendHeartbeatBeforeTurn();
+    /// Turns are paced, but a heartbeat doesn't wait for the next one.
+    Core::Instant turnPauseEndsAt() const;
+    /// Decides and begins everything that is due.
+    void takeTurn();
     /// Sends the renewals and commands that are due if the ownership is proven.
     void spawnCommands();
+    void spawnRenewals();
+    void spawnPlannedCommands();
     /// Begins a commit if one is due and none is in flight.
     void spawnCommit();
-    Core::Instant nextHeartbeatAt() const;
+    void beginCommit();
     /// Encodes the progress and remembers it as sent. If it exceeds the maximum record size, the
     /// job fails unless it is already over, and the record omits the progress of its tasks.
     Jobs::StoredRecord encodeProgress(Jobs::ProgressRecord progress);
@@ -66,6 +81,8 @@
     /// commit without records becomes a heartbeat.
     AppendBatches encodeCommit(std::vector<Jobs::JobRecord> records);
     boost::asio::awaitable<void> commit();
+    /// Tells the scheduler that the commit is written.
+    void confirm(std::int64_t commitNumber);
     /// Retries until the records are written. Returns false if the session ended before.
     boost::asio::awaitable<bool> appendUntilWritten(const std::vector<Jobs::StoredRecord> &records);
     /// Returns false if the append failed or wasn't answered.
@@ -75,14 +92,25 @@
     boost::asio::awaitable<void> send(Jobs::StopCommand command);
     boost::asio::awaitable<void> send(Jobs::ThrottleCommand command);
     boost::asio::awaitable<void> renew(Jobs::RenewCommand command);
+    /// \p sentAt is when the renewal was sent that the report answers.
+    void applyReport(const Core::VmId &worker, const Jobs::WorkerReport &report,
+                     Core::Instant sentAt);
     boost::asio::awaitable<void> followWorkers();
-    /// Reports to the scheduler how late timers of this process fire.
+    /// Passes the list of workers on to the scheduler.
+    void applyWorkers();
+    /// Reports to the scheduler how late the work with workers runs.
     boost::asio::awaitable<void> measureTimerLag();
     /// Runs \p work as a coroutine of its own. `run()` doesn't return before it has ended.
     void spawn(boost::asio::awaitable<void> work);
+    /// Like `spawn()`, but the work gives way to all other work of the process.
+    void spawnInBackground(boost::asio::awaitable<void> work);
+    void spawnOn(const boost::asio::any_io_executor &executor, boost::asio::awaitable<void> work);
     /// Ends the session. \p reason is for the log.
     void depose(const std::string &reason);
     void updateMetrics();
+    /// Logs a loop that falls so far behind that other nodes may soon consider the owner dead.
+    /// Unlike the line of load, this one is essential.
+    static void logIfBehind(const LoopSummary &loop);
     /// Holds starts while the copy of the job, operator or worker records is too old though the
     /// store answers.
     void updateStartHold();
@@ -93,15 +121,24 @@
     WorkerGateway &m_workers;
     JobFollower &m_follower;
     boost::asio::any_io_executor m_executor;
+    /// Runs the calls to workers: thousands of them must not delay the owner's calls to the store,
+    /// nor the process's callers.
+    std::shared_ptr<BackgroundQueue> m_background;
     Jobs::Ownership m_ownership;
     Jobs::JobScheduler m_scheduler;
     WorkerFollower m_workerFollower;
     Supervision::Wakeup m_wakeup;
     Supervision::Wakeup m_workersWakeup;
+    /// Nothing ends these pauses early; they are short.
+    Supervision::Wakeup m_turnPause;
+    TurnPacer m_turnPacer;
     std::int64_t m_nextSequence = 1;
     /// When the last successful append was sent, on the suspend-aware clock.
     Core::Instant m_provenAt;
+    /// When the next append is due although there is nothing to write, on the suspend-aware clock.
+    Core::Instant m_nextHeartbeatAt;
     Core::Instant m_nextMetricsAt = {};
+    LoopMeter m_loopMeter;
     bool m_isCommitting = false;
     bool m_isOver = false;
     bool m_isReleasing = false;
--- a/include/LibSite/SiteMetrics.h
+++ b/include/LibSite/SiteMetrics.h
@@ -29,6 +29,9 @@
     void setWorkerConnections(double open);
     /// Sets how many calls to workers have been refused a connection so far; never decreases.
     void setRefusedWorkerCalls(double total);
+    /// Sets how late the owner's work with workers ran at most in the last second; 0 on other
+    /// nodes.
+    void setOwnerLag(double seconds);
 
     /// All metrics in the text format of Prometheus.
     std::string text() const;
@@ -48,6 +51,7 @@
     prometheus::Gauge &m_tableAge;
     prometheus::Gauge &m_workerConnections;
     prometheus::Counter &m_refusedWorkerCalls;
+    prometheus::Gauge &m_ownerLag;
 };
 
 } // namespace Site
