Benchmarks: Measure the owner's event loop at 1,100 workers

Callers saw: at 1,100 workers starts held because the owner's own copies were old, with half of the processors idle and thousands of steps waiting.

Cause: not known in figures: jobs-benchmark measured a pass and a report, not what the event loop does after each completed call, and no site with thousands of running short tasks.

Change: LoadedSite takes a description of its load; new benchmarks `turn` (takeRenewals, takeCommands, nextWakeup), `busyPass` (steps of 13 to 40 tasks, 30 best-effort and 16 serving images) and `second` (one simulated second at two ends a worker, so 2,200 at 1,100 workers, with two turns an end and a commit each 20 ms). The former three keep their load.

--- a/Benchmarks/jobs/LoadedSite.cpp
+++ b/Benchmarks/jobs/LoadedSite.cpp
@@ -5,15 +5,14 @@
 
 static constexpr std::int64_t workerMilliCores = 32'000;
 static constexpr std::int64_t workerMebibytes = 128'000;
-static constexpr int servingImages = 5;
-static constexpr int fillerImages = 9;
 static constexpr int shortJobsEvery = 4;
 
-LoadedSite::LoadedSite(int workers, int waitingJobs)
-    : m_scheduler(SchedulerSettings(), { 1, 0, Core::Instant() }, m_log)
+LoadedSite::LoadedSite(const SiteLoad &load)
+    : m_load(load)
+    , m_scheduler(SchedulerSettings(), { 1, 0, Core::Instant() }, m_log)
 {
     std::vector<WorkerInfo> list;
-    for (int i = 0; i < workers; ++i) {
+    for (int i = 0; i < load.workers; ++i) {
         WorkerInfo info;
         info.id = Core::VmId("worker-" + std::to_string(i));
         info.address = info.id.text();
@@ -26,29 +25,34 @@
     m_scheduler.setCatalogue({});
     m_scheduler.setWorkers(list, m_now);
     settle();
-    // Serving tasks that take nearly all of the room.
-    for (int i = 0; i < workers * 4 / 6; ++i) {
+    constexpr int tasksPerServingJob = 6;
+    for (int i = 0; i < load.workers * load.servingTasks / 6 / tasksPerServingJob; ++i) {
         StepSpec serving;
-        serving.taskCount = 6;
+        serving.taskCount = tasksPerServingJob;
         serving.need = { 7000, 13'000, 0 };
         serving.isLongRunning = true;
         serving.tailTargetMs = 18;
-        serving.image = "serving-" + std::to_string(i % servingImages);
+        serving.image = "serving-" + std::to_string(i % load.servingImages);
         submit(i, serving, 0);
     }
     settle();
-    for (int i = 0; i < waitingJobs; ++i) {
-        StepSpec step;
-        step.taskCount = 8;
-        step.isBestEffort = i % shortJobsEvery != 0;
-        step.need = { 1500 + 37 * (i % 60), 4000 + 71 * (i % 40), 0 };
-        step.estimateMs = 800 + 10 * (i % 100);
-        step.image = step.isBestEffort ? "filler-" + std::to_string(i % fillerImages) : "";
-        submit(1'000'000 + i, step, step.isBestEffort ? 2 : 0);
-    }
+    for (int i = 0; i < load.waitingSteps; ++i)
+        submitWaiting();
     settle();
 }
 
+void LoadedSite::submitWaiting()
+{
+    const int i = m_submitted++;
+    StepSpec step;
+    step.taskCount = m_load.minTasks + i % (m_load.maxTasks - m_load.minTasks + 1);
+    step.isBestEffort = i % shortJobsEvery != 0;
+    step.need = { 1500 + 37 * (i % 60), 4000 + 71 * (i % 40), 0 };
+    step.estimateMs = 800 + 10 * (i % 100);
+    step.image = step.isBestEffort ? "filler-" + std::to_string(i % m_load.bestEffortImages) : "";
+    submit(1'000'000 + i, step, step.isBestEffort ? 2 : 0);
+}
+
 void LoadedSite::submit(int number, const StepSpec &step, int priority)
 {
     Submission submission;
@@ -74,27 +78,77 @@
     }
 }
 
-std::size_t LoadedSite::pass()
+void LoadedSite::advance(Core::Duration duration)
+{
+    m_now.instant += duration;
+    m_now.unixMs
+        = std::chrono::duration_cast<milliseconds>(m_now.instant.time_since_epoch()).count();
+}
+
+void LoadedSite::commit()
+{
+    if (!m_scheduler.needsCommit())
+        return;
+    const Commit commit = m_scheduler.takeCommit();
+    m_scheduler.onCommitted(commit.number, m_now.instant, m_now);
+}
+
+void LoadedSite::answer(const Command &command)
 {
-    m_now.instant += milliseconds(250);
-    m_now.unixMs += 250;
-    if (m_scheduler.needsCommit()) {
-        const Commit commit = m_scheduler.takeCommit();
-        m_scheduler.onCommitted(commit.number, m_now.instant, m_now);
+    if (const auto *start = std::get_if<StartCommand>(&command)) {
+        ++m_startedTasks;
+        m_running[start->worker][start->task] = start->run;
+        m_scheduler.onStartOutcome(*start, StartOutcome::Started, m_now);
+    }
+    if (const auto *stop = std::get_if<StopCommand>(&command)) {
+        if (m_running[stop->worker].erase(stop->task) > 0)
+            m_ended[stop->worker].push_back(
+                { ++m_ends[stop->worker], stop->task, stop->run, EndKind::Stopped, "" });
     }
+}
+
+std::size_t LoadedSite::pass()
+{
+    advance(milliseconds(250));
+    commit();
     const std::vector<Command> commands = m_scheduler.takeCommands(m_now);
-    for (const Command &command : commands) {
-        if (const auto *start = std::get_if<StartCommand>(&command)) {
-            m_running[start->worker][start->task] = start->run;
-            m_scheduler.onStartOutcome(*start, StartOutcome::Started, m_now);
+    for (const Command &command : commands)
+        answer(command);
+    return commands.size();
+}
+
+void LoadedSite::turn(Core::Duration duration)
+{
+    advance(duration);
+    m_scheduler.takeRenewals(m_now);
+    for (Command &command : m_scheduler.takeCommands(m_now))
+        m_unanswered.push_back(std::move(command));
+    m_scheduler.nextWakeup(m_now);
+}
+
+void LoadedSite::second(int endsPerSecond)
+{
+    constexpr Core::Duration commitInterval = milliseconds(20);
+    const Core::Duration spacing = Core::Duration(std::chrono::seconds(1)) / (2 * endsPerSecond);
+    const Core::Instant end = m_now.instant + std::chrono::seconds(1);
+    Core::Instant nextCommitAt = m_now.instant;
+    while (m_now.instant < end) {
+        if (m_now.instant >= nextCommitAt) {
+            commit();
+            nextCommitAt = m_now.instant + commitInterval;
         }
-        if (const auto *stop = std::get_if<StopCommand>(&command)) {
-            if (m_running[stop->worker].erase(stop->task) > 0)
-                m_ended[stop->worker].push_back(
-                    { ++m_ends[stop->worker], stop->task, stop->run, EndKind::Stopped, "" });
+        endOneTask();
+        answerRenewal();
+        turn(spacing);
+        if (!m_unanswered.empty()) {
+            answer(m_unanswered.front());
+            m_unanswered.pop_front();
         }
+        turn(spacing);
+        const auto meanTasks = static_cast<std::size_t>(m_load.minTasks + m_load.maxTasks) / 2;
+        for (; m_startedTasks >= meanTasks; m_startedTasks -= meanTasks)
+            submitWaiting();
     }
-    return commands.size();
 }
 
 WorkerReport LoadedSite::reportOf(const Core::VmId &worker) const
@@ -118,14 +172,25 @@
 
 void LoadedSite::report()
 {
-    const Core::VmId worker = m_workers[m_next++ % m_workers.size()];
     m_scheduler.takeRenewals(m_now);
+    answerRenewal();
+}
+
+void LoadedSite::answerRenewal()
+{
+    const Core::VmId worker = m_workers[m_next++ % m_workers.size()];
     m_lastReport = reportOf(worker);
     m_ended[worker].clear();
     m_scheduler.onReport(worker, m_lastReport, m_now.instant, m_now);
 }
 
 void LoadedSite::endTask()
+{
+    endOneTask();
+    report();
+}
+
+void LoadedSite::endOneTask()
 {
     const Core::VmId worker = m_workers[m_next % m_workers.size()];
     auto &running = m_running[worker];
@@ -136,5 +201,4 @@
         running.erase(it);
         break;
     }
-    report();
 }
--- a/Benchmarks/jobs/LoadedSite.h
+++ b/Benchmarks/jobs/LoadedSite.h
@@ -2,15 +2,30 @@
 
 #include <LibJob/JobScheduler.h>
 
+#include <deque>
 #include <map>
 #include <string_view>
 #include <vector>
 
+/// The load of a site.
+struct SiteLoad
+{
+    int workers = 0;
+    int waitingSteps = 0;
+    /// Range of the number of tasks of a waiting step.
+    int minTasks = 8;
+    int maxTasks = 8;
+    int bestEffortImages = 9;
+    int servingImages = 5;
+    /// Serving tasks of 7 cores per 6 workers; 24 take nearly all processors.
+    int servingTasks = 24;
+};
+
 /// A scheduler whose workers are full, with jobs that wait: what a pass and a report cost then.
 class LoadedSite
 {
 public:
-    LoadedSite(int workers, int waitingJobs);
+    explicit LoadedSite(const SiteLoad &load);
 
     /// Time passes until the next look at what waits is due, and takes it.
     std::size_t pass();
@@ -18,6 +33,13 @@
     void report();
     /// A task of some worker ends, and its report says so.
     void endTask();
+    /// Does what the owner's event loop does after a call to a worker has completed: takes due
+    /// renewals and commands, and asks for the next wakeup. Time passes by \p duration.
+    void turn(Core::Duration duration);
+    /// Lets tasks end at the rate of \p endsPerSecond for one second of simulated time, with one
+    /// turn for each report and each answered start. New jobs replace those that have started.
+    void second(int endsPerSecond);
+    const Jobs::JobScheduler &scheduler() const { return m_scheduler; }
     /// An answer as it is decoded.
     const Jobs::WorkerReport &lastReport() const { return m_lastReport; }
 
@@ -29,9 +51,17 @@
     };
 
     void submit(int number, const Jobs::StepSpec &step, int priority);
+    void submitWaiting();
+    void answerRenewal();
+    /// A task of the worker that reports next ends.
+    void endOneTask();
+    void commit();
+    void answer(const Jobs::Command &command);
+    void advance(Core::Duration duration);
     void settle();
     Jobs::WorkerReport reportOf(const Core::VmId &worker) const;
 
+    SiteLoad m_load;
     SilentLog m_log;
     Jobs::TimePoint m_now { Core::Instant(std::chrono::seconds(100)), 100'000 };
     Jobs::JobScheduler m_scheduler;
@@ -42,4 +72,7 @@
     std::map<Core::VmId, std::int64_t> m_ends;
     Jobs::WorkerReport m_lastReport;
     std::size_t m_next = 0;
+    int m_submitted = 0;
+    std::deque<Jobs::Command> m_unanswered;
+    std::size_t m_startedTasks = 0;
 };
--- a/Benchmarks/jobs/main.cpp
+++ b/Benchmarks/jobs/main.cpp
@@ -1,4 +1,4 @@
-// What the owner's decisions cost: jobs-benchmark. Arguments: workers, waiting jobs of 8 tasks.
+// What the owner's decisions cost: jobs-benchmark. Arguments: workers, waiting steps.
 
 #include "LoadedSite.h"
 
@@ -9,29 +9,76 @@
 #include <benchmark/benchmark.h>
 #include <json/value.h>
 
+/// Workers that are full of serving tasks, and jobs of 8 tasks that wait.
+static SiteLoad fullSite(const benchmark::State &state)
+{
+    SiteLoad load;
+    load.workers = static_cast<int>(state.range(0));
+    load.waitingSteps = static_cast<int>(state.range(1));
+    return load;
+}
+
+/// Workers with many short tasks beside some serving ones, and large steps that wait.
+static SiteLoad busySite(const benchmark::State &state)
+{
+    SiteLoad load = fullSite(state);
+    load.minTasks = 13;
+    load.maxTasks = 40;
+    load.bestEffortImages = 30;
+    load.servingImages = 16;
+    load.servingTasks = 6;
+    return load;
+}
+
 static void pass(benchmark::State &state)
 {
-    LoadedSite site(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)));
+    LoadedSite site(fullSite(state));
     for (auto _ : state)
         benchmark::DoNotOptimize(site.pass());
 }
 
 static void report(benchmark::State &state)
 {
-    LoadedSite site(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)));
+    LoadedSite site(fullSite(state));
     for (auto _ : state)
         site.report();
 }
 
 static void endAndPass(benchmark::State &state)
 {
-    LoadedSite site(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)));
+    LoadedSite site(fullSite(state));
     for (auto _ : state) {
         site.endTask();
         benchmark::DoNotOptimize(site.pass());
     }
 }
 
+static void turn(benchmark::State &state)
+{
+    constexpr Core::Duration untilNextCall = std::chrono::microseconds(200);
+    LoadedSite site(busySite(state));
+    for (auto _ : state)
+        site.turn(untilNextCall);
+}
+
+static void busyPass(benchmark::State &state)
+{
+    LoadedSite site(busySite(state));
+    for (auto _ : state)
+        benchmark::DoNotOptimize(site.pass());
+}
+
+/// One second of the event loop at two ends of tasks per worker.
+static void second(benchmark::State &state)
+{
+    constexpr int endsPerWorker = 2;
+    LoadedSite site(busySite(state));
+    for (auto _ : state)
+        site.second(endsPerWorker * static_cast<int>(state.range(0)));
+    state.counters["running"] = static_cast<double>(site.scheduler().runningCount());
+    state.counters["waiting"] = static_cast<double>(site.scheduler().waitingCount());
+}
+
 static std::string encoded(const Jobs::WorkerReport &report)
 {
     Json::Value value(Json::objectValue);
@@ -53,7 +100,7 @@
 
 static void decode(benchmark::State &state)
 {
-    LoadedSite site(48, 400);
+    LoadedSite site({ .workers = 48, .waitingSteps = 400 });
     site.report();
     const std::string text = encoded(site.lastReport());
     for (auto _ : state)
@@ -64,5 +111,10 @@
 BENCHMARK(pass)->Args({ 48, 100 })->Args({ 48, 500 })->Args({ 660, 500 });
 BENCHMARK(report)->Args({ 48, 100 })->Args({ 48, 500 })->Args({ 660, 500 });
 BENCHMARK(endAndPass)->Args({ 48, 100 })->Args({ 48, 500 })->Args({ 660, 500 });
+BENCHMARK(turn)->ArgsProduct({ { 66, 660, 1100 }, { 100, 2000 } });
+BENCHMARK(busyPass)->ArgsProduct({ { 66, 660, 1100 }, { 100, 500, 2000 } });
+BENCHMARK(second)
+    ->ArgsProduct({ { 66, 660, 1100 }, { 100, 500, 2000 } })
+    ->Unit(benchmark::kMillisecond);
 BENCHMARK(decode);
 BENCHMARK_MAIN();
