LibJob: Keep workers in the order of their renewals

Callers saw: late reads, heartbeats and renewals at the owner of 1,100 workers.

Ruled out: a list of changed workers that is brought up to date before it is read: nextWakeup() is const, and a change that isn't on the list would be a lost renewal.

Change: RenewalQueue orders the workers that want a renewal by its time. WorkerState tells it of each change itself, through WorkerObserver, so no caller can forget to. Renewals are still sent in the order of the workers' IDs.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -113,21 +113,23 @@
 void JobScheduler::setWorkers(const std::vector<WorkerInfo> &workers, const TimePoint &now)
 {
     for (WorkerState *worker : m_listed)
-        worker->isListed = false;
+        worker->setListed(false);
     m_listed.clear();
     m_needsPass = true;
     for (const WorkerInfo &info : workers) {
         std::unique_ptr<WorkerState> &state = m_workers[info.id];
-        if (!state)
+        if (!state) {
             state = std::make_unique<WorkerState>(info, m_settings);
+            state->observeRenewals(m_renewalQueue);
+        }
         const bool startsDraining = info.isDraining && !state->info().isDraining;
         state->update(info);
-        state->isListed = true;
+        state->setListed(true);
         m_listed.push_back(state.get());
         if (info.processStartUnixMs != 0 && state->processStartUnixMs() != 0
             && info.processStartUnixMs > state->processStartUnixMs()) {
             // Only a report can show which runs still exist; this requests one immediately.
-            state->nextRenewalAt = now.instant;
+            state->setNextRenewalAt(now.instant);
             state->setReconciled(false);
         }
         if (!startsDraining)
@@ -141,7 +143,7 @@
     }
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         const bool isForgotten
-            = !it->second->isListed && it->second->runs().empty() && !it->second->isRenewing;
+            = !it->second->isListed() && it->second->runs().empty() && !it->second->isRenewing();
         it = isForgotten ? m_workers.erase(it) : std::next(it);
     }
 }
@@ -251,8 +253,7 @@
         const bool hadUncommitted = worker->hasUncommittedEnds();
         worker->noteCommitted(number);
         if (hadUncommitted && !worker->hasUncommittedEnds())
-            worker->nextRenewalAt
-                = std::min(worker->nextRenewalAt, now.instant + renewalInterval());
+            worker->renewBy(now.instant + renewalInterval());
     }
 }
 
@@ -278,16 +279,6 @@
     return m_settings.renewalInterval + std::clamp(delay, Core::Duration(), maxRenewalDelay);
 }
 
-bool JobScheduler::wantsRenewal(const WorkerState &worker)
-{
-    if (worker.isRenewing)
-        return false;
-    // An unresponsive worker without runs is asked until it answers; otherwise it would never be
-    // given a task again.
-    return !worker.runs().empty()
-        || (worker.isListed && (!worker.isReconciled() || worker.isUnresponsive()));
-}
-
 std::size_t JobScheduler::waitingCount() const
 {
     std::size_t count = 0;
@@ -321,11 +312,7 @@
     Core::Instant next = now.instant + passInterval;
     if (m_needsPass)
         next = std::min(next, m_nextPassAt);
-    for (const auto &[id, worker] : m_workers) {
-        if (wantsRenewal(*worker))
-            next = std::min(next, worker->nextRenewalAt);
-    }
-    return std::max(next, now.instant);
+    return std::max(m_renewalQueue.nextDueAt(next), now.instant);
 }
 
 } // namespace Jobs
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -19,11 +19,9 @@
     std::vector<RenewCommand> renewals;
     if (m_isDeposed)
         return renewals;
-    for (const auto &[id, worker] : m_workers) {
-        if (!wantsRenewal(*worker) || worker->nextRenewalAt > now.instant)
-            continue;
+    for (WorkerState *worker : m_renewalQueue.due(now.instant)) {
         RenewCommand command;
-        command.worker = id;
+        command.worker = worker->info().id;
         command.address = worker->info().address;
         command.token = m_ownership.token;
         command.acknowledgedEnd = worker->acknowledgedEnd();
@@ -35,7 +33,7 @@
             command.leaseDeadlineMs = worker->grantLease(now.instant, m_settings.lease);
         if (isGranted && !worker->hasUncommittedEnds())
             command.waitMs = std::chrono::duration_cast<milliseconds>(renewalWait(*worker)).count();
-        worker->isRenewing = true;
+        worker->setRenewing(true);
         renewals.push_back(std::move(command));
     }
     return renewals;
@@ -53,9 +51,9 @@
     WorkerState *worker = findWorkerState(id);
     if (!worker)
         return;
-    worker->isRenewing = false;
+    worker->setRenewing(false);
     worker->markUnresponsive();
-    worker->nextRenewalAt = now.instant + m_settings.unresponsiveRenewalInterval;
+    worker->setNextRenewalAt(now.instant + m_settings.unresponsiveRenewalInterval);
 }
 
 void JobScheduler::onReport(const Core::VmId &id, const WorkerReport &report, Core::Instant sentAt,
@@ -64,7 +62,7 @@
     WorkerState *worker = findWorkerState(id);
     if (!worker)
         return;
-    worker->isRenewing = false;
+    worker->setRenewing(false);
     m_now = now.instant;
     const bool hasRestarted = worker->processStartUnixMs() != 0
         && worker->processStartUnixMs() != report.processStartUnixMs;
@@ -99,8 +97,9 @@
         removeMissingRuns(*worker, report, sentAt);
     updateSlowdownModel(*worker, now);
     updateThrottles(*worker, now);
-    worker->nextRenewalAt = now.instant
-        + (worker->hasUncommittedEnds() ? uncommittedRenewalInterval : renewalInterval());
+    worker->setNextRenewalAt(
+        now.instant
+        + (worker->hasUncommittedEnds() ? uncommittedRenewalInterval : renewalInterval()));
 }
 
 Core::Duration JobScheduler::maxLeaseDuration() const
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -80,8 +80,7 @@
     note(name, "stop", "worker=" + worker.id.text() + " run=" + std::to_string(run.number));
     m_commands.emplace_back(
         StopCommand { worker.id, worker.address, name, run.number, m_ownership.token });
-    run.worker->nextRenewalAt
-        = std::min(run.worker->nextRenewalAt, now.instant + renewalInterval());
+    run.worker->renewBy(now.instant + renewalInterval());
 }
 
 void JobScheduler::resendStops(const TimePoint &now)
@@ -167,7 +166,7 @@
     if (!isCurrent)
         return;
     task->run->stopAnsweredAt = now.instant;
-    task->run->worker->nextRenewalAt = now.instant;
+    task->run->worker->setNextRenewalAt(now.instant);
 }
 
 void JobScheduler::onTaskDone(OwnedJob &job, const TaskName &name, const TimePoint &now)
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -350,7 +350,7 @@
     run.phase = RunPhase::Starting;
     run.phaseBeganAt = now.instant;
     run.startDeadline = worker.latestLeaseEnd();
-    worker.nextRenewalAt = std::min(worker.nextRenewalAt, now.instant + renewalInterval());
+    worker.renewBy(now.instant + renewalInterval());
     note(task, "start",
          "worker=" + command.worker.text() + " run=" + std::to_string(run.number)
              + " free=" + std::to_string(worker.freeResources().milliCores));
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -15,14 +15,18 @@
 
 void WorkerState::addRun(const TaskName &task, const StepSpec &step, ImageIndex image)
 {
-    if (m_runs.insert(task).second)
-        count(step, image, 1);
+    if (!m_runs.insert(task).second)
+        return;
+    count(step, image, 1);
+    notifyRenewalObserver();
 }
 
 void WorkerState::removeRun(const TaskName &task, const StepSpec &step, ImageIndex image)
 {
-    if (m_runs.erase(task) > 0)
-        count(step, image, -1);
+    if (m_runs.erase(task) == 0)
+        return;
+    count(step, image, -1);
+    notifyRenewalObserver();
 }
 
 void WorkerState::noteThrottle(const StepSpec &step, int formerPercent, int percent)
@@ -150,6 +154,52 @@
 {
     m_lastAnswerAt = now;
     m_isUnresponsive = false;
+    notifyRenewalObserver();
+}
+
+void WorkerState::markUnresponsive()
+{
+    m_isUnresponsive = true;
+    notifyRenewalObserver();
+}
+
+void WorkerState::setReconciled(bool isReconciled)
+{
+    m_isReconciled = isReconciled;
+    notifyRenewalObserver();
+}
+
+void WorkerState::setListed(bool isListed)
+{
+    m_isListed = isListed;
+    notifyRenewalObserver();
+}
+
+void WorkerState::setRenewing(bool isRenewing)
+{
+    m_isRenewing = isRenewing;
+    notifyRenewalObserver();
+}
+
+void WorkerState::setNextRenewalAt(Core::Instant at)
+{
+    m_nextRenewalAt = at;
+    notifyRenewalObserver();
+}
+
+bool WorkerState::wantsRenewal() const
+{
+    if (m_isRenewing)
+        return false;
+    // An unresponsive worker without runs is asked until it answers; otherwise it would never be
+    // given a task again.
+    return !m_runs.empty() || (m_isListed && (!m_isReconciled || m_isUnresponsive));
+}
+
+void WorkerState::notifyRenewalObserver()
+{
+    if (m_renewalObserver)
+        m_renewalObserver->onWorkerChanged(*this);
 }
 
 void WorkerState::beginIncarnation(std::int64_t processStartUnixMs, Core::Instant now)
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -6,6 +6,7 @@
 #include <LibJob/ImageTable.h>
 #include <LibJob/JobTable.h>
 #include <LibJob/OwnedJob.h>
+#include <LibJob/RenewalQueue.h>
 #include <LibJob/SchedulerSettings.h>
 #include <LibJob/StartOrder.h>
 #include <LibJob/ThrottleController.h>
@@ -167,7 +168,6 @@
     void rememberEndedJob(const JobId &id, std::int64_t endedUnixMs);
     /// How long the worker may delay its answer to a renewal while no run ends.
     Core::Duration renewalWait(const WorkerState &worker) const;
-    static bool wantsRenewal(const WorkerState &worker);
     /// Upper bound of the remaining time of a lease, whichever owner granted it, with clock drift.
     Core::Duration maxLeaseDuration() const;
     void beginContact(WorkerState &worker, std::int64_t processStartUnixMs, const TimePoint &now);
@@ -256,6 +256,7 @@
     /// of runs.
     Core::Instant m_now = {};
     std::set<Core::FailureDomainId> m_outOfService;
+    RenewalQueue m_renewalQueue;
     std::map<Core::VmId, std::unique_ptr<WorkerState>> m_workers;
     /// The workers that the store lists.
     std::vector<WorkerState *> m_listed;
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -6,10 +6,13 @@
 #include <LibJob/SchedulerSettings.h>
 #include <LibJob/SlowdownModel.h>
 #include <LibJob/WorkerInfo.h>
+#include <LibJob/WorkerObserver.h>
 #include <LibJob/WorkerReport.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -110,11 +113,11 @@
     Core::Instant lastAnswerAt() const { return m_lastAnswerAt; }
     bool isUnresponsive() const { return m_isUnresponsive; }
     void noteAnswer(Core::Instant now);
-    void markUnresponsive() { m_isUnresponsive = true; }
+    void markUnresponsive();
     /// True once the worker has answered a renewal with this owner's token and reported all ended
     /// runs: no former owner can start tasks there.
     bool isReconciled() const { return m_isReconciled; }
-    void setReconciled(bool isReconciled) { m_isReconciled = isReconciled; }
+    void setReconciled(bool isReconciled);
     std::int64_t processStartUnixMs() const { return m_processStartUnixMs; }
     /// Notes contact with the worker. If it has restarted, discards the state of ended runs, the
     /// clock and the failures.
@@ -141,18 +144,32 @@
     /// No task should be started there before this time.
     Core::Instant avoidedUntil() const { return m_avoidedUntil; }
 
-    Core::Instant nextRenewalAt = {};
+    // Renewals.
+    /// \p observer is told of all changes of wantsRenewal() and nextRenewalAt().
+    void observeRenewals(WorkerObserver &observer) { m_renewalObserver = &observer; }
+    /// False while a renewal is in progress, and if nothing would follow from a report.
+    bool wantsRenewal() const;
+    Core::Instant nextRenewalAt() const { return m_nextRenewalAt; }
+    void setNextRenewalAt(Core::Instant at);
+    /// Brings the next renewal forward to \p at if it is later.
+    void renewBy(Core::Instant at) { setNextRenewalAt(std::min(m_nextRenewalAt, at)); }
     /// A renewal was sent and hasn't been answered yet.
-    bool isRenewing = false;
+    bool isRenewing() const { return m_isRenewing; }
+    void setRenewing(bool isRenewing);
+    /// The worker's entry in RenewalQueue; none if it isn't there.
+    std::optional<Core::Instant> queuedRenewalAt;
+
     /// A serving task on the worker was above its target in the last report.
     bool isOverTarget = false;
     /// True if the store lists the worker.
-    bool isListed = false;
+    bool isListed() const { return m_isListed; }
+    void setListed(bool isListed);
 
 private:
     static constexpr double defaultServingUtilization = 0.5;
 
     void count(const StepSpec &step, ImageIndex image, int sign);
+    void notifyRenewalObserver();
 
     WorkerInfo m_info;
     SchedulerSettings m_settings;
@@ -188,6 +205,11 @@
     /// By commit number, the last end whose consequences the commit makes durable.
     std::map<std::int64_t, std::int64_t> m_uncommittedEnds;
 
+    WorkerObserver *m_renewalObserver = nullptr;
+    Core::Instant m_nextRenewalAt = {};
+    bool m_isRenewing = false;
+    bool m_isListed = false;
+
     int m_consecutiveFailures = 0;
     Core::Instant m_avoidedUntil = {};
 };
