LibJob: Choose workers from an index instead of looking at all

Callers saw: tasks waiting while half of the processors were idle; a planning pass took 28 to 36 ms at 1,100 workers, twice that on half a core.

Cause: each task that was placed, and each step that wasn't, looked at all workers.

Change: CapacityIndex keeps the listed workers of each service in the order of the base cost, one order for tasks that count and one for best-effort ones. WorkerChooser takes only those with enough processors, in that order, and ends once the base cost exceeds the least cost found: additions are never negative, so the choice is that of the full scan, ties included. Memory and accelerators are in the entry, so a worker without them isn't touched. Entries are in sorted vectors: scans are contiguous, and a change moves only what lies between the old and the new place.

Ruled out: LibPlacement's CapacityTree. It finds a worker that fits, not the cheapest, so it would visit each that fits. One index for both stays open: it needs an order by cost in the tree. A balanced tree of entries: pointers to follow in each scan.

Still linear: tasks that no worker can take though there are processors, tasks with a data rack that is full, and `explain`.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -112,8 +112,7 @@
 
 void JobScheduler::setWorkers(const std::vector<WorkerInfo> &workers, const TimePoint &now)
 {
-    for (WorkerState *worker : m_listed)
-        worker->setListed(false);
+    std::unordered_set<WorkerState *> unlisted(m_listed.begin(), m_listed.end());
     m_listed.clear();
     m_needsPass = true;
     for (const WorkerInfo &info : workers) {
@@ -121,11 +120,13 @@
         if (!state) {
             state = std::make_unique<WorkerState>(info, m_settings);
             state->observeRenewals(m_renewalQueue);
+            state->observeCapacity(m_capacityIndex);
         }
         const bool startsDraining = info.isDraining && !state->info().isDraining;
         state->update(info);
-        state->setListed(true);
+        state->setListed(m_listed.size());
         m_listed.push_back(state.get());
+        unlisted.erase(state.get());
         if (info.processStartUnixMs != 0 && state->processStartUnixMs() != 0
             && info.processStartUnixMs > state->processStartUnixMs()) {
             // Only a report can show which runs still exist; this requests one immediately.
@@ -141,6 +142,8 @@
                 requestStop(name, *task->run, now);
         }
     }
+    for (WorkerState *worker : unlisted)
+        worker->setUnlisted();
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         const bool isForgotten
             = !it->second->isListed() && it->second->runs().empty() && !it->second->isRenewing();
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -299,7 +299,7 @@
     request.mayExceedTargets = mayExceedTargets(waiting, now);
     request.outOfService = &m_outOfService;
     request.now = now.instant;
-    WorkerState *worker = m_chooser.choose(m_listed, request);
+    WorkerState *worker = m_chooser.choose(request);
     if (!worker) {
         if (waiting.isOverdue && !m_reservation.isFull())
             m_reservation.reserve(name, request.step->need,
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -181,23 +181,52 @@
     return request.step->need.fitsIn(available);
 }
 
-WorkerState *WorkerChooser::choose(const std::vector<WorkerState *> &workers,
-                                   const PlacementRequest &request) const
+std::span<const CapacityIndex::Entry>
+WorkerChooser::withEnoughProcessors(const PlacementRequest &request) const
+{
+    const StepSpec &step = *request.step;
+    const CapacityIndex::Order &order = m_capacityIndex.order(request.service, step.isBestEffort);
+    if (step.isBestEffort) {
+        const auto end = std::partition_point(order.begin(), order.end(),
+                                              [&step](const CapacityIndex::Entry &entry) {
+                                                  return entry.baseCost <= -step.need.milliCores;
+                                              });
+        return { order.begin(), end };
+    }
+    const auto begin = std::partition_point(order.begin(), order.end(),
+                                            [&step](const CapacityIndex::Entry &entry) {
+                                                return entry.baseCost < step.need.milliCores;
+                                            });
+    return { begin, order.end() };
+}
+
+static bool lacksMemoryOrAccelerators(const CapacityIndex::Entry &entry, const StepSpec &step)
+{
+    return step.need.mebibytes > entry.freeMebibytes
+        || step.need.accelerators > entry.freeAccelerators;
+}
+
+WorkerState *WorkerChooser::choose(const PlacementRequest &request) const
 {
     if (!mayFitSomewhere(request))
         return nullptr;
-    WorkerState *best = nullptr;
+    const CapacityIndex::Entry *best = nullptr;
     double leastCost = std::numeric_limits<double>::max();
-    for (WorkerState *worker : workers) {
-        if (unsuitability(*worker, request) != Unsuitability::None)
+    for (const CapacityIndex::Entry &entry : withEnoughProcessors(request)) {
+        if (static_cast<double>(entry.baseCost) > leastCost)
+            break;
+        if (lacksMemoryOrAccelerators(entry, *request.step)
+            || unsuitability(*entry.worker, request) != Unsuitability::None)
             continue;
-        const double candidateCost = cost(*worker, request);
-        if (candidateCost < leastCost) {
-            leastCost = candidateCost;
-            best = worker;
-        }
+        const double entryCost = cost(*entry.worker, request);
+        const bool isBetter = entryCost < leastCost
+            || (best && entryCost == leastCost && entry.position < best->position);
+        if (!isBetter)
+            continue;
+        leastCost = entryCost;
+        best = &entry;
     }
-    return best;
+    return best ? best->worker : nullptr;
 }
 
 } // namespace Jobs
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -13,12 +13,25 @@
 /// Workers report loads as means over this time.
 static constexpr Core::Duration reportWindow = milliseconds(500);
 
+void WorkerState::update(const WorkerInfo &info)
+{
+    m_info = info;
+    notifyCapacityObserver();
+}
+
+void WorkerState::setServingUtilization(double fraction)
+{
+    m_servingUtilization = fraction;
+    notifyCapacityObserver();
+}
+
 void WorkerState::addRun(const TaskName &task, const StepSpec &step, ImageIndex image)
 {
     if (!m_runs.insert(task).second)
         return;
     count(step, image, 1);
     notifyRenewalObserver();
+    notifyCapacityObserver();
 }
 
 void WorkerState::removeRun(const TaskName &task, const StepSpec &step, ImageIndex image)
@@ -27,12 +40,14 @@
         return;
     count(step, image, -1);
     notifyRenewalObserver();
+    notifyCapacityObserver();
 }
 
 void WorkerState::noteThrottle(const StepSpec &step, int formerPercent, int percent)
 {
     m_bestEffortMilliCores
         += step.need.milliCores * percent / 100 - step.need.milliCores * formerPercent / 100;
+    notifyCapacityObserver();
 }
 
 void WorkerState::noteBestEffortEnded(const StepSpec &step, ImageIndex image, int percent,
@@ -169,10 +184,19 @@
     notifyRenewalObserver();
 }
 
-void WorkerState::setListed(bool isListed)
+void WorkerState::setListed(std::size_t position)
 {
-    m_isListed = isListed;
+    m_isListed = true;
+    m_listPosition = position;
     notifyRenewalObserver();
+    notifyCapacityObserver();
+}
+
+void WorkerState::setUnlisted()
+{
+    m_isListed = false;
+    notifyRenewalObserver();
+    notifyCapacityObserver();
 }
 
 void WorkerState::setRenewing(bool isRenewing)
@@ -196,6 +220,12 @@
     return !m_runs.empty() || (m_isListed && (!m_isReconciled || m_isUnresponsive));
 }
 
+void WorkerState::notifyCapacityObserver()
+{
+    if (m_capacityObserver)
+        m_capacityObserver->onWorkerChanged(*this);
+}
+
 void WorkerState::notifyRenewalObserver()
 {
     if (m_renewalObserver)
--- a/Tests/LibJob/TestRenewalQueue.cpp
+++ b/Tests/LibJob/TestRenewalQueue.cpp
@@ -20,7 +20,7 @@
         info.id = Core::VmId("worker-" + std::to_string(i));
         workers.push_back(std::make_unique<WorkerState>(info, SchedulerSettings()));
         workers.back()->observeRenewals(queue);
-        workers.back()->setListed(true);
+        workers.back()->setListed(static_cast<std::size_t>(i));
     }
     return workers;
 }
@@ -42,7 +42,7 @@
     case 4:
         return worker.setRenewing(isSet);
     case 5:
-        return worker.setListed(isSet);
+        return isSet ? worker.setListed(0) : worker.setUnlisted();
     case 6:
         return worker.setReconciled(isSet);
     default:
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibJob/CapacityIndex.h>
 #include <LibJob/Catalogue.h>
 #include <LibJob/Commands.h>
 #include <LibJob/DecisionLog.h>
@@ -251,7 +252,9 @@
     ImageTable m_images;
     ThrottleController m_throttleController;
     CapacityReservation m_reservation;
-    WorkerChooser m_chooser { m_throttleController.slowdownModel(), m_reservation };
+    CapacityIndex m_capacityIndex;
+    WorkerChooser m_chooser { m_throttleController.slowdownModel(), m_reservation,
+                              m_capacityIndex };
     /// The time of the last takeCommands() or onReport(), whichever was called last; dates the ends
     /// of runs.
     Core::Instant m_now = {};
--- a/include/LibJob/WorkerChooser.h
+++ b/include/LibJob/WorkerChooser.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifier.h>
 #include <LibCore/Time.h>
+#include <LibJob/CapacityIndex.h>
 #include <LibJob/CapacityReservation.h>
 #include <LibJob/OwnedJob.h>
 #include <LibJob/SlowdownModel.h>
@@ -10,6 +11,7 @@
 
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -42,18 +44,24 @@
 class WorkerChooser
 {
 public:
-    WorkerChooser(const SlowdownModel &slowdownModel, const CapacityReservation &reservation)
+    WorkerChooser(const SlowdownModel &slowdownModel, const CapacityReservation &reservation,
+                  const CapacityIndex &capacityIndex)
         : m_slowdownModel(slowdownModel)
         , m_reservation(reservation)
+        , m_capacityIndex(capacityIndex)
     {
     }
 
     /// Determines the maximum free capacity of any worker of each service, so that tasks that need
     /// more are rejected without a search. Until the next call free capacity may only decrease.
     void beginPass(const std::vector<WorkerState *> &workers);
-    /// Returns null if no worker is suitable.
-    WorkerState *choose(const std::vector<WorkerState *> &workers,
-                        const PlacementRequest &request) const;
+    /// Returns the suitable worker with the least cost, the first in the list if several have it;
+    /// null if no worker is suitable.
+    WorkerState *choose(const PlacementRequest &request) const;
+    Unsuitability unsuitability(WorkerState &worker, const PlacementRequest &request) const;
+    /// Cost of the task on a suitable worker: the base cost by which CapacityIndex orders the
+    /// workers, and additions that aren't negative.
+    double cost(WorkerState &worker, const PlacementRequest &request) const;
     /// Returns the number of workers for each reason against the task, for the log.
     std::string explain(const std::vector<WorkerState *> &workers,
                         const PlacementRequest &request) const;
@@ -70,9 +78,10 @@
         std::int64_t idleMilliCores = 0;
     };
 
-    Unsuitability unsuitability(WorkerState &worker, const PlacementRequest &request) const;
+    /// Returns the workers of the service with the processors that the task needs, by base cost.
+    std::span<const CapacityIndex::Entry>
+    withEnoughProcessors(const PlacementRequest &request) const;
     bool mayFitSomewhere(const PlacementRequest &request) const;
-    double cost(WorkerState &worker, const PlacementRequest &request) const;
     /// Cost of a serving task beside serving tasks of other images.
     static double colocatedImagesCost(const WorkerState &worker, ImageIndex image);
     /// Returns the expected utilization of a serving task beside the best-effort tasks on the
@@ -86,6 +95,7 @@
 
     const SlowdownModel &m_slowdownModel;
     const CapacityReservation &m_reservation;
+    const CapacityIndex &m_capacityIndex;
     std::map<ServiceId, MaxFree> m_maxFree;
 };
 
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -10,6 +10,7 @@
 #include <LibJob/WorkerReport.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -53,9 +54,11 @@
     }
 
     const WorkerInfo &info() const { return m_info; }
-    void update(const WorkerInfo &info) { m_info = info; }
+    void update(const WorkerInfo &info);
 
     // Capacity. Every run counts from its planning until it is known to be gone.
+    /// \p observer is told of all changes of freeResources(), idleMilliCores() and the listing.
+    void observeCapacity(WorkerObserver &observer) { m_capacityObserver = &observer; }
     void addRun(const TaskName &task, const StepSpec &step, ImageIndex image);
     void removeRun(const TaskName &task, const StepSpec &step, ImageIndex image);
     /// Called when a best-effort task that ran at \p percent of its processors has ended.
@@ -79,7 +82,7 @@
     std::int64_t idleMilliCores() const;
     /// Sets the fraction of their requested processors that the serving tasks are expected to use,
     /// from 0 to 1.
-    void setServingUtilization(double fraction) { m_servingUtilization = fraction; }
+    void setServingUtilization(double fraction);
     int runsOfStep(const TaskName &task) const;
     /// Images of the serving tasks on the worker, with the number of tasks.
     const std::map<ImageIndex, int> &servingImages() const { return m_servingImages; }
@@ -163,13 +166,17 @@
     bool isOverTarget = false;
     /// True if the store lists the worker.
     bool isListed() const { return m_isListed; }
-    void setListed(bool isListed);
+    /// Position in the store's list; meaningless if the worker isn't listed.
+    std::size_t listPosition() const { return m_listPosition; }
+    void setListed(std::size_t position);
+    void setUnlisted();
 
 private:
     static constexpr double defaultServingUtilization = 0.5;
 
     void count(const StepSpec &step, ImageIndex image, int sign);
     void notifyRenewalObserver();
+    void notifyCapacityObserver();
 
     WorkerInfo m_info;
     SchedulerSettings m_settings;
@@ -209,6 +216,8 @@
     Core::Instant m_nextRenewalAt = {};
     bool m_isRenewing = false;
     bool m_isListed = false;
+    std::size_t m_listPosition = 0;
+    WorkerObserver *m_capacityObserver = nullptr;
 
     int m_consecutiveFailures = 0;
     Core::Instant m_avoidedUntil = {};
