LibJob: Keep the runs whose stop is wanted in a set

Callers saw: turns of the owner's event loop that were long every 100 ms.

Change: requestStop() enters the run in a set, removeRun() takes it out, and only these are looked at. The set is in the order in which runs were walked, so stops go out in the same order.

No test had guarded that a lost stop is sent again: the new one passes with the former code too, and failed when requestStop() didn't enter the run. It doesn't fail when removeRun() leaves the entry: such an entry is skipped.

--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -38,6 +38,8 @@
         return;
     const StepSpec &spec = job.spec(name.step);
     const bool wasPlanned = task->run->phase == RunPhase::Planned;
+    if (task->run->isStopWanted)
+        m_stopping.erase({ task->run->worker->info().id, name });
     const ImageIndex image = job.images[static_cast<std::size_t>(name.step)];
     if (spec.isBestEffort && task->run->phase == RunPhase::Running)
         task->run->worker->noteBestEffortEnded(spec, image, task->run->throttlePercent, m_now);
@@ -77,6 +79,7 @@
     run.isStopWanted = true;
     run.stopSentAt = now.instant;
     const WorkerInfo &worker = run.worker->info();
+    m_stopping.emplace(worker.id, name);
     note(name, "stop", "worker=" + worker.id.text() + " run=" + std::to_string(run.number));
     m_commands.emplace_back(
         StopCommand { worker.id, worker.address, name, run.number, m_ownership.token });
@@ -85,15 +88,13 @@
 
 void JobScheduler::resendStops(const TimePoint &now)
 {
-    for (const auto &[id, worker] : m_workers) {
-        for (const TaskName &name : worker->runs()) {
-            OwnedJob *job = findJob(name.job);
-            TaskState *task = job ? job->findTask(name) : nullptr;
-            if (!task || !task->run || !task->run->isStopWanted)
-                continue;
-            if (now.instant >= task->run->stopSentAt + m_settings.stopRetryInterval)
-                requestStop(name, *task->run, now);
-        }
+    for (const auto &[worker, name] : m_stopping) {
+        OwnedJob *job = findJob(name.job);
+        TaskState *task = job ? job->findTask(name) : nullptr;
+        if (!task || !task->run)
+            continue;
+        if (now.instant >= task->run->stopSentAt + m_settings.stopRetryInterval)
+            requestStop(name, *task->run, now);
     }
 }
 
--- a/Tests/LibJob/SchedulerFixture.cpp
+++ b/Tests/LibJob/SchedulerFixture.cpp
@@ -113,6 +113,11 @@
     }
 }
 
+void SchedulerFixture::cancel()
+{
+    m_scheduler.cancelJob(JobId("job"), m_now);
+}
+
 void SchedulerFixture::setStoreReachable(bool isReachable)
 {
     m_isStoreReachable = isReachable;
@@ -131,6 +136,8 @@
         for (const Command &command : m_scheduler.takeCommands(m_now)) {
             if (const auto *throttle = std::get_if<ThrottleCommand>(&command))
                 m_throttles.push_back(*throttle);
+            if (const auto *stop = std::get_if<StopCommand>(&command))
+                m_stops.push_back(*stop);
             const auto *start = std::get_if<StartCommand>(&command);
             if (!start)
                 continue;
--- a/Tests/LibJob/SchedulerFixture.h
+++ b/Tests/LibJob/SchedulerFixture.h
@@ -33,6 +33,7 @@
     void report(const Core::VmId &worker, const std::vector<Jobs::EndedEntry> &ended,
                 const std::vector<Jobs::RunningEntry> &running = {});
     void setStoreReachable(bool isReachable);
+    void cancel();
     /// Sets the workers' answer to start commands.
     void answerStarts(Jobs::StartOutcome outcome) { m_startOutcome = outcome; }
     /// Runs a planning pass; nothing becomes durable.
@@ -48,6 +49,8 @@
     std::int64_t waitingCount() const { return m_table.waitingCount(Jobs::QueueId("queue")); }
     /// All throttle commands, in order.
     const std::vector<Jobs::ThrottleCommand> &throttles() const { return m_throttles; }
+    /// All stop commands of runForTwoSeconds(), in order.
+    const std::vector<Jobs::StopCommand> &stops() const { return m_stops; }
     int recordsWritten() const { return m_recordsWritten; }
     /// The number up to which the latest renewal sent to the worker acknowledges ended runs.
     std::int64_t acknowledgedEnd(const Core::VmId &worker);
@@ -90,6 +93,7 @@
     Jobs::StartOutcome m_startOutcome = Jobs::StartOutcome::Started;
     int m_recordsWritten = 0;
     std::vector<Jobs::ThrottleCommand> m_throttles;
+    std::vector<Jobs::StopCommand> m_stops;
     std::map<Core::VmId, Jobs::RenewCommand> m_renewals;
     std::map<Core::VmId, WorkerRuns> m_workerRuns;
 };
--- a/Tests/LibJob/TestStarts.cpp
+++ b/Tests/LibJob/TestStarts.cpp
@@ -178,3 +178,28 @@
         CHECK(owner.waitingCount() == 0);
     }
 }
+
+TEST_CASE("A stop that was lost is sent again until the run has ended, and not after it")
+{
+    SchedulerFixture site({ 1, 0, Core::Instant() });
+    site.report(SchedulerFixture::first, {});
+    site.report(SchedulerFixture::second, {});
+    site.runForTwoSeconds();
+    site.submit(SchedulerFixture::step(1));
+    const std::vector<StartCommand> starts = site.runForTwoSeconds();
+    REQUIRE(starts.size() == 1);
+
+    site.cancel();
+    site.runForTwoSeconds();
+    constexpr std::size_t stopsInTwoSeconds = 4;
+    REQUIRE(site.stops().size() == stopsInTwoSeconds);
+    for (const StopCommand &stop : site.stops()) {
+        CHECK(stop.worker == starts[0].worker);
+        CHECK(stop.run == starts[0].run);
+    }
+
+    const EndedEntry end = SchedulerFixture::end(1, 0, starts[0].run, EndKind::Stopped);
+    site.report(starts[0].worker, { end });
+    site.runForTwoSeconds();
+    CHECK(site.stops().size() == stopsInTwoSeconds);
+}
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -283,6 +283,8 @@
     /// The recorded workers of the jobs in the commit in progress.
     std::map<JobId, std::set<Core::VmId>> m_committing;
     std::vector<Command> m_commands;
+    /// The runs whose stop is wanted, by their workers.
+    std::set<std::pair<Core::VmId, TaskName>> m_stopping;
     std::size_t m_runs = 0;
     bool m_isStoreReachable = true;
     bool m_areStartsHeld = false;
