LibJob: Count the work of planning

Callers saw: reads, heartbeats and renewals of the owner of 1,100 workers were late.

Cause: one call of takeCommands() plans all waiting steps, however many, and the event loop does nothing else meanwhile.

Ruled out: a bound on time: the decisions are deterministic and read no clock.

--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -44,6 +44,8 @@
 std::vector<Command> JobScheduler::takeCommands(const TimePoint &now)
 {
     m_now = now.instant;
+    m_planningWork = 0;
+    m_looksBefore = m_chooser.looks();
     if (now.instant >= m_nextCheckAt) {
         m_nextCheckAt = now.instant + checkInterval;
         expireLeases(now);
@@ -77,6 +79,7 @@
     m_isUnderused = isUnderused();
     std::vector<RejectedDemand> rejected;
     for (const WaitingStep &waiting : steps) {
+        m_planningWork += workPerStep;
         const StepSpec &spec = waiting.job->spec(waiting.step);
         const ServiceId &service = queueOf(*waiting.job)->service;
         // The image affects placement only for best-effort tasks.
@@ -307,6 +310,7 @@
         logWaitReason(waiting, request, now);
         return false;
     }
+    m_planningWork += workPerTask;
     addRun(job, name, *worker, run, RunPhase::Planned, now);
     // Workers of a gang are recorded by planGang() once all members are placed.
     if (request.step->isGang)
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -137,6 +137,7 @@
 std::string WorkerChooser::explain(const std::vector<WorkerState *> &workers,
                                    const PlacementRequest &request) const
 {
+    m_looks += static_cast<std::int64_t>(workers.size());
     std::map<Unsuitability, int> counts;
     for (WorkerState *worker : workers)
         ++counts[unsuitability(*worker, request)];
@@ -149,6 +150,7 @@
 std::vector<WorkerState *> WorkerChooser::lackingCapacity(const std::vector<WorkerState *> &workers,
                                                           const PlacementRequest &request) const
 {
+    m_looks += static_cast<std::int64_t>(workers.size());
     std::vector<WorkerState *> lackingWorkers;
     for (WorkerState *worker : workers) {
         if (unsuitability(*worker, request) == Unsuitability::NoRoom)
@@ -215,6 +217,7 @@
     for (const CapacityIndex::Entry &entry : withEnoughProcessors(request)) {
         if (static_cast<double>(entry.baseCost) > leastCost)
             break;
+        ++m_looks;
         if (lacksMemoryOrAccelerators(entry, *request.step)
             || unsuitability(*entry.worker, request) != Unsuitability::None)
             continue;
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -116,6 +116,12 @@
 
     /// Decides on starts, stops and throttles, and returns the commands to send.
     std::vector<Command> takeCommands(const TimePoint &now);
+    /// Bound of planningWork(), except that the search for one task's worker, or for those of a
+    /// gang, isn't interrupted.
+    static constexpr std::int64_t maxPlanningWork = 50'000;
+    /// The work that the last takeCommands() spent on choosing workers, as a number of looks at a
+    /// worker; a placed task and a waiting step count as several.
+    std::int64_t planningWork() const { return m_planningWork + m_chooser.looks() - m_looksBefore; }
     /// Returns when takeCommands() and takeRenewals() must be called again at the latest.
     Core::Instant nextWakeup(const TimePoint &now) const;
 
@@ -138,6 +144,9 @@
     /// Number range of a task's runs in one term. Run numbers increase from owner to owner,
     /// although starts aren't recorded.
     static constexpr std::int64_t runsPerTerm = 1000;
+    /// The parts of planningWork() for a placed task and for a waiting step.
+    static constexpr std::int64_t workPerTask = 100;
+    static constexpr std::int64_t workPerStep = 10;
 
     using JobPtr = std::unique_ptr<OwnedJob>;
     struct WaitingStep
@@ -296,6 +305,9 @@
     Core::Duration m_lag = {};
     /// What can start may have changed since the last pass over the waiting steps.
     bool m_needsPass = true;
+    std::int64_t m_planningWork = 0;
+    /// The looks of m_chooser at the beginning of the last takeCommands().
+    std::int64_t m_looksBefore = 0;
     Core::Instant m_nextPassAt = {};
     Core::Instant m_nextCheckAt = {};
     Core::Instant m_nextThrottleUpdateAt = {};
--- a/include/LibJob/WorkerChooser.h
+++ b/include/LibJob/WorkerChooser.h
@@ -9,6 +9,7 @@
 #include <LibJob/Unsuitability.h>
 #include <LibJob/WorkerState.h>
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <span>
@@ -70,6 +71,9 @@
     std::vector<WorkerState *> lackingCapacity(const std::vector<WorkerState *> &workers,
                                                const PlacementRequest &request) const;
 
+    /// Number of looks at a worker so far.
+    std::int64_t looks() const { return m_looks; }
+
 private:
     /// Maximum of each resource on any worker of a service.
     struct MaxFree
@@ -97,6 +101,7 @@
     const CapacityReservation &m_reservation;
     const CapacityIndex &m_capacityIndex;
     std::map<ServiceId, MaxFree> m_maxFree;
+    mutable std::int64_t m_looks = 0;
 };
 
 } // namespace Jobs
