LibJob: Plan waiting steps in turns of bounded work

Callers saw: reads, heartbeats and renewals of the owner of 1,100 workers were late; starts held although workers were idle.

Cause: one call of takeCommands() planned all waiting steps: 16 ms on a whole core even with the index at 1,100 workers and 2,000 steps, and far more where thousands of tasks find room at once.

Change: a pass keeps its place. A call goes on until its planning work reaches maxPlanningWork, also within a step, and nextWakeup() asks for the next call at once, after whatever else the loop has to do. The order of ranks is that of the pass's beginning; steps of jobs that come later join it by their ranks, behind what is put first. A demand that found no room stays rejected until the pass is over, so no lower rank overtakes it on freed room. Jobs that are deleted leave the pass; a deleted worker loses its reservation. Holding starts ends the pass. A look that ends at memory isn't counted.

A bound of 50,000: sites of 66 workers then decided differently.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -147,6 +147,8 @@
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         const bool isForgotten
             = !it->second->isListed() && it->second->runs().empty() && !it->second->isRenewing();
+        if (isForgotten)
+            m_reservation.forget(*it->second);
         it = isForgotten ? m_workers.erase(it) : std::next(it);
     }
 }
@@ -175,6 +177,7 @@
         m_scheduled.insert(id);
     m_order.noteJob(entry.submission.queue.id, job->totalWork());
     beginDueOccurrences(*job, now);
+    joinPass(*job, now);
     m_needsPass = true;
     if (entry.isCancelled)
         cancelJob(id, now);
@@ -248,6 +251,7 @@
         if (isFinished) {
             rememberEndedJob(id, job->progress().endedUnixMs);
             m_scheduled.erase(id);
+            leavePass(*job);
             m_jobs.erase(id);
         }
     }
@@ -312,6 +316,8 @@
 
 Core::Instant JobScheduler::nextWakeup(const TimePoint &now) const
 {
+    if (!m_pass.isOver() && !m_isDeposed)
+        return now.instant;
     Core::Instant next = now.instant + passInterval;
     if (m_needsPass)
         next = std::min(next, m_nextPassAt);
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -26,21 +26,6 @@
 /// Interval at which leases, stops and the retention of jobs are checked.
 static constexpr Core::Duration checkInterval = milliseconds(100);
 
-namespace {
-
-/// A task for which no worker was found in this pass. Tasks with at least the same demand are
-/// skipped.
-struct RejectedDemand
-{
-    ServiceId service;
-    Core::Resources need;
-    bool isBestEffort = false;
-    bool mayExceedTargets = false;
-    ImageIndex image = 0;
-};
-
-} // namespace
-
 std::vector<Command> JobScheduler::takeCommands(const TimePoint &now)
 {
     m_now = now.instant;
@@ -58,49 +43,102 @@
     // become due change what can start.
     const bool isDue = m_needsPass ? now.instant >= m_nextPassAt
                                    : now.instant >= m_nextPassAt + m_settings.renewalWait / 5;
-    if (isDue && !m_isDeposed)
-        planWaitingSteps(now);
+    if (m_areStartsHeld)
+        m_pass = {};
+    if (m_pass.isOver() && isDue && !m_isDeposed)
+        beginPass(now);
+    if (!m_pass.isOver() && !m_isDeposed)
+        continuePass(now);
     return std::exchange(m_commands, {});
 }
 
-void JobScheduler::planWaitingSteps(const TimePoint &now)
+void JobScheduler::beginPass(const TimePoint &now)
 {
     m_needsPass = false;
+    m_pass = {};
     for (const JobId &id : m_scheduled)
         beginDueOccurrences(*m_jobs.at(id), now);
     if (m_areStartsHeld)
         return;
-    std::vector<WaitingStep> steps = waitingSteps(now);
-    m_nextPassAt = now.instant + minPassInterval + steps.size() * passIntervalPerStep;
-    putLargeJobsFirst(steps);
-    putOverdueFirst(steps, now);
+    m_pass.steps = waitingSteps(now);
+    m_nextPassAt = now.instant + minPassInterval + m_pass.steps.size() * passIntervalPerStep;
+    putLargeJobsFirst(m_pass.steps);
+    putOverdueFirst(m_pass.steps, now);
     m_reservation.reset(m_listed.size());
-    m_chooser.beginPass(m_listed);
     m_isUnderused = isUnderused();
-    std::vector<RejectedDemand> rejected;
-    for (const WaitingStep &waiting : steps) {
+}
+
+void JobScheduler::continuePass(const TimePoint &now)
+{
+    m_chooser.beginPass(m_listed);
+    while (!m_pass.isOver() && !isPlanningWorkUsedUp()) {
+        const WaitingStep waiting = m_pass.steps[m_pass.next];
         m_planningWork += workPerStep;
-        const StepSpec &spec = waiting.job->spec(waiting.step);
-        const ServiceId &service = queueOf(*waiting.job)->service;
-        // The image affects placement only for best-effort tasks.
-        const ImageIndex image = spec.isBestEffort
-            ? waiting.job->images[static_cast<std::size_t>(waiting.step)]
-            : ImageIndex();
-        const bool cannotFit
-            = std::any_of(rejected.begin(), rejected.end(), [&](const auto &other) {
-                  return other.isBestEffort == spec.isBestEffort && other.image == image
-                      && other.need.fitsIn(spec.need) && other.service == service
-                      && (other.mayExceedTargets || !mayExceedTargets(waiting, now));
-              });
-        const bool mayReserve = waiting.isOverdue && !m_reservation.isFull();
-        if ((cannotFit && !mayReserve) || awaitsReconciliation(*waiting.job, now.instant))
-            continue;
-        const bool isPlaced = planStep(waiting, now);
-        const bool isUnconstrained = spec.requiredLabel.empty() && spec.maxPerWorker == 0
-            && !spec.isGang && m_isStoreReachable;
-        if (!isPlaced && isUnconstrained)
-            rejected.push_back(
-                { service, spec.need, spec.isBestEffort, mayExceedTargets(waiting, now), image });
+        if (isStillWaiting(waiting))
+            planWaitingStep(waiting, now);
+        // A step that the bound has interrupted is continued by the next call.
+        if (!isPlanningWorkUsedUp())
+            ++m_pass.next;
+    }
+}
+
+void JobScheduler::planWaitingStep(const WaitingStep &waiting, const TimePoint &now)
+{
+    const StepSpec &spec = waiting.job->spec(waiting.step);
+    const ServiceId &service = queueOf(*waiting.job)->service;
+    // The image affects placement only for best-effort tasks.
+    const ImageIndex image = spec.isBestEffort
+        ? waiting.job->images[static_cast<std::size_t>(waiting.step)]
+        : ImageIndex();
+    const bool cannotFit
+        = std::any_of(m_pass.rejected.begin(), m_pass.rejected.end(), [&](const auto &other) {
+              return other.isBestEffort == spec.isBestEffort && other.image == image
+                  && other.need.fitsIn(spec.need) && other.service == service
+                  && (other.mayExceedTargets || !mayExceedTargets(waiting, now));
+          });
+    const bool mayReserve = waiting.isOverdue && !m_reservation.isFull();
+    if ((cannotFit && !mayReserve) || awaitsReconciliation(*waiting.job, now.instant))
+        return;
+    const bool isPlaced = planStep(waiting, now);
+    const bool isUnconstrained = spec.requiredLabel.empty() && spec.maxPerWorker == 0
+        && !spec.isGang && m_isStoreReachable;
+    if (!isPlaced && isUnconstrained)
+        m_pass.rejected.push_back(
+            { service, spec.need, spec.isBestEffort, mayExceedTargets(waiting, now), image });
+}
+
+bool JobScheduler::isStillWaiting(const WaitingStep &waiting)
+{
+    if (!waiting.job || waiting.job->isOver())
+        return false;
+    const auto &occurrences = waiting.job->occurrences();
+    const auto occurrence = occurrences.find(waiting.occurrence);
+    if (occurrence == occurrences.end())
+        return false;
+    const OwnedStep &step = occurrence->second[static_cast<std::size_t>(waiting.step)];
+    return step.isReady && step.waitingCount > 0;
+}
+
+void JobScheduler::joinPass(OwnedJob &job, const TimePoint &now)
+{
+    if (m_pass.isOver())
+        return;
+    std::vector<WaitingStep> joining;
+    addWaitingSteps(job, now, joining);
+    for (const WaitingStep &step : joining) {
+        const auto isPlace = [&step](const WaitingStep &other) {
+            return !other.isPutFirst && (!other.job || isBefore(step, other));
+        };
+        const auto rest = m_pass.steps.begin() + static_cast<std::ptrdiff_t>(m_pass.next);
+        m_pass.steps.insert(std::find_if(rest, m_pass.steps.end(), isPlace), step);
+    }
+}
+
+void JobScheduler::leavePass(const OwnedJob &job)
+{
+    for (std::size_t i = m_pass.next; i < m_pass.steps.size(); ++i) {
+        if (m_pass.steps[i].job == &job)
+            m_pass.steps[i].job = nullptr;
     }
 }
 
@@ -122,8 +160,10 @@
                 && now.instant > task.lastRunEndedAt + maxInterruption;
         });
     };
-    for (WaitingStep &waiting : steps)
+    for (WaitingStep &waiting : steps) {
         waiting.isOverdue = isOverdue(waiting);
+        waiting.isPutFirst |= waiting.isOverdue;
+    }
     std::stable_partition(steps.begin(), steps.end(),
                           [](const WaitingStep &waiting) { return waiting.isOverdue; });
 }
@@ -150,9 +190,10 @@
         if (first.size() < maxLargeJobsFirst)
             first.insert(waiting->job->id());
     }
-    std::stable_partition(steps.begin(), steps.end(), [&first](const WaitingStep &waiting) {
-        return first.contains(waiting.job->id());
-    });
+    for (WaitingStep &waiting : steps)
+        waiting.isPutFirst = first.contains(waiting.job->id());
+    std::stable_partition(steps.begin(), steps.end(),
+                          [](const WaitingStep &waiting) { return waiting.isPutFirst; });
 }
 
 bool JobScheduler::isUnderused() const
@@ -182,31 +223,38 @@
     }
 }
 
-std::vector<JobScheduler::WaitingStep> JobScheduler::waitingSteps(const TimePoint &now) const
+bool JobScheduler::isBefore(const WaitingStep &left, const WaitingStep &right)
 {
-    std::vector<WaitingStep> waiting;
-    for (const auto &[id, job] : m_jobs) {
-        if (job->isOver())
-            continue;
-        const Queue &queue = *queueOf(*job);
-        for (const auto &[occurrence, steps] : job->occurrences()) {
-            for (std::size_t i = 0; i < steps.size(); ++i) {
-                if (!steps[i].isReady || steps[i].waitingCount == 0)
-                    continue;
-                const auto step = static_cast<int>(i);
-                const Core::Instant due = dueAt(*job, occurrence, now);
-                waiting.push_back({ m_order.rank(*job, occurrence, step, queue, due, now.instant),
-                                    job.get(), occurrence, step });
-            }
+    if (left.rank != right.rank)
+        return left.rank < right.rank;
+    return std::tie(left.job->id(), left.occurrence, left.step)
+        < std::tie(right.job->id(), right.occurrence, right.step);
+}
+
+void JobScheduler::addWaitingSteps(OwnedJob &job, const TimePoint &now,
+                                   std::vector<WaitingStep> &waiting) const
+{
+    if (job.isOver())
+        return;
+    const Queue &queue = *queueOf(job);
+    for (const auto &[occurrence, steps] : job.occurrences()) {
+        for (std::size_t i = 0; i < steps.size(); ++i) {
+            if (!steps[i].isReady || steps[i].waitingCount == 0)
+                continue;
+            const auto step = static_cast<int>(i);
+            const Core::Instant due = dueAt(job, occurrence, now);
+            waiting.push_back({ m_order.rank(job, occurrence, step, queue, due, now.instant), &job,
+                                occurrence, step });
         }
     }
-    std::sort(waiting.begin(), waiting.end(),
-              [](const WaitingStep &left, const WaitingStep &right) {
-                  if (left.rank != right.rank)
-                      return left.rank < right.rank;
-                  return std::tie(left.job->id(), left.occurrence, left.step)
-                      < std::tie(right.job->id(), right.occurrence, right.step);
-              });
+}
+
+std::vector<JobScheduler::WaitingStep> JobScheduler::waitingSteps(const TimePoint &now) const
+{
+    std::vector<WaitingStep> waiting;
+    for (const auto &[id, job] : m_jobs)
+        addWaitingSteps(*job, now, waiting);
+    std::sort(waiting.begin(), waiting.end(), isBefore);
     return waiting;
 }
 
@@ -243,6 +291,8 @@
         const TaskName name { job.id(), waiting.occurrence, waiting.step, index };
         if (step.tasks[i].run || job.isTaskDone(name) || step.tasks[i].neededCommit > m_committed)
             continue;
+        if (isPlanningWorkUsedUp())
+            return true;
         if (!planTask(waiting, index, nextRunNumber(step.tasks[i]), now))
             return false;
     }
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -217,9 +217,10 @@
     for (const CapacityIndex::Entry &entry : withEnoughProcessors(request)) {
         if (static_cast<double>(entry.baseCost) > leastCost)
             break;
+        if (lacksMemoryOrAccelerators(entry, *request.step))
+            continue;
         ++m_looks;
-        if (lacksMemoryOrAccelerators(entry, *request.step)
-            || unsuitability(*entry.worker, request) != Unsuitability::None)
+        if (unsuitability(*entry.worker, request) != Unsuitability::None)
             continue;
         const double entryCost = cost(*entry.worker, request);
         const bool isBetter = entryCost < leastCost
--- a/include/LibJob/CapacityReservation.h
+++ b/include/LibJob/CapacityReservation.h
@@ -25,6 +25,8 @@
     /// processors. Does nothing if there is none or if isFull().
     void reserve(const TaskName &task, const Core::Resources &need,
                  const std::vector<WorkerState *> &candidates);
+    /// Removes the reservation of a worker that is about to be deleted.
+    void forget(const WorkerState &worker) { m_reserved.erase(&worker); }
     /// True if the worker is reserved for a task other than \p task.
     bool isReservedForOther(const TaskName &task, const WorkerState &worker) const;
     bool isFull() const { return m_reserved.size() >= m_maxReservations; }
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -114,11 +114,12 @@
     /// The delay from a worker's report to its next renewal; grows with the lag.
     Core::Duration renewalInterval() const;
 
-    /// Decides on starts, stops and throttles, and returns the commands to send.
+    /// Decides on starts, stops and throttles, and returns the commands to send. A long pass over
+    /// the waiting steps takes several calls; until it is over, nextWakeup() returns now.
     std::vector<Command> takeCommands(const TimePoint &now);
     /// Bound of planningWork(), except that the search for one task's worker, or for those of a
     /// gang, isn't interrupted.
-    static constexpr std::int64_t maxPlanningWork = 50'000;
+    static constexpr std::int64_t maxPlanningWork = 100'000;
     /// The work that the last takeCommands() spent on choosing workers, as a number of looks at a
     /// worker; a placed task and a waiting step count as several.
     std::int64_t planningWork() const { return m_planningWork + m_chooser.looks() - m_looksBefore; }
@@ -157,6 +158,30 @@
         int step = 0;
         /// A long-running task of the step was interrupted and hasn't run for longer than allowed.
         bool isOverdue = false;
+        /// The step comes before others of a lower rank; see planWaitingSteps().
+        bool isPutFirst = false;
+    };
+
+    /// A task for which no worker was found in this pass. Tasks with at least the same demand are
+    /// skipped.
+    struct RejectedDemand
+    {
+        ServiceId service;
+        Core::Resources need;
+        bool isBestEffort = false;
+        bool mayExceedTargets = false;
+        ImageIndex image = 0;
+    };
+
+    /// A pass over the waiting steps, which may take several calls of takeCommands().
+    struct PlanningPass
+    {
+        std::vector<WaitingStep> steps;
+        /// Index of the step that is planned next.
+        std::size_t next = 0;
+        std::vector<RejectedDemand> rejected;
+
+        bool isOver() const { return next >= steps.size(); }
     };
 
     /// One of the runs on a worker.
@@ -185,10 +210,22 @@
     // Starts.
     void beginDueOccurrences(OwnedJob &job, const TimePoint &now);
     std::vector<WaitingStep> waitingSteps(const TimePoint &now) const;
+    void addWaitingSteps(OwnedJob &job, const TimePoint &now,
+                         std::vector<WaitingStep> &waiting) const;
+    static bool isBefore(const WaitingStep &left, const WaitingStep &right);
+    static bool isStillWaiting(const WaitingStep &waiting);
+    /// Inserts the steps of a new job into the pass that has begun, by their ranks.
+    void joinPass(OwnedJob &job, const TimePoint &now);
+    /// Removes a job that is about to be deleted from the pass that has begun.
+    void leavePass(const OwnedJob &job);
     bool awaitsReconciliation(OwnedJob &job, Core::Instant now);
-    /// Chooses workers for the waiting steps, in the order of their ranks, except that overdue
-    /// steps and then a few large jobs come first.
-    void planWaitingSteps(const TimePoint &now);
+    /// Begins a pass that chooses workers for the waiting steps, in the order of their ranks,
+    /// except that overdue steps and then a few large jobs come first.
+    void beginPass(const TimePoint &now);
+    /// Continues the pass until it is over or this call's planning work has reached its bound.
+    void continuePass(const TimePoint &now);
+    void planWaitingStep(const WaitingStep &waiting, const TimePoint &now);
+    bool isPlanningWorkUsedUp() const { return planningWork() >= maxPlanningWork; }
     void putLargeJobsFirst(std::vector<WaitingStep> &steps) const;
     void putOverdueFirst(std::vector<WaitingStep> &steps, const TimePoint &now);
     /// True if less than half of the site's processors are requested.
@@ -305,6 +342,7 @@
     Core::Duration m_lag = {};
     /// What can start may have changed since the last pass over the waiting steps.
     bool m_needsPass = true;
+    PlanningPass m_pass;
     std::int64_t m_planningWork = 0;
     /// The looks of m_chooser at the beginning of the last takeCommands().
     std::int64_t m_looksBefore = 0;
