--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -112,22 +112,25 @@
 
 void JobScheduler::setWorkers(const std::vector<WorkerInfo> &workers, const TimePoint &now)
 {
-    for (WorkerState *worker : m_listed)
-        worker->isListed = false;
+    std::unordered_set<WorkerState *> unlisted(m_listed.begin(), m_listed.end());
     m_listed.clear();
     m_needsPass = true;
     for (const WorkerInfo &info : workers) {
         std::unique_ptr<WorkerState> &state = m_workers[info.id];
-        if (!state)
+        if (!state) {
             state = std::make_unique<WorkerState>(info, m_settings);
+            state->observeRenewals(m_renewalQueue);
+            state->observeCapacity(m_capacityIndex);
+        }
         const bool startsDraining = info.isDraining && !state->info().isDraining;
         state->update(info);
-        state->isListed = true;
+        state->setListed(m_listed.size());
         m_listed.push_back(state.get());
+        unlisted.erase(state.get());
         if (info.processStartUnixMs != 0 && state->processStartUnixMs() != 0
             && info.processStartUnixMs > state->processStartUnixMs()) {
             // Only a report can show which runs still exist; this requests one immediately.
-            state->nextRenewalAt = now.instant;
+            state->setNextRenewalAt(now.instant);
             state->setReconciled(false);
         }
         if (!startsDraining)
@@ -139,9 +142,13 @@
                 requestStop(name, *task->run, now);
         }
     }
+    for (WorkerState *worker : unlisted)
+        worker->setUnlisted();
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         const bool isForgotten
-            = !it->second->isListed && it->second->runs().empty() && !it->second->isRenewing;
+            = !it->second->isListed() && it->second->runs().empty() && !it->second->isRenewing();
+        if (isForgotten)
+            m_reservation.forget(*it->second);
         it = isForgotten ? m_workers.erase(it) : std::next(it);
     }
 }
@@ -170,6 +177,7 @@
         m_scheduled.insert(id);
     m_order.noteJob(entry.submission.queue.id, job->totalWork());
     beginDueOccurrences(*job, now);
+    joinPass(*job, now);
     m_needsPass = true;
     if (entry.isCancelled)
         cancelJob(id, now);
@@ -243,6 +251,7 @@
         if (isFinished) {
             rememberEndedJob(id, job->progress().endedUnixMs);
             m_scheduled.erase(id);
+            leavePass(*job);
             m_jobs.erase(id);
         }
     }
@@ -251,8 +260,7 @@
         const bool hadUncommitted = worker->hasUncommittedEnds();
         worker->noteCommitted(number);
         if (hadUncommitted && !worker->hasUncommittedEnds())
-            worker->nextRenewalAt
-                = std::min(worker->nextRenewalAt, now.instant + renewalInterval());
+            worker->renewBy(now.instant + renewalInterval());
     }
 }
 
@@ -278,16 +286,6 @@
     return m_settings.renewalInterval + std::clamp(delay, Core::Duration(), maxRenewalDelay);
 }
 
-bool JobScheduler::wantsRenewal(const WorkerState &worker)
-{
-    if (worker.isRenewing)
-        return false;
-    // An unresponsive worker without runs is asked until it answers; otherwise it would never be
-    // given a task again.
-    return !worker.runs().empty()
-        || (worker.isListed && (!worker.isReconciled() || worker.isUnresponsive()));
-}
-
 std::size_t JobScheduler::waitingCount() const
 {
     std::size_t count = 0;
@@ -318,14 +316,12 @@
 
 Core::Instant JobScheduler::nextWakeup(const TimePoint &now) const
 {
+    if (!m_pass.isOver() && !m_isDeposed)
+        return now.instant;
     Core::Instant next = now.instant + passInterval;
     if (m_needsPass)
         next = std::min(next, m_nextPassAt);
-    for (const auto &[id, worker] : m_workers) {
-        if (wantsRenewal(*worker))
-            next = std::min(next, worker->nextRenewalAt);
-    }
-    return std::max(next, now.instant);
+    return std::max(m_renewalQueue.nextDueAt(next), now.instant);
 }
 
 } // namespace Jobs
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -26,24 +26,11 @@
 /// Interval at which leases, stops and the retention of jobs are checked.
 static constexpr Core::Duration checkInterval = milliseconds(100);
 
-namespace {
-
-/// A task for which no worker was found in this pass. Tasks with at least the same demand are
-/// skipped.
-struct RejectedDemand
-{
-    ServiceId service;
-    Core::Resources need;
-    bool isBestEffort = false;
-    bool mayExceedTargets = false;
-    ImageIndex image = 0;
-};
-
-} // namespace
-
 std::vector<Command> JobScheduler::takeCommands(const TimePoint &now)
 {
     m_now = now.instant;
+    m_planningWork = 0;
+    m_looksBefore = m_chooser.looks();
     if (now.instant >= m_nextCheckAt) {
         m_nextCheckAt = now.instant + checkInterval;
         expireLeases(now);
@@ -56,48 +43,102 @@
     // become due change what can start.
     const bool isDue = m_needsPass ? now.instant >= m_nextPassAt
                                    : now.instant >= m_nextPassAt + m_settings.renewalWait / 5;
-    if (isDue && !m_isDeposed)
-        planWaitingSteps(now);
+    if (m_areStartsHeld)
+        m_pass = {};
+    if (m_pass.isOver() && isDue && !m_isDeposed)
+        beginPass(now);
+    if (!m_pass.isOver() && !m_isDeposed)
+        continuePass(now);
     return std::exchange(m_commands, {});
 }
 
-void JobScheduler::planWaitingSteps(const TimePoint &now)
+void JobScheduler::beginPass(const TimePoint &now)
 {
     m_needsPass = false;
+    m_pass = {};
     for (const JobId &id : m_scheduled)
         beginDueOccurrences(*m_jobs.at(id), now);
     if (m_areStartsHeld)
         return;
-    std::vector<WaitingStep> steps = waitingSteps(now);
-    m_nextPassAt = now.instant + minPassInterval + steps.size() * passIntervalPerStep;
-    putLargeJobsFirst(steps);
-    putOverdueFirst(steps, now);
+    m_pass.steps = waitingSteps(now);
+    m_nextPassAt = now.instant + minPassInterval + m_pass.steps.size() * passIntervalPerStep;
+    putLargeJobsFirst(m_pass.steps);
+    putOverdueFirst(m_pass.steps, now);
     m_reservation.reset(m_listed.size());
-    m_chooser.beginPass(m_listed);
     m_isUnderused = isUnderused();
-    std::vector<RejectedDemand> rejected;
-    for (const WaitingStep &waiting : steps) {
-        const StepSpec &spec = waiting.job->spec(waiting.step);
-        const ServiceId &service = queueOf(*waiting.job)->service;
-        // The image affects placement only for best-effort tasks.
-        const ImageIndex image = spec.isBestEffort
-            ? waiting.job->images[static_cast<std::size_t>(waiting.step)]
-            : ImageIndex();
-        const bool cannotFit
-            = std::any_of(rejected.begin(), rejected.end(), [&](const auto &other) {
-                  return other.isBestEffort == spec.isBestEffort && other.image == image
-                      && other.need.fitsIn(spec.need) && other.service == service
-                      && (other.mayExceedTargets || !mayExceedTargets(waiting, now));
-              });
-        const bool mayReserve = waiting.isOverdue && !m_reservation.isFull();
-        if ((cannotFit && !mayReserve) || awaitsReconciliation(*waiting.job, now.instant))
-            continue;
-        const bool isPlaced = planStep(waiting, now);
-        const bool isUnconstrained = spec.requiredLabel.empty() && spec.maxPerWorker == 0
-            && !spec.isGang && m_isStoreReachable;
-        if (!isPlaced && isUnconstrained)
-            rejected.push_back(
-                { service, spec.need, spec.isBestEffort, mayExceedTargets(waiting, now), image });
+}
+
+void JobScheduler::continuePass(const TimePoint &now)
+{
+    m_chooser.beginPass(m_listed);
+    while (!m_pass.isOver() && !isPlanningWorkUsedUp()) {
+        const WaitingStep waiting = m_pass.steps[m_pass.next];
+        m_planningWork += workPerStep;
+        if (isStillWaiting(waiting))
+            planWaitingStep(waiting, now);
+        // A step that the bound has interrupted is continued by the next call.
+        if (!isPlanningWorkUsedUp())
+            ++m_pass.next;
+    }
+}
+
+void JobScheduler::planWaitingStep(const WaitingStep &waiting, const TimePoint &now)
+{
+    const StepSpec &spec = waiting.job->spec(waiting.step);
+    const ServiceId &service = queueOf(*waiting.job)->service;
+    // The image affects placement only for best-effort tasks.
+    const ImageIndex image = spec.isBestEffort
+        ? waiting.job->images[static_cast<std::size_t>(waiting.step)]
+        : ImageIndex();
+    const bool cannotFit
+        = std::any_of(m_pass.rejected.begin(), m_pass.rejected.end(), [&](const auto &other) {
+              return other.isBestEffort == spec.isBestEffort && other.image == image
+                  && other.need.fitsIn(spec.need) && other.service == service
+                  && (other.mayExceedTargets || !mayExceedTargets(waiting, now));
+          });
+    const bool mayReserve = waiting.isOverdue && !m_reservation.isFull();
+    if ((cannotFit && !mayReserve) || awaitsReconciliation(*waiting.job, now.instant))
+        return;
+    const bool isPlaced = planStep(waiting, now);
+    const bool isUnconstrained = spec.requiredLabel.empty() && spec.maxPerWorker == 0
+        && !spec.isGang && m_isStoreReachable;
+    if (!isPlaced && isUnconstrained)
+        m_pass.rejected.push_back(
+            { service, spec.need, spec.isBestEffort, mayExceedTargets(waiting, now), image });
+}
+
+bool JobScheduler::isStillWaiting(const WaitingStep &waiting)
+{
+    if (!waiting.job || waiting.job->isOver())
+        return false;
+    const auto &occurrences = waiting.job->occurrences();
+    const auto occurrence = occurrences.find(waiting.occurrence);
+    if (occurrence == occurrences.end())
+        return false;
+    const OwnedStep &step = occurrence->second[static_cast<std::size_t>(waiting.step)];
+    return step.isReady && step.waitingCount > 0;
+}
+
+void JobScheduler::joinPass(OwnedJob &job, const TimePoint &now)
+{
+    if (m_pass.isOver())
+        return;
+    std::vector<WaitingStep> joining;
+    addWaitingSteps(job, now, joining);
+    for (const WaitingStep &step : joining) {
+        const auto isPlace = [&step](const WaitingStep &other) {
+            return !other.isPutFirst && (!other.job || isBefore(step, other));
+        };
+        const auto rest = m_pass.steps.begin() + static_cast<std::ptrdiff_t>(m_pass.next);
+        m_pass.steps.insert(std::find_if(rest, m_pass.steps.end(), isPlace), step);
+    }
+}
+
+void JobScheduler::leavePass(const OwnedJob &job)
+{
+    for (std::size_t i = m_pass.next; i < m_pass.steps.size(); ++i) {
+        if (m_pass.steps[i].job == &job)
+            m_pass.steps[i].job = nullptr;
     }
 }
 
@@ -119,8 +160,10 @@
                 && now.instant > task.lastRunEndedAt + maxInterruption;
         });
     };
-    for (WaitingStep &waiting : steps)
+    for (WaitingStep &waiting : steps) {
         waiting.isOverdue = isOverdue(waiting);
+        waiting.isPutFirst |= waiting.isOverdue;
+    }
     std::stable_partition(steps.begin(), steps.end(),
                           [](const WaitingStep &waiting) { return waiting.isOverdue; });
 }
@@ -147,9 +190,10 @@
         if (first.size() < maxLargeJobsFirst)
             first.insert(waiting->job->id());
     }
-    std::stable_partition(steps.begin(), steps.end(), [&first](const WaitingStep &waiting) {
-        return first.contains(waiting.job->id());
-    });
+    for (WaitingStep &waiting : steps)
+        waiting.isPutFirst = first.contains(waiting.job->id());
+    std::stable_partition(steps.begin(), steps.end(),
+                          [](const WaitingStep &waiting) { return waiting.isPutFirst; });
 }
 
 bool JobScheduler::isUnderused() const
@@ -179,31 +223,38 @@
     }
 }
 
-std::vector<JobScheduler::WaitingStep> JobScheduler::waitingSteps(const TimePoint &now) const
+bool JobScheduler::isBefore(const WaitingStep &left, const WaitingStep &right)
 {
-    std::vector<WaitingStep> waiting;
-    for (const auto &[id, job] : m_jobs) {
-        if (job->isOver())
-            continue;
-        const Queue &queue = *queueOf(*job);
-        for (const auto &[occurrence, steps] : job->occurrences()) {
-            for (std::size_t i = 0; i < steps.size(); ++i) {
-                if (!steps[i].isReady || steps[i].waitingCount == 0)
-                    continue;
-                const auto step = static_cast<int>(i);
-                const Core::Instant due = dueAt(*job, occurrence, now);
-                waiting.push_back({ m_order.rank(*job, occurrence, step, queue, due, now.instant),
-                                    job.get(), occurrence, step });
-            }
+    if (left.rank != right.rank)
+        return left.rank < right.rank;
+    return std::tie(left.job->id(), left.occurrence, left.step)
+        < std::tie(right.job->id(), right.occurrence, right.step);
+}
+
+void JobScheduler::addWaitingSteps(OwnedJob &job, const TimePoint &now,
+                                   std::vector<WaitingStep> &waiting) const
+{
+    if (job.isOver())
+        return;
+    const Queue &queue = *queueOf(job);
+    for (const auto &[occurrence, steps] : job.occurrences()) {
+        for (std::size_t i = 0; i < steps.size(); ++i) {
+            if (!steps[i].isReady || steps[i].waitingCount == 0)
+                continue;
+            const auto step = static_cast<int>(i);
+            const Core::Instant due = dueAt(job, occurrence, now);
+            waiting.push_back({ m_order.rank(job, occurrence, step, queue, due, now.instant), &job,
+                                occurrence, step });
         }
     }
-    std::sort(waiting.begin(), waiting.end(),
-              [](const WaitingStep &left, const WaitingStep &right) {
-                  if (left.rank != right.rank)
-                      return left.rank < right.rank;
-                  return std::tie(left.job->id(), left.occurrence, left.step)
-                      < std::tie(right.job->id(), right.occurrence, right.step);
-              });
+}
+
+std::vector<JobScheduler::WaitingStep> JobScheduler::waitingSteps(const TimePoint &now) const
+{
+    std::vector<WaitingStep> waiting;
+    for (const auto &[id, job] : m_jobs)
+        addWaitingSteps(*job, now, waiting);
+    std::sort(waiting.begin(), waiting.end(), isBefore);
     return waiting;
 }
 
@@ -240,6 +291,8 @@
         const TaskName name { job.id(), waiting.occurrence, waiting.step, index };
         if (step.tasks[i].run || job.isTaskDone(name) || step.tasks[i].neededCommit > m_committed)
             continue;
+        if (isPlanningWorkUsedUp())
+            return true;
         if (!planTask(waiting, index, nextRunNumber(step.tasks[i]), now))
             return false;
     }
@@ -299,7 +352,7 @@
     request.mayExceedTargets = mayExceedTargets(waiting, now);
     request.outOfService = &m_outOfService;
     request.now = now.instant;
-    WorkerState *worker = m_chooser.choose(m_listed, request);
+    WorkerState *worker = m_chooser.choose(request);
     if (!worker) {
         if (waiting.isOverdue && !m_reservation.isFull())
             m_reservation.reserve(name, request.step->need,
@@ -307,6 +360,7 @@
         logWaitReason(waiting, request, now);
         return false;
     }
+    m_planningWork += workPerTask;
     addRun(job, name, *worker, run, RunPhase::Planned, now);
     // Workers of a gang are recorded by planGang() once all members are placed.
     if (request.step->isGang)
@@ -350,7 +404,7 @@
     run.phase = RunPhase::Starting;
     run.phaseBeganAt = now.instant;
     run.startDeadline = worker.latestLeaseEnd();
-    worker.nextRenewalAt = std::min(worker.nextRenewalAt, now.instant + renewalInterval());
+    worker.renewBy(now.instant + renewalInterval());
     note(task, "start",
          "worker=" + command.worker.text() + " run=" + std::to_string(run.number)
              + " free=" + std::to_string(worker.freeResources().milliCores));
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -13,22 +13,41 @@
 /// Workers report loads as means over this time.
 static constexpr Core::Duration reportWindow = milliseconds(500);
 
+void WorkerState::update(const WorkerInfo &info)
+{
+    m_info = info;
+    notifyCapacityObserver();
+}
+
+void WorkerState::setServingUtilization(double fraction)
+{
+    m_servingUtilization = fraction;
+    notifyCapacityObserver();
+}
+
 void WorkerState::addRun(const TaskName &task, const StepSpec &step, ImageIndex image)
 {
-    if (m_runs.insert(task).second)
-        count(step, image, 1);
+    if (!m_runs.insert(task).second)
+        return;
+    count(step, image, 1);
+    notifyRenewalObserver();
+    notifyCapacityObserver();
 }
 
 void WorkerState::removeRun(const TaskName &task, const StepSpec &step, ImageIndex image)
 {
-    if (m_runs.erase(task) > 0)
-        count(step, image, -1);
+    if (m_runs.erase(task) == 0)
+        return;
+    count(step, image, -1);
+    notifyRenewalObserver();
+    notifyCapacityObserver();
 }
 
 void WorkerState::noteThrottle(const StepSpec &step, int formerPercent, int percent)
 {
     m_bestEffortMilliCores
         += step.need.milliCores * percent / 100 - step.need.milliCores * formerPercent / 100;
+    notifyCapacityObserver();
 }
 
 void WorkerState::noteBestEffortEnded(const StepSpec &step, ImageIndex image, int percent,
@@ -150,6 +169,67 @@
 {
     m_lastAnswerAt = now;
     m_isUnresponsive = false;
+    notifyRenewalObserver();
+}
+
+void WorkerState::markUnresponsive()
+{
+    m_isUnresponsive = true;
+    notifyRenewalObserver();
+}
+
+void WorkerState::setReconciled(bool isReconciled)
+{
+    m_isReconciled = isReconciled;
+    notifyRenewalObserver();
+}
+
+void WorkerState::setListed(std::size_t position)
+{
+    m_isListed = true;
+    m_listPosition = position;
+    notifyRenewalObserver();
+    notifyCapacityObserver();
+}
+
+void WorkerState::setUnlisted()
+{
+    m_isListed = false;
+    notifyRenewalObserver();
+    notifyCapacityObserver();
+}
+
+void WorkerState::setRenewing(bool isRenewing)
+{
+    m_isRenewing = isRenewing;
+    notifyRenewalObserver();
+}
+
+void WorkerState::setNextRenewalAt(Core::Instant at)
+{
+    m_nextRenewalAt = at;
+    notifyRenewalObserver();
+}
+
+bool WorkerState::wantsRenewal() const
+{
+    if (m_isRenewing)
+        return false;
+    // An unresponsive worker without runs is asked until it answers; otherwise it would never be
+    // given a task again.
+    return !m_runs.empty() || (m_isListed && (!m_isReconciled || m_isUnresponsive));
+}
+
+void WorkerState::notifyCapacityObserver()
+{
+    if (m_capacityObserver)
+        m_capacityObserver->onWorkerChanged(*this);
+}
+
+void WorkerState::notifyRenewalObserver()
+{
+    if (m_renewalObserver)
+        m_renewalObserver->onWorkerChanged(*this);
 }
 
 void WorkerState::beginIncarnation(std::int64_t processStartUnixMs, Core::Instant now)
