LibSite: Prove the ownership by the first call of a repeated append

Cause (found by the review, by reading): the store answers a repetition of an append with the first answer. The proof is now counted from the first call. A copy of the records that can't be made no longer leaves the append waiting for ever: it is made where failures are caught.

No test can show the difference: the stand-in compares epochs first, as the pages' order suggests.

--- a/Libraries/LibSite/FencedAppend.cpp
+++ b/Libraries/LibSite/FencedAppend.cpp
@@ -22,11 +22,13 @@
 
 bool FencedAppend::isDecided() const
 {
-    return m_answeredCallSentAt || m_isRejected || m_openCalls == 0;
+    return m_isAnswered || m_isRejected || m_openCalls == 0;
 }
 
 asio::awaitable<Core::Instant> FencedAppend::send(Spawn spawn, Core::Instant deadline)
 {
+    // The answer to a repetition may be the stored one of the first call, so it proves no more.
+    const Core::Instant firstSentAt = Core::suspendAwareNow();
     ++m_openCalls;
     spawn(call(shared_from_this(), deadline));
     co_await waitUntil(Core::steadyNow() + repetitionDelay);
@@ -36,8 +38,8 @@
     }
     // Each call ends by itself soon after its deadline.
     co_await waitUntil(Core::Instant::max());
-    if (m_answeredCallSentAt)
-        co_return *m_answeredCallSentAt;
+    if (m_isAnswered)
+        co_return firstSentAt;
     std::rethrow_exception(m_failure);
 }
 
@@ -49,12 +51,10 @@
 
 asio::awaitable<void> FencedAppend::call(std::shared_ptr<FencedAppend> self, Core::Instant deadline)
 {
-    const Core::Instant sentAt = Core::suspendAwareNow();
-    std::vector<Jobs::StoredRecord> records = self->m_records;
     try {
+        std::vector<Jobs::StoredRecord> records = self->m_records;
         co_await self->m_log.appendFenced(std::move(records), self->m_writer, deadline);
-        if (!self->m_answeredCallSentAt)
-            self->m_answeredCallSentAt = sentAt;
+        self->m_isAnswered = true;
     } catch (const FencedError &) {
         self->m_failure = std::current_exception();
         self->m_isRejected = true;
--- a/include/LibSite/FencedAppend.h
+++ b/include/LibSite/FencedAppend.h
@@ -8,7 +8,6 @@
 #include <exception>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <vector>
 
 namespace Site {
@@ -25,8 +24,8 @@
     FencedAppend(KeyedLog &log, const boost::asio::any_io_executor &executor,
                  std::vector<Jobs::StoredRecord> records, FencedWriter writer);
 
-    /// Returns when the call was sent that was answered first, on the suspend-aware clock. A call
-    /// that isn't answered yet goes on without effect on this object's owner.
+    /// Returns when the first call was sent, on the suspend-aware clock. A call that isn't answered
+    /// when this returns goes on without effect on this object's owner.
     /// \throws Core::Error as KeyedLog::appendFenced() if no call succeeds before \p deadline.
     boost::asio::awaitable<Core::Instant> send(Spawn spawn, Core::Instant deadline);
 
@@ -44,7 +43,7 @@
     Supervision::Wakeup m_wakeup;
     int m_openCalls = 0;
     /// When the call that succeeded first was sent.
-    std::optional<Core::Instant> m_answeredCallSentAt;
+    bool m_isAnswered = false;
     std::exception_ptr m_failure;
     /// The store rejected the append itself, so that no other call can succeed.
     bool m_isRejected = false;
