LibJob: Log silent workers and whether their runs had been seen

Change: event=worker-silent at the first failed call (an essential line), ran_ms= and seen= in lease-expired. No decision changes.

TestLibJob passes.

--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -52,10 +52,31 @@
     if (!worker)
         return;
     worker->setRenewing(false);
-    worker->markUnresponsive();
+    if (!worker->isUnresponsive())
+        noteSilence(*worker, now);
+    worker->markUnresponsive(now.instant);
     worker->setNextRenewalAt(now.instant + m_settings.unresponsiveRenewalInterval);
 }
 
+void JobScheduler::noteSilence(const WorkerState &worker, const TimePoint &now)
+{
+    int runs = 0;
+    int unseen = 0;
+    for (const TaskName &name : worker.runs()) {
+        OwnedJob *job = findJob(name.job);
+        const TaskState *task = job ? job->findTask(name) : nullptr;
+        if (!task || !task->run || task->run->phase == RunPhase::Planned)
+            continue;
+        ++runs;
+        unseen += task->run->seenAt == Core::Instant() ? 1 : 0;
+    }
+    const auto answered
+        = std::chrono::duration_cast<milliseconds>(now.instant - worker.lastAnswerAt());
+    m_log.noteWorker(worker.info().id.text(), "worker-silent",
+                     "runs=" + std::to_string(runs) + " unseen=" + std::to_string(unseen)
+                         + " answered_ms_ago=" + std::to_string(answered.count()));
+}
+
 void JobScheduler::onReport(const Core::VmId &id, const WorkerReport &report, Core::Instant sentAt,
                             const TimePoint &now)
 {
@@ -145,6 +166,7 @@
         stopUnknownRun(worker, entry);
         return;
     }
+    run.seenAt = now.instant;
     if (run.phase != RunPhase::Running) {
         run.phase = RunPhase::Running;
         run.phaseBeganAt = now.instant;
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -19,6 +19,7 @@
     task.run->phase = phase;
     task.run->phaseBeganAt = now.instant;
     task.run->progressedAt = now.instant;
+    task.run->sentAt = now.instant;
     task.lastRun = std::max(task.lastRun, number);
     worker.addRun(name, spec, job.images[static_cast<std::size_t>(name.step)]);
     job.refresh(name.occurrence);
@@ -275,9 +276,13 @@
             continue;
         const auto silentFor
             = std::chrono::duration_cast<milliseconds>(now.instant - worker.lastAnswerAt());
+        const auto ranFor = std::chrono::duration_cast<milliseconds>(
+            std::max(worker.unresponsiveSince(), task->run->sentAt) - task->run->sentAt);
         note(name, "lease-expired",
              "worker=" + worker.info().id.text() + " run=" + std::to_string(task->run->number)
-                 + " silent_ms=" + std::to_string(silentFor.count()));
+                 + " silent_ms=" + std::to_string(silentFor.count())
+                 + " ran_ms=" + std::to_string(ranFor.count())
+                 + " seen=" + (task->run->seenAt == Core::Instant() ? '0' : '1'));
         const std::int64_t run = task->run->number;
         markBegun(*job);
         removeRun(*job, name);
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -403,6 +403,7 @@
     command.token = m_ownership.token;
     run.phase = RunPhase::Starting;
     run.phaseBeganAt = now.instant;
+    run.sentAt = now.instant;
     run.startDeadline = worker.latestLeaseEnd();
     worker.renewBy(now.instant + renewalInterval());
     note(task, "start",
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -169,11 +169,14 @@
 {
     m_lastAnswerAt = now;
     m_isUnresponsive = false;
+    m_unresponsiveSince = {};
     notifyRenewalObserver();
 }
 
-void WorkerState::markUnresponsive()
+void WorkerState::markUnresponsive(Core::Instant now)
 {
+    if (!m_isUnresponsive)
+        m_unresponsiveSince = now;
     m_isUnresponsive = true;
     notifyRenewalObserver();
 }
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -146,6 +146,15 @@
     LOG4CXX_INFO(detailLogger, "event=" << event << " task=" << subject << ' ' << inputs);
 }
 
+void OwnerSession::noteWorker(std::string_view worker, std::string_view event,
+                              std::string_view inputs)
+{
+    if (!isIssuingCommands())
+        return;
+    m_state.metrics.countDecision(std::string(event));
+    LOG4CXX_INFO(partLogger, "event=" << event << " worker=" << worker << ' ' << inputs);
+}
+
 void OwnerSession::depose(const std::string &reason)
 {
     if (m_isOver)
--- a/Tests/LibJob/TestRenewalQueue.cpp
+++ b/Tests/LibJob/TestRenewalQueue.cpp
@@ -46,7 +46,7 @@
     case 6:
         return worker.setReconciled(isSet);
     default:
-        return isSet ? worker.noteAnswer(now) : worker.markUnresponsive();
+        return isSet ? worker.noteAnswer(now) : worker.markUnresponsive(now);
     }
 }
 
--- a/include/LibJob/DecisionLog.h
+++ b/include/LibJob/DecisionLog.h
@@ -17,6 +17,14 @@
     /// on, usually as `key=value` pairs.
     virtual void note(std::string_view subject, std::string_view event, std::string_view inputs)
         = 0;
+
+    /// An event in the life of a worker. These are rare and explain many decisions on tasks, so
+    /// they should be kept when other lines are left out.
+    virtual void noteWorker(std::string_view worker, std::string_view event,
+                            std::string_view inputs)
+    {
+        note(worker, event, inputs);
+    }
 };
 
 } // namespace Jobs
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -257,6 +257,8 @@
     void onRunEnded(WorkerState &worker, const EndedEntry &end, const TimePoint &now);
     void onTaskDone(OwnedJob &job, const TaskName &name, const TimePoint &now);
     void onTaskFailed(OwnedJob &job, const EndedEntry &end, const TimePoint &now);
+    /// Logs that the worker has stopped answering, with how many of its runs a report has shown.
+    void noteSilence(const WorkerState &worker, const TimePoint &now);
     void onRunning(WorkerState &worker, const RunningEntry &entry, const TimePoint &now);
     void adoptRun(OwnedJob &job, WorkerState &worker, const RunningEntry &entry,
                   const TimePoint &now);
--- a/include/LibJob/TaskRun.h
+++ b/include/LibJob/TaskRun.h
@@ -28,6 +28,10 @@
     WorkerState *worker = nullptr;
     RunPhase phase = RunPhase::Planned;
     Core::Instant phaseBeganAt = {};
+    /// When the start command was sent; for an adopted run, when it was adopted.
+    Core::Instant sentAt = {};
+    /// When a report last listed the run as running; the epoch if none did.
+    Core::Instant seenAt = {};
     /// The worker rejects the start command after this time, since its lease deadline has passed.
     Core::Instant startDeadline = {};
     bool isStopWanted = false;
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -116,7 +116,9 @@
     Core::Instant lastAnswerAt() const { return m_lastAnswerAt; }
     bool isUnresponsive() const { return m_isUnresponsive; }
     void noteAnswer(Core::Instant now);
-    void markUnresponsive();
+    void markUnresponsive(Core::Instant now);
+    /// When the first call failed after the last answer; the epoch if the worker answers.
+    Core::Instant unresponsiveSince() const { return m_unresponsiveSince; }
     /// True once the worker has answered a renewal with this owner's token and reported all ended
     /// runs: no former owner can start tasks there.
     bool isReconciled() const { return m_isReconciled; }
@@ -204,6 +206,7 @@
 
     Core::Instant m_lastAnswerAt = {};
     bool m_isUnresponsive = false;
+    Core::Instant m_unresponsiveSince = {};
     bool m_isReconciled = false;
     std::int64_t m_processStartUnixMs = 0;
     Core::Instant m_contactBeganAt = {};
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -50,6 +50,8 @@
     void onClaim() override;
     void onOperatorChange() override;
     void note(std::string_view subject, std::string_view event, std::string_view inputs) override;
+    void noteWorker(std::string_view worker, std::string_view event,
+                    std::string_view inputs) override;
 
     Jobs::TimePoint now() const;
     bool isOwnershipProven() const;
