Tests: Simulate tasks that crash workers, and capacity that changes

Change: JobWorld plays crashing tasks, waves of crashes, workers that return under their own or another ID, stops that take time and changes of capacity that the list shows up to 1.5 s later; it checks that no task is started three times after three crashes, that no job is given up without a cause and that no start overfills a worker. The scheduler has onOtherIncarnation(), which does what onRenewalFailed() does.

--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -58,6 +58,12 @@
     worker->setNextRenewalAt(now.instant + m_settings.unresponsiveRenewalInterval);
 }
 
+void JobScheduler::onOtherIncarnation(const Core::VmId &id, const std::string &,
+                                      const TimePoint &now)
+{
+    onRenewalFailed(id, now);
+}
+
 void JobScheduler::noteSilence(const WorkerState &worker, const TimePoint &now)
 {
     int runs = 0;
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -12,6 +12,11 @@
 constexpr std::int64_t stepMs = 10;
 constexpr std::int64_t commandTimeoutMs = 1000;
 constexpr std::int64_t commitMs = 5;
+constexpr std::int64_t fullMilliCores = 4000;
+/// A worker describes itself in the store at this interval.
+constexpr std::int64_t publicationIntervalMs = 1500;
+/// A capacity that has shrunk binds the starts after this time.
+constexpr std::int64_t capacityGraceMs = 3000 + publicationIntervalMs;
 constexpr std::int64_t longRunningMs = 1'000'000'000;
 
 /// Writes all events to the standard error if the environment variable JOB_WORLD_TRACE is set, for
@@ -33,6 +38,33 @@
 
 } // namespace
 
+JobSpec simulatedJob(const std::vector<int> &widths, const std::string &payload)
+{
+    JobSpec spec;
+    spec.payload = payload;
+    for (std::size_t i = 0; i < widths.size(); ++i) {
+        StepSpec step;
+        step.taskCount = widths[i];
+        step.need = { 500, 100, 0 };
+        step.estimateMs = 800;
+        step.isLongRunning = JobWorld::isLongRunning(payload);
+        if (i > 0)
+            step.after.push_back(static_cast<int>(i) - 1);
+        spec.steps.push_back(step);
+    }
+    return spec;
+}
+
+bool JobWorld::isLongRunning(const std::string &payload)
+{
+    return payload == longRunningPayload || payload == longRunningCrashingPayload;
+}
+
+bool JobWorld::isCrashing(const std::string &payload)
+{
+    return payload == crashingPayload || payload == longRunningCrashingPayload;
+}
+
 struct JobWorld::Node
 {
     Trace log;
@@ -43,6 +75,8 @@
     std::int64_t storePartitionedUntilMs = 0;
     std::map<std::size_t, std::int64_t> workerPartitionedUntilMs;
     bool isCommitting = false;
+    /// JobWorld::m_listVersion of the list that the scheduler was given last.
+    std::int64_t listVersion = 0;
     /// Identifies the current scheduler of the node: answers to an earlier one are dropped.
     std::int64_t generation = 0;
 };
@@ -54,23 +88,28 @@
     std::map<std::int64_t, std::int64_t> failedAtMs;
     /// Failed runs whose ends were acknowledged in time; each counts as an attempt.
     std::set<std::int64_t> attempts;
+    int crashes = 0;
+    int startsAfterThirdCrash = 0;
     bool isDone = false;
 };
 
-JobWorld::JobWorld(std::uint32_t seed, const FaultRates &faults, DisabledGuard disabledGuard)
+JobWorld::JobWorld(std::uint32_t seed, const FaultRates &faults, DisabledGuard disabledGuard,
+                   const WorkerLife &life)
     : m_random(seed)
     , m_faults(faults)
     , m_disabledGuard(disabledGuard)
+    , m_life(life)
 {
-    for (std::size_t i = 0; i < workerCount; ++i) {
+    for (std::size_t i = 0; i < m_life.workerCount; ++i) {
         WorkerInfo info;
         info.id = Core::VmId("w" + std::to_string(i));
         info.address = info.id.text();
         info.failureDomain = Core::FailureDomainId("d" + std::to_string(i % 2));
         info.service = ServiceId("service");
-        info.capacity = { 4000, 8000, 0 };
+        info.capacity = { fullMilliCores, 8000, 0 };
         info.processStartUnixMs = 1;
         m_workers.push_back(std::make_unique<SimulatedWorker>(info, i % 2 == 0 ? 1.0 : 0.98));
+        m_workers.back()->stopTakesMs = m_life.stopTakesMs;
         m_workers.back()->ignoresTokens = disabledGuard == DisabledGuard::Fence;
     }
     for (std::size_t i = 0; i < nodeCount; ++i) {
@@ -210,12 +249,41 @@
     if (m_workers[index]->isUp())
         return;
     m_workers[index]->restart(m_nowMs);
+    if (m_life.returnsUnderNewId)
+        m_workers[index]->setId(
+            Core::VmId(m_workers[index]->info().address + '-' + std::to_string(m_nowMs)));
     for (const auto &node : m_nodes) {
         if (node->scheduler)
             node->scheduler->setWorkers(listedWorkers(), now());
     }
 }
 
+void JobWorld::crashUntilReturn(std::size_t index)
+{
+    crashWorker(index);
+    schedule(m_life.returnsAfterMs, [this, index] { restartWorker(index); });
+}
+
+void JobWorld::crashWorkers(double share)
+{
+    for (std::size_t i = 0; i < m_workers.size(); ++i) {
+        if (m_workers[i]->isUp() && chance(share))
+            crashUntilReturn(i);
+    }
+}
+
+void JobWorld::crashUnder(const TaskName &task, std::size_t index)
+{
+    schedule(m_life.crashDelayMs,
+             [this, task, index, processStart = m_workers[index]->info().processStartUnixMs] {
+                 if (!m_workers[index]->isUp()
+                     || m_workers[index]->info().processStartUnixMs != processStart)
+                     return;
+                 ++m_history[task].crashes;
+                 crashUntilReturn(index);
+             });
+}
+
 bool JobWorld::reaches(std::size_t node, std::size_t worker) const
 {
     const auto &partitions = m_nodes[node]->workerPartitionedUntilMs;
@@ -237,6 +305,32 @@
     if (history.failedAtMs.size() >= attemptLimit)
         fail("a task is started after its last attempt: " + task.text());
     checkAttempts(task);
+    if (history.crashes >= 3)
+        ++history.startsAfterThirdCrash;
+    checkCrashes(history, task);
+}
+
+void JobWorld::checkCrashes(const TaskHistory &history, const TaskName &task)
+{
+    constexpr int forbiddenStart = 3;
+    if (history.startsAfterThirdCrash >= forbiddenStart)
+        fail("a task is started three times after three workers have crashed under it: "
+             + task.text());
+}
+
+void JobWorld::checkCauseOfFailure(const JobId &id)
+{
+    constexpr int crashesThatAllowGivingUp = 2;
+    const auto attemptLimit
+        = static_cast<std::size_t>(m_table.find(id)->submission.queue.attemptLimit);
+    for (const auto &[task, history] : m_history) {
+        if (task.job != id)
+            continue;
+        if (history.failedAtMs.size() >= attemptLimit
+            || history.crashes >= crashesThatAllowGivingUp)
+            return;
+    }
+    fail("a job is given up without a cause: " + id.text());
 }
 
 void JobWorld::checkAttempts(const TaskName &task)
@@ -256,7 +350,7 @@
 void JobWorld::send(std::size_t index, const StartCommand &command)
 {
     const std::int64_t generation = m_nodes[index]->generation;
-    const std::size_t target = indexOf(command);
+    const std::size_t target = indexOf(command.address);
     const auto answer = [this, index, generation, command](StartOutcome outcome) {
         Node &node = *m_nodes[index];
         if (outcome == StartOutcome::Unknown)
@@ -269,15 +363,27 @@
         // random sequences.
         if (m_faults.refusedStart > 0 && chance(m_faults.refusedStart))
             return StartOutcome::Refused;
+        if (m_workers[target]->info().id != command.worker)
+            return StartOutcome::OtherIncarnation;
         SimulatedWorker::Run work;
-        work.endsAtMs = m_nowMs
-            + (command.payload == longRunningPayload ? longRunningMs : randomBetween(100, 1500));
+        work.endsAtMs
+            = m_nowMs + (isLongRunning(command.payload) ? longRunningMs : randomBetween(100, 1500));
         work.endKind = chance(m_faults.failedRun) ? EndKind::Failed : EndKind::Done;
         work.hangs = chance(m_faults.hangingRun);
         const bool wasRunning = m_workers[target]->running().contains(command.task);
+        if (m_life.guardsCapacity && !wasRunning
+            && requestedMilliCores(target) + needOf(command.task) > capacityOf(target)) {
+            ++m_rejectedForCapacity;
+            return StartOutcome::NoRoom;
+        }
         const StartOutcome outcome = m_workers[target]->start(command, work, m_nowMs);
-        if (outcome == StartOutcome::Started && !wasRunning)
+        if (outcome == StartOutcome::Started && !wasRunning) {
             noteStart(command.task);
+            checkCapacity(target, command.task);
+        }
+        const bool crashes = command.task.index == 0 && isCrashing(command.payload);
+        if (outcome == StartOutcome::Started && !wasRunning && crashes)
+            crashUnder(command.task, target);
         return outcome;
     };
     const bool isLate = chance(m_faults.delayedCommand);
@@ -292,7 +398,7 @@
             });
     schedule(randomBetween(1, 30), [this, index, target, isLate, answer, execute] {
         if (isLate || !reaches(index, target)) {
-            schedule(commandTimeoutMs, [answer] { answer(StartOutcome::Unknown); });
+            schedule(noAnswerAfterMs(target), [answer] { answer(StartOutcome::Unknown); });
             return;
         }
         const StartOutcome outcome = execute();
@@ -305,9 +411,10 @@
 void JobWorld::send(std::size_t index, const StopCommand &command)
 {
     const std::int64_t generation = m_nodes[index]->generation;
-    const std::size_t target = indexOf(command);
+    const std::size_t target = indexOf(command.address);
     schedule(randomBetween(1, 30), [this, index, target, generation, command] {
-        if (!reaches(index, target) || !m_workers[target]->stop(command, m_nowMs)
+        const bool isOther = m_workers[target]->info().id != command.worker;
+        if (isOther || !reaches(index, target) || !m_workers[target]->stop(command, m_nowMs)
             || chance(m_faults.lostAnswer))
             return;
         schedule(randomBetween(1, 30), [this, index, generation, command] {
@@ -321,33 +428,49 @@
 void JobWorld::send(std::size_t index, const RenewCommand &command)
 {
     const std::int64_t generation = m_nodes[index]->generation;
-    const std::size_t target = indexOf(StopCommand { command.worker, "", {}, 0, 0 });
+    const std::size_t target = indexOf(command.address);
     const Core::Instant sentAt = now().instant;
     const auto failed = [this, index, generation, command] {
         Node &node = *m_nodes[index];
         if (node.generation == generation && node.scheduler)
             node.scheduler->onRenewalFailed(command.worker, now());
     };
-    schedule(randomBetween(1, 60), [this, index, target, generation, command, sentAt, failed] {
-        const auto report
-            = reaches(index, target) ? m_workers[target]->renew(command, m_nowMs) : std::nullopt;
-        if (!report || chance(m_faults.lostAnswer)) {
-            schedule(commandTimeoutMs, failed);
-            return;
-        }
-        schedule(randomBetween(1, 30), [this, index, generation, command, sentAt, report] {
-            Node &node = *m_nodes[index];
-            if (node.generation == generation && node.scheduler)
-                node.scheduler->onReport(command.worker, *report, sentAt, now());
-        });
-    });
-}
-
-std::size_t JobWorld::indexOf(const Command &command) const
+    const auto replaced = [this, index, generation, command] {
+        Node &node = *m_nodes[index];
+        if (node.generation == generation && node.scheduler)
+            node.scheduler->onOtherIncarnation(command.worker, command.address, now());
+    };
+    schedule(randomBetween(1, 60),
+             [this, index, target, generation, command, sentAt, failed, replaced] {
+                 const bool isReached = reaches(index, target);
+                 if (isReached && m_workers[target]->info().id != command.worker) {
+                     schedule(randomBetween(1, 30), replaced);
+                     return;
+                 }
+                 const auto report
+                     = isReached ? m_workers[target]->renew(command, m_nowMs) : std::nullopt;
+                 if (!report || chance(m_faults.lostAnswer)) {
+                     schedule(isReached ? commandTimeoutMs : noAnswerAfterMs(target), failed);
+                     return;
+                 }
+                 schedule(randomBetween(1, 30), [this, index, generation, command, sentAt, report] {
+                     Node &node = *m_nodes[index];
+                     if (node.generation == generation && node.scheduler)
+                         node.scheduler->onReport(command.worker, *report, sentAt, now());
+                 });
+             });
+}
+
+std::int64_t JobWorld::noAnswerAfterMs(std::size_t worker)
+{
+    const bool isRefused = m_life.refusesCallsWhileDown && !m_workers[worker]->isUp();
+    return isRefused ? randomBetween(1, 30) : commandTimeoutMs;
+}
+
+std::size_t JobWorld::indexOf(const std::string &address) const
 {
-    const Core::VmId id = std::visit([](const auto &sent) { return sent.worker; }, command);
     for (std::size_t i = 0; i < m_workers.size(); ++i) {
-        if (m_workers[i]->info().id == id)
+        if (m_workers[i]->info().address == address)
             return i;
     }
     return 0;
@@ -392,6 +515,8 @@
     if (!progress)
         return;
     checkBegun(*progress);
+    if (progress->progress.state == JobState::Failed)
+        checkCauseOfFailure(progress->id);
     if (progress->progress.state != JobState::Completed)
         return;
     const JobEntry *entry = m_table.find(progress->id);
@@ -432,6 +557,7 @@
         commit(index);
     if (!isProven)
         return;
+    deliverList(node);
     node.scheduler->setStoreReachable(node.storePartitionedUntilMs <= m_nowMs);
     for (const RenewCommand &command : node.scheduler->takeRenewals(now()))
         send(index, command);
@@ -447,7 +573,8 @@
 {
     const double perStep = static_cast<double>(stepMs) / 1000.0;
     const auto node = static_cast<std::size_t>(randomBetween(0, nodeCount - 1));
-    const auto worker = static_cast<std::size_t>(randomBetween(0, workerCount - 1));
+    const auto worker = static_cast<std::size_t>(
+        randomBetween(0, static_cast<std::int64_t>(m_workers.size()) - 1));
     const std::int64_t forMs = randomBetween(200, m_faults.maxFaultMs);
     if (chance(m_faults.claim * perStep))
         claim(node);
@@ -457,12 +584,78 @@
         partitionWorker(node, worker, forMs);
     if (chance(m_faults.freeze * perStep))
         freeze(node, forMs);
+    // Draws a random number only if this fault is enabled; see send().
+    if (m_faults.capacityChange > 0 && chance(m_faults.capacityChange * perStep)) {
+        constexpr std::int64_t halfCore = 500;
+        setCapacity(worker, halfCore * randomBetween(0, fullMilliCores / halfCore));
+    }
     if (chance(m_faults.workerCrash * perStep) && m_workers[worker]->isUp()) {
         crashWorker(worker);
         schedule(forMs, [this, worker] { restartWorker(worker); });
     }
 }
 
+void JobWorld::setCapacity(std::size_t index, std::int64_t milliCores)
+{
+    m_nodes.front()->log.note(m_workers[index]->info().id.text(), "CAPACITY",
+                              std::to_string(milliCores));
+    m_capacities[index][m_nowMs] = milliCores;
+    schedule(randomBetween(1, publicationIntervalMs), [this, index] { publishCapacity(index); });
+}
+
+void JobWorld::publishCapacity(std::size_t index)
+{
+    m_workers[index]->setCapacity(capacityOf(index));
+    ++m_listVersion;
+}
+
+void JobWorld::deliverList(Node &node)
+{
+    if (node.listVersion == m_listVersion || node.storePartitionedUntilMs > m_nowMs)
+        return;
+    node.listVersion = m_listVersion;
+    node.scheduler->setWorkers(listedWorkers(), now());
+}
+
+std::int64_t JobWorld::capacityOf(std::size_t index) const
+{
+    const auto changes = m_capacities.find(index);
+    return changes == m_capacities.end() ? fullMilliCores : changes->second.rbegin()->second;
+}
+
+std::int64_t JobWorld::needOf(const TaskName &task) const
+{
+    return m_table.find(task.job)
+        ->submission.spec.steps[static_cast<std::size_t>(task.step)]
+        .need.milliCores;
+}
+
+std::int64_t JobWorld::requestedMilliCores(std::size_t index) const
+{
+    std::int64_t requested = 0;
+    for (const auto &[task, run] : m_workers[index]->running())
+        requested += needOf(task);
+    return requested;
+}
+
+void JobWorld::checkCapacity(std::size_t index, const TaskName &started)
+{
+    const auto changes = m_capacities.find(index);
+    if (changes == m_capacities.end())
+        return;
+    std::int64_t allowed = 0;
+    std::int64_t former = fullMilliCores;
+    for (const auto &[sinceMs, milliCores] : changes->second) {
+        if (sinceMs > m_nowMs - capacityGraceMs)
+            allowed = std::max({ allowed, former, milliCores });
+        former = milliCores;
+    }
+    allowed = std::max(allowed, former);
+    if (requestedMilliCores(index) > allowed)
+        fail("a start overfills a worker: " + started.text() + " on "
+             + m_workers[index]->info().id.text());
+}
+
 void JobWorld::checkRuns()
 {
     std::map<TaskName, int> counts;
@@ -519,7 +712,7 @@
 void JobWorld::stopFaults()
 {
     m_faults = {};
-    for (std::size_t i = 0; i < workerCount; ++i)
+    for (std::size_t i = 0; i < m_workers.size(); ++i)
         restartWorker(i);
     for (const auto &node : m_nodes) {
         node->storePartitionedUntilMs = 0;
@@ -546,6 +739,12 @@
     return found == m_history.end() ? 0 : static_cast<int>(found->second.startedAtMs.size());
 }
 
+int JobWorld::crashesOf(const TaskName &task) const
+{
+    const auto found = m_history.find(task);
+    return found == m_history.end() ? 0 : found->second.crashes;
+}
+
 std::size_t JobWorld::runningCount() const
 {
     std::size_t count = 0;
--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -29,6 +29,8 @@
     double claim = 0;
     double failedRun = 0;
     double hangingRun = 0;
+    /// A worker's capacity for tasks changes.
+    double capacityChange = 0;
     std::int64_t maxFaultMs = 6000;
 };
 
@@ -43,12 +45,37 @@
     Proof,
 };
 
+/// Returns a job whose steps have the given numbers of tasks and run one after the other. The
+/// payload determines what its tasks do; see JobWorld.
+Jobs::JobSpec simulatedJob(const std::vector<int> &widths, const std::string &payload = "");
+
+/// How the workers of a simulation crash and return.
+struct WorkerLife
+{
+    std::size_t workerCount = 4;
+    /// A crashed worker returns under another ID at the same address.
+    bool returnsUnderNewId = false;
+    /// Calls to a crashed worker are refused at once; otherwise they get no answer.
+    bool refusesCallsWhileDown = false;
+    /// How long a worker that a task or crashWorkers() has crashed is away.
+    std::int64_t returnsAfterMs = 3400;
+    /// Time from the start of a crashing task to the crash of its worker.
+    std::int64_t crashDelayMs = 10;
+    /// Workers reject starts for which they lack the capacity.
+    bool guardsCapacity = false;
+    /// Time from a stop command to the end of the run.
+    std::int64_t stopTakesMs = 0;
+
+    bool operator==(const WorkerLife &) const = default;
+};
+
 /// Simulates nodes, workers and the store in virtual time, and checks the safety invariants at each
 /// step and with each start, acknowledged failure and record. run() stops at the first violation.
 class JobWorld
 {
 public:
-    JobWorld(std::uint32_t seed, const FaultRates &faults, DisabledGuard disabledGuard = {});
+    JobWorld(std::uint32_t seed, const FaultRates &faults, DisabledGuard disabledGuard = {},
+             const WorkerLife &life = {});
     ~JobWorld();
 
     Jobs::JobId submit(const Jobs::JobSpec &spec, int attemptLimit = 3);
@@ -69,10 +96,19 @@
     SimulatedWorker &worker(std::size_t index) { return *m_workers[index]; }
     void crashWorker(std::size_t index);
     void restartWorker(std::size_t index);
+    /// Crashes each worker with the given probability; they return after
+    /// WorkerLife::returnsAfterMs.
+    void crashWorkers(double share);
 
     Jobs::JobState state(const Jobs::JobId &id) const;
     bool areAllOver() const;
+    /// Changes the processors that a worker has for tasks. The list shows it up to 1.5 s later.
+    void setCapacity(std::size_t worker, std::int64_t milliCores);
+    /// Starts that a worker rejected for lack of capacity.
+    int rejectedForCapacity() const { return m_rejectedForCapacity; }
     int startsOf(const Jobs::TaskName &task) const;
+    /// How many workers the task has crashed.
+    int crashesOf(const Jobs::TaskName &task) const;
     std::size_t runningCount() const;
     std::int64_t nowMs() const { return m_nowMs; }
     /// The first violated invariant; empty if there is none.
@@ -80,8 +116,13 @@
 
     /// Tasks of a job with this payload don't end by themselves.
     static constexpr const char *longRunningPayload = "lasts";
+    /// The first task of each step of a job with this payload crashes each worker that starts it.
+    static constexpr const char *crashingPayload = "crashes";
+    /// The same for a job whose other tasks don't end by themselves.
+    static constexpr const char *longRunningCrashingPayload = "lasts, crashes";
+    static bool isLongRunning(const std::string &payload);
+    static bool isCrashing(const std::string &payload);
     static constexpr std::size_t nodeCount = 3;
-    static constexpr std::size_t workerCount = 4;
 
 private:
     struct Node;
@@ -106,17 +147,36 @@
     void send(std::size_t node, const Jobs::StopCommand &command);
     void send(std::size_t node, const Jobs::RenewCommand &command);
     bool reaches(std::size_t node, std::size_t worker) const;
-    std::size_t indexOf(const Jobs::Command &command) const;
+    /// How long a caller waits for a worker that it can't reach.
+    std::int64_t noAnswerAfterMs(std::size_t worker);
+    std::size_t indexOf(const std::string &address) const;
+    /// The start of a crashing task: its worker crashes shortly after, and returns later.
+    void crashUnder(const Jobs::TaskName &task, std::size_t worker);
+    void crashUntilReturn(std::size_t worker);
     void schedule(std::int64_t delayMs, Action action);
     void noteStart(const Jobs::TaskName &task);
     /// Checks that the task wasn't started after its last attempt. A failed end counts as an
     /// attempt once it is acknowledged, even if that happens after the start in question.
     void checkAttempts(const Jobs::TaskName &task);
     void checkRuns();
+    /// Checks that the runs on a worker, with those that are being stopped, don't request more than
+    /// the capacity that it has or had shortly before.
+    void checkCapacity(std::size_t worker, const Jobs::TaskName &started);
+    std::int64_t requestedMilliCores(std::size_t worker) const;
+    std::int64_t capacityOf(std::size_t worker) const;
+    std::int64_t needOf(const Jobs::TaskName &task) const;
+    void publishCapacity(std::size_t worker);
+    /// Gives the list of workers to a node that hasn't read its latest version.
+    void deliverList(Node &node);
     void checkRecords(const Jobs::JobRecord &record);
     /// Checks that a job is recorded as begun only if a worker may have started a task, and never
     /// as queued afterwards.
     void checkBegun(const Jobs::ProgressRecord &record);
+    /// Checks that a job is given up only if one of its tasks has failed as often as allowed, or
+    /// has crashed two workers.
+    void checkCauseOfFailure(const Jobs::JobId &id);
+    /// Checks that a task isn't started for the third time after it has crashed three workers.
+    void checkCrashes(const TaskHistory &history, const Jobs::TaskName &task);
     void fail(const std::string &what);
     bool chance(double probability);
     std::int64_t randomBetween(std::int64_t min, std::int64_t max);
@@ -126,6 +186,7 @@
     std::mt19937 m_random;
     FaultRates m_faults;
     DisabledGuard m_disabledGuard;
+    WorkerLife m_life;
     Jobs::SchedulerSettings m_settings;
     std::int64_t m_nowMs = 1'000'000;
     std::multimap<std::int64_t, Action> m_events;
@@ -138,6 +199,12 @@
     std::map<Jobs::TaskName, TaskHistory> m_history;
     /// Jobs of which a worker has started a task or of which a start wasn't answered.
     std::set<Jobs::JobId> m_mayHaveBegun;
+    /// By worker, the capacities in thousandths of a core by the time at which they came into
+    /// force.
+    std::map<std::size_t, std::map<std::int64_t, std::int64_t>> m_capacities;
+    int m_rejectedForCapacity = 0;
+    /// Counts the changes of the list of workers.
+    std::int64_t m_listVersion = 0;
     int m_submitted = 0;
     double m_stretch = Jobs::Queue().stretch;
     std::string m_violation;
--- a/Tests/LibJob/SchedulerFixture.cpp
+++ b/Tests/LibJob/SchedulerFixture.cpp
@@ -87,6 +87,15 @@
     advance(1);
 }
 
+void SchedulerFixture::answerAsOtherIncarnation(const Core::VmId &worker,
+                                                const std::string &address)
+{
+    collectRenewals();
+    m_workerRuns.erase(worker);
+    advance(1);
+    m_scheduler.onOtherIncarnation(worker, address, m_now);
+}
+
 void SchedulerFixture::reportAll(std::int64_t tailMs)
 {
     constexpr std::int64_t usedMilliCores = 500;
--- a/Tests/LibJob/SimulatedWorker.cpp
+++ b/Tests/LibJob/SimulatedWorker.cpp
@@ -56,13 +56,19 @@
     m_newEnds.push_back(m_ended.back().entry);
 }
 
-bool SimulatedWorker::stop(const StopCommand &command, std::int64_t)
+bool SimulatedWorker::stop(const StopCommand &command, std::int64_t nowMs)
 {
     if (!acceptToken(command.token))
         return false;
     const auto run = m_running.find(command.task);
-    if (run != m_running.end() && run->second.number <= command.run)
+    const bool isThere = run != m_running.end() && run->second.number <= command.run;
+    if (isThere && stopTakesMs == 0) {
         end(command.task, EndKind::Stopped);
+    } else if (isThere) {
+        run->second.endsAtMs = std::min(run->second.endsAtMs, nowMs + stopTakesMs);
+        run->second.endKind = EndKind::Stopped;
+        run->second.hangs = false;
+    }
     std::int64_t &highest = m_highestEndedRun[command.task];
     highest = std::max(highest, command.run);
     return true;
--- a/Tests/LibJob/SimulatedWorker.h
+++ b/Tests/LibJob/SimulatedWorker.h
@@ -49,9 +49,14 @@
     std::vector<Jobs::EndedEntry> takeAcknowledged();
     void crash();
     void restart(std::int64_t nowMs);
+    /// Sets the processors that the worker publishes for tasks.
+    void setCapacity(std::int64_t milliCores) { m_info.capacity.milliCores = milliCores; }
+    void setId(const Core::VmId &id) { m_info.id = id; }
 
     /// Disables the fencing, to show that the tests detect its absence.
     bool ignoresTokens = false;
+    /// Time from a stop command to the end of the run.
+    std::int64_t stopTakesMs = 0;
 
 private:
     bool acceptToken(Jobs::FencingToken token);
--- a/Tests/LibJob/TestOwnership.cpp
+++ b/Tests/LibJob/TestOwnership.cpp
@@ -10,21 +10,9 @@
 
 namespace {
 
-JobSpec job(std::vector<int> widths, bool isLongRunning = false)
+JobSpec job(const std::vector<int> &widths, bool isLongRunning = false)
 {
-    JobSpec spec;
-    spec.payload = isLongRunning ? JobWorld::longRunningPayload : "";
-    for (std::size_t i = 0; i < widths.size(); ++i) {
-        StepSpec step;
-        step.taskCount = widths[i];
-        step.need = { 500, 100, 0 };
-        step.estimateMs = 800;
-        step.isLongRunning = isLongRunning;
-        if (i > 0)
-            step.after.push_back(static_cast<int>(i) - 1);
-        spec.steps.push_back(step);
-    }
-    return spec;
+    return simulatedJob(widths, isLongRunning ? JobWorld::longRunningPayload : "");
 }
 
 FaultRates frequentFaults()
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -102,6 +102,9 @@
     void onReport(const Core::VmId &worker, const WorkerReport &report, Core::Instant sentAt,
                   const TimePoint &now);
     void onRenewalFailed(const Core::VmId &worker, const TimePoint &now);
+    /// Another incarnation answered a renewal that was sent to \p address for \p worker.
+    void onOtherIncarnation(const Core::VmId &worker, const std::string &address,
+                            const TimePoint &now);
     void onStartOutcome(const StartCommand &command, StartOutcome outcome, const TimePoint &now);
     void onStopAnswered(const StopCommand &command, const TimePoint &now);
     /// The throttle command may have taken effect, or may still do so.
