Tests: Show that a task which crashes its workers is started without end

What callers see: the tasks beside it are lost again and again, and its own job never ends.

Beside it a test that passes today and has to go on passing: no job is given up in waves of crashes without a crashing task.

--- /dev/null
+++ b/Tests/LibJob/TestCrashes.cpp
@@ -0,0 +1,175 @@
+#include "JobWorld.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace Jobs;
+
+namespace {
+
+constexpr std::uint32_t seeds = 30;
+
+WorkerLife manyWorkers(bool returnsUnderNewId)
+{
+    WorkerLife life;
+    life.workerCount = 12;
+    life.returnsUnderNewId = returnsUnderNewId;
+    life.refusesCallsWhileDown = true;
+    return life;
+}
+
+/// A site that is kept busy by jobs without a crashing task, while others hold one.
+class BusySite
+{
+public:
+    BusySite(std::uint32_t seed, const WorkerLife &life, const FaultRates &faults = {})
+        : m_world(seed, faults, DisabledGuard::None, life)
+    {
+        m_world.claim(0);
+    }
+
+    JobWorld &world() { return m_world; }
+    void submitCrashing(const std::vector<int> &widths,
+                        const std::string &payload = JobWorld::crashingPayload)
+    {
+        m_crashing.push_back(m_world.submit(simulatedJob(widths, payload)));
+    }
+    void submitLongRunning(int width)
+    {
+        m_longRunning.push_back(
+            m_world.submit(simulatedJob({ width }, JobWorld::longRunningPayload)));
+    }
+    /// Four jobs without a crashing task begin each second.
+    void runBusy(int seconds)
+    {
+        for (int i = 0; i < 4 * seconds; ++i) {
+            m_innocent.push_back(m_world.submit(simulatedJob({ 4, 3 })));
+            m_world.run(250);
+        }
+    }
+
+    int mostCrashes() const
+    {
+        int most = 0;
+        for (const JobId &id : m_crashing)
+            most = std::max(most, m_world.crashesOf({ id, 0, 0, 0 }));
+        return most;
+    }
+    bool areCrashingGivenUp() const { return areAll(m_crashing, JobState::Failed); }
+    bool areInnocentCompleted() const { return areAll(m_innocent, JobState::Completed); }
+    bool areLongRunningKept() const { return areAll(m_longRunning, JobState::Running); }
+
+private:
+    bool areAll(const std::vector<JobId> &jobs, JobState state) const
+    {
+        return std::all_of(jobs.begin(), jobs.end(),
+                           [&](const JobId &id) { return m_world.state(id) == state; });
+    }
+
+    JobWorld m_world;
+    std::vector<JobId> m_crashing;
+    std::vector<JobId> m_innocent;
+    std::vector<JobId> m_longRunning;
+};
+
+} // namespace
+
+TEST_CASE("A task that crashes each worker that starts it is given up", "[crashes][!shouldfail]")
+{
+    const bool returnsUnderNewId = GENERATE(false, true);
+    const WorkerLife life = manyWorkers(returnsUnderNewId);
+    INFO("workers return under a new ID: " << returnsUnderNewId);
+
+    SECTION("after two crashes if no other run could be the cause")
+    {
+        BusySite site(1, life);
+        site.world().run(1000);
+        site.submitCrashing({ 1 });
+        site.world().run(30'000);
+        CHECK(site.mostCrashes() == 2);
+        CHECK(site.areCrashingGivenUp());
+        CHECK(site.world().violation().empty());
+    }
+    SECTION("after three crashes at most on a busy site, which completes all other jobs")
+    {
+        for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+            BusySite site(seed, life);
+            site.submitLongRunning(8);
+            site.runBusy(2);
+            for (int i = 0; i < 3; ++i) {
+                site.submitCrashing({ 3, 2 });
+                site.runBusy(1);
+            }
+            site.runBusy(20);
+            site.world().run(20'000);
+            INFO("seed " << seed << ": " << site.world().violation());
+            CHECK(site.mostCrashes() <= 3);
+            CHECK(site.areCrashingGivenUp());
+            CHECK(site.areInnocentCompleted());
+            CHECK(site.areLongRunningKept());
+            REQUIRE(site.world().violation().empty());
+        }
+    }
+    SECTION("also if it is one of tasks that don't end by themselves")
+    {
+        for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+            BusySite site(seed, life);
+            site.runBusy(1);
+            site.submitCrashing({ 4 }, JobWorld::longRunningCrashingPayload);
+            site.runBusy(20);
+            site.world().run(20'000);
+            INFO("seed " << seed << ": " << site.world().violation());
+            CHECK(site.mostCrashes() <= 3);
+            CHECK(site.areCrashingGivenUp());
+            REQUIRE(site.world().violation().empty());
+        }
+    }
+    SECTION("also if several owners die in a row")
+    {
+        for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+            BusySite site(seed, life);
+            site.runBusy(1);
+            site.submitCrashing({ 3 });
+            for (std::size_t owner = 0; owner < 6; ++owner) {
+                site.runBusy(2 + static_cast<int>(seed % 4));
+                site.world().kill(owner % JobWorld::nodeCount);
+                site.world().run(2000);
+                site.world().claim((owner + 1) % JobWorld::nodeCount);
+            }
+            site.world().run(60'000);
+            INFO("seed " << seed << ": " << site.world().violation());
+            CHECK(site.areCrashingGivenUp());
+            CHECK(site.areInnocentCompleted());
+            REQUIRE(site.world().violation().empty());
+        }
+    }
+}
+
+TEST_CASE("No job is given up for crashes that others cause", "[crashes]")
+{
+    const bool returnsUnderNewId = GENERATE(false, true);
+    const WorkerLife life = manyWorkers(returnsUnderNewId);
+    INFO("workers return under a new ID: " << returnsUnderNewId);
+    const int wavesApartMs = GENERATE(500, 3700, 4000, 6000);
+
+    SECTION("in waves of crashes with no crashing task")
+    {
+        for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+            BusySite site(seed, life);
+            site.submitLongRunning(8);
+            site.runBusy(2);
+            for (int wave = 0; wave < 8; ++wave) {
+                site.world().crashWorkers(0.3);
+                site.runBusy(1);
+                site.world().run(wavesApartMs - 500);
+            }
+            site.world().run(30'000);
+            INFO("seed " << seed << ": " << site.world().violation());
+            CHECK(site.areInnocentCompleted());
+            CHECK(site.areLongRunningKept());
+            REQUIRE(site.world().violation().empty());
+        }
+    }
+}
