Tests: Show that recovery waits although another incarnation has answered

Fails on the current code: no start within 2 s of the answer, neither by the owner nor by the next one.

--- /dev/null
+++ b/Tests/LibJob/TestIncarnations.cpp
@@ -0,0 +1,88 @@
+#include "SchedulerFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Jobs;
+
+namespace {
+
+/// The first owner of a site, on which one task occupies either worker whole.
+class Site : public SchedulerFixture
+{
+public:
+    static constexpr std::int64_t wholeWorker = 4000;
+
+    Site()
+        : SchedulerFixture({ 1, 0, Core::Instant() })
+    {
+        report(first, {});
+        report(second, {});
+        runForTwoSeconds();
+        submit(step(1, wholeWorker));
+    }
+
+    static const Core::VmId &other(const Core::VmId &worker)
+    {
+        return worker == first ? second : first;
+    }
+};
+
+/// The second owner of a site, which takes over a job that may have run on both workers.
+class Successor : public SchedulerFixture
+{
+public:
+    Successor()
+        : SchedulerFixture({ 2, 1, Core::Instant(std::chrono::minutes(1)) })
+    {
+        takeOver(step(1), 3);
+    }
+};
+
+} // namespace
+
+TEST_CASE("Tasks are started elsewhere once another incarnation of their worker has answered",
+          "[!shouldfail]")
+{
+    Site owner;
+
+    SECTION("whether their start was answered")
+    {
+        const std::vector<StartCommand> starts = owner.runForTwoSeconds();
+        REQUIRE(starts.size() == 1);
+        owner.answerAsOtherIncarnation(starts.front().worker, starts.front().address);
+        const std::vector<StartCommand> restarts = owner.runForTwoSeconds();
+        REQUIRE(restarts.size() == 1);
+        CHECK(restarts.front().worker == Site::other(starts.front().worker));
+        CHECK(restarts.front().run > starts.front().run);
+    }
+    SECTION("or not")
+    {
+        owner.answerStarts(StartOutcome::Unknown);
+        const std::vector<StartCommand> starts = owner.runForTwoSeconds();
+        REQUIRE(starts.size() == 1);
+        owner.answerStarts(StartOutcome::Started);
+        owner.answerAsOtherIncarnation(starts.front().worker, starts.front().address);
+        const std::vector<StartCommand> restarts = owner.runForTwoSeconds();
+        REQUIRE(restarts.size() == 1);
+        CHECK(restarts.front().worker == Site::other(starts.front().worker));
+    }
+}
+
+TEST_CASE("An answer from an address that the worker has left shows nothing")
+{
+    Site owner;
+    const std::vector<StartCommand> starts = owner.runForTwoSeconds();
+    REQUIRE(starts.size() == 1);
+    owner.answerAsOtherIncarnation(starts.front().worker, "former address");
+    CHECK(owner.runForTwoSeconds().empty());
+}
+
+TEST_CASE("A new owner doesn't wait for a worker whose other incarnation has answered",
+          "[!shouldfail]")
+{
+    Successor owner;
+    owner.report(SchedulerFixture::second, {});
+    REQUIRE(owner.runForTwoSeconds().empty());
+    owner.answerAsOtherIncarnation(SchedulerFixture::first, SchedulerFixture::first.text());
+    CHECK(owner.runForTwoSeconds().size() == 1);
+}
