LibJob: Restart tasks once another incarnation of their worker answers

What callers saw: after each crash of a worker its tasks stayed away for 6.3 s, 2.6 to 3.2 s of them after its machine had answered again.

Cause: a call to a worker names the worker that it is meant for; another one at that address answers status 421. That was treated like no answer at all, so the owner asked on until the lease had run out. The call shows more: an address has one process at a time and a process ends with all that runs on it, so the worker that was meant has ended.

Ruled out: refused connections (a cut may refuse them while the worker runs on); an entry that is gone from the list (silence removes it too); an answer from an address that the worker has left meanwhile (ignored). A start that is under way can't reach the ended worker any more, a late one is answered 421 as well. A report that the worker sent before it ended and that arrives later is dropped.

Change: OtherIncarnationError from the client for renewals and stops; onOtherIncarnation() removes the worker's runs and abandons them, which is durable before they start again. For a new owner such a worker counts as reconciled.

--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -58,10 +58,18 @@
     worker->setNextRenewalAt(now.instant + m_settings.unresponsiveRenewalInterval);
 }
 
-void JobScheduler::onOtherIncarnation(const Core::VmId &id, const std::string &,
+void JobScheduler::onOtherIncarnation(const Core::VmId &id, const std::string &address,
                                       const TimePoint &now)
 {
-    onRenewalFailed(id, now);
+    WorkerState *worker = findWorkerState(id);
+    if (!worker || worker->info().address != address)
+        return;
+    if (!worker->isReplaced())
+        m_log.noteWorker(id.text(), "worker-replaced",
+                         "address=" + address + " runs=" + std::to_string(worker->runs().size()));
+    worker->markReplaced(now.instant);
+    removeRunsOf(*worker);
+    m_needsPass = true;
 }
 
 void JobScheduler::noteSilence(const WorkerState &worker, const TimePoint &now)
@@ -91,6 +99,9 @@
         return;
     worker->setRenewing(false);
     m_now = now.instant;
+    // A report of the former incarnation, which has ended meanwhile.
+    if (sentAt <= worker->replacedAt())
+        return;
     const bool hasRestarted = worker->processStartUnixMs() != 0
         && worker->processStartUnixMs() != report.processStartUnixMs;
     if (hasRestarted || !worker->isReconciled())
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -157,6 +157,8 @@
     if (outcome == StartOutcome::OldRun)
         task->lastRun += 1;
     removeRun(*job, command.task);
+    if (outcome == StartOutcome::OtherIncarnation)
+        onOtherIncarnation(command.worker, command.address, now);
 }
 
 void JobScheduler::onStopAnswered(const StopCommand &command, const TimePoint &now)
@@ -290,6 +292,25 @@
     }
 }
 
+void JobScheduler::removeRunsOf(WorkerState &worker)
+{
+    for (const TaskName &name : std::set<TaskName>(worker.runs())) {
+        OwnedJob *job = findJob(name.job);
+        TaskState *task = job ? job->findTask(name) : nullptr;
+        if (!task || !task->run)
+            continue;
+        const std::int64_t run = task->run->number;
+        const bool wasPlanned = task->run->phase == RunPhase::Planned;
+        removeRun(*job, name);
+        if (wasPlanned)
+            continue;
+        note(name, "gone",
+             "worker=" + worker.info().id.text() + " run=" + std::to_string(run) + " replaced");
+        markBegun(*job);
+        abandon(*job, name, run);
+    }
+}
+
 void JobScheduler::abandon(OwnedJob &job, const TaskName &name, std::int64_t run)
 {
     TaskState *task = job.findTask(name);
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -269,7 +269,7 @@
     }
     std::erase_if(job.unreconciledWorkers, [this](const Core::VmId &id) {
         const WorkerState *worker = findWorkerState(id);
-        return worker && worker->isReconciled();
+        return worker && (worker->isReconciled() || worker->isReplaced());
     });
     return !job.unreconciledWorkers.empty();
 }
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -15,6 +15,10 @@
 
 void WorkerState::update(const WorkerInfo &info)
 {
+    const bool isListedAnew
+        = info.address != m_info.address || info.processStartUnixMs != m_info.processStartUnixMs;
+    if (isListedAnew)
+        m_replacedAt = {};
     m_info = info;
     notifyCapacityObserver();
 }
@@ -170,6 +174,7 @@
     m_lastAnswerAt = now;
     m_isUnresponsive = false;
     m_unresponsiveSince = {};
+    m_replacedAt = {};
     notifyRenewalObserver();
 }
 
@@ -181,6 +186,12 @@
     notifyRenewalObserver();
 }
 
+void WorkerState::markReplaced(Core::Instant now)
+{
+    m_replacedAt = now;
+    markUnresponsive(now);
+}
+
 void WorkerState::setReconciled(bool isReconciled)
 {
     m_isReconciled = isReconciled;
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -506,6 +506,8 @@
         m_scheduler.onStopAnswered(command, now());
     } catch (const FencedError &error) {
         depose(error.what());
+    } catch (const OtherIncarnationError &) {
+        applyOtherIncarnation(command.worker, command.address);
     } catch (const Core::Error &error) {
         LOG4CXX_DEBUG(partLogger, "event=stop-failed reason=\"" << error.what() << '"');
     }
@@ -537,6 +539,8 @@
         co_return;
     } catch (const FencedError &error) {
         depose(error.what());
+    } catch (const OtherIncarnationError &) {
+        applyOtherIncarnation(command.worker, command.address);
     } catch (const Core::Error &error) {
         LOG4CXX_INFO(detailLogger,
                      "event=renewal-failed worker=" << command.worker << " reason=\""
@@ -553,6 +557,14 @@
     m_scheduler.onReport(worker, report, sentAt, now());
 }
 
+void OwnerSession::applyOtherIncarnation(const Core::VmId &worker, const std::string &address)
+{
+    if (!isIssuingCommands())
+        return;
+    m_scheduler.onOtherIncarnation(worker, address, now());
+    m_wakeup.wake();
+}
+
 asio::awaitable<void> OwnerSession::measureTimerLag()
 {
     Supervision::Wakeup pause(m_executor);
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -435,10 +435,11 @@
         if (node.generation == generation && node.scheduler)
             node.scheduler->onRenewalFailed(command.worker, now());
     };
-    const auto replaced = [this, index, generation, command] {
+    const auto replaced = [this, index, generation, command, failed] {
         Node &node = *m_nodes[index];
         if (node.generation == generation && node.scheduler)
             node.scheduler->onOtherIncarnation(command.worker, command.address, now());
+        failed();
     };
     schedule(randomBetween(1, 60),
              [this, index, target, generation, command, sentAt, failed, replaced] {
--- a/Tests/LibJob/SchedulerFixture.cpp
+++ b/Tests/LibJob/SchedulerFixture.cpp
@@ -87,6 +87,17 @@
     advance(1);
 }
 
+void SchedulerFixture::reportFromBefore(const Core::VmId &worker,
+                                        const std::vector<EndedEntry> &ended)
+{
+    WorkerReport report;
+    report.clockMs = m_now.unixMs;
+    report.processStartUnixMs = 1;
+    report.ended = ended;
+    constexpr int lateByMs = 3000;
+    m_scheduler.onReport(worker, report, m_now.instant - milliseconds(lateByMs), m_now);
+}
+
 void SchedulerFixture::answerAsOtherIncarnation(const Core::VmId &worker,
                                                 const std::string &address)
 {
@@ -94,6 +105,7 @@
     m_workerRuns.erase(worker);
     advance(1);
     m_scheduler.onOtherIncarnation(worker, address, m_now);
+    m_scheduler.onRenewalFailed(worker, m_now);
 }
 
 void SchedulerFixture::reportAll(std::int64_t tailMs)
--- a/Tests/LibJob/SchedulerFixture.h
+++ b/Tests/LibJob/SchedulerFixture.h
@@ -32,6 +32,8 @@
     /// A worker answers a renewal with a report.
     void report(const Core::VmId &worker, const std::vector<Jobs::EndedEntry> &ended,
                 const std::vector<Jobs::RunningEntry> &running = {});
+    /// A report arrives late that the worker sent before everything else happened.
+    void reportFromBefore(const Core::VmId &worker, const std::vector<Jobs::EndedEntry> &ended);
     /// Another incarnation answers a renewal that was sent to \p address for \p worker.
     void answerAsOtherIncarnation(const Core::VmId &worker, const std::string &address);
     void setStoreReachable(bool isReachable);
--- a/Tests/LibJob/TestIncarnations.cpp
+++ b/Tests/LibJob/TestIncarnations.cpp
@@ -40,8 +40,7 @@
 
 } // namespace
 
-TEST_CASE("Tasks are started elsewhere once another incarnation of their worker has answered",
-          "[!shouldfail]")
+TEST_CASE("Tasks are started elsewhere once another incarnation of their worker has answered")
 {
     Site owner;
 
@@ -68,6 +67,20 @@
     }
 }
 
+TEST_CASE("A report that an ended incarnation sent before has no effect")
+{
+    Site owner;
+    const std::vector<StartCommand> starts = owner.runForTwoSeconds();
+    REQUIRE(starts.size() == 1);
+    const StartCommand &start = starts.front();
+    owner.answerAsOtherIncarnation(start.worker, start.address);
+    // Leaves the task without a worker, so that nothing but the report could end it.
+    owner.answerAsOtherIncarnation(Site::other(start.worker), Site::other(start.worker).text());
+    owner.reportFromBefore(start.worker, { { 1, start.task, start.run, EndKind::Done, "" } });
+    CHECK(owner.runForTwoSeconds().empty());
+    CHECK(owner.state() == JobState::Running);
+}
+
 TEST_CASE("An answer from an address that the worker has left shows nothing")
 {
     Site owner;
@@ -77,8 +90,7 @@
     CHECK(owner.runForTwoSeconds().empty());
 }
 
-TEST_CASE("A new owner doesn't wait for a worker whose other incarnation has answered",
-          "[!shouldfail]")
+TEST_CASE("A new owner doesn't wait for a worker whose other incarnation has answered")
 {
     Successor owner;
     owner.report(SchedulerFixture::second, {});
--- a/Tests/LibSite/SiteFixture.h
+++ b/Tests/LibSite/SiteFixture.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,8 @@
     {
         if (command.token < m_token)
             throw FencedError("renew", "worker", "a higher token was seen");
+        if (replaced.contains(command.worker))
+            throw OtherIncarnationError("renew", "worker", "another incarnation answers");
         m_token = command.token;
         Jobs::WorkerReport report;
         report.clockMs = 1000;
@@ -100,6 +103,8 @@
     /// Tasks run until `finishAll()` is called.
     bool holdsTasks = false;
     int starts = 0;
+    /// Workers at whose addresses another incarnation answers.
+    std::set<Core::VmId> replaced;
     std::map<Core::VmId, std::vector<Jobs::RunningEntry>> running;
     std::map<Core::VmId, std::vector<Jobs::EndedEntry>> ends;
 
--- a/Tests/LibSite/TestSite.cpp
+++ b/Tests/LibSite/TestSite.cpp
@@ -118,6 +118,31 @@
     CHECK(node.state.catalogue->version == 7);
 }
 
+TEST_CASE("An owner starts tasks elsewhere once their worker's address answers as another one")
+{
+    SiteFixture site;
+    site.workers.holdsTasks = true;
+    site.log.put(Topic::Workers, { "w1", "a" });
+    site.log.put(Topic::Workers, { "w2", "a" });
+    TestNode &node = site.addNode("one#1");
+    site.startElection(node);
+    site.run(600);
+    site.await(node.jobRequests.submit(job("a"), site.deadlineIn(1000)));
+    site.run(300);
+    REQUIRE(site.workers.starts == 2);
+    // Best fit puts both tasks on one worker.
+    const Core::VmId first("w1");
+    const Core::VmId second("w2");
+    const bool isOnFirst = !site.workers.running[first].empty();
+    const Core::VmId &replaced = isOnFirst ? first : second;
+    const Core::VmId &other = isOnFirst ? second : first;
+    REQUIRE(site.workers.running[other].empty());
+
+    site.workers.replaced.insert(replaced);
+    site.run(500);
+    CHECK(site.workers.running[other].size() == 2);
+}
+
 TEST_CASE("One node owns the jobs and runs them")
 {
     SiteFixture site;
--- a/Tests/platform/LoopbackWorkers.cpp
+++ b/Tests/platform/LoopbackWorkers.cpp
@@ -84,7 +84,10 @@
         if (error || isSilent(address))
             continue;
         http::response<http::string_body> response(http::status::ok, 11);
-        response.body() = emptyReport;
+        if (m_status != 0)
+            response.result(m_status);
+        else
+            response.body() = emptyReport;
         response.prepare_payload();
         co_await http::async_write(socket, response,
                                    asio::redirect_error(asio::use_awaitable, error));
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -102,7 +102,9 @@
     void onReport(const Core::VmId &worker, const WorkerReport &report, Core::Instant sentAt,
                   const TimePoint &now);
     void onRenewalFailed(const Core::VmId &worker, const TimePoint &now);
-    /// Another incarnation answered a renewal that was sent to \p address for \p worker.
+    /// Another incarnation answered a command that was sent to \p address for \p worker, which
+    /// therefore has ended with all its runs. Says nothing if the worker has another address by
+    /// now.
     void onOtherIncarnation(const Core::VmId &worker, const std::string &address,
                             const TimePoint &now);
     void onStartOutcome(const StartCommand &command, StartOutcome outcome, const TimePoint &now);
@@ -269,6 +271,8 @@
     void removeMissingRuns(WorkerState &worker, const WorkerReport &report, Core::Instant sentAt);
     void expireLeases(const TimePoint &now);
     void expireRunsOf(WorkerState &worker, const TimePoint &now);
+    /// Removes the runs of a worker whose incarnation has ended.
+    void removeRunsOf(WorkerState &worker);
     void markBegun(OwnedJob &job);
     /// Records that the outcome of the task's runs up to \p run will never be known.
     void abandon(OwnedJob &job, const TaskName &name, std::int64_t run);
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -90,7 +90,7 @@
     /// The workers must be written with a commit.
     bool hasNewWorkers = false;
     /// Workers on which a former owner may have started tasks and which haven't been reconciled
-    /// yet.
+    /// or replaced yet.
     std::set<Core::VmId> unreconciledWorkers;
 
 private:
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -127,6 +127,12 @@
     /// Notes contact with the worker. If it has restarted, discards the state of ended runs, the
     /// clock and the failures.
     void beginIncarnation(std::int64_t processStartUnixMs, Core::Instant now);
+    /// Another incarnation has answered at the worker's address at \p now.
+    void markReplaced(Core::Instant now);
+    /// True from markReplaced() until the worker answers again or is listed anew.
+    bool isReplaced() const { return m_replacedAt != Core::Instant(); }
+    /// The epoch unless isReplaced().
+    Core::Instant replacedAt() const { return m_replacedAt; }
     /// When this owner made contact with this incarnation; moves on until the worker is reconciled.
     Core::Instant contactBeganAt() const { return m_contactBeganAt; }
 
@@ -209,6 +215,7 @@
     Core::Instant m_unresponsiveSince = {};
     bool m_isReconciled = false;
     std::int64_t m_processStartUnixMs = 0;
+    Core::Instant m_replacedAt = {};
     Core::Instant m_contactBeganAt = {};
     std::int64_t m_processedEnd = 0;
     std::int64_t m_acknowledgedEnd = 0;
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -101,6 +101,7 @@
     /// Passes the list of workers on to the scheduler.
     void applyWorkers();
     /// Reports to the scheduler how late the work with workers runs.
+    void applyOtherIncarnation(const Core::VmId &worker, const std::string &address);
     boost::asio::awaitable<void> measureTimerLag();
     /// Runs \p work as a coroutine of its own. `run()` doesn't return before it has ended.
     void spawn(boost::asio::awaitable<void> work);
--- a/include/LibSite/WorkerGateway.h
+++ b/include/LibSite/WorkerGateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Error.h>
 #include <LibCore/Time.h>
 #include <LibJob/Commands.h>
 #include <LibJob/WorkerReport.h>
@@ -10,6 +11,14 @@
 
 namespace Site {
 
+/// The command reached the worker's address, but another worker or another incarnation answers
+/// there. The one that the command was meant for has ended, with all that ran on it.
+class OtherIncarnationError : public Core::NotDoneError
+{
+public:
+    using Core::NotDoneError::NotDoneError;
+};
+
 /// Sends commands to workers. Deadlines are on the steady clock.
 class WorkerGateway
 {
@@ -23,6 +32,7 @@
     virtual boost::asio::awaitable<Jobs::StartOutcome> start(Jobs::StartCommand command,
                                                              Core::Instant deadline)
         = 0;
+    /// \throws OtherIncarnationError if another incarnation answered.
     /// \throws Core::Error unless the worker confirmed the command.
     virtual boost::asio::awaitable<void> stop(Jobs::StopCommand command, Core::Instant deadline)
         = 0;
@@ -31,6 +41,7 @@
                                                   Core::Instant deadline)
         = 0;
     /// \throws FencedError if the worker has seen a newer owner's token.
+    /// \throws OtherIncarnationError if another incarnation answered.
     /// \throws Core::Error if no complete answer arrived.
     virtual boost::asio::awaitable<Jobs::WorkerReport> renew(Jobs::RenewCommand command,
                                                              Core::Instant deadline)
