--- a/Libraries/LibJob/Commands.cpp
+++ b/Libraries/LibJob/Commands.cpp
@@ -23,6 +23,8 @@
         return "invalid";
     case StartOutcome::Unknown:
         return "unknown";
+    case StartOutcome::Interrupted:
+        return "interrupted";
     case StartOutcome::NotSent:
         return "not-sent";
     }
--- a/Libraries/LibJob/JobRecord.cpp
+++ b/Libraries/LibJob/JobRecord.cpp
@@ -119,6 +119,50 @@
     return submission;
 }
 
+static Json::Value encodeCrashHistory(int index, const CrashHistory &history)
+{
+    Json::Value value(Json::arrayValue);
+    value.append(index);
+    Json::Value lostRuns(Json::arrayValue);
+    for (const std::int64_t run : history.lostRuns())
+        lostRuns.append(Json::Int64(run));
+    value.append(lostRuns);
+    Json::Value crashes(Json::arrayValue);
+    for (const SuspectedCrash &crash : history.crashes()) {
+        crashes.append(crash.worker.text());
+        crashes.append(Json::Int64(crash.run));
+        crashes.append(crash.wasOnlySuspect);
+    }
+    value.append(crashes);
+    if (!history.runInDoubt())
+        return value;
+    const RunInDoubt &run = *history.runInDoubt();
+    value.append(run.worker.text());
+    value.append(Json::Int64(run.run));
+    value.append(run.isOnlySuspect);
+    value.append(run.address);
+    value.append(Json::Int64(run.processStartUnixMs));
+    return value;
+}
+
+static CrashHistory decodeCrashHistory(const Json::Value &value)
+{
+    std::vector<SuspectedCrash> crashes;
+    const Json::Value &list = value[2];
+    for (Json::ArrayIndex i = 0; i + 2 < list.size(); i += 3)
+        crashes.push_back(
+            { Core::VmId(list[i].asString()), list[i + 1].asInt64(), list[i + 2].asBool() });
+    std::set<std::int64_t> lostRuns;
+    for (const Json::Value &run : value[1])
+        lostRuns.insert(run.asInt64());
+    std::optional<RunInDoubt> runInDoubt;
+    constexpr Json::ArrayIndex sizeWithRunInDoubt = 8;
+    if (value.size() >= sizeWithRunInDoubt)
+        runInDoubt = RunInDoubt { value[4].asInt64(), Core::VmId(value[3].asString()),
+                                  value[6].asString(), value[7].asInt64(), value[5].asBool() };
+    return { std::move(crashes), std::move(lostRuns), std::move(runInDoubt) };
+}
+
 static Json::Value encodeStepProgress(const StepProgress &step)
 {
     std::string bits;
@@ -140,6 +184,8 @@
         abandoned.append(Json::Int64(run));
     }
     value.append(abandoned);
+    for (const auto &[index, history] : step.crashHistories)
+        value[3].append(encodeCrashHistory(index, history));
     return value;
 }
 
@@ -154,6 +200,8 @@
     const Json::Value &abandoned = value[2];
     for (Json::ArrayIndex i = 0; i + 1 < abandoned.size(); i += 2)
         step.abandonedRuns[abandoned[i].asInt()] = abandoned[i + 1].asInt64();
+    for (const Json::Value &history : value[3])
+        step.crashHistories.emplace(history[0].asInt(), decodeCrashHistory(history));
     return step;
 }
 
--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -145,6 +145,7 @@
     }
     for (WorkerState *worker : unlisted)
         worker->setUnlisted();
+    settleDoubtsByList(workers, now);
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         const bool isForgotten
             = !it->second->isListed() && it->second->runs().empty() && !it->second->isRenewing();
@@ -174,6 +175,8 @@
     job = std::make_unique<OwnedJob>(entry);
     for (const StepSpec &step : entry.submission.spec.steps)
         job->images.push_back(m_images.indexOf(step.image));
+    const std::vector<TaskName> doubts = doubtsOf(*job);
+    m_doubts.insert(doubts.begin(), doubts.end());
     if (entry.submission.spec.isScheduled())
         m_scheduled.insert(id);
     m_order.noteJob(entry.submission.queue.id, job->totalWork());
--- /dev/null
+++ b/Libraries/LibJob/JobSchedulerCrashes.cpp
@@ -0,0 +1,358 @@
+#include <LibJob/JobScheduler.h>
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace Jobs {
+
+using std::chrono::milliseconds;
+
+/// If more workers than one of this many had an isolated run, a crash of several workers couldn't
+/// be told from crashes by suspects.
+static constexpr std::size_t workersPerIsolatedRun = 8;
+/// How long a worker is kept for a suspect each time that it finds none: several reports' time.
+static constexpr Core::Duration keptForSuspect = milliseconds(500);
+
+std::vector<JobScheduler::StartedRun> JobScheduler::startedRuns(const WorkerState &worker)
+{
+    std::vector<StartedRun> runs;
+    for (const TaskName &name : worker.runs()) {
+        OwnedJob *job = findJob(name.job);
+        const TaskState *task = job ? job->findTask(name) : nullptr;
+        if (task && task->run && task->run->phase != RunPhase::Planned)
+            runs.push_back({ job, name, task->run.get() });
+    }
+    return runs;
+}
+
+std::vector<JobScheduler::StartedRun> JobScheduler::runsStartedBefore(const WorkerState &worker,
+                                                                      Core::Instant time)
+{
+    std::vector<StartedRun> runs = startedRuns(worker);
+    std::erase_if(runs, [time](const StartedRun &started) {
+        const bool wasRunning
+            = started.run->phase == RunPhase::Running && started.run->phaseBeganAt <= time;
+        return !wasRunning && started.run->phase != RunPhase::Uncertain;
+    });
+    return runs;
+}
+
+std::vector<JobScheduler::StartedRun>
+JobScheduler::suspectsAmong(const std::vector<StartedRun> &runs)
+{
+    std::vector<StartedRun> suspects;
+    std::copy_if(runs.begin(), runs.end(), std::back_inserter(suspects),
+                 [](const StartedRun &started) {
+                     return !started.run->wasStartTimeout && !started.run->hasSurvivedStart();
+                 });
+    return suspects;
+}
+
+Suspicion JobScheduler::suspicionOf(const WorkerState &worker, const std::vector<StartedRun> &runs)
+{
+    if (runs.empty())
+        return Suspicion::NoRuns;
+    if (worker.hasIsolatedRun())
+        return Suspicion::IsolatedRun;
+    return suspectsAmong(runs).empty() ? Suspicion::None : Suspicion::StartingRuns;
+}
+
+bool JobScheduler::isOnlySuspect(const std::vector<StartedRun> &suspects)
+{
+    if (suspects.empty())
+        return false;
+    const TaskName &first = suspects.front().name;
+    const bool isGang = suspects.front().job->spec(first.step).isGang;
+    return std::all_of(suspects.begin(), suspects.end(), [&](const StartedRun &suspect) {
+        const TaskName &name = suspect.name;
+        const bool isOfGang = isGang && name.job == first.job && name.occurrence == first.occurrence
+            && name.step == first.step;
+        return name == first || isOfGang;
+    });
+}
+
+void JobScheduler::noteSilence(const WorkerState &worker, const TimePoint &now)
+{
+    const std::vector<StartedRun> runs = startedRuns(worker);
+    const std::size_t suspects = suspectsAmong(runs).size();
+    m_silentWorkers.note(worker.info().id, now.instant, suspicionOf(worker, runs));
+    const auto answered
+        = std::chrono::duration_cast<milliseconds>(now.instant - worker.lastAnswerAt());
+    m_log.noteWorker(worker.info().id.text(), "worker-silent",
+                     "runs=" + std::to_string(runs.size()) + " suspects=" + std::to_string(suspects)
+                         + " answered_ms_ago=" + std::to_string(answered.count()));
+}
+
+void JobScheduler::noteCrash(const WorkerState &worker, const std::vector<StartedRun> &lost,
+                             std::string_view evidence, const TimePoint &now)
+{
+    const Core::VmId &id = worker.info().id;
+    const std::vector<StartedRun> suspects = suspectsAmong(lost);
+    const bool isOnly = isOnlySuspect(suspects);
+    if (!lost.empty())
+        m_log.noteWorker(id.text(), "worker-crashed",
+                         "evidence=" + std::string(evidence) + " runs="
+                             + std::to_string(lost.size()) + " suspects=" + namesOf(suspects));
+    for (const StartedRun &suspect : suspects) {
+        const SuspectedCrash crash { id, suspect.run->number, isOnly };
+        countCrash(*suspect.job, suspect.name, crash, evidence, now);
+    }
+    for (const StartedRun &started : lost)
+        noteLostRun(*started.job, started.name, *started.run);
+    for (const StartedRun &doubt : doubtsAbout(id)) {
+        const bool wasLostBefore = !doubt.run;
+        if (wasLostBefore)
+            settleAsCrash(*doubt.job, doubt.name, evidence, now);
+    }
+}
+
+std::string JobScheduler::namesOf(const std::vector<StartedRun> &runs)
+{
+    std::string names;
+    for (const StartedRun &run : runs)
+        names += (names.empty() ? "" : ",") + run.name.text();
+    return names;
+}
+
+void JobScheduler::countCrash(OwnedJob &job, const TaskName &name, const SuspectedCrash &crash,
+                              std::string_view evidence, const TimePoint &now)
+{
+    const WorkerState *worker = findWorker(crash.worker);
+    const bool isSilent = worker && worker->unresponsiveSince() != Core::Instant();
+    const Core::Instant silentSince = isSilent ? worker->unresponsiveSince() : now.instant;
+    const CrashHistory &history = job.crashHistory(name);
+    if (history.lostRuns().contains(crash.run))
+        return;
+    const bool needsCloseLook = history.lostRuns().empty() || (worker && worker->isIsolated(name));
+    const bool hasCommonCause = m_silentWorkers.hasOtherAboveSuspicion(crash.worker, silentSince)
+        || (needsCloseLook
+            && m_silentWorkers.isOneOfMany(crash.worker, silentSince, m_listed.size()));
+    SuspectedCrash counted = crash;
+    counted.wasOnlySuspect &= !m_silentWorkers.hasOther(crash.worker, silentSince);
+    note(name, "crash-counted",
+         "worker=" + crash.worker.text() + " run=" + std::to_string(crash.run) + " evidence="
+             + std::string(evidence) + " only_suspect=" + (counted.wasOnlySuspect ? '1' : '0')
+             + " common_cause=" + (hasCommonCause ? '1' : '0'));
+    const CrashHistory lost = history.withLostRun(crash.run);
+    setCrashHistory(job, name, hasCommonCause ? lost : lost.withCrash(counted));
+}
+
+void JobScheduler::noteLostRun(OwnedJob &job, const TaskName &name, const TaskRun &run)
+{
+    const bool isProven = run.hasRunFor(TaskRun::provenTime);
+    setCrashHistory(job, name,
+                    isProven ? CrashHistory() : job.crashHistory(name).withLostRun(run.number));
+}
+
+void JobScheduler::giveUpCrashing(const std::vector<StartedRun> &lost, const TimePoint &now)
+{
+    for (const StartedRun &started : lost)
+        giveUpIfCrashing(*started.job, started.name, now);
+}
+
+void JobScheduler::giveUpIfCrashing(OwnedJob &job, const TaskName &name, const TimePoint &now)
+{
+    if (job.isOver())
+        return;
+    const CrashHistory history = job.sharedCrashHistory(name);
+    if (!history.isToBeGivenUp())
+        return;
+    std::string workers;
+    for (const SuspectedCrash &crash : history.crashes())
+        workers += (workers.empty() ? "" : ",") + crash.worker.text();
+    note(name, "crash-limit",
+         "lost_runs=" + std::to_string(history.lostRuns().size()) + " crashed_workers=" + workers);
+    endEarly(job, JobState::Failed, now);
+}
+
+void JobScheduler::noteSeen(OwnedJob &job, const TaskName &name, const TaskRun &run)
+{
+    if (!run.hasSurvivedStart())
+        return;
+    run.worker->noteSurvivedStart(name);
+    if (run.hasRunFor(TaskRun::provenTime))
+        setCrashHistory(job, name, {});
+}
+
+void JobScheduler::setCrashHistory(OwnedJob &job, const TaskName &name, const CrashHistory &history)
+{
+    const CrashHistory former = job.crashHistory(name);
+    TaskState *task = job.findTask(name);
+    if (!task || job.isOver() || history == former)
+        return;
+    job.setCrashHistory(name, history);
+    if (history.runInDoubt())
+        m_doubts.insert(name);
+    else
+        m_doubts.erase(name);
+    markDirty(job);
+    if (history.lostRuns() != former.lostRuns() || history.crashes() != former.crashes())
+        task->neededCommit = m_lastCommit + 1;
+}
+
+void JobScheduler::recordRunsInDoubt(WorkerState &worker)
+{
+    if (worker.areDoubtsRecorded)
+        return;
+    worker.areDoubtsRecorded = true;
+    const WorkerInfo &info = worker.info();
+    const std::vector<StartedRun> suspects = suspectsAmong(startedRuns(worker));
+    const bool isOnly = isOnlySuspect(suspects);
+    for (const StartedRun &suspect : suspects) {
+        const CrashHistory &history = suspect.job->crashHistory(suspect.name);
+        const RunInDoubt run { suspect.run->number, info.id, info.address,
+                               worker.processStartUnixMs(), isOnly };
+        setCrashHistory(*suspect.job, suspect.name, history.withRunInDoubt(run));
+    }
+}
+
+std::vector<TaskName> JobScheduler::doubtsOf(const OwnedJob &job)
+{
+    std::vector<TaskName> doubts;
+    for (const auto &[occurrence, steps] : job.progress().occurrences) {
+        for (std::size_t step = 0; step < steps.size(); ++step) {
+            for (const auto &[index, history] : steps[step].crashHistories) {
+                if (history.runInDoubt())
+                    doubts.push_back({ job.id(), occurrence, static_cast<int>(step), index });
+            }
+        }
+    }
+    return doubts;
+}
+
+std::vector<JobScheduler::StartedRun> JobScheduler::doubtsAbout(const Core::VmId &worker)
+{
+    std::vector<StartedRun> doubts;
+    for (auto it = m_doubts.begin(); it != m_doubts.end();) {
+        OwnedJob *job = findJob(it->job);
+        const TaskState *task = job && !job->isOver() ? job->findTask(*it) : nullptr;
+        if (!task || !job->crashHistory(*it).runInDoubt()) {
+            it = m_doubts.erase(it);
+            continue;
+        }
+        if (job->crashHistory(*it).runInDoubt()->worker == worker)
+            doubts.push_back({ job, *it, task->run.get() });
+        ++it;
+    }
+    return doubts;
+}
+
+void JobScheduler::withdrawDoubt(OwnedJob &job, const TaskName &name)
+{
+    setCrashHistory(job, name, job.crashHistory(name).withoutRunInDoubt());
+}
+
+void JobScheduler::withdrawDoubtsAbout(const WorkerState &worker)
+{
+    if (m_doubts.empty() || !worker.isReconciled())
+        return;
+    for (const StartedRun &doubt : doubtsAbout(worker.info().id)) {
+        if (!worker.isIsolated(doubt.name))
+            withdrawDoubt(*doubt.job, doubt.name);
+    }
+}
+
+void JobScheduler::settleDoubtsOfFormer(const WorkerState &worker, std::int64_t processStartUnixMs,
+                                        const TimePoint &now)
+{
+    if (m_doubts.empty())
+        return;
+    for (const StartedRun &doubt : doubtsAbout(worker.info().id)) {
+        const std::int64_t former
+            = doubt.job->crashHistory(doubt.name).runInDoubt()->processStartUnixMs;
+        if (!doubt.run && former != 0 && former < processStartUnixMs)
+            settleAsCrash(*doubt.job, doubt.name, "restarted", now);
+    }
+}
+
+void JobScheduler::settleDoubtsByList(const std::vector<WorkerInfo> &workers, const TimePoint &now)
+{
+    if (m_doubts.empty())
+        return;
+    std::unordered_map<std::string, std::int64_t> newestAt;
+    for (const WorkerInfo &info : workers) {
+        std::int64_t &newest = newestAt[info.address];
+        newest = std::max(newest, info.processStartUnixMs);
+    }
+    for (const TaskName &name : std::set<TaskName>(m_doubts)) {
+        OwnedJob *job = findJob(name.job);
+        if (!job || job->isOver())
+            continue;
+        const std::optional<RunInDoubt> run = job->crashHistory(name).runInDoubt();
+        if (!run || run->processStartUnixMs == 0)
+            continue;
+        const auto newest = newestAt.find(run->address);
+        if (newest != newestAt.end() && newest->second > run->processStartUnixMs)
+            settleAsCrash(*job, name, "listed", now);
+    }
+}
+
+void JobScheduler::settleAsCrash(OwnedJob &job, const TaskName &name, std::string_view evidence,
+                                 const TimePoint &now)
+{
+    const RunInDoubt run = *job.crashHistory(name).runInDoubt();
+    countCrash(job, name, { run.worker, run.run, run.isOnlySuspect }, evidence, now);
+    withdrawDoubt(job, name);
+    giveUpIfCrashing(job, name, now);
+}
+
+bool JobScheduler::maySuspectStart(OwnedJob &job) const
+{
+    if (!m_isStoreReachable)
+        return false;
+    const auto isolated
+        = std::count_if(m_listed.begin(), m_listed.end(),
+                        [](const WorkerState *worker) { return worker->hasIsolatedRun(); });
+    if (static_cast<std::size_t>(isolated) > m_listed.size() / workersPerIsolatedRun)
+        return false;
+    const std::vector<TaskName> doubts = doubtsOf(job);
+    return std::none_of(doubts.begin(), doubts.end(), [&job](const TaskName &name) {
+        const TaskState *task = job.findTask(name);
+        return task && task->run && task->run->worker->isIsolated(name);
+    });
+}
+
+void JobScheduler::planSuspect(const WaitingStep &waiting, int index, std::int64_t run,
+                               const TimePoint &now)
+{
+    OwnedJob &job = *waiting.job;
+    if (!maySuspectStart(job))
+        return;
+    const PlacementRequest request = placementRequest(waiting, index, now);
+    WorkerState *worker = m_chooser.choose(request);
+    if (!worker) {
+        keepWorkerForSuspect(request);
+        logWaitReason(waiting, request, now);
+        return;
+    }
+    m_planningWork += workPerTask;
+    addRun(job, request.task, *worker, run, RunPhase::Planned, now);
+    isolateRun(job, request.task);
+    job.addWorker(worker->info().id);
+    markDirty(job);
+}
+
+void JobScheduler::isolateRun(OwnedJob &job, const TaskName &name)
+{
+    TaskRun &run = *job.findTask(name)->run;
+    const WorkerInfo &worker = run.worker->info();
+    run.worker->isolate(name);
+    const RunInDoubt doubt { run.number, worker.id, worker.address,
+                             run.worker->processStartUnixMs(), true };
+    setCrashHistory(job, name, job.crashHistory(name).withRunInDoubt(doubt));
+    run.neededCommit = m_lastCommit + 1;
+}
+
+void JobScheduler::keepWorkerForSuspect(const PlacementRequest &request)
+{
+    WorkerState *best = nullptr;
+    for (WorkerState *worker :
+         m_chooser.unsuitableFor(Unsuitability::NotIsolated, m_listed, request)) {
+        if (!best || WorkerChooser::isLessHarmful(*worker, *best))
+            best = worker;
+    }
+    if (best)
+        best->keepForSuspect(request.now + keptForSuspect);
+}
+
+} // namespace Jobs
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -32,7 +32,9 @@
         if (isGranted)
             command.leaseDeadlineMs = worker->grantLease(now.instant, m_settings.lease);
         if (isGranted && !worker->hasUncommittedEnds())
-            command.waitMs = std::chrono::duration_cast<milliseconds>(renewalWait(*worker)).count();
+            command.waitMs = worker->hasIsolatedRun()
+                ? 0
+                : std::chrono::duration_cast<milliseconds>(renewalWait(*worker)).count();
         worker->setRenewing(true);
         renewals.push_back(std::move(command));
     }
@@ -54,6 +56,8 @@
     worker->setRenewing(false);
     if (!worker->isUnresponsive())
         noteSilence(*worker, now);
+    else
+        recordRunsInDoubt(*worker);
     worker->markUnresponsive(now.instant);
     worker->setNextRenewalAt(now.instant + m_settings.unresponsiveRenewalInterval);
 }
@@ -64,33 +68,15 @@
     WorkerState *worker = findWorkerState(id);
     if (!worker || worker->info().address != address)
         return;
-    if (!worker->isReplaced())
-        m_log.noteWorker(id.text(), "worker-replaced",
-                         "address=" + address + " runs=" + std::to_string(worker->runs().size()));
     worker->markReplaced(now.instant);
+    // The jobs outlive the removal of their runs, so that `lost` tells which tasks to look at.
+    const std::vector<StartedRun> lost = startedRuns(*worker);
+    noteCrash(*worker, lost, "replaced", now);
     removeRunsOf(*worker);
+    giveUpCrashing(lost, now);
     m_needsPass = true;
 }
 
-void JobScheduler::noteSilence(const WorkerState &worker, const TimePoint &now)
-{
-    int runs = 0;
-    int unseen = 0;
-    for (const TaskName &name : worker.runs()) {
-        OwnedJob *job = findJob(name.job);
-        const TaskState *task = job ? job->findTask(name) : nullptr;
-        if (!task || !task->run || task->run->phase == RunPhase::Planned)
-            continue;
-        ++runs;
-        unseen += task->run->seenAt == Core::Instant() ? 1 : 0;
-    }
-    const auto answered
-        = std::chrono::duration_cast<milliseconds>(now.instant - worker.lastAnswerAt());
-    m_log.noteWorker(worker.info().id.text(), "worker-silent",
-                     "runs=" + std::to_string(runs) + " unseen=" + std::to_string(unseen)
-                         + " answered_ms_ago=" + std::to_string(answered.count()));
-}
-
 void JobScheduler::onReport(const Core::VmId &id, const WorkerReport &report, Core::Instant sentAt,
                             const TimePoint &now)
 {
@@ -104,6 +90,12 @@
         return;
     const bool hasRestarted = worker->processStartUnixMs() != 0
         && worker->processStartUnixMs() != report.processStartUnixMs;
+    std::vector<StartedRun> lost;
+    if (hasRestarted) {
+        lost = runsStartedBefore(*worker, sentAt);
+        noteCrash(*worker, lost, "restarted", now);
+    }
+    settleDoubtsOfFormer(*worker, report.processStartUnixMs, now);
     if (hasRestarted || !worker->isReconciled())
         beginContact(*worker, report.processStartUnixMs, now);
     worker->readClock(report.clockMs, now.instant);
@@ -133,6 +125,8 @@
         onRunning(*worker, entry, now);
     if (isComplete)
         removeMissingRuns(*worker, report, sentAt);
+    withdrawDoubtsAbout(*worker);
+    giveUpCrashing(lost, now);
     updateSlowdownModel(*worker, now);
     updateThrottles(*worker, now);
     worker->setNextRenewalAt(
@@ -184,6 +178,7 @@
         return;
     }
     run.seenAt = now.instant;
+    noteSeen(*job, entry.task, run);
     if (run.phase != RunPhase::Running) {
         run.phase = RunPhase::Running;
         run.phaseBeganAt = now.instant;
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -32,11 +32,13 @@
     run.throttlePercent = percent;
 }
 
-void JobScheduler::removeRun(OwnedJob &job, const TaskName &name)
+void JobScheduler::removeRun(OwnedJob &job, const TaskName &name, DoubtAfterRun doubt)
 {
     TaskState *task = job.findTask(name);
     if (!task || !task->run)
         return;
+    if (doubt == DoubtAfterRun::Settled)
+        withdrawDoubt(job, name);
     const StepSpec &spec = job.spec(name.step);
     const bool wasPlanned = task->run->phase == RunPhase::Planned;
     if (task->run->isStopWanted)
@@ -99,11 +101,16 @@
     }
 }
 
+static bool isUnanswered(StartOutcome outcome)
+{
+    return outcome == StartOutcome::Unknown || outcome == StartOutcome::Interrupted;
+}
+
 /// OldRun shows that the worker had a run with this number or a higher one, or executed a stop of
 /// this run, whose start may have been executed.
 static bool mayHaveBegun(StartOutcome outcome)
 {
-    return outcome == StartOutcome::Started || outcome == StartOutcome::Unknown
+    return outcome == StartOutcome::Started || isUnanswered(outcome)
         || outcome == StartOutcome::OldRun;
 }
 
@@ -142,9 +149,12 @@
         }
         return;
     }
-    if (outcome == StartOutcome::Unknown) {
+    if (isUnanswered(outcome)) {
         if (run.phase != RunPhase::Starting)
             return;
+        run.wasStartTimeout = outcome == StartOutcome::Unknown;
+        if (run.wasStartTimeout)
+            withdrawDoubt(*job, command.task);
         run.phase = RunPhase::Uncertain;
         worker.noteRefusal(now.instant);
         requestStop(command.task, run, now);
@@ -202,9 +212,7 @@
     if (failures < queueOf(job)->attemptLimit)
         return;
     note(name, "job-failed", "failures=" + std::to_string(failures));
-    job.finish(JobState::Failed, now.unixMs);
-    discardPlannedRuns(job);
-    stopAllRuns(job, now);
+    endEarly(job, JobState::Failed, now);
 }
 
 static bool isAbandoned(const OwnedJob &job, const TaskName &name, std::int64_t run)
@@ -254,6 +262,11 @@
     m_needsPass = true;
     if (job->isOver())
         return;
+    // The worker has outlived the run, and a task that crashes its workers never gets that far.
+    const bool hasWorked = end.kind == EndKind::Done || end.kind == EndKind::Failed
+        || end.kind == EndKind::LeaseExpired;
+    if (hasWorked)
+        setCrashHistory(*job, end.task, {});
     const bool isDone = end.kind == EndKind::Done && !job->spec(end.task.step).isLongRunning;
     if (isDone)
         onTaskDone(*job, end.task, now);
@@ -287,7 +300,8 @@
                  + " seen=" + (task->run->seenAt == Core::Instant() ? '0' : '1'));
         const std::int64_t run = task->run->number;
         markBegun(*job);
-        removeRun(*job, name);
+        // The worker may be cut off rather than have crashed.
+        removeRun(*job, name, DoubtAfterRun::Kept);
         abandon(*job, name, run);
     }
 }
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -293,6 +293,11 @@
             continue;
         if (isPlanningWorkUsedUp())
             return true;
+        // Whether a suspect finds a worker says nothing about other tasks.
+        if (job.crashHistory(name).isSuspect()) {
+            planSuspect(waiting, index, nextRunNumber(step.tasks[i]), now);
+            continue;
+        }
         if (!planTask(waiting, index, nextRunNumber(step.tasks[i]), now))
             return false;
     }
@@ -312,6 +317,10 @@
         if (task.neededCommit > m_committed)
             return false;
     }
+    const bool isSuspect
+        = job.sharedCrashHistory({ job.id(), waiting.occurrence, waiting.step, 0 }).isSuspect();
+    if (isSuspect && !maySuspectStart(job))
+        return false;
     std::int64_t run = 0;
     std::string checkpoint;
     for (const TaskState &task : step.tasks) {
@@ -329,13 +338,15 @@
     }
     for (const TaskState &task : step.tasks)
         job.addWorker(task.run->worker->info().id);
+    for (int index = 0; isSuspect && index < size; ++index)
+        isolateRun(job, { job.id(), waiting.occurrence, waiting.step, index });
     markDirty(job);
     startPlannedRuns(job, now);
     return true;
 }
 
-bool JobScheduler::planTask(const WaitingStep &waiting, int index, std::int64_t run,
-                            const TimePoint &now)
+PlacementRequest JobScheduler::placementRequest(const WaitingStep &waiting, int index,
+                                                const TimePoint &now)
 {
     OwnedJob &job = *waiting.job;
     const TaskName name { job.id(), waiting.occurrence, waiting.step, index };
@@ -346,17 +357,28 @@
     request.task = name;
     request.service = queueOf(job)->service;
     request.failedOn = job.findTask(name)->failedOn;
+    request.isSuspect = job.sharedCrashHistory(name).isSuspect();
     request.requiresDurableWorker = !m_isStoreReachable;
     request.provenAt = m_provenAt;
     // A job must not be delayed for the targets of others while the site has free capacity.
     request.mayExceedTargets = mayExceedTargets(waiting, now);
     request.outOfService = &m_outOfService;
     request.now = now.instant;
+    return request;
+}
+
+bool JobScheduler::planTask(const WaitingStep &waiting, int index, std::int64_t run,
+                            const TimePoint &now)
+{
+    OwnedJob &job = *waiting.job;
+    const TaskName name { job.id(), waiting.occurrence, waiting.step, index };
+    const PlacementRequest request = placementRequest(waiting, index, now);
     WorkerState *worker = m_chooser.choose(request);
     if (!worker) {
         if (waiting.isOverdue && !m_reservation.isFull())
-            m_reservation.reserve(name, request.step->need,
-                                  m_chooser.lackingCapacity(m_listed, request));
+            m_reservation.reserve(
+                name, request.step->need,
+                m_chooser.unsuitableFor(Unsuitability::NoRoom, m_listed, request));
         logWaitReason(waiting, request, now);
         return false;
     }
@@ -417,9 +439,10 @@
     for (auto &[occurrence, steps] : job.occurrences()) {
         for (std::size_t step = 0; step < steps.size(); ++step) {
             // A gang starts only when the workers of all its members are durable.
-            const auto mayStart = [&job](const TaskState &task) {
+            const auto mayStart = [this, &job](const TaskState &task) {
                 return !task.run || task.run->phase != RunPhase::Planned
-                    || job.isDurableWorker(task.run->worker->info().id);
+                    || (job.isDurableWorker(task.run->worker->info().id)
+                        && task.run->neededCommit <= m_committed);
             };
             std::vector<TaskState> &tasks = steps[step].tasks;
             const bool isGang = job.spec(static_cast<int>(step)).isGang;
--- a/Libraries/LibJob/OwnedJob.cpp
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -170,6 +170,44 @@
     isDirty = true;
 }
 
+const CrashHistory &OwnedJob::crashHistory(const TaskName &name) const
+{
+    static const CrashHistory none;
+    const auto occurrence = m_progress.occurrences.find(name.occurrence);
+    if (occurrence == m_progress.occurrences.end())
+        return none;
+    const StepProgress &step = occurrence->second[static_cast<std::size_t>(name.step)];
+    const auto history = step.crashHistories.find(name.index);
+    return history == step.crashHistories.end() ? none : history->second;
+}
+
+CrashHistory OwnedJob::sharedCrashHistory(const TaskName &name) const
+{
+    if (!spec(name.step).isGang)
+        return crashHistory(name);
+    CrashHistory shared;
+    const auto occurrence = m_progress.occurrences.find(name.occurrence);
+    if (occurrence == m_progress.occurrences.end())
+        return shared;
+    const StepProgress &step = occurrence->second[static_cast<std::size_t>(name.step)];
+    for (const auto &[index, history] : step.crashHistories)
+        shared = shared.mergedWith(history);
+    return shared;
+}
+
+void OwnedJob::setCrashHistory(const TaskName &name, const CrashHistory &history)
+{
+    const auto occurrence = m_progress.occurrences.find(name.occurrence);
+    if (occurrence == m_progress.occurrences.end() || crashHistory(name) == history)
+        return;
+    auto &histories = occurrence->second[static_cast<std::size_t>(name.step)].crashHistories;
+    if (history.isEmpty())
+        histories.erase(name.index);
+    else
+        histories.insert_or_assign(name.index, history);
+    isDirty = true;
+}
+
 void OwnedJob::finish(JobState state, std::int64_t unixMs)
 {
     m_progress.state = state;
--- a/Libraries/LibJob/Unsuitability.cpp
+++ b/Libraries/LibJob/Unsuitability.cpp
@@ -27,6 +27,8 @@
         return "reserved";
     case Unsuitability::TooManyOfStep:
         return "too-many-of-step";
+    case Unsuitability::NotIsolated:
+        return "not-isolated";
     case Unsuitability::Disturbing:
         return "disturbing";
     }
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -19,6 +19,8 @@
 /// Serving tasks of one image tolerate the same best-effort tasks. A worker with a single serving
 /// image leaves more capacity for best-effort tasks than workers with several.
 static constexpr double otherImagesCost = 300'000;
+/// A worker that has come only just, or come back, may crash for a reason of its own.
+static constexpr Core::Duration newWorkerTime = std::chrono::seconds(10);
 static constexpr double previousFailureCost = 10'000'000;
 
 const ServingForecast &WorkerChooser::forecast(WorkerState &worker) const
@@ -78,6 +80,19 @@
     return step.need.fitsIn(available);
 }
 
+/// A suspect may run beside starting runs of its own gang: the gang is given up as a whole.
+static bool isIsolated(const WorkerState &worker, const PlacementRequest &request)
+{
+    const auto isOfGang = [&request](const TaskName &name) {
+        return request.step->isGang && name.job == request.task.job
+            && name.occurrence == request.task.occurrence && name.step == request.task.step;
+    };
+    const std::set<TaskName> &starting = worker.startingRuns();
+    if (request.isSuspect)
+        return std::all_of(starting.begin(), starting.end(), isOfGang);
+    return !worker.hasIsolatedRun() && !worker.isKeptForSuspect(request.now);
+}
+
 Unsuitability WorkerChooser::unsuitability(WorkerState &worker,
                                            const PlacementRequest &request) const
 {
@@ -104,6 +119,8 @@
         return Unsuitability::Reserved;
     if (step.maxPerWorker > 0 && worker.runsOfStep(request.task) >= step.maxPerWorker)
         return Unsuitability::TooManyOfStep;
+    if (!isIsolated(worker, request))
+        return Unsuitability::NotIsolated;
     if (step.isBestEffort && !request.mayExceedTargets && wouldExceedTarget(worker, request))
         return Unsuitability::Disturbing;
     return Unsuitability::None;
@@ -147,16 +164,23 @@
     return text;
 }
 
-std::vector<WorkerState *> WorkerChooser::lackingCapacity(const std::vector<WorkerState *> &workers,
-                                                          const PlacementRequest &request) const
+std::vector<WorkerState *> WorkerChooser::unsuitableFor(Unsuitability reason,
+                                                        const std::vector<WorkerState *> &workers,
+                                                        const PlacementRequest &request) const
 {
     m_looks += static_cast<std::int64_t>(workers.size());
-    std::vector<WorkerState *> lackingWorkers;
+    std::vector<WorkerState *> unsuitable;
     for (WorkerState *worker : workers) {
-        if (unsuitability(*worker, request) == Unsuitability::NoRoom)
-            lackingWorkers.push_back(worker);
+        if (unsuitability(*worker, request) == reason)
+            unsuitable.push_back(worker);
     }
-    return lackingWorkers;
+    return unsuitable;
+}
+
+bool WorkerChooser::isLessHarmful(const WorkerState &left, const WorkerState &right)
+{
+    return std::pair(left.servingCount(), left.runs().size())
+        < std::pair(right.servingCount(), right.runs().size());
 }
 
 void WorkerChooser::beginPass(const std::vector<WorkerState *> &workers)
@@ -208,10 +232,30 @@
         || step.need.accelerators > entry.freeAccelerators;
 }
 
+WorkerState *WorkerChooser::chooseForSuspect(const PlacementRequest &request) const
+{
+    WorkerState *best = nullptr;
+    for (const CapacityIndex::Entry &entry : withEnoughProcessors(request)) {
+        ++m_looks;
+        if (unsuitability(*entry.worker, request) != Unsuitability::None)
+            continue;
+        const auto isNew = [&request](const WorkerState &worker) {
+            return worker.contactBeganAt() + newWorkerTime > request.now;
+        };
+        const bool isBetter = !best || (isNew(*best) && !isNew(*entry.worker))
+            || (isNew(*best) == isNew(*entry.worker) && isLessHarmful(*entry.worker, *best));
+        if (isBetter)
+            best = entry.worker;
+    }
+    return best;
+}
+
 WorkerState *WorkerChooser::choose(const PlacementRequest &request) const
 {
     if (!mayFitSomewhere(request))
         return nullptr;
+    if (request.isSuspect)
+        return chooseForSuspect(request);
     const CapacityIndex::Entry *best = nullptr;
     double leastCost = std::numeric_limits<double>::max();
     for (const CapacityIndex::Entry &entry : withEnoughProcessors(request)) {
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -33,6 +33,7 @@
 {
     if (!m_runs.insert(task).second)
         return;
+    m_startingRuns.insert(task);
     count(step, image, 1);
     notifyRenewalObserver();
     notifyCapacityObserver();
@@ -42,11 +43,18 @@
 {
     if (m_runs.erase(task) == 0)
         return;
+    noteSurvivedStart(task);
     count(step, image, -1);
     notifyRenewalObserver();
     notifyCapacityObserver();
 }
 
+void WorkerState::noteSurvivedStart(const TaskName &task)
+{
+    m_startingRuns.erase(task);
+    m_isolatedRuns.erase(task);
+}
+
 void WorkerState::noteThrottle(const StepSpec &step, int formerPercent, int percent)
 {
     m_bestEffortMilliCores
@@ -174,6 +182,7 @@
     m_lastAnswerAt = now;
     m_isUnresponsive = false;
     m_unresponsiveSince = {};
+    areDoubtsRecorded = false;
     m_replacedAt = {};
     notifyRenewalObserver();
 }
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -88,7 +88,10 @@
     std::map<std::int64_t, std::int64_t> failedAtMs;
     /// Failed runs whose ends were acknowledged in time; each counts as an attempt.
     std::set<std::int64_t> attempts;
+    /// Crashes of workers that the task caused.
     int crashes = 0;
+    /// Crashes of workers that ran the task, whatever caused them.
+    int crashesAround = 0;
     int startsAfterThirdCrash = 0;
     bool isDone = false;
 };
@@ -241,6 +244,8 @@
 void JobWorld::crashWorker(std::size_t index)
 {
     m_nodes.front()->log.note(m_workers[index]->info().id.text(), "CRASHES", "");
+    for (const auto &[task, run] : m_workers[index]->running())
+        ++m_history[task].crashesAround;
     m_workers[index]->crash();
 }
 
@@ -321,13 +326,14 @@
 void JobWorld::checkCauseOfFailure(const JobId &id)
 {
     constexpr int crashesThatAllowGivingUp = 2;
+    constexpr int crashesThatAllowGivingUpInnocent = 5;
     const auto attemptLimit
         = static_cast<std::size_t>(m_table.find(id)->submission.queue.attemptLimit);
     for (const auto &[task, history] : m_history) {
         if (task.job != id)
             continue;
-        if (history.failedAtMs.size() >= attemptLimit
-            || history.crashes >= crashesThatAllowGivingUp)
+        if (history.failedAtMs.size() >= attemptLimit || history.crashes >= crashesThatAllowGivingUp
+            || history.crashesAround >= crashesThatAllowGivingUpInnocent)
             return;
     }
     fail("a job is given up without a cause: " + id.text());
@@ -353,7 +359,7 @@
     const std::size_t target = indexOf(command.address);
     const auto answer = [this, index, generation, command](StartOutcome outcome) {
         Node &node = *m_nodes[index];
-        if (outcome == StartOutcome::Unknown)
+        if (outcome == StartOutcome::Unknown || outcome == StartOutcome::Interrupted)
             m_mayHaveBegun.insert(command.task.job);
         if (node.generation == generation && node.scheduler)
             node.scheduler->onStartOutcome(command, outcome, now());
@@ -397,14 +403,23 @@
                     execute();
             });
     schedule(randomBetween(1, 30), [this, index, target, isLate, answer, execute] {
+        if (!isLate && isRefusedBy(target)) {
+            schedule(randomBetween(1, 30), [answer] { answer(StartOutcome::NotSent); });
+            return;
+        }
         if (isLate || !reaches(index, target)) {
-            schedule(noAnswerAfterMs(target), [answer] { answer(StartOutcome::Unknown); });
+            schedule(commandTimeoutMs, [answer] { answer(StartOutcome::Unknown); });
             return;
         }
         const StartOutcome outcome = execute();
         const bool isLost = chance(m_faults.lostAnswer);
         schedule(isLost ? commandTimeoutMs : randomBetween(1, 30),
-                 [answer, outcome, isLost] { answer(isLost ? StartOutcome::Unknown : outcome); });
+                 [this, target, answer, outcome, isLost] {
+                     if (isRefusedBy(target))
+                         answer(StartOutcome::Interrupted);
+                     else
+                         answer(isLost ? StartOutcome::Unknown : outcome);
+                 });
     });
 }
 
@@ -441,31 +456,30 @@
             node.scheduler->onOtherIncarnation(command.worker, command.address, now());
         failed();
     };
-    schedule(randomBetween(1, 60),
-             [this, index, target, generation, command, sentAt, failed, replaced] {
-                 const bool isReached = reaches(index, target);
-                 if (isReached && m_workers[target]->info().id != command.worker) {
-                     schedule(randomBetween(1, 30), replaced);
-                     return;
-                 }
-                 const auto report
-                     = isReached ? m_workers[target]->renew(command, m_nowMs) : std::nullopt;
-                 if (!report || chance(m_faults.lostAnswer)) {
-                     schedule(isReached ? commandTimeoutMs : noAnswerAfterMs(target), failed);
-                     return;
-                 }
-                 schedule(randomBetween(1, 30), [this, index, generation, command, sentAt, report] {
-                     Node &node = *m_nodes[index];
-                     if (node.generation == generation && node.scheduler)
-                         node.scheduler->onReport(command.worker, *report, sentAt, now());
-                 });
-             });
+    schedule(
+        randomBetween(1, 60), [this, index, target, generation, command, sentAt, failed, replaced] {
+            const bool isReached = reaches(index, target);
+            if (isReached && m_workers[target]->info().id != command.worker) {
+                schedule(randomBetween(1, 30), replaced);
+                return;
+            }
+            const auto report
+                = isReached ? m_workers[target]->renew(command, m_nowMs) : std::nullopt;
+            if (!report || chance(m_faults.lostAnswer)) {
+                schedule(isRefusedBy(target) ? randomBetween(1, 30) : commandTimeoutMs, failed);
+                return;
+            }
+            schedule(randomBetween(1, 30), [this, index, generation, command, sentAt, report] {
+                Node &node = *m_nodes[index];
+                if (node.generation == generation && node.scheduler)
+                    node.scheduler->onReport(command.worker, *report, sentAt, now());
+            });
+        });
 }
 
-std::int64_t JobWorld::noAnswerAfterMs(std::size_t worker)
+bool JobWorld::isRefusedBy(std::size_t worker) const
 {
-    const bool isRefused = m_life.refusesCallsWhileDown && !m_workers[worker]->isUp();
-    return isRefused ? randomBetween(1, 30) : commandTimeoutMs;
+    return m_life.refusesCallsWhileDown && !m_workers[worker]->isUp();
 }
 
 std::size_t JobWorld::indexOf(const std::string &address) const
--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -147,8 +147,8 @@
     void send(std::size_t node, const Jobs::StopCommand &command);
     void send(std::size_t node, const Jobs::RenewCommand &command);
     bool reaches(std::size_t node, std::size_t worker) const;
-    /// How long a caller waits for a worker that it can't reach.
-    std::int64_t noAnswerAfterMs(std::size_t worker);
+    /// True if a call to the worker fails at once since its process is down.
+    bool isRefusedBy(std::size_t worker) const;
     std::size_t indexOf(const std::string &address) const;
     /// The start of a crashing task: its worker crashes shortly after, and returns later.
     void crashUnder(const Jobs::TaskName &task, std::size_t worker);
@@ -172,8 +172,8 @@
     /// Checks that a job is recorded as begun only if a worker may have started a task, and never
     /// as queued afterwards.
     void checkBegun(const Jobs::ProgressRecord &record);
-    /// Checks that a job is given up only if one of its tasks has failed as often as allowed, or
-    /// has crashed two workers.
+    /// Checks that a job is given up only if one of its tasks has failed as often as allowed, has
+    /// crashed two workers, or ran on five workers that crashed for whatever cause.
     void checkCauseOfFailure(const Jobs::JobId &id);
     /// Checks that a task isn't started for the third time after it has crashed three workers.
     void checkCrashes(const TaskHistory &history, const Jobs::TaskName &task);
--- a/Tests/LibJob/SchedulerFixture.cpp
+++ b/Tests/LibJob/SchedulerFixture.cpp
@@ -69,6 +69,7 @@
 {
     m_now = former.m_now;
     m_table = former.m_table;
+    m_processStarts = former.m_processStarts;
     for (const auto &[id, entry] : m_table.jobs())
         m_scheduler.addJob(entry, m_now);
 }
@@ -79,7 +80,7 @@
     collectRenewals();
     WorkerReport report;
     report.clockMs = m_now.unixMs;
-    report.processStartUnixMs = 1;
+    report.processStartUnixMs = m_processStarts.emplace(worker, 1).first->second;
     report.running = running;
     report.ended = ended;
     advance(1);
@@ -87,6 +88,12 @@
     advance(1);
 }
 
+void SchedulerFixture::restart(const Core::VmId &worker)
+{
+    m_processStarts[worker] = m_now.unixMs;
+    m_workerRuns.erase(worker);
+}
+
 void SchedulerFixture::reportFromBefore(const Core::VmId &worker,
                                         const std::vector<EndedEntry> &ended)
 {
--- a/Tests/LibJob/SchedulerFixture.h
+++ b/Tests/LibJob/SchedulerFixture.h
@@ -32,6 +32,8 @@
     /// A worker answers a renewal with a report.
     void report(const Core::VmId &worker, const std::vector<Jobs::EndedEntry> &ended,
                 const std::vector<Jobs::RunningEntry> &running = {});
+    /// The worker has crashed and is back under its ID; its reports show it from now on.
+    void restart(const Core::VmId &worker);
     /// A report arrives late that the worker sent before everything else happened.
     void reportFromBefore(const Core::VmId &worker, const std::vector<Jobs::EndedEntry> &ended);
     /// Another incarnation answers a renewal that was sent to \p address for \p worker.
@@ -103,4 +105,6 @@
     std::vector<Jobs::StopCommand> m_stops;
     std::map<Core::VmId, Jobs::RenewCommand> m_renewals;
     std::map<Core::VmId, WorkerRuns> m_workerRuns;
+    /// When the workers' processes started, in Unix milliseconds; 1 if there is no entry.
+    std::map<Core::VmId, std::int64_t> m_processStarts;
 };
--- a/Tests/LibJob/TestCrashes.cpp
+++ b/Tests/LibJob/TestCrashes.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -9,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint32_t seeds = 30;
+constexpr std::uint32_t seeds = 15;
 
 WorkerLife manyWorkers(bool returnsUnderNewId)
 {
@@ -76,7 +77,7 @@
 
 } // namespace
 
-TEST_CASE("A task that crashes each worker that starts it is given up", "[crashes][!shouldfail]")
+TEST_CASE("A task that crashes each worker that starts it is given up", "[crashes]")
 {
     const bool returnsUnderNewId = GENERATE(false, true);
     const WorkerLife life = manyWorkers(returnsUnderNewId);
@@ -126,6 +127,39 @@
             REQUIRE(site.world().violation().empty());
         }
     }
+    SECTION("after five crashes at most if it crashes its workers only after a while")
+    {
+        for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+            WorkerLife slow = life;
+            slow.crashDelayMs = 700;
+            BusySite site(seed, slow);
+            site.runBusy(1);
+            site.submitCrashing({ 4 }, JobWorld::longRunningCrashingPayload);
+            site.runBusy(20);
+            site.world().run(30'000);
+            INFO("seed " << seed << ": " << site.world().violation());
+            CHECK(site.mostCrashes() <= 5);
+            CHECK(site.areCrashingGivenUp());
+            REQUIRE(site.world().violation().empty());
+        }
+    }
+    SECTION("after five crashes at most among waves of crashes")
+    {
+        for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+            BusySite site(seed, life);
+            site.runBusy(1);
+            site.submitCrashing({ 3 });
+            for (int wave = 0; wave < 6; ++wave) {
+                site.runBusy(4);
+                site.world().crashWorkers(0.2);
+            }
+            site.world().run(30'000);
+            INFO("seed " << seed << ": " << site.world().violation());
+            CHECK(site.mostCrashes() <= 5);
+            CHECK(site.areCrashingGivenUp());
+            REQUIRE(site.world().violation().empty());
+        }
+    }
     SECTION("also if several owners die in a row")
     {
         for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
@@ -152,7 +186,7 @@
     const bool returnsUnderNewId = GENERATE(false, true);
     const WorkerLife life = manyWorkers(returnsUnderNewId);
     INFO("workers return under a new ID: " << returnsUnderNewId);
-    const int wavesApartMs = GENERATE(500, 3700, 4000, 6000);
+    const int wavesApartMs = GENERATE(1000, 3700, 4000, 6000);
 
     SECTION("in waves of crashes with no crashing task")
     {
@@ -160,10 +194,10 @@
             BusySite site(seed, life);
             site.submitLongRunning(8);
             site.runBusy(2);
-            for (int wave = 0; wave < 8; ++wave) {
-                site.world().crashWorkers(0.3);
+            for (int wave = 0; wave < 4; ++wave) {
+                site.world().crashWorkers(0.4);
                 site.runBusy(1);
-                site.world().run(wavesApartMs - 500);
+                site.world().run(wavesApartMs - 1000);
             }
             site.world().run(30'000);
             INFO("seed " << seed << ": " << site.world().violation());
@@ -172,4 +206,42 @@
             REQUIRE(site.world().violation().empty());
         }
     }
+    SECTION("while others are crashed by tasks")
+    {
+        for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+            BusySite site(seed, life);
+            site.submitLongRunning(8);
+            site.runBusy(2);
+            site.submitCrashing({ 3 });
+            for (int wave = 0; wave < 3; ++wave) {
+                site.runBusy(3);
+                site.world().crashWorkers(0.3);
+                site.world().run(wavesApartMs);
+            }
+            site.world().run(40'000);
+            INFO("seed " << seed << ": " << site.world().violation());
+            CHECK(site.areInnocentCompleted());
+            CHECK(site.areLongRunningKept());
+            REQUIRE(site.world().violation().empty());
+        }
+    }
+}
+
+TEST_CASE("No job is given up for workers that were only silent", "[crashes]")
+{
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+        BusySite site(seed, manyWorkers(false));
+        site.submitLongRunning(8);
+        for (int wave = 0; wave < 6; ++wave) {
+            site.runBusy(2);
+            for (std::size_t worker = 0; worker < 12; worker += 3)
+                site.world().partitionWorker(0, (worker + seed) % 12, 9000);
+            site.runBusy(9);
+        }
+        site.world().run(30'000);
+        INFO("seed " << seed << ": " << site.world().violation());
+        CHECK(site.areInnocentCompleted());
+        CHECK(site.areLongRunningKept());
+        REQUIRE(site.world().violation().empty());
+    }
 }
--- a/Tests/LibJob/TestIncarnations.cpp
+++ b/Tests/LibJob/TestIncarnations.cpp
@@ -56,7 +56,7 @@
     }
     SECTION("or not")
     {
-        owner.answerStarts(StartOutcome::Unknown);
+        owner.answerStarts(GENERATE(StartOutcome::Unknown, StartOutcome::Interrupted));
         const std::vector<StartCommand> starts = owner.runForTwoSeconds();
         REQUIRE(starts.size() == 1);
         owner.answerStarts(StartOutcome::Started);
--- a/Tests/LibJob/TestStarts.cpp
+++ b/Tests/LibJob/TestStarts.cpp
@@ -81,7 +81,8 @@
     }
     SECTION("a job doesn't wait if its start may have been executed")
     {
-        site.answerStarts(GENERATE(StartOutcome::Unknown, StartOutcome::OldRun));
+        site.answerStarts(
+            GENERATE(StartOutcome::Unknown, StartOutcome::Interrupted, StartOutcome::OldRun));
         REQUIRE_FALSE(site.runForTwoSeconds().empty());
         CHECK(site.waitingCount() == 0);
     }
--- a/include/LibJob/Commands.h
+++ b/include/LibJob/Commands.h
@@ -106,8 +106,10 @@
     OtherIncarnation,
     /// The command is malformed or can't be executed.
     Invalid,
-    /// No answer: the task may be running, or may still be started.
+    /// No answer in time: the task may be running, or may still be started.
     Unknown,
+    /// The connection ended before the answer: the task may be running, or may still be started.
+    Interrupted,
     /// The command wasn't sent.
     NotSent,
 };
--- a/include/LibJob/JobProgress.h
+++ b/include/LibJob/JobProgress.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Identifier.h>
+#include <LibJob/CrashHistory.h>
 #include <LibJob/JobSpec.h>
 
 #include <cstdint>
@@ -35,6 +36,9 @@
     /// existed, its lease has expired, and its outcome is unknown. Results of these runs are
     /// ignored. Must be durable before the task is started again.
     std::map<int, std::int64_t> abandonedRuns;
+    /// By task index; a task without an entry has an empty history. Must be durable before the task
+    /// is started again.
+    std::map<int, CrashHistory> crashHistories;
 
     int doneCount() const;
 
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -9,6 +9,7 @@
 #include <LibJob/OwnedJob.h>
 #include <LibJob/RenewalQueue.h>
 #include <LibJob/SchedulerSettings.h>
+#include <LibJob/SilentWorkers.h>
 #include <LibJob/StartOrder.h>
 #include <LibJob/ThrottleController.h>
 #include <LibJob/WorkerChooser.h>
@@ -244,6 +245,7 @@
     bool planStep(const WaitingStep &waiting, const TimePoint &now);
     bool planGang(const WaitingStep &waiting, const TimePoint &now);
     bool planTask(const WaitingStep &waiting, int index, std::int64_t run, const TimePoint &now);
+    PlacementRequest placementRequest(const WaitingStep &waiting, int index, const TimePoint &now);
     /// Logs why no worker accepts a task that has waited a long time.
     void logWaitReason(const WaitingStep &waiting, const PlacementRequest &request,
                        const TimePoint &now);
@@ -255,15 +257,19 @@
     // Runs.
     void addRun(OwnedJob &job, const TaskName &name, WorkerState &worker, std::int64_t number,
                 RunPhase phase, const TimePoint &now);
+    /// Whether a run that is gone may have crashed its worker.
+    enum class DoubtAfterRun {
+        Settled,
+        Kept,
+    };
     /// Removes a run that is known to be gone.
-    void removeRun(OwnedJob &job, const TaskName &name);
+    void removeRun(OwnedJob &job, const TaskName &name,
+                   DoubtAfterRun doubt = DoubtAfterRun::Settled);
     void stopAllRuns(OwnedJob &job, const TimePoint &now);
     void requestStop(const TaskName &name, TaskRun &run, const TimePoint &now);
     void onRunEnded(WorkerState &worker, const EndedEntry &end, const TimePoint &now);
     void onTaskDone(OwnedJob &job, const TaskName &name, const TimePoint &now);
     void onTaskFailed(OwnedJob &job, const EndedEntry &end, const TimePoint &now);
-    /// Logs that the worker has stopped answering, with how many of its runs a report has shown.
-    void noteSilence(const WorkerState &worker, const TimePoint &now);
     void onRunning(WorkerState &worker, const RunningEntry &entry, const TimePoint &now);
     void adoptRun(OwnedJob &job, WorkerState &worker, const RunningEntry &entry,
                   const TimePoint &now);
@@ -281,6 +287,67 @@
                        const TimePoint &now);
     void resendStops(const TimePoint &now);
 
+    // Crashes of workers under tasks; see CrashHistory.
+    /// A task that has a run, with the job that it belongs to.
+    struct StartedRun
+    {
+        OwnedJob *job = nullptr;
+        TaskName name;
+        const TaskRun *run = nullptr;
+    };
+    /// The runs on the worker whose start was sent.
+    std::vector<StartedRun> startedRuns(const WorkerState &worker);
+    /// Those that a worker which has restarted meanwhile ran, or may have run, at \p time.
+    std::vector<StartedRun> runsStartedBefore(const WorkerState &worker, Core::Instant time);
+    /// Those that may be the cause if the worker has crashed.
+    static std::vector<StartedRun> suspectsAmong(const std::vector<StartedRun> &runs);
+    static Suspicion suspicionOf(const WorkerState &worker, const std::vector<StartedRun> &runs);
+    /// True if one run alone, or one gang, is suspected.
+    static bool isOnlySuspect(const std::vector<StartedRun> &suspects);
+    /// Logs that the worker has stopped answering, with how many of its runs may be the cause.
+    void noteSilence(const WorkerState &worker, const TimePoint &now);
+    /// Counts the crash of the worker, which had \p lost runs, in the histories of their tasks.
+    void noteCrash(const WorkerState &worker, const std::vector<StartedRun> &lost,
+                   std::string_view evidence, const TimePoint &now);
+    static std::string namesOf(const std::vector<StartedRun> &runs);
+    /// Counts the crash in the history of a task that may have caused it, unless other workers show
+    /// that it has another cause: then the run only counts as lost.
+    void countCrash(OwnedJob &job, const TaskName &name, const SuspectedCrash &crash,
+                    std::string_view evidence, const TimePoint &now);
+    void noteLostRun(OwnedJob &job, const TaskName &name, const TaskRun &run);
+    /// Fails the jobs of which a task has crashed too many workers.
+    void giveUpCrashing(const std::vector<StartedRun> &lost, const TimePoint &now);
+    void giveUpIfCrashing(OwnedJob &job, const TaskName &name, const TimePoint &now);
+    void noteSeen(OwnedJob &job, const TaskName &name, const TaskRun &run);
+    void setCrashHistory(OwnedJob &job, const TaskName &name, const CrashHistory &history);
+    /// Records which runs may have crashed a worker that has been silent for a while, so that the
+    /// next owner counts the crash if this one doesn't live to do so.
+    void recordRunsInDoubt(WorkerState &worker);
+    /// The tasks of the job with a run in doubt.
+    static std::vector<TaskName> doubtsOf(const OwnedJob &job);
+    /// The tasks with a run in doubt on the worker; forgets those whose doubt is settled.
+    std::vector<StartedRun> doubtsAbout(const Core::VmId &worker);
+    void withdrawDoubt(OwnedJob &job, const TaskName &name);
+    /// Withdraws the doubts about runs on a worker that answers, except isolated ones that have
+    /// only been started.
+    void withdrawDoubtsAbout(const WorkerState &worker);
+    /// Settles the doubts about runs that an earlier incarnation of the worker had.
+    void settleDoubtsOfFormer(const WorkerState &worker, std::int64_t processStartUnixMs,
+                              const TimePoint &now);
+    /// Settles the doubts about workers whose successor is in the store's list.
+    void settleDoubtsByList(const std::vector<WorkerInfo> &workers, const TimePoint &now);
+    void settleAsCrash(OwnedJob &job, const TaskName &name, std::string_view evidence,
+                       const TimePoint &now);
+    /// False while the store is unreachable, while many workers have an isolated run, or while the
+    /// job has one: a job with several crashing tasks is given up for the first.
+    bool maySuspectStart(OwnedJob &job) const;
+    /// Plans the next run of a task that may crash its worker.
+    void planSuspect(const WaitingStep &waiting, int index, std::int64_t run, const TimePoint &now);
+    /// Isolates a planned run, which is recorded as in doubt before it is sent.
+    void isolateRun(OwnedJob &job, const TaskName &name);
+    /// Keeps a worker for a suspect that fits there and waits only for starting runs.
+    void keepWorkerForSuspect(const PlacementRequest &request);
+
     // Best-effort tasks beside serving tasks.
     std::vector<ColocatedRun> colocatedRuns(const WorkerState &worker);
     static std::vector<ColocatedTask> colocatedTasks(const std::vector<ColocatedRun> &runs);
@@ -342,6 +409,9 @@
     std::vector<Command> m_commands;
     /// The runs whose stop is wanted, by their workers.
     std::set<std::pair<Core::VmId, TaskName>> m_stopping;
+    /// The tasks with a run in doubt.
+    std::set<TaskName> m_doubts;
+    SilentWorkers m_silentWorkers;
     std::size_t m_runs = 0;
     bool m_isStoreReachable = true;
     bool m_areStartsHeld = false;
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -54,6 +54,11 @@
     int addFailedRun(const TaskName &name, std::int64_t run);
     /// Marks the task's runs up to \p run as abandoned; their results are ignored.
     void abandon(const TaskName &name, std::int64_t run);
+    /// Returns an empty history if no worker has crashed under the task.
+    const CrashHistory &crashHistory(const TaskName &name) const;
+    /// The history of the task, or of the whole gang that it belongs to.
+    CrashHistory sharedCrashHistory(const TaskName &name) const;
+    void setCrashHistory(const TaskName &name, const CrashHistory &history);
     void finish(JobState state, std::int64_t unixMs);
 
     bool isDurableWorker(const Core::VmId &worker) const
--- a/include/LibJob/TaskRun.h
+++ b/include/LibJob/TaskRun.h
@@ -30,8 +30,12 @@
     Core::Instant phaseBeganAt = {};
     /// When the start command was sent; for an adopted run, when it was adopted.
     Core::Instant sentAt = {};
+    /// The start command wasn't answered in time, so perhaps it never reached the worker.
+    bool wasStartTimeout = false;
     /// When a report last listed the run as running; the epoch if none did.
     Core::Instant seenAt = {};
+    /// The start command must not be sent before the commit with this number is durable.
+    std::int64_t neededCommit = 0;
     /// The worker rejects the start command after this time, since its lease deadline has passed.
     Core::Instant startDeadline = {};
     bool isStopWanted = false;
@@ -49,6 +53,19 @@
     /// False while the throttle in force on the worker may differ from `throttlePercent`.
     bool isThrottleKnown = true;
     Core::Instant throttledAt = {};
+
+    /// A run that a report lists this long after its start has survived the start.
+    static constexpr Core::Duration startTime = std::chrono::milliseconds(200);
+    /// A run that was listed for this long doesn't crash its worker.
+    static constexpr Core::Duration provenTime = std::chrono::seconds(5);
+
+    /// False if the run may crash its worker at its start, as far as reports show.
+    bool hasSurvivedStart() const { return hasRunFor(startTime); }
+    /// True if a report has listed the run at least \p time after its start.
+    bool hasRunFor(Core::Duration time) const
+    {
+        return seenAt != Core::Instant() && seenAt >= sentAt + time;
+    }
 };
 
 /// State of a task on the owner.
--- a/include/LibJob/Unsuitability.h
+++ b/include/LibJob/Unsuitability.h
@@ -24,6 +24,8 @@
     Reserved,
     /// The worker runs the maximum number of the step's tasks.
     TooManyOfStep,
+    /// Another run on the worker could be the cause if the task crashed it, or the other way round.
+    NotIsolated,
     /// The task would push a serving task on the worker above its target.
     Disturbing,
 };
--- a/include/LibJob/WorkerChooser.h
+++ b/include/LibJob/WorkerChooser.h
@@ -32,6 +32,9 @@
     bool requiresDurableWorker = false;
     /// The task may be placed beside serving tasks whose targets it violates.
     bool mayExceedTargets = false;
+    /// The task is suspected of crashing its workers. It runs where no other run could be the cause
+    /// of a crash, and where a crash would do the least harm.
+    bool isSuspect = false;
     /// The owner's last proof of ownership. Workers contacted for the first time after it are
     /// excluded.
     Core::Instant provenAt = {};
@@ -67,9 +70,13 @@
     std::string explain(const std::vector<WorkerState *> &workers,
                         const PlacementRequest &request) const;
 
-    /// Returns the workers on which the first obstacle to the task is a lack of capacity.
-    std::vector<WorkerState *> lackingCapacity(const std::vector<WorkerState *> &workers,
-                                               const PlacementRequest &request) const;
+    /// Returns the workers that could run the task but for \p reason, and for those that come after
+    /// it in Unsuitability.
+    std::vector<WorkerState *> unsuitableFor(Unsuitability reason,
+                                             const std::vector<WorkerState *> &workers,
+                                             const PlacementRequest &request) const;
+    /// True if a crash of \p left would do less harm than one of \p right.
+    static bool isLessHarmful(const WorkerState &left, const WorkerState &right);
 
     /// Number of looks at a worker so far.
     std::int64_t looks() const { return m_looks; }
@@ -85,6 +92,7 @@
     /// Returns the workers of the service with the processors that the task needs, by base cost.
     std::span<const CapacityIndex::Entry>
     withEnoughProcessors(const PlacementRequest &request) const;
+    WorkerState *chooseForSuspect(const PlacementRequest &request) const;
     bool mayFitSomewhere(const PlacementRequest &request) const;
     /// Cost of a serving task beside serving tasks of other images.
     static double colocatedImagesCost(const WorkerState &worker, ImageIndex image);
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -67,6 +67,18 @@
     /// Called when the throttle of a best-effort task changes.
     void noteThrottle(const StepSpec &step, int formerPercent, int percent);
     const std::set<TaskName> &runs() const { return m_runs; }
+
+    // Isolation of tasks that are suspected of crashing their workers.
+    /// Runs that are planned, or that no report has shown to have survived their start.
+    const std::set<TaskName> &startingRuns() const { return m_startingRuns; }
+    void noteSurvivedStart(const TaskName &task);
+    /// Until the run has survived its start, the worker gets no other one.
+    void isolate(const TaskName &task) { m_isolatedRuns.insert(task); }
+    bool hasIsolatedRun() const { return !m_isolatedRuns.empty(); }
+    bool isIsolated(const TaskName &task) const { return m_isolatedRuns.contains(task); }
+    /// Until \p until, the worker gets no run but that of a suspect.
+    void keepForSuspect(Core::Instant until) { m_keptForSuspectUntil = until; }
+    bool isKeptForSuspect(Core::Instant now) const { return now < m_keptForSuspectUntil; }
     int bestEffortCount() const { return m_bestEffortCount; }
     int servingCount() const { return m_servingCount; }
     /// Capacity that isn't requested. Best-effort tasks count with memory and accelerators but not
@@ -116,6 +128,8 @@
     Core::Instant lastAnswerAt() const { return m_lastAnswerAt; }
     bool isUnresponsive() const { return m_isUnresponsive; }
     void noteAnswer(Core::Instant now);
+    /// The runs that may have crashed the worker are recorded as in doubt; until the next answer.
+    bool areDoubtsRecorded = false;
     void markUnresponsive(Core::Instant now);
     /// When the first call failed after the last answer; the epoch if the worker answers.
     Core::Instant unresponsiveSince() const { return m_unresponsiveSince; }
@@ -189,6 +203,9 @@
     WorkerInfo m_info;
     SchedulerSettings m_settings;
     std::set<TaskName> m_runs;
+    std::set<TaskName> m_startingRuns;
+    std::set<TaskName> m_isolatedRuns;
+    Core::Instant m_keptForSuspectUntil = {};
     Core::Resources m_used;
     /// The part of m_used that long-running tasks request.
     Core::Resources m_usedByLongRunning;
