LibJob: Don't suspect starts that may never have reached their worker

Cause: a start without an answer counted as a suspect of its worker's crash, also where the worker had crashed before the start was sent; and the list of workers settled the doubt about a run while the answer to its start was still awaited, as a crash of which it was the only suspect.

Change: only runs whose start was answered, or broke off, are suspects. The list settles a doubt only when the run is known to be gone. A doubt that was recorded before the start was sent doesn't call the run the only suspect.

--- a/Libraries/LibJob/JobSchedulerCrashes.cpp
+++ b/Libraries/LibJob/JobSchedulerCrashes.cpp
@@ -37,14 +37,19 @@
     return runs;
 }
 
+/// A start without an answer doesn't show that the worker lived when the start was sent.
+static bool isSuspect(const TaskRun &run)
+{
+    const bool wasDelivered = run.phase != RunPhase::Starting && !run.wasStartTimeout;
+    return wasDelivered && !run.hasSurvivedStart();
+}
+
 std::vector<JobScheduler::StartedRun>
 JobScheduler::suspectsAmong(const std::vector<StartedRun> &runs)
 {
     std::vector<StartedRun> suspects;
     std::copy_if(runs.begin(), runs.end(), std::back_inserter(suspects),
-                 [](const StartedRun &started) {
-                     return !started.run->wasStartTimeout && !started.run->hasSurvivedStart();
-                 });
+                 [](const StartedRun &started) { return isSuspect(*started.run); });
     return suspects;
 }
 
@@ -54,7 +59,10 @@
         return Suspicion::NoRuns;
     if (worker.hasIsolatedRun())
         return Suspicion::IsolatedRun;
-    return suspectsAmong(runs).empty() ? Suspicion::None : Suspicion::StartingRuns;
+    const bool hasStartingRun
+        = std::any_of(runs.begin(), runs.end(),
+                      [](const StartedRun &started) { return !started.run->hasSurvivedStart(); });
+    return hasStartingRun ? Suspicion::StartingRuns : Suspicion::None;
 }
 
 bool JobScheduler::isOnlySuspect(const std::vector<StartedRun> &suspects)
@@ -265,18 +273,20 @@
     }
 }
 
-void JobScheduler::settleDoubtsByList(const std::vector<WorkerInfo> &workers, const TimePoint &now)
+void JobScheduler::settleDoubtsByList(const TimePoint &now)
 {
     if (m_doubts.empty())
         return;
     std::unordered_map<std::string, std::int64_t> newestAt;
-    for (const WorkerInfo &info : workers) {
-        std::int64_t &newest = newestAt[info.address];
-        newest = std::max(newest, info.processStartUnixMs);
+    for (const WorkerState *worker : m_listed) {
+        std::int64_t &newest = newestAt[worker->info().address];
+        newest = std::max(newest, worker->info().processStartUnixMs);
     }
     for (const TaskName &name : std::set<TaskName>(m_doubts)) {
         OwnedJob *job = findJob(name.job);
-        if (!job || job->isOver())
+        const TaskState *task = job && !job->isOver() ? job->findTask(name) : nullptr;
+        // While the run isn't known to be gone, the worker itself is asked.
+        if (!task || task->run)
             continue;
         const std::optional<RunInDoubt> run = job->crashHistory(name).runInDoubt();
         if (!run || run->processStartUnixMs == 0)
@@ -337,8 +347,9 @@
     TaskRun &run = *job.findTask(name)->run;
     const WorkerInfo &worker = run.worker->info();
     run.worker->isolate(name);
+    // The start may never reach the worker, so a crash alone doesn't show that this was its cause.
     const RunInDoubt doubt { run.number, worker.id, worker.address,
-                             run.worker->processStartUnixMs(), true };
+                             run.worker->processStartUnixMs(), false };
     setCrashHistory(job, name, job.crashHistory(name).withRunInDoubt(doubt));
     run.neededCommit = m_lastCommit + 1;
 }
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -304,6 +304,7 @@
         removeRun(*job, name, DoubtAfterRun::Kept);
         abandon(*job, name, run);
     }
+    settleDoubtsByList(now);
 }
 
 void JobScheduler::removeRunsOf(WorkerState &worker)
--- a/Tests/LibJob/SchedulerFixture.cpp
+++ b/Tests/LibJob/SchedulerFixture.cpp
@@ -12,7 +12,6 @@
 SchedulerFixture::SchedulerFixture(const Ownership &ownership)
     : m_scheduler(SchedulerSettings(), ownership, m_log)
 {
-    std::vector<WorkerInfo> workers;
     for (const Core::VmId &id : { first, second }) {
         WorkerInfo info;
         info.id = id;
@@ -20,10 +19,10 @@
         info.service = ServiceId("service");
         info.capacity = { capacityMilliCores, 8000, 0 };
         info.processStartUnixMs = 1;
-        workers.push_back(info);
+        m_workers.push_back(info);
     }
     m_scheduler.setCatalogue({});
-    m_scheduler.setWorkers(workers, m_now);
+    m_scheduler.setWorkers(m_workers, m_now);
 }
 
 Submission SchedulerFixture::submission(const std::string &id, const StepSpec &step,
@@ -146,6 +145,15 @@
     m_scheduler.cancelJob(JobId("job"), m_now);
 }
 
+void SchedulerFixture::setCapacity(const Core::VmId &worker, std::int64_t milliCores)
+{
+    for (WorkerInfo &info : m_workers) {
+        if (info.id == worker)
+            info.capacity.milliCores = milliCores;
+    }
+    m_scheduler.setWorkers(m_workers, m_now);
+}
+
 void SchedulerFixture::setStoreReachable(bool isReachable)
 {
     m_isStoreReachable = isReachable;
@@ -223,6 +231,14 @@
     return { number, task(index), run, kind, "" };
 }
 
+CrashHistory SchedulerFixture::recordedCrashes() const
+{
+    const auto &histories
+        = m_table.find(JobId("job"))->progress->occurrences.at(0).front().crashHistories;
+    const auto history = histories.find(0);
+    return history == histories.end() ? CrashHistory() : history->second;
+}
+
 void SchedulerFixture::plan()
 {
     advance(10);
--- a/Tests/LibJob/SchedulerFixture.h
+++ b/Tests/LibJob/SchedulerFixture.h
@@ -38,6 +38,8 @@
     void reportFromBefore(const Core::VmId &worker, const std::vector<Jobs::EndedEntry> &ended);
     /// Another incarnation answers a renewal that was sent to \p address for \p worker.
     void answerAsOtherIncarnation(const Core::VmId &worker, const std::string &address);
+    /// The store's list shows another capacity of the worker.
+    void setCapacity(const Core::VmId &worker, std::int64_t milliCores);
     void setStoreReachable(bool isReachable);
     void cancel();
     /// Sets the workers' answer to start commands.
@@ -52,6 +54,8 @@
 
     Jobs::JobScheduler &scheduler() { return m_scheduler; }
     Jobs::JobState state() const { return m_table.find(Jobs::JobId("job"))->state(); }
+    /// The crashes under the first task of `job` as the records say.
+    Jobs::CrashHistory recordedCrashes() const;
     std::int64_t waitingCount() const { return m_table.waitingCount(Jobs::QueueId("queue")); }
     /// All throttle commands, in order.
     const std::vector<Jobs::ThrottleCommand> &throttles() const { return m_throttles; }
@@ -94,6 +98,7 @@
     static constexpr std::int64_t capacityMilliCores = 4000;
 
     NullLog m_log;
+    std::vector<Jobs::WorkerInfo> m_workers;
     Jobs::TimePoint m_now { Core::Instant(std::chrono::seconds(10)), 10'000 };
     Jobs::JobScheduler m_scheduler;
     Jobs::JobTable m_table;
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -335,7 +335,7 @@
     void settleDoubtsOfFormer(const WorkerState &worker, std::int64_t processStartUnixMs,
                               const TimePoint &now);
     /// Settles the doubts about workers whose successor is in the store's list.
-    void settleDoubtsByList(const std::vector<WorkerInfo> &workers, const TimePoint &now);
+    void settleDoubtsByList(const TimePoint &now);
     void settleAsCrash(OwnedJob &job, const TaskName &name, std::string_view evidence,
                        const TimePoint &now);
     /// False while the store is unreachable, while many workers have an isolated run, or while the
