LibTask: Give up tasks that are lost with worker after worker

What callers of the daemon would see: a task that crashes its workers is started again for ever, and takes the tasks beside it along each time.

An attempt that is lost with its worker ends as stopped, and only a failed attempt could be the last.

Change: an attempt that no report had listed as running and that is lost (absent from its worker's report, or its lease lapsed, without a stop of ours) is recorded with wasLost; five in a row fail the task. The two new members may be absent in records of earlier versions: the property that a record with a missing member is rejected now says that these two then have their default values, and rejects them when they have another type.

--- a/Libraries/LibTask/EntryCodec.cpp
+++ b/Libraries/LibTask/EntryCodec.cpp
@@ -95,6 +95,7 @@
     value["transferNumber"] = entry.transferNumber;
     value["lastAttempt"] = entry.lastAttempt;
     value["endedAttempts"] = entry.endedAttempts;
+    value["lostAttempts"] = entry.lostAttempts;
     if (entry.openAttempt)
         value["openAttempt"] = encodeOpenAttempt(*entry.openAttempt);
     value["checkpoint"] = entry.checkpoint;
@@ -115,6 +116,9 @@
     entry.transferNumber = uint32Member(value, "transferNumber");
     entry.lastAttempt = uint32Member(value, "lastAttempt");
     entry.endedAttempts = uint32Member(value, "endedAttempts");
+    // Snapshots of earlier versions lack it.
+    if (value.isMember("lostAttempts"))
+        entry.lostAttempts = uint32Member(value, "lostAttempts");
     if (value.isMember("openAttempt"))
         entry.openAttempt = decodeOpenAttempt(objectMember(value, "openAttempt"));
     entry.checkpoint = stringMember(value, "checkpoint");
--- a/Libraries/LibTask/HolderSession.cpp
+++ b/Libraries/LibTask/HolderSession.cpp
@@ -80,6 +80,7 @@
     task.transferNumber = entry.transferNumber;
     task.lastAttempt = entry.lastAttempt;
     task.endedAttempts = entry.endedAttempts;
+    task.lostAttempts = entry.lostAttempts;
     task.checkpoint = entry.checkpoint;
     task.submittedAt = submittedAt;
     m_tasks.insert_or_assign(entry.spec.id, std::move(task));
--- a/Libraries/LibTask/HolderSession.h
+++ b/Libraries/LibTask/HolderSession.h
@@ -131,9 +131,13 @@
                                Core::Instant now);
     /// Ends the attempts whose leases must have expired.
     void endExpiredAttempts(WorkerStatus &status, Core::Instant now);
-    /// Records the end of the open attempt and decides what happens to the task next.
+    /// Ends the open attempt, of which the worker has reported the end or confirmed the stop.
     void confirmEnd(LiveTask &task, AttemptPhase phase, const std::string &detail,
                     Core::Instant now);
+    /// Ends the open attempt, of which the worker has reported nothing.
+    void confirmLoss(LiveTask &task, const std::string &detail, Core::Instant now);
+    /// Records the end of the open attempt and decides what happens to the task next.
+    void recordEnd(LiveTask &task, const AttemptEnded &ended, Core::Instant now);
     void requestStop(LiveTask &task, Platform::StopMode mode, const std::string &reason,
                      Core::Instant now);
     void sendStops(std::vector<PlacerAction> &actions, Core::Instant now);
--- a/Libraries/LibTask/HolderSessionWorkers.cpp
+++ b/Libraries/LibTask/HolderSessionWorkers.cpp
@@ -162,7 +162,7 @@
             continue;
         if (status.renewalSentAt < task->absenceConclusiveFrom)
             continue;
-        confirmEnd(*task, AttemptPhase::Stopped, "the worker doesn't know it", now);
+        confirmLoss(*task, "the worker doesn't know it", now);
     }
     const std::size_t removed
         = std::erase_if(status.unrecordedAttempts, [&reported](const AttemptId &attempt) {
@@ -180,28 +180,49 @@
             continue;
         const bool isAssumedEnded = !status.isResponsive && !m_settings.guards.isLeaseExpiryAwaited;
         if (now >= task->latestLeaseExpiry || isAssumedEnded)
-            confirmEnd(*task, AttemptPhase::Stopped, "its lease has lapsed", now);
+            confirmLoss(*task, "its lease has lapsed", now);
     }
 }
 
+void HolderSession::confirmLoss(LiveTask &task, const std::string &detail, Core::Instant now)
+{
+    const bool mayHaveCrashedWorker = !task.stop && !task.isReportedRunning;
+    if (!mayHaveCrashedWorker) {
+        confirmEnd(task, AttemptPhase::Stopped, detail, now);
+        return;
+    }
+    const std::uint32_t lost = task.lostAttempts + 1;
+    const bool isGivenUp = lost >= m_settings.maximumLostAttempts && !task.isCancelRequested;
+    const std::string reason = isGivenUp
+        ? "its last " + std::to_string(lost) + " attempts were lost with their workers"
+        : detail;
+    recordEnd(task,
+              { task.attempt(), AttemptPhase::Stopped, task.checkpoint, reason, isGivenUp, true },
+              now);
+}
+
 void HolderSession::confirmEnd(LiveTask &task, AttemptPhase phase, const std::string &detail,
                                Core::Instant now)
 {
-    const AttemptId attempt = task.attempt();
+    const bool isFinal = phase == AttemptPhase::Failed
+        && task.endedAttempts + 1 >= m_settings.maximumFailedAttempts;
+    recordEnd(task, { task.attempt(), phase, task.checkpoint, detail, isFinal, false }, now);
+}
+
+void HolderSession::recordEnd(LiveTask &task, const AttemptEnded &ended, Core::Instant now)
+{
     WorkerStatus &status = m_workers.findOrAdd(task.worker, now);
-    status.attempts.erase(attempt);
+    status.attempts.erase(ended.attempt);
     if (m_settings.guards.isEndRecordedBeforeAcknowledgement)
-        m_unacknowledged.insert_or_assign(attempt, task.worker);
+        m_unacknowledged.insert_or_assign(ended.attempt, task.worker);
     else
-        status.acknowledged.insert(attempt);
-    m_scheduler->attemptEnded(attempt, phase, now);
+        status.acknowledged.insert(ended.attempt);
+    m_scheduler->attemptEnded(ended.attempt, ended.phase, now);
     task.endedAttempts += 1;
+    task.lostAttempts = ended.wasLost ? task.lostAttempts + 1 : 0;
 
-    const bool isFinal
-        = phase == AttemptPhase::Failed && task.endedAttempts >= m_settings.maximumFailedAttempts;
-    const AttemptEnded ended { attempt, phase, task.checkpoint, detail, isFinal };
     const Core::FailureDomainId targetDomain = task.targetDomain;
-    const bool hasEnded = phase == AttemptPhase::Finished || isFinal;
+    const bool hasEnded = ended.phase == AttemptPhase::Finished || ended.isFinal;
     if (hasEnded) {
         m_stopping.erase(task.spec.id);
         appendFinalRecord(task, ended);
--- a/Libraries/LibTask/LiveTask.h
+++ b/Libraries/LibTask/LiveTask.h
@@ -44,6 +44,8 @@
     std::uint32_t transferNumber = 0;
     std::uint32_t lastAttempt = 0;
     std::uint32_t endedAttempts = 0;
+    /// See TaskEntry::lostAttempts.
+    std::uint32_t lostAttempts = 0;
     std::string checkpoint;
     bool isCancelRequested = false;
     Core::Instant submittedAt;
--- a/Libraries/LibTask/TaskRecordCodec.cpp
+++ b/Libraries/LibTask/TaskRecordCodec.cpp
@@ -31,6 +31,7 @@
         value["checkpoint"] = body.checkpoint;
         value["lastAttempt"] = body.lastAttempt;
         value["endedAttempts"] = body.endedAttempts;
+        value["lostAttempts"] = body.lostAttempts;
     }
     void operator()(const AttemptPlanned &body) const
     {
@@ -52,6 +53,7 @@
         value["checkpoint"] = body.checkpoint;
         value["detail"] = body.detail;
         value["isFinal"] = body.isFinal;
+        value["wasLost"] = body.wasLost;
     }
     void operator()(const CancelRequested &body) const
     {
@@ -123,6 +125,9 @@
     body.checkpoint = stringMember(value, "checkpoint");
     body.lastAttempt = uint32Member(value, "lastAttempt");
     body.endedAttempts = uint32Member(value, "endedAttempts");
+    // Records of earlier versions lack it.
+    if (value.isMember("lostAttempts"))
+        body.lostAttempts = uint32Member(value, "lostAttempts");
     return body;
 }
 
@@ -136,6 +141,9 @@
     body.checkpoint = stringMember(value, "checkpoint");
     body.detail = stringMember(value, "detail");
     body.isFinal = Core::Json::booleanMember(value, "isFinal");
+    // Records of earlier versions lack it.
+    if (value.isMember("wasLost"))
+        body.wasLost = Core::Json::booleanMember(value, "wasLost");
     return body;
 }
 
--- a/Libraries/LibTask/TaskTable.cpp
+++ b/Libraries/LibTask/TaskTable.cpp
@@ -97,6 +97,7 @@
     entry.transferNumber = body.transferNumber;
     entry.lastAttempt = body.lastAttempt;
     entry.endedAttempts = body.endedAttempts;
+    entry.lostAttempts = body.lostAttempts;
     entry.checkpoint = body.checkpoint;
     m_entries.emplace(body.spec.id, std::move(entry));
     return true;
@@ -130,13 +131,14 @@
         return false;
     entry->openAttempt.reset();
     entry->endedAttempts += 1;
+    entry->lostAttempts = body.wasLost ? entry->lostAttempts + 1 : 0;
     entry->reason = body.detail;
     if (!body.checkpoint.empty())
         entry->checkpoint = body.checkpoint;
     entry->state = TaskState::Evicted;
     if (body.phase == AttemptPhase::Finished)
         endTask(*entry, TaskState::Finished, offset);
-    else if (body.phase == AttemptPhase::Failed && body.isFinal)
+    else if (body.isFinal)
         endTask(*entry, TaskState::Failed, offset);
     return true;
 }
--- a/Libraries/LibTask/TransferQueue.cpp
+++ b/Libraries/LibTask/TransferQueue.cpp
@@ -63,6 +63,7 @@
     body.checkpoint = entry.checkpoint;
     body.lastAttempt = entry.lastAttempt;
     body.endedAttempts = entry.endedAttempts;
+    body.lostAttempts = entry.lostAttempts;
     return TaskRecord::create(0, std::move(body));
 }
 
--- a/Tests/LibTask/TestLostAttempts.cpp
+++ b/Tests/LibTask/TestLostAttempts.cpp
@@ -14,20 +14,31 @@
 class LostTask
 {
 public:
-    LostTask()
+    /// \p former are the records of an earlier holder of the lease; none if the task is new.
+    explicit LostTask(const std::vector<TaskRecord> &former = {})
     {
+        for (const TaskRecord &record : former)
+            m_fixture.placer.onRecord(m_fixture.offset++, record, m_fixture.now);
+        m_fixture.epoch = former.empty() ? 0 : 1;
         m_fixture.becomeHolder();
         m_fixture.poll();
         m_fixture.answerRenewals();
-        m_fixture.appendPending();
-        m_fixture.submit("t");
+        append();
+        if (former.empty()) {
+            Submitted body;
+            body.spec.id = Core::TaskId("t");
+            body.spec.declared = { 3000, 100, 0 };
+            m_records.push_back(TaskRecord::create(0, body));
+            m_fixture.placer.onRecord(m_fixture.offset++, m_records.back(), m_fixture.now);
+        }
     }
 
-    PlacerFixture &fixture() { return m_fixture; }
+    const std::vector<TaskRecord> &records() const { return m_records; }
+    TaskState state() const { return m_fixture.placer.table().find(Core::TaskId("t"))->state; }
     /// Starts the task if the placer wants that; returns the start.
     std::optional<StartAttempt> start()
     {
-        m_fixture.appendPending();
+        append();
         m_fixture.poll();
         const std::vector<StartAttempt> starts = m_fixture.takeActions<StartAttempt>();
         if (starts.empty())
@@ -43,7 +54,7 @@
         m_fixture.placer.onLogEndReached(m_fixture.offset, m_fixture.offset, m_fixture.now);
         m_fixture.poll();
         m_fixture.answerRenewals(start.worker, reports);
-        m_fixture.appendPending();
+        append();
     }
     /// Returns how often the task was started in \p rounds in which it was lost.
     std::size_t startsInRounds(std::size_t rounds, bool isSeenRunning)
@@ -63,15 +74,38 @@
     }
 
 private:
+    void append()
+    {
+        for (const TaskRecord &record : m_fixture.appendPending())
+            m_records.push_back(record);
+    }
+
     PlacerFixture m_fixture;
+    /// The submission and all records that were appended.
+    std::vector<TaskRecord> m_records;
 };
 
 } // namespace
 
-TEST_CASE("A task that is lost with each worker that starts it is given up", "[!shouldfail]")
+TEST_CASE("A task that is lost with each worker that starts it is given up")
 {
     LostTask task;
-    CHECK(task.startsInRounds(20, false) == maximumLostAttempts);
+    SECTION("by one holder of the lease")
+    {
+        CHECK(task.startsInRounds(20, false) == maximumLostAttempts);
+        CHECK(task.state() == TaskState::Failed);
+    }
+    SECTION("by several, since the next one reads the count")
+    {
+        REQUIRE(task.startsInRounds(3, false) == 3);
+        std::vector<TaskRecord> records = task.records();
+        // The holder dies before it plans the next attempt.
+        while (!std::holds_alternative<AttemptEnded>(records.back().body))
+            records.pop_back();
+        LostTask next(records);
+        CHECK(next.startsInRounds(20, false) == maximumLostAttempts - 3);
+        CHECK(next.state() == TaskState::Failed);
+    }
 }
 
 TEST_CASE("A task that had been at work isn't given up when it is lost with its worker")
--- a/Tests/LibTask/TestTaskTable.cpp
+++ b/Tests/LibTask/TestTaskTable.cpp
@@ -165,7 +165,12 @@
             value.removeMember(name);
         else
             value[name] = Json::Value(Json::arrayValue);
-        RC_ASSERT_THROWS_AS(decode(value), Core::FormatError);
+        // Records of earlier versions lack these two, which then have their default values.
+        const bool isOptional = name == "lostAttempts" || name == "wasLost";
+        if (isOptional && !value.isMember(name))
+            RC_ASSERT(decode(value) == event.record);
+        else
+            RC_ASSERT_THROWS_AS(decode(value), Core::FormatError);
     });
     SECTION("a record of another type is skipped, one of a later format version is an error")
     {
--- a/include/LibTask/PlacerSettings.h
+++ b/include/LibTask/PlacerSettings.h
@@ -83,6 +83,9 @@
     /// A task fails for good when an attempt fails and at least this many of its attempts,
     /// including that one, have ended for whatever reason.
     std::uint32_t maximumFailedAttempts = 20;
+    /// A task fails for good after this many successive attempts that were lost with their workers
+    /// before a report showed them running: it probably crashes its workers.
+    std::uint32_t maximumLostAttempts = 5;
 
     /// The longest time between two snapshots; must not exceed a third of the log's retention time.
     Core::Duration snapshotInterval = 10min;
--- a/include/LibTask/TaskEntry.h
+++ b/include/LibTask/TaskEntry.h
@@ -61,6 +61,9 @@
     /// How many attempts have ended in this and earlier failure domains, for whatever reason;
     /// abandoned ones don't count.
     std::uint32_t endedAttempts = 0;
+    /// How many of the last attempts in a row were lost with their workers before a report showed
+    /// them running.
+    std::uint32_t lostAttempts = 0;
     std::optional<OpenAttempt> openAttempt;
     /// The newest recorded checkpoint; empty if there is none.
     std::string checkpoint;
--- a/include/LibTask/TaskRecord.h
+++ b/include/LibTask/TaskRecord.h
@@ -29,6 +29,8 @@
     std::uint32_t lastAttempt = 0;
     /// How many attempts have ended in earlier failure domains.
     std::uint32_t endedAttempts = 0;
+    /// See TaskEntry::lostAttempts.
+    std::uint32_t lostAttempts = 0;
 
     bool operator==(const Submitted &) const = default;
 };
@@ -58,8 +60,10 @@
     AttemptPhase phase = AttemptPhase::Stopped;
     std::string checkpoint;
     std::string detail;
-    /// With phase Failed: the task gets no further attempt.
+    /// The task has failed and gets no further attempt; never true with phase Finished.
     bool isFinal = false;
+    /// The attempt was lost with its worker before a report had shown it running.
+    bool wasLost = false;
 
     bool operator==(const AttemptEnded &) const = default;
 };
