--- a/Libraries/LibJob/JobSchedulerCrashes.cpp
+++ b/Libraries/LibJob/JobSchedulerCrashes.cpp
@@ -168,8 +168,9 @@
     std::string workers;
     for (const SuspectedCrash &crash : history.crashes())
         workers += (workers.empty() ? "" : ",") + crash.worker.text();
-    note(name, "crash-limit",
-         "lost_runs=" + std::to_string(history.lostRuns().size()) + " crashed_workers=" + workers);
+    m_log.noteJobGivenUp(name, "crash-limit",
+                         "lost_runs=" + std::to_string(history.lostRuns().size())
+                             + " crashed_workers=" + workers);
     endEarly(job, JobState::Failed, now);
 }
 
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -211,7 +211,7 @@
     markDirty(job);
     if (failures < queueOf(job)->attemptLimit)
         return;
-    note(name, "job-failed", "failures=" + std::to_string(failures));
+    m_log.noteJobGivenUp(name, "job-failed", "failures=" + std::to_string(failures));
     endEarly(job, JobState::Failed, now);
 }
 
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -146,13 +146,25 @@
     LOG4CXX_INFO(detailLogger, "event=" << event << " task=" << subject << ' ' << inputs);
 }
 
+void OwnerSession::noteJobGivenUp(const Jobs::TaskName &task, std::string_view event,
+                                  std::string_view inputs)
+{
+    noteEssential("task", task.text(), event, inputs);
+}
+
 void OwnerSession::noteWorker(std::string_view worker, std::string_view event,
                               std::string_view inputs)
+{
+    noteEssential("worker", worker, event, inputs);
+}
+
+void OwnerSession::noteEssential(std::string_view kind, std::string_view subject,
+                                 std::string_view event, std::string_view inputs)
 {
     if (!isIssuingCommands())
         return;
     m_state.metrics.countDecision(std::string(event));
-    LOG4CXX_INFO(partLogger, "event=" << event << " worker=" << worker << ' ' << inputs);
+    LOG4CXX_INFO(partLogger, "event=" << event << ' ' << kind << '=' << subject << ' ' << inputs);
 }
 
 void OwnerSession::depose(const std::string &reason)
--- a/Tests/LibSite/TestEssentialLines.cpp
+++ b/Tests/LibSite/TestEssentialLines.cpp
@@ -52,6 +52,25 @@
         site.run(1000);
         CHECK(countLines(pipe.takeLines(), "INFO  jobs: event=regained dependency=store") == 2);
     }
+    SECTION("and so is the crash of a worker, with the runs that may be its cause")
+    {
+        site.workers.holdsTasks = true;
+        site.startElection(first);
+        site.run(600);
+        site.await(second.jobRequests.submit(job("a"), site.deadlineIn(1000)));
+        site.run(100);
+        REQUIRE(site.workers.starts == 2);
+        for (const auto &[worker, runs] : site.workers.running) {
+            if (!runs.empty())
+                site.workers.replaced.insert(worker);
+        }
+        pipe.takeLines();
+        site.run(300);
+        CHECK(countLines(pipe.takeLines(),
+                         "INFO  owner: event=worker-crashed worker=w1 evidence=replaced runs=2 "
+                         "suspects=a.0.0.0,a.0.0.1")
+              == 1);
+    }
     SECTION("while starts of tasks aren't logged any more")
     {
         site.startElection(first);
--- a/include/LibJob/DecisionLog.h
+++ b/include/LibJob/DecisionLog.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibJob/TaskName.h>
+
 #include <string_view>
 
 namespace Jobs {
@@ -18,6 +20,14 @@
     virtual void note(std::string_view subject, std::string_view event, std::string_view inputs)
         = 0;
 
+    /// A decision that ends a job against its caller's wish. These are rare, so they should be kept
+    /// when other lines are left out.
+    virtual void noteJobGivenUp(const TaskName &task, std::string_view event,
+                                std::string_view inputs)
+    {
+        note(task.text(), event, inputs);
+    }
+
     /// An event in the life of a worker. These are rare and explain many decisions on tasks, so
     /// they should be kept when other lines are left out.
     virtual void noteWorker(std::string_view worker, std::string_view event,
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -50,9 +50,14 @@
     void onClaim() override;
     void onOperatorChange() override;
     void note(std::string_view subject, std::string_view event, std::string_view inputs) override;
+    void noteJobGivenUp(const Jobs::TaskName &task, std::string_view event,
+                        std::string_view inputs) override;
     void noteWorker(std::string_view worker, std::string_view event,
                     std::string_view inputs) override;
 
+    /// Logs a decision with a line that isn't left out. \p kind says what the subject is.
+    void noteEssential(std::string_view kind, std::string_view subject, std::string_view event,
+                       std::string_view inputs);
     Jobs::TimePoint now() const;
     bool isOwnershipProven() const;
     /// False once a release was requested or the session has ended: later decisions are up to the
