LibJob: Ask a silent worker at once when its successor is listed

Cause: a silent worker is asked every 0.4 s. The store's list shows a new worker at its address as soon as that has registered, which the owner reads within 0.1 s; until now only a restart under the same ID made it ask at once.

Change: a silent worker with runs whose address the list shows with a newer process gets its next renewal immediately. The answer of the other incarnation, not the list, shows that the runs are gone.

Measured: the new test fails before.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -146,6 +146,7 @@
     for (WorkerState *worker : unlisted)
         worker->setUnlisted();
     settleDoubtsByList(now);
+    askReplacedWorkers(now);
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         const bool isForgotten
             = !it->second->isListed() && it->second->runs().empty() && !it->second->isRenewing();
--- a/Libraries/LibJob/JobSchedulerCrashes.cpp
+++ b/Libraries/LibJob/JobSchedulerCrashes.cpp
@@ -278,11 +278,7 @@
 {
     if (m_doubts.empty())
         return;
-    std::unordered_map<std::string, std::int64_t> newestAt;
-    for (const WorkerState *worker : m_listed) {
-        std::int64_t &newest = newestAt[worker->info().address];
-        newest = std::max(newest, worker->info().processStartUnixMs);
-    }
+    const NewestAtAddress newestAt = newestAtAddresses();
     for (const TaskName &name : std::set<TaskName>(m_doubts)) {
         OwnedJob *job = findJob(name.job);
         const TaskState *task = job && !job->isOver() ? job->findTask(name) : nullptr;
@@ -298,6 +294,33 @@
     }
 }
 
+JobScheduler::NewestAtAddress JobScheduler::newestAtAddresses() const
+{
+    NewestAtAddress newestAt;
+    for (const WorkerState *worker : m_listed) {
+        std::int64_t &newest = newestAt[worker->info().address];
+        newest = std::max(newest, worker->info().processStartUnixMs);
+    }
+    return newestAt;
+}
+
+void JobScheduler::askReplacedWorkers(const TimePoint &now)
+{
+    std::vector<WorkerState *> silent;
+    for (const auto &[id, worker] : m_workers) {
+        if (worker->isUnresponsive() && !worker->isReplaced() && !worker->runs().empty())
+            silent.push_back(worker.get());
+    }
+    if (silent.empty())
+        return;
+    const NewestAtAddress newestAt = newestAtAddresses();
+    for (WorkerState *worker : silent) {
+        const auto newest = newestAt.find(worker->info().address);
+        if (newest != newestAt.end() && newest->second > worker->processStartUnixMs())
+            worker->setNextRenewalAt(now.instant);
+    }
+}
+
 void JobScheduler::settleAsCrash(OwnedJob &job, const TaskName &name, std::string_view evidence,
                                  const TimePoint &now)
 {
--- a/Tests/LibJob/SchedulerFixture.cpp
+++ b/Tests/LibJob/SchedulerFixture.cpp
@@ -1,5 +1,7 @@
 #include "SchedulerFixture.h"
 
+#include <algorithm>
+
 using namespace Jobs;
 using std::chrono::milliseconds;
 
@@ -145,6 +147,17 @@
     m_scheduler.cancelJob(JobId("job"), m_now);
 }
 
+void SchedulerFixture::listSuccessor(const Core::VmId &worker)
+{
+    const auto former = std::find_if(m_workers.begin(), m_workers.end(),
+                                     [&](const WorkerInfo &info) { return info.id == worker; });
+    WorkerInfo successor = *former;
+    successor.id = Core::VmId("successor");
+    successor.processStartUnixMs = m_now.unixMs;
+    m_workers.push_back(successor);
+    m_scheduler.setWorkers(m_workers, m_now);
+}
+
 void SchedulerFixture::setCapacity(const Core::VmId &worker, std::int64_t milliCores)
 {
     for (WorkerInfo &info : m_workers) {
--- a/Tests/LibJob/SchedulerFixture.h
+++ b/Tests/LibJob/SchedulerFixture.h
@@ -38,6 +38,9 @@
     void reportFromBefore(const Core::VmId &worker, const std::vector<Jobs::EndedEntry> &ended);
     /// Another incarnation answers a renewal that was sent to \p address for \p worker.
     void answerAsOtherIncarnation(const Core::VmId &worker, const std::string &address);
+    /// The store's list shows another worker at the address of \p worker, which it also still
+    /// shows.
+    void listSuccessor(const Core::VmId &worker);
     /// The store's list shows another capacity of the worker.
     void setCapacity(const Core::VmId &worker, std::int64_t milliCores);
     void setStoreReachable(bool isReachable);
@@ -68,6 +71,8 @@
     std::int64_t acknowledgedEnd(const Core::VmId &worker);
     /// The worker doesn't answer renewals until its leases have expired.
     void partition(const Core::VmId &worker);
+    /// A renewal that was sent to the worker gets no answer.
+    void failRenewal(const Core::VmId &worker) { m_scheduler.onRenewalFailed(worker, m_now); }
     /// True if the owner sends the worker a renewal now.
     bool isRenewalDue(const Core::VmId &worker);
 
--- a/Tests/LibJob/TestIncarnations.cpp
+++ b/Tests/LibJob/TestIncarnations.cpp
@@ -67,6 +67,19 @@
     }
 }
 
+TEST_CASE("A silent worker is asked at once when the list shows another one at its address")
+{
+    Site owner;
+    const std::vector<StartCommand> starts = owner.runForTwoSeconds();
+    REQUIRE(starts.size() == 1);
+    const Core::VmId &worker = starts.front().worker;
+    REQUIRE(owner.isRenewalDue(worker));
+    owner.failRenewal(worker);
+    REQUIRE_FALSE(owner.isRenewalDue(worker));
+    owner.listSuccessor(worker);
+    CHECK(owner.isRenewalDue(worker));
+}
+
 TEST_CASE("A report that an ended incarnation sent before has no effect")
 {
     Site owner;
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -341,6 +341,12 @@
     /// Settles the doubts about runs that an earlier incarnation of the worker had.
     void settleDoubtsOfFormer(const WorkerState &worker, std::int64_t processStartUnixMs,
                               const TimePoint &now);
+    /// When the newest process at each address of the store's list started, in Unix milliseconds.
+    using NewestAtAddress = std::unordered_map<std::string, std::int64_t>;
+    NewestAtAddress newestAtAddresses() const;
+    /// Asks silent workers at once whose successors are in the store's list: the answer shows that
+    /// their runs are gone.
+    void askReplacedWorkers(const TimePoint &now);
     /// Settles the doubts about workers whose successor is in the store's list.
     void settleDoubtsByList(const TimePoint &now);
     void settleAsCrash(OwnedJob &job, const TaskName &name, std::string_view evidence,
