LibJob: Record suspects at the first call that breaks off

A third crash didn't count since many workers fell silent in the same 250 ms: deadly tasks that had waited for the former owner's leases started together.

Ruled out: that the successor could know better (it has the workers' names of a job, not which task ran where).

Change: a renewal whose connection breaks or is refused, as opposed to one that times out, makes the owner record the suspects at once, as does a start that breaks off on such a worker.

Measured: a new story (each of six owners dies 0.3 s after a crash) fails before and passes: four crashes at most.

--- a/Libraries/LibJob/JobSchedulerCrashes.cpp
+++ b/Libraries/LibJob/JobSchedulerCrashes.cpp
@@ -131,10 +131,9 @@
     const CrashHistory &history = job.crashHistory(name);
     if (history.lostRuns().contains(crash.run))
         return;
-    const bool needsCloseLook = history.lostRuns().empty() || (worker && worker->isIsolated(name));
+    const bool wasIsolated = worker && worker->isIsolated(name);
     const bool hasCommonCause = m_silentWorkers.hasOtherAboveSuspicion(crash.worker, silentSince)
-        || (needsCloseLook
-            && m_silentWorkers.isOneOfMany(crash.worker, silentSince, m_listed.size()));
+        || (wasIsolated && m_silentWorkers.isOneOfMany(crash.worker, silentSince, m_listed.size()));
     SuspectedCrash counted = crash;
     counted.wasOnlySuspect &= !m_silentWorkers.hasOther(crash.worker, silentSince);
     note(name, "crash-counted",
@@ -199,16 +198,17 @@
         task->neededCommit = m_lastCommit + 1;
 }
 
-void JobScheduler::recordRunsInDoubt(WorkerState &worker)
+void JobScheduler::recordRunsInDoubt(const WorkerState &worker)
 {
-    if (worker.areDoubtsRecorded)
-        return;
-    worker.areDoubtsRecorded = true;
     const WorkerInfo &info = worker.info();
     const std::vector<StartedRun> suspects = suspectsAmong(startedRuns(worker));
     const bool isOnly = isOnlySuspect(suspects);
     for (const StartedRun &suspect : suspects) {
         const CrashHistory &history = suspect.job->crashHistory(suspect.name);
+        const bool isRecorded
+            = history.runInDoubt() && history.runInDoubt()->run == suspect.run->number;
+        if (isRecorded)
+            continue;
         const RunInDoubt run { suspect.run->number, info.id, info.address,
                                worker.processStartUnixMs(), isOnly };
         setCrashHistory(*suspect.job, suspect.name, history.withRunInDoubt(run));
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -48,17 +48,19 @@
     return needsFastReports ? overTargetRenewalWait : m_settings.renewalWait;
 }
 
-void JobScheduler::onRenewalFailed(const Core::VmId &id, const TimePoint &now)
+void JobScheduler::onRenewalFailed(const Core::VmId &id, RenewalFailure failure,
+                                   const TimePoint &now)
 {
     WorkerState *worker = findWorkerState(id);
     if (!worker)
         return;
     worker->setRenewing(false);
-    if (!worker->isUnresponsive())
+    const bool wasSilent = worker->isUnresponsive();
+    if (!wasSilent)
         noteSilence(*worker, now);
-    else
-        recordRunsInDoubt(*worker);
     worker->markUnresponsive(now.instant);
+    if (wasSilent || failure == RenewalFailure::BrokenOff)
+        recordRunsInDoubt(*worker);
     worker->setNextRenewalAt(now.instant + m_settings.unresponsiveRenewalInterval);
 }
 
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -157,6 +157,8 @@
             withdrawDoubt(*job, command.task);
         run.phase = RunPhase::Uncertain;
         worker.noteRefusal(now.instant);
+        if (worker.isUnresponsive())
+            recordRunsInDoubt(worker);
         requestStop(command.task, run, now);
         return;
     }
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -198,7 +198,6 @@
     m_lastAnswerAt = now;
     m_isUnresponsive = false;
     m_unresponsiveSince = {};
-    areDoubtsRecorded = false;
     m_replacedAt = {};
     notifyRenewalObserver();
 }
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -542,10 +542,10 @@
 asio::awaitable<void> OwnerSession::renew(Jobs::RenewCommand command)
 {
     const Core::Instant sentAt = Core::suspendAwareNow();
+    const Core::Duration allowed = std::chrono::milliseconds(command.waitMs) + renewalTimeout;
+    const Core::Instant deadline = Core::steadyNow() + allowed;
     try {
-        const Core::Duration allowed = std::chrono::milliseconds(command.waitMs) + renewalTimeout;
-        const Jobs::WorkerReport report
-            = co_await m_workers.renew(command, Core::steadyNow() + allowed);
+        const Jobs::WorkerReport report = co_await m_workers.renew(command, deadline);
         if (isIssuingCommands())
             applyReport(command.worker, report, sentAt);
         co_return;
@@ -558,8 +558,11 @@
                      "event=renewal-failed worker=" << command.worker << " reason=\""
                                                     << error.what() << '"');
     }
+    const bool isTimedOut = Core::steadyNow() >= deadline;
     if (isIssuingCommands())
-        m_scheduler.onRenewalFailed(command.worker, now());
+        m_scheduler.onRenewalFailed(
+            command.worker,
+            isTimedOut ? Jobs::RenewalFailure::TimedOut : Jobs::RenewalFailure::BrokenOff, now());
 }
 
 void OwnerSession::applyReport(const Core::VmId &worker, const Jobs::WorkerReport &report,
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -445,10 +445,12 @@
     const std::int64_t generation = m_nodes[index]->generation;
     const std::size_t target = indexOf(command.address);
     const Core::Instant sentAt = now().instant;
-    const auto failed = [this, index, generation, command] {
+    const auto failed = [this, index, target, generation, command] {
         Node &node = *m_nodes[index];
+        const RenewalFailure failure
+            = isRefusedBy(target) ? RenewalFailure::BrokenOff : RenewalFailure::TimedOut;
         if (node.generation == generation && node.scheduler)
-            node.scheduler->onRenewalFailed(command.worker, now());
+            node.scheduler->onRenewalFailed(command.worker, failure, now());
     };
     const auto replaced = [this, index, generation, command, failed] {
         Node &node = *m_nodes[index];
--- a/Tests/LibJob/SchedulerFixture.cpp
+++ b/Tests/LibJob/SchedulerFixture.cpp
@@ -113,7 +113,7 @@
     m_workerRuns.erase(worker);
     advance(1);
     m_scheduler.onOtherIncarnation(worker, address, m_now);
-    m_scheduler.onRenewalFailed(worker, m_now);
+    failRenewal(worker);
 }
 
 void SchedulerFixture::reportAll(std::int64_t tailMs)
@@ -211,13 +211,18 @@
     constexpr int spacingMs = 500;
     for (int passed = 0; passed < maxLeaseMs; passed += spacingMs) {
         if (isRenewalDue(worker))
-            m_scheduler.onRenewalFailed(worker, m_now);
+            failRenewal(worker);
         advance(spacingMs);
         commit();
         m_scheduler.takeCommands(m_now);
     }
 }
 
+void SchedulerFixture::failRenewal(const Core::VmId &worker)
+{
+    m_scheduler.onRenewalFailed(worker, RenewalFailure::TimedOut, m_now);
+}
+
 bool SchedulerFixture::isRenewalDue(const Core::VmId &worker)
 {
     m_renewals.erase(worker);
--- a/Tests/LibJob/SchedulerFixture.h
+++ b/Tests/LibJob/SchedulerFixture.h
@@ -72,7 +72,7 @@
     /// The worker doesn't answer renewals until its leases have expired.
     void partition(const Core::VmId &worker);
     /// A renewal that was sent to the worker gets no answer.
-    void failRenewal(const Core::VmId &worker) { m_scheduler.onRenewalFailed(worker, m_now); }
+    void failRenewal(const Core::VmId &worker);
     /// True if the owner sends the worker a renewal now.
     bool isRenewalDue(const Core::VmId &worker);
 
--- a/Tests/LibJob/TestCrashes.cpp
+++ b/Tests/LibJob/TestCrashes.cpp
@@ -51,6 +51,13 @@
         }
     }
 
+    /// Runs for 20 s at most.
+    void runUntilNextCrash()
+    {
+        const int crashes = mostCrashes();
+        for (int i = 0; i < 2000 && mostCrashes() == crashes; ++i)
+            m_world.run(10);
+    }
     int mostCrashes() const
     {
         int most = 0;
@@ -160,6 +167,26 @@
             REQUIRE(site.world().violation().empty());
         }
     }
+    SECTION("also if each owner dies shortly after a crash")
+    {
+        for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+            BusySite site(seed, life);
+            site.runBusy(1);
+            site.submitCrashing({ 3 });
+            for (std::size_t owner = 0; owner < 6 && !site.areCrashingGivenUp(); ++owner) {
+                site.runUntilNextCrash();
+                site.world().run(300);
+                site.world().kill(owner % JobWorld::nodeCount);
+                site.world().run(2000);
+                site.world().claim((owner + 1) % JobWorld::nodeCount);
+            }
+            site.world().run(20'000);
+            INFO("seed " << seed << ": " << site.world().violation());
+            CHECK(site.mostCrashes() <= 4);
+            CHECK(site.areCrashingGivenUp());
+            REQUIRE(site.world().violation().empty());
+        }
+    }
     SECTION("also if several owners die in a row")
     {
         for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
--- a/include/LibJob/Commands.h
+++ b/include/LibJob/Commands.h
@@ -114,6 +114,14 @@
     NotSent,
 };
 
+/// Why a renewal wasn't answered.
+enum class RenewalFailure {
+    /// No answer came in time: the worker may be cut off, slow or have crashed.
+    TimedOut,
+    /// The connection broke or was refused: the worker's process has probably ended.
+    BrokenOff,
+};
+
 const char *startOutcomeText(StartOutcome outcome);
 
 } // namespace Jobs
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -102,7 +102,7 @@
     /// \p sentAt is when the renewal was sent that the report answers.
     void onReport(const Core::VmId &worker, const WorkerReport &report, Core::Instant sentAt,
                   const TimePoint &now);
-    void onRenewalFailed(const Core::VmId &worker, const TimePoint &now);
+    void onRenewalFailed(const Core::VmId &worker, RenewalFailure failure, const TimePoint &now);
     /// Another incarnation answered a command that was sent to \p address for \p worker, which
     /// therefore has ended with all its runs. Says nothing if the worker has another address by
     /// now.
@@ -327,9 +327,9 @@
     void giveUpIfCrashing(OwnedJob &job, const TaskName &name, const TimePoint &now);
     void noteSeen(OwnedJob &job, const TaskName &name, const TaskRun &run);
     void setCrashHistory(OwnedJob &job, const TaskName &name, const CrashHistory &history);
-    /// Records which runs may have crashed a worker that has been silent for a while, so that the
-    /// next owner counts the crash if this one doesn't live to do so.
-    void recordRunsInDoubt(WorkerState &worker);
+    /// Records which runs may have crashed a worker that has stopped answering, so that the next
+    /// owner counts the crash if this one doesn't live to do so.
+    void recordRunsInDoubt(const WorkerState &worker);
     /// The tasks of the job with a run in doubt.
     static std::vector<TaskName> doubtsOf(const OwnedJob &job);
     /// The tasks with a run in doubt on the worker; forgets those whose doubt is settled.
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -146,8 +146,6 @@
     Core::Instant lastAnswerAt() const { return m_lastAnswerAt; }
     bool isUnresponsive() const { return m_isUnresponsive; }
     void noteAnswer(Core::Instant now);
-    /// The runs that may have crashed the worker are recorded as in doubt; until the next answer.
-    bool areDoubtsRecorded = false;
     void markUnresponsive(Core::Instant now);
     /// When the first call failed after the last answer; the epoch if the worker answers.
     Core::Instant unresponsiveSince() const { return m_unresponsiveSince; }
