--- a/Services/lagoonfordd/AdminService.cpp
+++ b/Services/lagoonfordd/AdminService.cpp
@@ -21,7 +21,8 @@
 
 static constexpr Core::Duration appendTimeout = std::chrono::seconds(2);
 static constexpr Core::Duration fateTimeout = std::chrono::seconds(4);
-/// By then a VM that hasn't heard of the version starts nothing any more.
+/// How long a publication waits for the entry VMs. One that hasn't received the version by then
+/// starts no further task, since its rules aren't fresh any more.
 static constexpr Core::Duration inForceTimeout = std::chrono::seconds(3);
 static constexpr Core::Duration checkInterval = std::chrono::milliseconds(50);
 static const auto partLogger = Log::logger("admin");
@@ -42,9 +43,9 @@
     const auto holder = m_node.lease().recordedHolder();
     value["holder"] = holder ? holder->vm.text() : "";
     Json::Value peers(Json::arrayValue);
-    for (const auto &[id, word] : m_node.peerWords()) {
-        Json::Value peer = word.state.toJson();
-        peer["inReach"] = m_node.isInReach(word, now);
+    for (const auto &[id, peerState] : m_node.peerStates()) {
+        Json::Value peer = peerState.state.toJson();
+        peer["inReach"] = m_node.isReachable(peerState, now);
         peers.append(peer);
     }
     value["peers"] = peers;
@@ -141,14 +142,14 @@
         Json::Value pending(Json::arrayValue);
         inForce.append(m_node.settings().vmId.text());
         for (const Platform::VmEntry &peer : m_node.peerVms()) {
-            const auto word = m_node.peerWords().find(peer.id);
+            const auto known = m_node.peerStates().find(peer.id);
             const bool hasVersion
-                = word != m_node.peerWords().end() && word->second.state.rulesVersion >= version;
+                = known != m_node.peerStates().end() && known->second.state.rulesVersion >= version;
             (hasVersion ? inForce : pending).append(peer.id.text());
         }
         answer["inForce"] = inForce;
         answer["pending"] = pending;
-        // A VM that can't be asked starts nothing once its rules aren't fresh any more.
+        // An entry VM that doesn't answer starts nothing once its rules aren't fresh any more.
         if (pending.empty() || now - acceptedAt > inForceTimeout)
             co_return;
         timer.expires_after(checkInterval);
--- a/Services/lagoonfordd/AdminService.h
+++ b/Services/lagoonfordd/AdminService.h
@@ -7,7 +7,7 @@
 
 namespace Daemon {
 
-/// What operators see and change, over HTTP and JSON; `lagoonctl` is the usual client.
+/// Serves the operators' interface (HTTP with JSON bodies); its usual client is `lagoonctl`.
 class AdminService
 {
 public:
@@ -15,17 +15,19 @@
 
     HttpResponse status() const;
     HttpResponse showRules() const;
-    /// Publishes a rules file and says truthfully what became of it, and where it is in force.
+    /// Publishes a rules file. The answer says whether it was recorded, and which entry VMs have it
+    /// in force.
     boost::asio::awaitable<HttpResponse> publishRules(HttpRequest request);
-    /// Records an operator's word that all witnesses of the failure domain's lease are gone.
+    /// Records an operator's confirmation that all witnesses of the failure domain's lease are
+    /// gone, so that a new VM may claim the lease.
     boost::asio::awaitable<HttpResponse> takeOver(HttpRequest request);
 
 private:
-    /// Waits until the record's fate is known, or the time is over.
+    /// Waits until it is known whether the record was appended, or until the deadline.
     boost::asio::awaitable<Rules::PublishFate> awaitFate(std::string recordId,
                                                          Core::Instant deadline);
-    /// Waits until every entry VM in reach has \p version in force; fills in who has and who
-    /// hasn't.
+    /// Waits until every reachable entry VM has \p version in force. Adds to the answer which ones
+    /// have and which don't.
     boost::asio::awaitable<void> awaitInForce(Rules::Version version, Json::Value &answer);
 
     Node &m_node;
--- a/Services/lagoonfordd/BackendConnection.cpp
+++ b/Services/lagoonfordd/BackendConnection.cpp
@@ -56,7 +56,7 @@
     if (error || m_isClosed)
         co_return ExchangeResult::Broken;
     onFirstByte();
-    // A body that ends with the connection could be truncated without anybody noticing.
+    // The end of such a body isn't marked, so a truncated one couldn't be told from a whole one.
     if (parser.need_eof())
         co_return ExchangeResult::Broken;
     if (!parser.is_done())
@@ -73,7 +73,7 @@
 {
     if (m_isClosed || !m_isKeptAlive)
         return false;
-    // An idle connection has nothing to read unless its server has closed it.
+    // An idle connection is readable only if its server has closed it.
     boost::system::error_code error;
     m_socket.non_blocking(true, error);
     char byte = 0;
--- a/Services/lagoonfordd/BackendConnection.h
+++ b/Services/lagoonfordd/BackendConnection.h
@@ -16,18 +16,18 @@
 
 namespace Daemon {
 
-/// How far an exchange on a connection came.
+/// The result of sending a request on a connection.
 enum class ExchangeResult {
-    /// The whole answer is there.
+    /// The whole answer was received.
     Answered,
-    /// Certainly not one byte was written.
+    /// No byte of the request was written.
     NotSent,
-    /// Bytes were written, and no whole answer came.
+    /// Bytes were written, but no whole answer was received.
     Broken,
 };
 
-/// One HTTP connection to a backend server or to another entry VM's door. It carries one request at
-/// a time; after anything but a whole answer it is never used again.
+/// One HTTP connection to a backend server or to another entry VM. Carries one request at a time,
+/// and isn't used again after a request without a whole answer.
 class BackendConnection
 {
 public:
@@ -36,10 +36,10 @@
     const Core::VmId &server() const { return m_server; }
     Core::Instant openedAt() const { return m_openedAt; }
 
-    /// Connects; false if that failed.
+    /// Opens the connection. Returns false on failure.
     boost::asio::awaitable<bool> open(std::string address, std::uint16_t port);
-    /// Writes \p request and reads the answer into `response()`. \p onFirstByte is called when the
-    /// answer's header is there.
+    /// Writes \p request and reads the answer into `response()`. Calls \p onFirstByte once the
+    /// header of the answer has been read.
     boost::asio::awaitable<ExchangeResult> exchange(const HttpRequest &request,
                                                     std::uint64_t largestBody,
                                                     std::function<void()> onFirstByte);
@@ -47,7 +47,7 @@
 
     /// True if the connection can carry another request.
     bool isReusable();
-    /// Closes at once; an exchange in progress fails.
+    /// Closes the connection immediately; a request in progress fails.
     void close();
     bool isClosedByUs() const { return m_isClosed; }
 
--- a/Services/lagoonfordd/FrontDoor.cpp
+++ b/Services/lagoonfordd/CallerServer.cpp
@@ -1,6 +1,6 @@
 #include <utility>
 
-#include "FrontDoor.h"
+#include "CallerServer.h"
 
 #include <LibLog/Logging.h>
 
@@ -30,8 +30,8 @@
 static constexpr const char *defaultTeam = "unnamed";
 static const auto partLogger = Log::logger("door");
 
-FrontDoor::FrontDoor(Node &node, RequestService &requests, KeyService &keys, JobService &jobs,
-                     AdminService &admin)
+CallerServer::CallerServer(Node &node, RequestService &requests, KeyService &keys, JobService &jobs,
+                           AdminService &admin)
     : m_node(node)
     , m_requests(requests)
     , m_keys(keys)
@@ -41,7 +41,7 @@
 {
 }
 
-asio::awaitable<void> FrontDoor::run()
+asio::awaitable<void> CallerServer::run()
 {
     m_isStopping = false;
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_node.settings().address),
@@ -61,7 +61,7 @@
     LOG4CXX_INFO(partLogger, "closed with " << m_inProgress << " requests in progress");
 }
 
-void FrontDoor::requestStop()
+void CallerServer::requestStop()
 {
     m_isStopping = true;
     boost::system::error_code ignored;
@@ -70,7 +70,7 @@
     m_changed.wake();
 }
 
-asio::awaitable<void> FrontDoor::accept()
+asio::awaitable<void> CallerServer::accept()
 {
     while (!m_isStopping) {
         const auto socket = std::make_shared<Socket>(m_node.executor());
@@ -86,7 +86,7 @@
     }
 }
 
-asio::awaitable<void> FrontDoor::serveConnection(std::shared_ptr<Socket> socket)
+asio::awaitable<void> CallerServer::serveConnection(std::shared_ptr<Socket> socket)
 {
     boost::beast::flat_buffer buffer;
     bool isKeptAlive = true;
@@ -121,7 +121,8 @@
     socket->shutdown(Socket::shutdown_send, ignored);
 }
 
-asio::awaitable<HttpResponse> FrontDoor::answer(HttpRequest request, std::shared_ptr<Socket> socket)
+asio::awaitable<HttpResponse> CallerServer::answer(HttpRequest request,
+                                                   std::shared_ptr<Socket> socket)
 {
     const std::string target(request.target());
     std::string failure;
@@ -138,14 +139,14 @@
             co_return co_await answerService(std::move(request), std::move(socket));
         co_return errorResponse(http::status::not_found, "there is no such path");
     } catch (const std::exception &exception) {
-        // One request that can't be answered must not end the whole daemon.
+        // A request that can't be answered must not end the process.
         failure = exception.what();
     }
     LOG4CXX_ERROR(partLogger, failure);
     co_return errorResponse(http::status::internal_server_error, failure);
 }
 
-asio::awaitable<HttpResponse> FrontDoor::answerJobs(HttpRequest request)
+asio::awaitable<HttpResponse> CallerServer::answerJobs(HttpRequest request)
 {
     const std::string target(request.target());
     const bool isCollection = target == "/jobs";
@@ -163,7 +164,7 @@
     co_return errorResponse(http::status::method_not_allowed, "allowed: GET, POST, DELETE");
 }
 
-asio::awaitable<HttpResponse> FrontDoor::answerAdmin(HttpRequest request)
+asio::awaitable<HttpResponse> CallerServer::answerAdmin(HttpRequest request)
 {
     const std::string target(request.target());
     const bool isGet = request.method() == http::verb::get;
@@ -178,12 +179,12 @@
     co_return errorResponse(http::status::not_found, "there is no such path");
 }
 
-Routing::RequestInfo FrontDoor::describe(const HttpRequest &request) const
+Routing::RequestInfo CallerServer::describe(const HttpRequest &request) const
 {
     Routing::RequestInfo info;
     const std::string callersId = fieldText(request.base(), Field::requestId);
     const std::string prefix = Core::isName(callersId) ? callersId : "request";
-    // The caller's id may repeat; ours doesn't.
+    // Callers may use an ID twice; the router needs unique ones.
     info.id = Core::RequestId(m_node.makeId(prefix));
     const std::string team = fieldText(request.base(), Field::team);
     info.team = Core::TeamId(Core::isName(team) ? team : defaultTeam);
@@ -202,8 +203,8 @@
     return info;
 }
 
-asio::awaitable<HttpResponse> FrontDoor::answerService(HttpRequest request,
-                                                       std::shared_ptr<Socket> socket)
+asio::awaitable<HttpResponse> CallerServer::answerService(HttpRequest request,
+                                                          std::shared_ptr<Socket> socket)
 {
     Routing::RequestInfo info = describe(request);
     watchCaller(socket, info.id);
@@ -212,7 +213,8 @@
     co_return co_await m_requests.serve(std::move(info), std::move(request));
 }
 
-asio::awaitable<HttpResponse> FrontDoor::answerKeyed(Routing::RequestInfo info, HttpRequest request)
+asio::awaitable<HttpResponse> CallerServer::answerKeyed(Routing::RequestInfo info,
+                                                        HttpRequest request)
 {
     const KeyBegin begin { info.team, info.key, info.id, issueTimeOf(info.key) };
     const Routing::KeyDecision decision = co_await m_keys.begin(begin, info.deadline);
@@ -243,9 +245,10 @@
     co_return response;
 }
 
-void FrontDoor::watchCaller(const std::shared_ptr<Socket> &socket, const Core::RequestId &request)
+void CallerServer::watchCaller(const std::shared_ptr<Socket> &socket,
+                               const Core::RequestId &request)
 {
-    // Readable without bytes means that the caller has closed its end.
+    // A socket that is readable without bytes to read has been closed by the caller.
     socket->async_wait(
         Socket::wait_read, [this, socket, request](const boost::system::error_code &failure) {
             if (failure)
@@ -255,11 +258,11 @@
             socket->non_blocking(true, error);
             socket->receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
             if (error && error != asio::error::would_block)
-                m_requests.callerGone(request);
+                m_requests.onCallerGone(request);
         });
 }
 
-HttpResponse FrontDoor::health() const
+HttpResponse CallerServer::health() const
 {
     if (m_node.isLeaving())
         return textResponse(http::status::service_unavailable, "leaving\n");
--- a/Services/lagoonfordd/FrontDoor.h
+++ b/Services/lagoonfordd/CallerServer.h
@@ -17,16 +17,16 @@
 
 namespace Daemon {
 
-/// The HTTP door for callers, the balancer and operators.
-class FrontDoor final : public Supervision::Part
+/// The HTTP server for callers, the load balancer and operators.
+class CallerServer final : public Supervision::Part
 {
 public:
-    FrontDoor(Node &node, RequestService &requests, KeyService &keys, JobService &jobs,
-              AdminService &admin);
+    CallerServer(Node &node, RequestService &requests, KeyService &keys, JobService &jobs,
+                 AdminService &admin);
 
     std::string name() const override { return "door"; }
     boost::asio::awaitable<void> run() override;
-    /// Accepts nothing new, and lets the requests in progress finish.
+    /// Stops accepting connections; requests in progress are finished.
     void requestStop() override;
 
 private:
@@ -40,7 +40,8 @@
     boost::asio::awaitable<HttpResponse> answerAdmin(HttpRequest request);
     boost::asio::awaitable<HttpResponse> answerService(HttpRequest request,
                                                        std::shared_ptr<Socket> socket);
-    /// Runs a request with a caller's key: at most once, and a repetition gets the first outcome.
+    /// Runs a request that has an idempotency key at most once. A repeated request gets the answer
+    /// of the first.
     boost::asio::awaitable<HttpResponse> answerKeyed(Routing::RequestInfo info,
                                                      HttpRequest request);
     void watchCaller(const std::shared_ptr<Socket> &socket, const Core::RequestId &request);
@@ -53,7 +54,7 @@
     JobService &m_jobs;
     AdminService &m_admin;
     std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
-    /// Connections on which nothing is in progress; they are closed when the door closes.
+    /// Connections without a request in progress, which are closed when the server stops.
     std::set<std::shared_ptr<Socket>> m_idle;
     std::size_t m_inProgress = 0;
     Supervision::Wakeup m_changed;
--- a/Services/lagoonfordd/Daemon.cpp
+++ b/Services/lagoonfordd/Daemon.cpp
@@ -16,7 +16,7 @@
 
 namespace asio = boost::asio;
 
-/// How long the balancer may take to notice that this VM is leaving.
+/// Time for the load balancer to notice that this VM isn't ready any more.
 static constexpr std::chrono::seconds balancerGrace(2);
 static const auto partLogger = Log::logger("supervisor");
 
@@ -38,7 +38,7 @@
     , m_lease(m_node)
     , m_placer(m_node)
     , m_router(m_node, m_requests)
-    , m_door(m_node, m_requests, m_keys, m_jobs, m_admin)
+    , m_callerServer(m_node, m_requests, m_keys, m_jobs, m_admin)
     , m_control("control", m_context.get_executor(), {}, report)
     , m_service("service", m_context.get_executor(), {}, report)
     , m_root("root", m_context.get_executor(), {}, report)
@@ -50,7 +50,7 @@
     m_control.add(m_lease);
     m_control.add(m_placer);
     m_service.add(m_router);
-    m_service.add(m_door);
+    m_service.add(m_callerServer);
     m_root.add(m_control);
     m_root.add(m_service);
 }
--- a/Services/lagoonfordd/Daemon.h
+++ b/Services/lagoonfordd/Daemon.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "AdminService.h"
+#include "CallerServer.h"
 #include "DirectoryPart.h"
 #include "DomainFollower.h"
-#include "FrontDoor.h"
 #include "JobService.h"
 #include "KeyService.h"
 #include "LeasePart.h"
@@ -22,14 +22,14 @@
 
 namespace Daemon {
 
-/// The whole daemon: its parts under one tree of supervisors, and its graceful shutdown.
+/// The daemon process: a tree of supervisors with all parts, and the graceful shutdown.
 class Daemon
 {
 public:
     explicit Daemon(const Settings::Settings &settings);
 
-    /// Runs until a signal to stop and the shutdown that follows it. \throws if a part failed for
-    /// good.
+    /// Runs until SIGTERM or SIGINT, and then until the graceful shutdown is complete.
+    /// \throws std::exception if a part can't be restarted any more.
     void run();
 
 private:
@@ -49,8 +49,9 @@
     LeasePart m_lease;
     PlacerPart m_placer;
     RequestPart m_router;
-    FrontDoor m_door;
-    /// What decides on tasks, and what serves callers: a failure in one doesn't restart the other.
+    CallerServer m_callerServer;
+    /// The parts that place tasks and those that serve callers have separate supervisors, so that a
+    /// failure in one group doesn't restart the other.
     Supervision::Supervisor m_control;
     Supervision::Supervisor m_service;
     Supervision::Supervisor m_root;
--- a/Services/lagoonfordd/DirectoryPart.cpp
+++ b/Services/lagoonfordd/DirectoryPart.cpp
@@ -19,7 +19,7 @@
 static constexpr Core::Duration listTimeout = std::chrono::milliseconds(900);
 static constexpr Core::Duration peerInterval = std::chrono::milliseconds(600);
 static constexpr Core::Duration peerTimeout = std::chrono::milliseconds(600);
-/// Peers in other failure domains are asked once in so many rounds.
+/// Peers in other failure domains are queried once in this many rounds.
 static constexpr unsigned roundsPerDistantPeer = 3;
 static const auto partLogger = Log::logger("directory");
 
@@ -41,7 +41,7 @@
         if (isNear || m_round % roundsPerDistantPeer == 0)
             asio::co_spawn(node().executor(), askPeer(peer.id), asio::detached);
     }
-    node().applyPeerWords(now);
+    node().applyPeerStates(now);
     co_return now + peerInterval;
 }
 
@@ -51,7 +51,7 @@
     try {
         node().setVms(co_await node().directory().list(Core::steadyNow() + listTimeout));
     } catch (const Core::Error &error) {
-        // The last list stays in use; it lags anyway.
+        // The last list stays in use; users of the list have to cope with an old one anyway.
         isReachable = false;
         LOG4CXX_DEBUG(partLogger, error.what());
     }
@@ -66,7 +66,7 @@
     try {
         const Json::Value answer = co_await node().peers().call(
             peer, VmState::methodName, Json::Value(Json::objectValue), askedAt + peerTimeout);
-        node().setPeerWord({ VmState::fromJson(answer), askedAt });
+        node().setPeerState({ VmState::fromJson(answer), askedAt });
     } catch (const Core::Error &error) {
         LOG4CXX_DEBUG(partLogger, error.what());
     }
--- a/Services/lagoonfordd/DirectoryPart.h
+++ b/Services/lagoonfordd/DirectoryPart.h
@@ -4,7 +4,7 @@
 
 namespace Daemon {
 
-/// Reads the platform's list of VMs again and again, and asks the peers how they are.
+/// Polls the platform's list of VMs and the state of each peer.
 class DirectoryPart final : public StoppablePart
 {
 public:
--- a/Services/lagoonfordd/DomainFollower.cpp
+++ b/Services/lagoonfordd/DomainFollower.cpp
@@ -33,7 +33,8 @@
     try {
         co_await readToEnd();
     } catch (const Core::FormatError &) {
-        // A record that is newer than this program can't be passed over; the part fails.
+        // A record of a newer format than this program knows must not be skipped, so the part
+        // fails.
         throw;
     } catch (const Core::Error &error) {
         LOG4CXX_DEBUG(partLogger, error.what());
--- a/Services/lagoonfordd/DomainFollower.h
+++ b/Services/lagoonfordd/DomainFollower.h
@@ -8,7 +8,8 @@
 
 namespace Daemon {
 
-/// Reads the stream of the own failure domain and feeds the lease and the tasks with it.
+/// Reads the stream of this failure domain and passes its records to the lease manager and the
+/// placer.
 class DomainFollower final : public StoppablePart
 {
 public:
@@ -20,7 +21,7 @@
 private:
     boost::asio::awaitable<void> readToEnd();
     void apply(const Platform::LogPage &page);
-    /// Starts over at the oldest retained record, from snapshots if there are older ones.
+    /// Reads the stream again from the oldest retained record, and older state from snapshots.
     void startOver(const std::vector<Platform::LogRecord> &records, std::uint64_t firstRetained);
     void applyRecord(const Platform::LogRecord &record);
 
--- a/Services/lagoonfordd/HttpMessages.h
+++ b/Services/lagoonfordd/HttpMessages.h
@@ -13,7 +13,7 @@
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
-/// The header fields that callers and entry VMs use; docs/operators/REQUESTS.md describes them.
+/// Header fields between callers and entry VMs; see docs/operators/REQUESTS.md.
 namespace Field {
 inline constexpr const char *team = "Lagoonford-Team";
 inline constexpr const char *deadlineMs = "Lagoonford-Deadline-Ms";
@@ -25,20 +25,20 @@
 inline constexpr const char *key = "Idempotency-Key";
 } // namespace Field
 
-/// The text of a header field; empty if it is missing.
+/// Returns the value of a header field; empty if it is missing.
 std::string fieldText(const boost::beast::http::fields &fields, const std::string &name);
 
-/// Copies the header fields that concern the whole way, not just one connection of it.
+/// Copies the end-to-end header fields, but not the hop-by-hop ones (RFC 9110, section 7.6.1).
 void copyEndToEndFields(const boost::beast::http::fields &from, boost::beast::http::fields &to);
 
 HttpResponse textResponse(boost::beast::http::status status, const std::string &text);
 HttpResponse jsonResponse(boost::beast::http::status status, const Json::Value &value);
-/// An error as JSON: `{"error": message}`.
+/// Returns an error as JSON: `{"error": message}`.
 HttpResponse errorResponse(boost::beast::http::status status, const std::string &message);
 
-/// The final answer to a request that certainly hasn't run, with when to come back.
+/// Returns the answer to a request that certainly hasn't run, with Retry-After.
 HttpResponse notRunResponse(const std::string &reason, Core::Duration retryAfter);
-/// The final answer to a request that may have run.
+/// Returns the answer to a request that may have run.
 HttpResponse unknownResponse(const std::string &reason);
 
 } // namespace Daemon
--- a/Services/lagoonfordd/JobService.cpp
+++ b/Services/lagoonfordd/JobService.cpp
@@ -239,8 +239,8 @@
 Core::FailureDomainId JobService::chooseDomain(const Task::TaskSpec &spec) const
 {
     // FIXME: A submission of unknown outcome that is repeated after its failure domain was taken
-    // out
-    //        goes to another stream; if the first one landed late, the task has two owners.
+    //        out goes to another stream. If the first one is appended late, the task has two
+    //        owners.
     const Rules::RuleSet &rules = m_node.ruleBook().current().rules;
     Core::FailureDomainId best;
     std::uint64_t bestWeight = 0;
--- a/Services/lagoonfordd/JobService.h
+++ b/Services/lagoonfordd/JobService.h
@@ -10,8 +10,8 @@
 
 namespace Daemon {
 
-/// Jobs over HTTP: submit, look up, cancel. A submission is acknowledged after it stands in the
-/// log.
+/// Serves jobs over HTTP: submission, look-up and cancellation. A submission is acknowledged once
+/// its record is in the log.
 class JobService
 {
 public:
@@ -25,21 +25,23 @@
     boost::asio::awaitable<HttpResponse> cancel(Core::TaskId task);
     boost::asio::awaitable<HttpResponse> list();
 
-    /// Answers peers: what this failure domain knows of the task, or null.
+    /// Handles a peer's call: returns what this failure domain knows of the task; null if nothing.
     Json::Value onFind(const Json::Value &parameters) const;
-    /// Answers peers: how many tasks are in each state here.
+    /// Handles a peer's call: returns the number of tasks in each state in this failure domain.
     Json::Value onList() const;
 
 private:
     boost::asio::awaitable<HttpResponse> append(Core::FailureDomainId failureDomain,
                                                 Task::TaskRecord record, std::string what,
                                                 Json::Value success);
-    /// Looks here, then in the other failure domains; null if nobody knows the task.
+    /// Looks for the task in this failure domain, then in the others; null if none knows it.
     boost::asio::awaitable<Json::Value> findAnywhere(Core::TaskId task);
-    /// Where a new task goes; empty if it may run nowhere now. It follows from the task's id and
-    /// the rules alone, so that a repetition at another entry VM goes to the same stream.
+    /// Returns the failure domain that gets a new task; empty if the task may run in none now.
+    /// Depends only on the task's ID and the rules, so that a repeated submission at another entry
+    /// VM goes to the same stream.
     Core::FailureDomainId chooseDomain(const Task::TaskSpec &spec) const;
-    /// Why no worker where the task may run could ever take it; empty if one could.
+    /// Returns why the task fits on no worker of the failure domains where it may run; empty if it
+    /// fits on one.
     std::string reasonNeverFits(const Task::TaskSpec &spec) const;
     Json::Value describe(const Core::TaskId &task) const;
 
--- a/Services/lagoonfordd/KeyMessages.h
+++ b/Services/lagoonfordd/KeyMessages.h
@@ -12,7 +12,7 @@
 
 namespace Daemon {
 
-/// The parameters of the call `keys.begin`: may this request run under this key?
+/// The parameters of the call `keys.begin`, which asks whether a request may run under a key.
 struct KeyBegin
 {
     static constexpr const char *methodName = "keys.begin";
@@ -20,7 +20,7 @@
     Core::TeamId team;
     std::string key;
     Core::RequestId request;
-    /// When the key was made, in milliseconds since 1970; nothing if the key doesn't tell.
+    /// When the key was created, in Unix milliseconds; nothing if the key doesn't contain it.
     std::optional<std::int64_t> issuedAtUnixMs;
 
     bool operator==(const KeyBegin &) const = default;
@@ -30,7 +30,7 @@
     static KeyBegin fromJson(const Json::Value &value);
 };
 
-/// The parameters of the call `keys.finish`: how the request that ran under the key has ended.
+/// The parameters of the call `keys.finish`, which reports the outcome of a request with a key.
 struct KeyFinish
 {
     static constexpr const char *methodName = "keys.finish";
@@ -38,7 +38,7 @@
     Core::TeamId team;
     std::string key;
     Core::RequestId request;
-    /// Nothing if the request certainly didn't run.
+    /// The answer; nothing if the request certainly hasn't run.
     std::optional<Routing::StoredOutcome> outcome;
 
     bool operator==(const KeyFinish &) const = default;
@@ -48,7 +48,7 @@
     static KeyFinish fromJson(const Json::Value &value);
 };
 
-/// Ask this VM instead; it owns the key.
+/// A redirect to the VM that owns the key.
 struct KeyRedirect
 {
     Core::VmId owner;
--- a/Services/lagoonfordd/KeyService.cpp
+++ b/Services/lagoonfordd/KeyService.cpp
@@ -17,7 +17,7 @@
 namespace asio = boost::asio;
 
 static constexpr Core::Duration finishTimeout = std::chrono::seconds(2);
-/// How often an owner is asked before the request is refused; a redirect counts.
+/// Maximum number of calls, redirects included, before the request is refused.
 static constexpr int mostQuestions = 3;
 static const auto partLogger = Log::logger("keys");
 
@@ -54,7 +54,7 @@
 {
     m_table.expire(now);
     const std::vector<const Lease::DomainView *> views = m_node.membership().effectiveViews(now);
-    // Owners of an earlier view may still decide until all members have left that view behind.
+    // Owners of an earlier view may still decide until all members use a later one.
     const bool isSettled = views.size() == 1 && m_node.membership().isMember(now);
     if (!isSettled)
         return;
@@ -108,7 +108,8 @@
 {
     const Core::FailureDomainId home = m_ownership.homeOf(finish.team, finish.key);
     if (home != m_node.settings().failureDomain) {
-        // Every VM of the home is told, since any of them may be the owner; others ignore it.
+        // The call goes to every VM of the home failure domain, since any may be the owner; the
+        // others ignore it.
         for (const Platform::VmEntry &vm : m_node.peerVms()) {
             if (vm.failureDomain != home)
                 continue;
@@ -157,8 +158,8 @@
 Core::VmId KeyService::someVmOf(const Core::FailureDomainId &failureDomain) const
 {
     const Core::Instant now = Core::steadyNow();
-    for (const auto &[id, word] : m_node.peerWords()) {
-        if (word.state.failureDomain == failureDomain && m_node.isInReach(word, now))
+    for (const auto &[id, peerState] : m_node.peerStates()) {
+        if (peerState.state.failureDomain == failureDomain && m_node.isReachable(peerState, now))
             return id;
     }
     return {};
--- a/Services/lagoonfordd/LeasePart.cpp
+++ b/Services/lagoonfordd/LeasePart.cpp
@@ -43,7 +43,7 @@
 
 asio::awaitable<void> LeasePart::finish()
 {
-    // The next placer needn't wait for the lease to lapse.
+    // Released explicitly, so that the next placer doesn't wait for the lease to expire.
     const Core::Instant now = Core::steadyNow();
     node().lease().release(now);
     for (const Lease::LeaseAction &action : node().membership().poll(now)) {
--- a/Services/lagoonfordd/LeasePart.h
+++ b/Services/lagoonfordd/LeasePart.h
@@ -6,7 +6,7 @@
 
 namespace Daemon {
 
-/// Drives the lease and the membership of the own failure domain.
+/// Runs the lease manager and the membership manager of this failure domain.
 class LeasePart final : public StoppablePart
 {
 public:
--- a/Services/lagoonfordd/Metrics.h
+++ b/Services/lagoonfordd/Metrics.h
@@ -9,13 +9,13 @@
 
 namespace Daemon {
 
-/// What the daemon counts, for `GET /metrics`. docs/operators/METRICS.md describes each metric.
+/// The daemon's metrics for `GET /metrics`; see docs/operators/METRICS.md.
 class Metrics
 {
 public:
     Metrics();
 
-    /// \p outcome is answered, not-run or unknown.
+    /// \p outcome is `answered`, `not-run` or `unknown`.
     void countRequest(const std::string &outcome, double seconds);
     void countAttempt(const std::string &result);
     void countPlacement(const std::string &kind);
@@ -24,7 +24,7 @@
     void setRulesVersion(double version);
     void setQueued(double requests);
 
-    /// All metrics in the text format of Prometheus.
+    /// Returns all metrics in the Prometheus text format.
     std::string text() const;
 
 private:
--- a/Services/lagoonfordd/Node.cpp
+++ b/Services/lagoonfordd/Node.cpp
@@ -11,9 +11,9 @@
 
 namespace Daemon {
 
-/// A peer that hasn't answered for so long counts as out of reach.
-static constexpr Core::Duration reachPatience = std::chrono::milliseconds(2500);
-static constexpr int runWordDigits = 12;
+/// A peer that hasn't answered for this long isn't reachable.
+static constexpr Core::Duration reachableFor = std::chrono::milliseconds(2500);
+static constexpr int runNameDigits = 12;
 
 namespace {
 
@@ -29,7 +29,8 @@
     {
         Placement::SchedulerSettings settings;
         settings.failureDomain = m_node.settings().failureDomain;
-        // The quotas are shared by the failure domains that are known when the placer takes over.
+        // The quotas are divided between the failure domains that are known when the placer takes
+        // over.
         settings.failureDomainCount = static_cast<int>(m_node.failureDomains().size());
         return Placement::InformedScheduler::create(settings);
     }
@@ -38,15 +39,15 @@
     const Node &m_node;
 };
 
-std::string drawRunWord()
+std::string makeRunName()
 {
     static constexpr char digits[] = "0123456789abcdef";
     std::random_device device;
     std::uniform_int_distribution<int> digit(0, 15);
-    std::string word;
-    for (int count = 0; count < runWordDigits; ++count)
-        word += digits[digit(device)];
-    return word;
+    std::string name;
+    for (int count = 0; count < runNameDigits; ++count)
+        name += digits[digit(device)];
+    return name;
 }
 
 Lease::LeaseSettings leaseSettings(const Settings::Settings &settings, const std::string &run)
@@ -98,7 +99,7 @@
 Node::Node(const Settings::Settings &settings, const boost::asio::any_io_executor &executor)
     : m_settings(settings)
     , m_executor(executor)
-    , m_run(drawRunWord())
+    , m_run(makeRunName())
     , m_log(executor, { settings.platformAddress, settings.platformPort })
     , m_workers(executor, { settings.platformAddress, settings.platformPort })
     , m_directory(executor, { settings.platformAddress, settings.platformPort })
@@ -163,14 +164,14 @@
     return { domains.begin(), domains.end() };
 }
 
-void Node::setPeerWord(const PeerWord &word)
+void Node::setPeerState(const PeerState &peerState)
 {
-    m_peerWords[word.state.vm] = word;
+    m_peerStates[peerState.state.vm] = peerState;
 }
 
-bool Node::isInReach(const PeerWord &word, Core::Instant now) const
+bool Node::isReachable(const PeerState &peerState, Core::Instant now) const
 {
-    return now - word.askedAt < reachPatience;
+    return now - peerState.askedAt < reachableFor;
 }
 
 VmState Node::ownState(Core::Instant now) const
@@ -187,15 +188,15 @@
     return state;
 }
 
-void Node::applyPeerWords(Core::Instant now)
+void Node::applyPeerStates(Core::Instant now)
 {
     std::vector<Lease::Incarnation> candidates;
     std::map<Core::FailureDomainId, Task::PeerDomain> domains;
     for (const Platform::VmEntry &vm : peerVms()) {
-        const auto word = m_peerWords.find(vm.id);
-        if (word == m_peerWords.end() || !isInReach(word->second, now))
+        const auto known = m_peerStates.find(vm.id);
+        if (known == m_peerStates.end() || !isReachable(known->second, now))
             continue;
-        const VmState &state = word->second.state;
+        const VmState &state = known->second.state;
         if (state.failureDomain == m_settings.failureDomain) {
             if (!state.isLeaving && vm.state == Platform::VmState::Live)
                 candidates.push_back({ state.vm, state.run });
--- a/Services/lagoonfordd/Node.h
+++ b/Services/lagoonfordd/Node.h
@@ -29,12 +29,12 @@
 
 namespace Daemon {
 
-/// The name of the stream of \p failureDomain.
+/// Returns the name of the stream of \p failureDomain.
 std::string domainStream(const Core::FailureDomainId &failureDomain);
 inline constexpr const char *rulesStream = "rules";
 
-/// What one entry VM knows and decides with: the decision modules, the links to the outside, and
-/// the latest word of every peer. The parts of the daemon work on it, all in one thread.
+/// The state of one entry VM that the parts of the daemon share: the decision modules, the clients
+/// of the platform and of peers, and the latest state of each peer. Used in one thread only.
 class Node
 {
 public:
@@ -43,8 +43,8 @@
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
 
-    /// A peer's latest answer and when it was asked.
-    struct PeerWord
+    /// A peer's latest answer, and when the call was sent.
+    struct PeerState
     {
         VmState state;
         Core::Instant askedAt;
@@ -66,36 +66,36 @@
     Lease::MembershipManager &membership() { return m_membership; }
     const Lease::SlotShares &shares() const { return m_shares; }
     Task::DomainPlacer &placer() { return *m_placer; }
-    /// Begins the life of tasks anew, because the stream is read from another place.
+    /// Replaces the placer by an empty one, since the stream is read again from another offset.
     void resetPlacer();
 
-    /// The rules came into force, or the VMs changed.
+    /// Passes the rules to all decision modules after a change of the rules or of the VMs.
     void applyRules();
     void setVms(const std::vector<Platform::VmEntry> &vms);
     const std::vector<Platform::VmEntry> &vms() const { return m_vms; }
-    /// The entry VMs that are known, without this one.
+    /// Returns the known entry VMs except this one.
     std::vector<Platform::VmEntry> peerVms() const;
-    /// The failure domains of all known VMs.
+    /// Returns the failure domains of all known VMs.
     std::vector<Core::FailureDomainId> failureDomains() const;
 
-    void setPeerWord(const PeerWord &word);
-    const std::map<Core::VmId, PeerWord> &peerWords() const { return m_peerWords; }
-    /// True if the peer answered lately.
-    bool isInReach(const PeerWord &word, Core::Instant now) const;
+    void setPeerState(const PeerState &peerState);
+    const std::map<Core::VmId, PeerState> &peerStates() const { return m_peerStates; }
+    /// True if the peer has answered a recent call.
+    bool isReachable(const PeerState &peerState, Core::Instant now) const;
     VmState ownState(Core::Instant now) const;
-    /// Hands what peers said to the lease and the placer.
-    void applyPeerWords(Core::Instant now);
+    /// Passes the states of the reachable peers to the lease manager and the placer.
+    void applyPeerStates(Core::Instant now);
 
-    /// True while requests can be answered here.
+    /// True while this VM can serve requests.
     bool isReady(Core::Instant now) const;
     bool isLeaving() const { return m_isLeaving; }
     void beginLeaving() { m_isLeaving = true; }
 
     void setQueued(std::uint64_t queued) { m_queued = queued; }
-    /// An id that no other entry VM and no earlier run makes.
+    /// Returns an ID that is unique over all entry VMs and all runs of their processes.
     std::string makeId(const std::string &prefix);
 
-    /// Wakes the parts that drive the machines.
+    /// Wake the parts that run the decision modules.
     Supervision::Wakeup &leaseWakeup() { return m_leaseWakeup; }
     Supervision::Wakeup &placerWakeup() { return m_placerWakeup; }
     Supervision::Wakeup &rulesWakeup() { return m_rulesWakeup; }
@@ -118,7 +118,7 @@
     std::unique_ptr<Task::SchedulerFactory> m_schedulers;
     std::unique_ptr<Task::DomainPlacer> m_placer;
     std::vector<Platform::VmEntry> m_vms;
-    std::map<Core::VmId, PeerWord> m_peerWords;
+    std::map<Core::VmId, PeerState> m_peerStates;
     Supervision::Wakeup m_leaseWakeup;
     Supervision::Wakeup m_placerWakeup;
     Supervision::Wakeup m_rulesWakeup;
--- a/Services/lagoonfordd/PeersPart.h
+++ b/Services/lagoonfordd/PeersPart.h
@@ -10,7 +10,7 @@
 
 namespace Daemon {
 
-/// Answers the calls of the other entry VMs.
+/// Serves the calls of the other entry VMs.
 class PeersPart final : public StoppablePart
 {
 public:
--- a/Services/lagoonfordd/PendingRequest.h
+++ b/Services/lagoonfordd/PendingRequest.h
@@ -11,7 +11,7 @@
 
 namespace Daemon {
 
-/// A caller's request that hasn't got its final answer yet.
+/// A caller's request that has no final answer yet.
 struct PendingRequest
 {
     PendingRequest(const boost::asio::any_io_executor &executor, Routing::RequestInfo requestInfo,
@@ -24,7 +24,7 @@
 
     Routing::RequestInfo info;
     HttpRequest http;
-    /// Whole answers by attempt, until the router says which one is passed on.
+    /// Whole answers by attempt number, until the router decides which one the caller gets.
     std::map<int, HttpResponse> answers;
     std::optional<Routing::Outcome> outcome;
     Supervision::Wakeup finished;
--- a/Services/lagoonfordd/PlacerPart.cpp
+++ b/Services/lagoonfordd/PlacerPart.cpp
@@ -108,7 +108,7 @@
     const Task::AppendOutcome outcome
         = co_await appendTo(domainStream(m_vm.settings().failureDomain), std::move(bodies));
     m_vm.placer().onAppendOutcome(action.batchId, outcome, Core::steadyNow());
-    // Reading back at once shortens the way from a record to what follows from it.
+    // The placer acts on its records once they are read back, so they are read at once.
     m_vm.domainWakeup().wake();
     changed();
 }
--- a/Services/lagoonfordd/PlacerPart.h
+++ b/Services/lagoonfordd/PlacerPart.h
@@ -6,7 +6,7 @@
 
 namespace Daemon {
 
-/// Drives the placer: carries out its actions while this VM holds the lease.
+/// Runs the placer, and carries out its actions while this VM holds the lease.
 class PlacerPart final : public StoppablePart
 {
 public:
@@ -28,7 +28,7 @@
                                                          std::vector<std::string> bodies);
     /// Spawns the coroutine that carries out \p action.
     void perform(const Task::PlacerAction &action);
-    /// Looks at the lease again, at the last moment before a command leaves.
+    /// Checks the lease again directly before a command is sent.
     bool mayCommand(Core::Instant notAfter) const;
     void changed();
 
--- a/Services/lagoonfordd/RequestPart.h
+++ b/Services/lagoonfordd/RequestPart.h
@@ -5,7 +5,7 @@
 
 namespace Daemon {
 
-/// Drives the router's timers and keeps it told of servers and shares.
+/// Runs the router's timers, and passes changes of servers and slot shares to it.
 class RequestPart final : public StoppablePart
 {
 public:
@@ -13,7 +13,7 @@
 
 protected:
     boost::asio::awaitable<Core::Instant> step(Core::Instant now) override;
-    /// Refuses new requests and waits until those in progress are finished.
+    /// Makes the router refuse new requests, and waits until those in progress are finished.
     boost::asio::awaitable<void> finish() override;
 
 private:
--- a/Services/lagoonfordd/RequestService.cpp
+++ b/Services/lagoonfordd/RequestService.cpp
@@ -21,11 +21,12 @@
 namespace http = boost::beast::http;
 
 static constexpr Core::Duration longestSleep = std::chrono::milliseconds(100);
-/// What the hop to another failure domain adds, both ways together.
+/// Round-trip time that a request to another failure domain adds.
 static constexpr Core::Duration hopLatency = std::chrono::milliseconds(2);
-/// A door with more requests waiting than this isn't asked to take others.
+/// An entry VM with more requests waiting than this gets none from other failure domains.
 static constexpr std::uint64_t mostQueuedAtOtherDoor = 50;
-/// The weight of the newest of ten values a second, so that the average spans some seconds.
+/// Weight of the newest value in the moving average, which gets ten values per second and thus
+/// spans some seconds.
 static constexpr double demandSmoothing = 0.05;
 static constexpr const char *servicePrefix = "/service";
 static constexpr const char *probePath = "/healthz";
@@ -50,7 +51,7 @@
     co_return finalAnswer(*pending);
 }
 
-void RequestService::callerGone(const Core::RequestId &request)
+void RequestService::onCallerGone(const Core::RequestId &request)
 {
     react(m_router.onCallerGone(request, Core::steadyNow()));
 }
@@ -86,7 +87,7 @@
         weights[team] = rule.weight;
     m_router.setTeamWeights(weights);
     perform(m_router.setServers(servers(now), now));
-    perform(m_router.setSpillOver(otherDoors(now), now));
+    perform(m_router.setSpillOver(spillOverOptions(now), now));
     m_demand += demandSmoothing * (static_cast<double>(m_router.inProgress()) - m_demand);
     m_node.membership().setDemand(static_cast<int>(std::ceil(m_demand)));
     m_node.setQueued(m_router.queued());
@@ -112,16 +113,16 @@
     return servers;
 }
 
-std::vector<Routing::SpillOverOption> RequestService::otherDoors(Core::Instant now) const
+std::vector<Routing::SpillOverOption> RequestService::spillOverOptions(Core::Instant now) const
 {
     std::map<Core::FailureDomainId, bool> accepting;
     const Rules::RuleSet &rules = m_node.ruleBook().current().rules;
-    for (const auto &[id, word] : m_node.peerWords()) {
-        const VmState &state = word.state;
+    for (const auto &[id, peerState] : m_node.peerStates()) {
+        const VmState &state = peerState.state;
         if (state.failureDomain == m_node.settings().failureDomain
             || rules.isOut(state.failureDomain))
             continue;
-        const bool isAccepting = m_node.isInReach(word, now) && !state.isLeaving
+        const bool isAccepting = m_node.isReachable(peerState, now) && !state.isLeaving
             && state.queued < mostQueuedAtOtherDoor;
         accepting[state.failureDomain] = accepting[state.failureDomain] || isAccepting;
     }
@@ -171,7 +172,7 @@
     LOG4CXX_INFO(partLogger,
                  "request " << action.request << " attempt " << action.attempt << " abandoned at "
                             << action.server);
-    // The answer is still read, and dropped: its end frees the slot early.
+    // The answer is read and dropped: its end shows that the server's slot is free.
     m_abandoned.insert({ action.request, action.attempt });
 }
 
@@ -303,7 +304,7 @@
 asio::awaitable<void> RequestService::runSpillOver(Routing::SpillOver action,
                                                    std::shared_ptr<PendingRequest> pending)
 {
-    const Platform::VmEntry *door = findDoor(action.failureDomain);
+    const Platform::VmEntry *door = findEntryVm(action.failureDomain);
     const auto connection = std::make_shared<BackendConnection>(
         m_node.executor(), door != nullptr ? door->id : Core::VmId());
     const AttemptKey key { action.request, action.attempt };
@@ -313,7 +314,7 @@
     ExchangeResult result = ExchangeResult::NotSent;
     if (isOpen)
         result = co_await connection->exchange(
-            requestForDoor(*pending, action.attemptDeadline),
+            requestForEntryVm(*pending, action.attemptDeadline),
             static_cast<std::uint64_t>(m_node.settings().largestBodyBytes), [] {});
     m_inUse.erase(key);
     const Core::Instant now = Core::steadyNow();
@@ -369,7 +370,8 @@
 {
     std::deque<Connection> &idle = m_idle[server];
     while (!idle.empty()) {
-        // The newest one is the least likely to have been closed or forgotten on the way.
+        // The newest connection is the least likely to have been closed by the server or dropped by
+        // the network.
         Connection connection = idle.back();
         idle.pop_back();
         if (connection->isReusable())
@@ -404,18 +406,19 @@
     return found == vms.end() ? nullptr : &*found;
 }
 
-const Platform::VmEntry *RequestService::findDoor(const Core::FailureDomainId &failureDomain) const
+const Platform::VmEntry *
+RequestService::findEntryVm(const Core::FailureDomainId &failureDomain) const
 {
-    std::vector<const Platform::VmEntry *> doors;
+    std::vector<const Platform::VmEntry *> entryVms;
     const Core::Instant now = Core::steadyNow();
     for (const Platform::VmEntry &vm : m_node.vms()) {
-        const auto word = m_node.peerWords().find(vm.id);
-        const bool isOpen = word != m_node.peerWords().end() && !word->second.state.isLeaving
-            && m_node.isInReach(word->second, now);
+        const auto known = m_node.peerStates().find(vm.id);
+        const bool isOpen = known != m_node.peerStates().end() && !known->second.state.isLeaving
+            && m_node.isReachable(known->second, now);
         if (vm.failureDomain == failureDomain && isOpen)
-            doors.push_back(&vm);
+            entryVms.push_back(&vm);
     }
-    return doors.empty() ? nullptr : doors[m_nextDoor++ % doors.size()];
+    return entryVms.empty() ? nullptr : entryVms[m_nextEntryVm++ % entryVms.size()];
 }
 
 HttpRequest RequestService::requestForServer(const PendingRequest &pending,
@@ -427,7 +430,7 @@
     HttpRequest request(pending.http.method(), target.empty() ? "/" : target, 11);
     copyEndToEndFields(pending.http.base(), request.base());
     request.set(http::field::host, server.text());
-    // A caller that names its request finds this name at the backend server too.
+    // A request ID that the caller has set is passed on to the backend server.
     if (fieldText(request.base(), Field::requestId).empty())
         request.set(Field::requestId, pending.info.id.text());
     request.keep_alive(true);
@@ -436,15 +439,15 @@
     return request;
 }
 
-HttpRequest RequestService::requestForDoor(const PendingRequest &pending,
-                                           Core::Instant deadline) const
+HttpRequest RequestService::requestForEntryVm(const PendingRequest &pending,
+                                              Core::Instant deadline) const
 {
     HttpRequest request = pending.http;
     request.set(Field::spilled, "1");
     const auto left
         = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - Core::steadyNow());
     request.set(Field::deadlineMs, std::to_string(std::max<std::int64_t>(left.count(), 1)));
-    // The key was decided on here; the other door must not ask for it again.
+    // This VM has the decision about the key; the other one must not ask for it again.
     request.erase(Field::key);
     request.keep_alive(false);
     request.prepare_payload();
--- a/Services/lagoonfordd/RequestService.h
+++ b/Services/lagoonfordd/RequestService.h
@@ -15,9 +15,9 @@
 
 namespace Daemon {
 
-/// Carries out the router's decisions: keeps the connections to the backend servers of the own
-/// failure domain, sends attempts, passes requests on to other failure domains' doors, and hands
-/// each caller its one final answer.
+/// Carries out the router's decisions: keeps the connections to the backend servers of this failure
+/// domain, sends attempts, forwards requests to entry VMs of other failure domains, and returns one
+/// final answer to each caller.
 class RequestService
 {
 public:
@@ -25,17 +25,17 @@
 
     /// Serves one request and returns the final answer.
     boost::asio::awaitable<HttpResponse> serve(Routing::RequestInfo info, HttpRequest request);
-    /// Tells the router that nobody waits for the answer any more.
-    void callerGone(const Core::RequestId &request);
+    /// Tells the router that the caller has closed its connection.
+    void onCallerGone(const Core::RequestId &request);
 
-    /// Hands the router the servers, shares, weights and other doors as they are now.
+    /// Passes the current servers, slot shares, weights and spill-over options to the router.
     void refresh(Core::Instant now);
-    /// Lets the router act on the passing of time; returns when to be called again.
+    /// Runs the router's due timers. Returns when to call this again.
     Core::Instant onTimer(Core::Instant now);
     void beginLeaving();
     bool isIdle() const { return m_router.isIdle(); }
 
-    /// Is woken when the router's next time may have come nearer.
+    /// Is woken when the router's next timer may be due earlier than before.
     Supervision::Wakeup &wakeup() { return m_wakeup; }
 
 private:
@@ -43,7 +43,8 @@
     using AttemptKey = std::pair<Core::RequestId, int>;
 
     void perform(const Routing::RouteActions &actions);
-    /// Performs what follows from an event, and has the router's next time looked at again.
+    /// Carries out the actions that an event has caused, and wakes whoever waits for the router's
+    /// next timer.
     void react(const Routing::RouteActions &actions);
     void perform(const Routing::Send &action);
     void perform(const Routing::Abandon &action);
@@ -61,18 +62,19 @@
     boost::asio::awaitable<void> runProbe(Routing::ProbeServer action);
     void finishAttempt(const Routing::Send &action, PendingRequest &pending,
                        const Connection &connection, ExchangeResult result);
-    /// An idle connection that still works, or nothing.
+    /// Returns an idle connection that is still open; null if there is none.
     Connection takeIdle(const Core::VmId &server);
     void keepOrClose(const Connection &connection);
     void closeConnection(const Connection &connection, Routing::ConnectionEnd end);
     const Platform::VmEntry *findVm(const Core::VmId &id) const;
-    /// A door of \p failureDomain that is in reach and isn't leaving.
-    const Platform::VmEntry *findDoor(const Core::FailureDomainId &failureDomain) const;
+    /// Returns a reachable entry VM of \p failureDomain that isn't shutting down; null if there is
+    /// none.
+    const Platform::VmEntry *findEntryVm(const Core::FailureDomainId &failureDomain) const;
     HttpRequest requestForServer(const PendingRequest &pending, const Core::VmId &server) const;
-    HttpRequest requestForDoor(const PendingRequest &pending, Core::Instant deadline) const;
+    HttpRequest requestForEntryVm(const PendingRequest &pending, Core::Instant deadline) const;
     HttpResponse finalAnswer(PendingRequest &pending);
     std::vector<Routing::BackendServerInfo> servers(Core::Instant now) const;
-    std::vector<Routing::SpillOverOption> otherDoors(Core::Instant now) const;
+    std::vector<Routing::SpillOverOption> spillOverOptions(Core::Instant now) const;
 
     Node &m_node;
     Routing::RequestRouter m_router;
@@ -80,14 +82,14 @@
     std::map<Core::RequestId, std::shared_ptr<PendingRequest>> m_pending;
     std::map<Core::VmId, std::deque<Connection>> m_idle;
     std::map<AttemptKey, Connection> m_inUse;
-    /// Attempts whose answers are dropped when they come.
+    /// Attempts whose answers are dropped.
     std::set<AttemptKey> m_abandoned;
-    /// Connections opened before this instant are closed instead of being used again.
+    /// By server, connections that were opened before this time are closed instead of reused.
     std::map<Core::VmId, Core::Instant> m_doubtedBefore;
-    /// Requests in progress, averaged over some seconds.
+    /// Moving average of the number of requests in progress over some seconds.
     double m_demand = 0;
-    /// Next to be tried among the doors of another failure domain.
-    mutable std::size_t m_nextDoor = 0;
+    /// Selects the next entry VM of another failure domain in turn.
+    mutable std::size_t m_nextEntryVm = 0;
 };
 
 } // namespace Daemon
--- a/Services/lagoonfordd/RulesAnswer.h
+++ b/Services/lagoonfordd/RulesAnswer.h
@@ -10,16 +10,16 @@
 
 namespace Daemon {
 
-/// The result of the call `rules.get`: what a peer has in force, what its log reading says, and how
-/// old that reading is. Texts that the asker already has are left out.
+/// The result of the call `rules.get`: the rules that a peer has in force, the newest ones that it
+/// has read from the log, and how old that read is. Texts that the caller already has are omitted.
 class RulesAnswer
 {
 public:
     static constexpr const char *methodName = "rules.get";
 
-    /// The parameters of a call by an owner of \p book.
+    /// Returns the parameters of a call by a VM with \p book.
     static Json::Value request(const Rules::RuleBook &book);
-    /// The answer of an owner of \p book to a call with \p parameters.
+    /// Returns the answer of a VM with \p book to a call with \p parameters.
     static RulesAnswer answer(const Json::Value &parameters, const Rules::RuleBook &book,
                               const Rules::FreshnessGate &freshness, Core::Instant now);
 
@@ -27,18 +27,19 @@
     /// \throws Core::FormatError if \p value is malformed.
     static RulesAnswer fromJson(const Json::Value &value);
 
-    /// Lets an asker learn from the answer to a call made at \p askedAt.
+    /// Applies the answer to a call that was sent at \p askedAt.
     void applyTo(Rules::RuleBook &book, Rules::FreshnessGate &freshness,
                  Core::Instant askedAt) const;
 
 private:
     std::uint64_t m_currentNumber = 0;
-    /// The version in force, if the asker hasn't got it.
+    /// The version in force, unless the caller has it.
     std::optional<Rules::RuleVersion> m_current;
-    /// The version by the log's records below `m_readThrough`, if the asker has a gap.
+    /// The version according to the log's records before `m_readThrough`, if the caller lacks some
+    /// of them.
     std::optional<Rules::RuleVersion> m_logVersion;
     std::uint64_t m_readThrough = 0;
-    /// How old the reading is, in microseconds; nothing if there is none.
+    /// The age of the read in microseconds; nothing if the log hasn't been read.
     std::optional<std::int64_t> m_age;
 };
 
--- a/Services/lagoonfordd/RulesFollower.h
+++ b/Services/lagoonfordd/RulesFollower.h
@@ -6,8 +6,8 @@
 
 namespace Daemon {
 
-/// Reads the stream `rules`, keeps the rule book current, asks peers while the log is out of reach,
-/// and writes a snapshot again before retention takes the last one.
+/// Reads the stream `rules` into the rule book, asks peers while the log isn't reachable, and
+/// writes a new snapshot before the last one expires.
 class RulesFollower final : public StoppablePart
 {
 public:
@@ -17,7 +17,7 @@
     boost::asio::awaitable<Core::Instant> step(Core::Instant now) override;
 
 private:
-    /// Reads up to the end of the stream; false if the log can't be read.
+    /// Reads up to the end of the stream. Returns false if the log can't be read.
     boost::asio::awaitable<bool> readToEnd();
     void apply(const Platform::LogPage &page);
     boost::asio::awaitable<void> askPeers();
@@ -27,7 +27,8 @@
     std::uint64_t m_firstRetained = 0;
     std::uint64_t m_announced = 0;
     bool m_isLogReachable = true;
-    /// Spreads the snapshots of several VMs, so that most find one already written.
+    /// No snapshot is written before this time, which is random so that most VMs find one that
+    /// another VM has written.
     Core::Instant m_snapshotNotBefore;
 };
 
--- a/Services/lagoonfordd/StoppablePart.h
+++ b/Services/lagoonfordd/StoppablePart.h
@@ -8,8 +8,7 @@
 
 namespace Daemon {
 
-/// A part that repeats a step, sleeping in between until it is woken or the step's next time has
-/// come.
+/// A part that repeats a step, and sleeps in between until it is woken or the step is due.
 class StoppablePart : public Supervision::Part
 {
 public:
@@ -20,9 +19,9 @@
     void requestStop() override;
 
 protected:
-    /// Sets up the part; called once at each start.
+    /// Prepares the part; called once at each start.
     virtual boost::asio::awaitable<void> begin();
-    /// Does what is due and returns when to be called again at the latest.
+    /// Does what is due. Returns when to call this again at the latest.
     virtual boost::asio::awaitable<Core::Instant> step(Core::Instant now) = 0;
     virtual boost::asio::awaitable<void> finish();
 
--- a/Services/lagoonfordd/StreamRecovery.cpp
+++ b/Services/lagoonfordd/StreamRecovery.cpp
@@ -30,7 +30,8 @@
     lease.start(m_firstRetained);
     std::uint64_t knownFrom = m_firstRetained;
     if (m_firstRetained > 0) {
-        // The oldest snapshot that reaches back to a retained offset tells the most.
+        // Of the snapshots that cover everything up to a retained offset, the oldest one leaves the
+        // most records from which lease claims are known.
         const Lease::LeaseSnapshotRecord *oldest = nullptr;
         std::uint64_t oldestOffset = 0;
         for (const auto &[offset, record] : m_leaseRecords) {
--- a/Services/lagoonfordd/StreamRecovery.h
+++ b/Services/lagoonfordd/StreamRecovery.h
@@ -14,10 +14,10 @@
 
 namespace Daemon {
 
-/// Works out, from all retained records of a failure domain's stream, where to begin: the newest
-/// snapshot of the tasks, and at which offsets lease claims won after it. A record of a deposed
-/// placer is void only after the claim that deposed it, so every reader must know those offsets
-/// exactly.
+/// Determines from all retained records of a failure domain's stream where to begin: the newest
+/// snapshot of the tasks, and the offsets of the winning lease claims after it. A record of a
+/// replaced placer is void only after the claim that replaced it, so every reader must know these
+/// offsets exactly.
 class StreamRecovery
 {
 public:
@@ -25,7 +25,7 @@
     static StreamRecovery create(const std::vector<Platform::LogRecord> &records,
                                  std::uint64_t firstRetained);
 
-    /// False if no snapshots cover what retention took.
+    /// False if no snapshot covers the records that have expired.
     bool isComplete() const { return m_isComplete; }
 
     void applyTo(Lease::LeaseManager &lease, Task::DomainPlacer &placer, Core::Instant now) const;
--- a/Services/lagoonfordd/VmState.h
+++ b/Services/lagoonfordd/VmState.h
@@ -10,22 +10,22 @@
 
 namespace Daemon {
 
-/// What an entry VM tells its peers about itself, as the result of the call `vm.state`.
+/// The state of an entry VM, as it answers the call `vm.state` of a peer.
 struct VmState
 {
     static constexpr const char *methodName = "vm.state";
 
     Core::VmId vm;
-    /// The run of the process; another one after a restart.
+    /// Identifies the run of the process; changes with each restart.
     std::string run;
     Core::FailureDomainId failureDomain;
     bool isLeaving = false;
     /// True if the VM is the placer of its failure domain.
     bool isPlacer = false;
-    /// What a placer's failure domain can take from others.
+    /// The free capacity of a placer's failure domain for tasks of other failure domains.
     Core::Resources free;
     std::uint64_t rulesVersion = 0;
-    /// Requests waiting at the callers' door.
+    /// Number of callers' requests that wait for a backend server.
     std::uint64_t queued = 0;
 
     bool operator==(const VmState &) const = default;
