LibRouting: Reword comments in plain technical English

Read badly: comments without a subject, everyday words for terms of the field (door, ours, forget, comes), half sentences that the code below had to explain.

Change: comments of LibRouting's headers and sources; no name, number or text. Its tests and its design note aren't done.

--- a/Libraries/LibRouting/AdmissionController.cpp
+++ b/Libraries/LibRouting/AdmissionController.cpp
@@ -10,7 +10,7 @@
 
 constexpr int teamDivisor = 10;
 constexpr int meanDivisor = 50;
-/// Callers are spread at this distance while there are no slots to reckon with.
+/// Interval between the return times of refused callers while no slots are known.
 constexpr Core::Duration spacingWithoutSlots = std::chrono::milliseconds(5);
 constexpr Core::Duration shortestRetryAfter = std::chrono::seconds(1);
 
@@ -69,7 +69,8 @@
     next = std::max(soonest, next + spacing);
     if (next <= latest)
         return next;
-    // Beyond the longest wait there is no order left to keep; chance spreads the callers.
+    // Beyond the longest wait the order of the callers can't be kept, so their return times are
+    // random.
     next = latest;
     const auto half = static_cast<std::uint64_t>(m_settings.longestRetryAfter.count() / 2);
     return latest - Core::Duration(static_cast<std::int64_t>(m_random.below(half + 1)));
--- a/Libraries/LibRouting/BackendServer.h
+++ b/Libraries/LibRouting/BackendServer.h
@@ -9,7 +9,7 @@
 
 namespace Routing {
 
-/// What one entry VM knows of one backend server.
+/// The state of one backend server as one entry VM knows it.
 struct BackendServer
 {
     BackendServer(Core::VmId serverId, const RouterSettings &settings)
@@ -20,21 +20,21 @@
     }
 
     Core::VmId id;
-    /// False if it is leaving or no longer in the list.
+    /// False if the server is shutting down or no longer listed.
     bool takesNew = false;
     SlotLimiter limiter;
     CircuitBreaker breaker;
 
-    /// A moving average of whole, successful answers.
+    /// Moving average of the service times of whole, successful answers.
     Core::Duration serviceTime {};
     int samples = 0;
-    /// Much slower than the others; it gets only trial requests.
+    /// The server is much slower than the others and gets only trial requests.
     bool isSlow = false;
     Core::Instant lastTrialAt;
 
-    /// A connection went silent; nothing is sent until a probe has told why.
+    /// A connection has gone silent; nothing is sent to the server until a probe has ended.
     bool isSuspect = false;
-    /// The next answered probe shows that old connections are to be replaced.
+    /// If the next probe is answered, the older connections are broken and must be replaced.
     bool isDoubtPending = false;
     std::optional<Core::Instant> probeSentAt;
     Core::Instant lastProbeAt;
--- a/Libraries/LibRouting/FairQueue.cpp
+++ b/Libraries/LibRouting/FairQueue.cpp
@@ -135,7 +135,7 @@
 {
     m_activeWeight -= queue.weight;
     m_round.erase(queue.roundPosition);
-    // The key must outlive its own erasure.
+    // Copied, since erasing the entry would destroy the key that is being passed.
     const Core::TeamId team = queue.team;
     m_queues.erase(team);
 }
--- a/Libraries/LibRouting/KeyOwnership.cpp
+++ b/Libraries/LibRouting/KeyOwnership.cpp
@@ -59,7 +59,7 @@
     Core::Instant since = latest.ownerSince;
     std::uint64_t version = latest.version;
     for (auto older = std::next(m_views.rbegin()); older != m_views.rend(); ++older) {
-        // In a version that we haven't seen, another may have owned the key.
+        // Another VM may have owned the key in a version that this VM hasn't seen.
         if (older->version + 1 != version || !isOwnedIn(*older, team, key))
             break;
         since = older->ownerSince;
--- a/Libraries/LibRouting/KeyTable.cpp
+++ b/Libraries/LibRouting/KeyTable.cpp
@@ -50,7 +50,7 @@
         return RefusedMayHaveRun { "the outcome of the first use isn't known" };
     if (entry.isFinished)
         return Known { entry.outcome };
-    // The same request asks again if our answer was lost; it hasn't run without one.
+    // The same request asks again if the answer was lost. It doesn't run without an answer.
     if (entry.request == request)
         return Run {};
     return InProgress {};
@@ -80,7 +80,8 @@
     if (found == m_entries.end() || found->second.request != request)
         return;
     Entry &entry = found->second;
-    // The end of a request that was given up on may still be learnt; a known end never changes.
+    // The outcome of a request that was given up on may still be reported; a known outcome never
+    // changes.
     if (entry.isFinished && !entry.outcome.mayHaveRun)
         return;
     entry.isFinished = true;
--- a/Libraries/LibRouting/MovingAverage.h
+++ b/Libraries/LibRouting/MovingAverage.h
@@ -4,7 +4,8 @@
 
 namespace Routing {
 
-/// One step of an exponentially weighted moving average; the sample weighs 1 / \p divisor.
+/// Returns the next value of an exponentially weighted moving average, in which the sample has the
+/// weight 1 / \p divisor.
 inline Core::Duration movedAverage(Core::Duration average, Core::Duration sample, int divisor)
 {
     return average + (sample - average) / divisor;
--- a/Libraries/LibRouting/Rendezvous.cpp
+++ b/Libraries/LibRouting/Rendezvous.cpp
@@ -13,7 +13,7 @@
 {
     for (const char character : text)
         state = (state ^ static_cast<unsigned char>(character)) * fnvPrime;
-    // A byte that no text holds keeps "ab" + "c" apart from "a" + "bc".
+    // A separator that occurs in no text, so that "ab" + "c" differs from "a" + "bc".
     return (state ^ 0xffU) * fnvPrime;
 }
 
@@ -25,7 +25,8 @@
     std::uint64_t state = hashed(fnvOffset, key);
     state = hashed(state, team.text());
     state = hashed(state, member);
-    // FNV-1a's high bits hardly depend on the last characters; one more mixing step spreads them.
+    // The high bits of FNV-1a hardly depend on the last characters, so the result is mixed once
+    // more.
     return Random(state).next();
 }
 
--- a/Libraries/LibRouting/Rendezvous.h
+++ b/Libraries/LibRouting/Rendezvous.h
@@ -8,12 +8,12 @@
 
 namespace Routing {
 
-/// The hash of one member for a team's key. Stable across processes, releases and machines.
+/// Returns the hash of a member for a team's key. The same in all processes, releases and machines.
 std::uint64_t rendezvousHash(const std::string &member, const Core::TeamId &team,
                              const std::string &key);
 
-/// The member with the highest hash for a team's key; empty if there are none. Adding or removing
-/// a member moves only the keys that it gains or loses.
+/// Returns the member with the highest hash for a team's key; empty if there are no members. Adding
+/// or removing a member moves only the keys that this member gains or loses.
 template<typename Id>
 Id rendezvousOwner(const std::vector<Id> &members, const Core::TeamId &team, const std::string &key)
 {
--- a/Libraries/LibRouting/RequestRouterImplementation.cpp
+++ b/Libraries/LibRouting/RequestRouterImplementation.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/// Attempts that certainly ran nowhere cost nothing, but they must come to an end too.
+/// Maximum number of attempts of a request that certainly hasn't run. They don't use the retry
+/// budget.
 constexpr int maximumUnrunAttempts = 10;
 constexpr int firstFailureStatus = 500;
 constexpr std::uint64_t admissionSeedOffset = 1;
@@ -49,7 +50,8 @@
         giveUp(tracked, "the caller has gone", now);
         return;
     }
-    // The outcome of a keyed request is kept for its repetition, so it has to be awaited.
+    // The outcome of a request with an idempotency key is stored for repetitions, so the answer is
+    // awaited although the caller is gone.
     if (!tracked.info.key.empty())
         return;
     abandon(tracked, now);
@@ -308,7 +310,7 @@
 
 void RequestRouter::Implementation::retry(TrackedRequest &request, Core::Instant now)
 {
-    // If no server is left, dispatching passes it on to another domain or gives it up.
+    // If no server is left, dispatch() spills the request over or gives it up.
     enqueue(request, true);
     dispatch(now);
 }
@@ -365,7 +367,7 @@
 {
     if (request.stage == TrackedRequest::Stage::Sent)
         return m_silence.threshold();
-    // The other domain may queue it as long as we would.
+    // The other failure domain may queue the request as long as this one would.
     return m_silence.threshold() + m_settings.maximumQueueWait;
 }
 
@@ -404,7 +406,7 @@
         m_timers.cancel(*request.timer);
     m_queue.remove(request.info.id);
     m_actions.push_back(Finish { request.info.id, outcome });
-    // The id must outlive its own erasure.
+    // Copied, since erasing the entry would destroy the ID that is being passed.
     const Core::RequestId id = request.info.id;
     m_requests.erase(id);
 }
--- a/Libraries/LibRouting/RequestRouterImplementation.h
+++ b/Libraries/LibRouting/RequestRouterImplementation.h
@@ -16,8 +16,8 @@
 
 namespace Routing {
 
-/// The state behind `RequestRouter`, and the life of a request: queued, sent or spilled over,
-/// perhaps queued again, finished.
+/// The implementation of `RequestRouter`. A request is queued, sent or spilled over, possibly
+/// queued again, and finished.
 class RequestRouter::Implementation
 {
 public:
@@ -62,10 +62,11 @@
     void drainUnservable(Core::Instant now);
 
     void send(TrackedRequest &request, const Core::VmId &server, Core::Instant now);
-    /// Spills the request over if a door promises to be quicker than \p localWait.
+    /// Spills the request over if another failure domain is expected to be faster than \p
+    /// localWait.
     bool trySpillOver(TrackedRequest &request, std::optional<Core::Duration> localWait,
                       Core::Instant now);
-    /// True if one more attempt may be made; it is then taken from the retry budget.
+    /// Returns true if the request may be retried, and withdraws the retry from the budget.
     bool tryReserveRetry(const TrackedRequest &request, Core::Instant now);
     void retry(TrackedRequest &request, Core::Instant now);
     void comeBackUnrun(TrackedRequest &request, Core::Instant now);
@@ -77,7 +78,7 @@
     void scheduleAttemptTimer(TrackedRequest &request);
     void schedule(TrackedRequest &request, Core::Instant at);
 
-    /// Refused as not run if that is certain, else unknown.
+    /// Finishes the request as not run if that is certain, otherwise as unknown.
     void giveUp(TrackedRequest &request, const std::string &reason, Core::Instant now);
     void finish(TrackedRequest &request, const Outcome &outcome);
 
--- a/Libraries/LibRouting/ServerPool.cpp
+++ b/Libraries/LibRouting/ServerPool.cpp
@@ -9,15 +9,16 @@
 namespace {
 
 constexpr int serviceTimeDivisor = 10;
-/// A server on trial is believed sooner.
+/// Divisor of the moving average for a server on trial, whose service time must adapt faster.
 constexpr int trialDivisor = 2;
 constexpr int answersPerMedian = 16;
 constexpr int samplesToJudge = 5;
-/// A server that looked bad once would never be chosen again at low load; it's tried by then.
+/// A server with a bad measurement would never be chosen again at low load, so it gets a trial
+/// request after this time.
 constexpr Core::Duration longestNeglect = std::chrono::seconds(5);
 constexpr int notSentToOpen = 3;
 constexpr Core::Duration probeInterval = std::chrono::seconds(1);
-/// If no idempotent request has come for so many intervals, any request serves as a trial.
+/// If no idempotent request arrives for this many intervals, any request is used as the trial.
 constexpr int overdueIntervals = 5;
 
 void keepEarlier(std::optional<Core::Instant> &earliest, std::optional<Core::Instant> candidate)
@@ -188,7 +189,8 @@
     if (!found)
         return;
     found->limiter.onAbandoned(request, attempt, now);
-    // The answer would have taken at least so long; leaving it out would flatter slow servers.
+    // The answer would have taken at least this long. Without this sample, the service times of
+    // slow servers would be underestimated.
     if (now - sentAt > found->serviceTime)
         observe(*found, now - sentAt);
 }
@@ -269,7 +271,7 @@
     for (const auto &[id, server] : m_servers) {
         keepEarlier(next, server->limiter.nextRelease());
         keepEarlier(next, probeWantedAt(*server));
-        // Idempotent requests find a due trial by themselves; this is for all others.
+        // Idempotent requests are chosen for a due trial elsewhere; this covers all others.
         const bool isTrialPossible = server->takesNew && !server->isSuspect
             && server->breaker.state() != CircuitBreaker::State::Open && !hasSlots(*server)
             && server->limiter.inWork() == 0 && server->limiter.hasFreeSlot();
@@ -319,7 +321,7 @@
     m_medianServiceTime = *middle;
     if (!m_settings.hasFaultDetection)
         return;
-    // By the median, fewer than half of the servers can be slow at a time.
+    // Since the limit is relative to the median, fewer than half of the servers can be slow.
     const auto limit = static_cast<double>(middle->count()) * m_settings.slowServerFactor;
     for (BackendServer *server : m_listed)
         server->isSlow = server->samples >= samplesToJudge
@@ -328,8 +330,8 @@
 
 bool ServerPool::isOpeningAllowed() const
 {
-    // When most servers fail their requests, the requests are to blame rather than the servers. At
-    // least half of them keep getting requests.
+    // If most servers fail their requests, the requests are probably at fault. At least half of the
+    // servers continue to get requests.
     const auto open = std::count_if(m_listed.begin(), m_listed.end(), [](const auto *server) {
         return server->breaker.state() != CircuitBreaker::State::Closed;
     });
--- a/Libraries/LibRouting/ServerPool.h
+++ b/Libraries/LibRouting/ServerPool.h
@@ -14,8 +14,8 @@
 
 namespace Routing {
 
-/// All backend servers of our failure domain: their limits, their health, and the choice among
-/// them. Actions that follow are appended to the list given.
+/// The backend servers of this failure domain with their limits and their health. Chooses servers
+/// for requests. Resulting actions are appended to the list that is passed.
 class ServerPool
 {
 public:
@@ -23,18 +23,18 @@
 
     void setServers(const std::vector<BackendServerInfo> &servers, RouteActions &actions);
 
-    /// A server with a free slot, if possible none of those tried before. A trial on a doubtful
-    /// server is rather given to an idempotent request.
+    /// Returns a server with a free slot, if possible one that the request hasn't tried. Trials on
+    /// servers in doubt preferably get idempotent requests.
     std::optional<Core::VmId> choose(const std::vector<Core::VmId> &tried, bool isIdempotent,
                                      Core::Instant now);
-    /// The slots that healthy servers offer us, in work or free.
+    /// Number of slots, in use or free, that this VM has on healthy servers.
     int usableSlots() const;
 
     void onSent(const Core::VmId &server, Core::Instant now);
     void onAnswered(const Core::VmId &server, Core::Instant sentAt, bool isFailure,
                     Core::Instant now, RouteActions &actions);
     void onNotSent(const Core::VmId &server, Core::Instant now);
-    /// Bytes were sent and no whole answer came; the server may still be at work on it.
+    /// Bytes were sent, but no whole answer was received; the server may still work on the request.
     void onBroken(const Core::VmId &server, const Core::RequestId &request, int attempt,
                   Core::Instant now);
     void onAbandoned(const Core::VmId &server, const Core::RequestId &request, int attempt,
@@ -72,9 +72,9 @@
     RouterSettings m_settings;
     Random m_random;
     std::unique_ptr<ServerSelector> m_selector;
-    /// Includes servers that have left and still hold attempts of ours.
+    /// Includes servers that are no longer listed but still have attempts of this VM.
     std::map<Core::VmId, std::unique_ptr<BackendServer>> m_servers;
-    /// Those in the list, in its order of names.
+    /// The listed servers, ordered by name.
     std::vector<BackendServer *> m_listed;
     std::vector<ServerCandidate> m_candidates;
     Core::Duration m_medianServiceTime;
--- a/Libraries/LibRouting/ServerSelector.cpp
+++ b/Libraries/LibRouting/ServerSelector.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-/// A server that fails fast looks idle; failures make it look busy instead.
+/// Weight of failures in the load of a server: a server that fails quickly would look idle.
 constexpr double failurePenalty = 10;
 
 double expectedWork(const ServerCandidate &candidate)
@@ -19,8 +19,8 @@
     return candidate.inWork;
 }
 
-/// The candidate with the least load; equals are told apart by chance, so that entry VMs with the
-/// same view don't all choose the same server.
+/// Returns the candidate with the least load, and a random one of several, so that entry VMs with
+/// the same information don't all choose the same server.
 template<typename Load>
 std::size_t chooseLeast(const std::vector<ServerCandidate> &candidates, Random &random, Load load)
 {
--- a/Libraries/LibRouting/SlotLimiter.cpp
+++ b/Libraries/LibRouting/SlotLimiter.cpp
@@ -23,7 +23,7 @@
 
 bool SlotLimiter::hasFreeConnection() const
 {
-    // A probe never takes an idle connection, as it is to show whether new ones work.
+    // A probe never uses an idle connection, since it tests whether new connections work.
     return connectionsWith(0) + 1 <= m_connections;
 }
 
--- a/Libraries/LibRouting/SpillOverPlanner.cpp
+++ b/Libraries/LibRouting/SpillOverPlanner.cpp
@@ -47,7 +47,8 @@
 {
     Door &door = m_doors[failureDomain];
     --door.inFlight;
-    // While the window limits us it doubles per round of answers, as the other domain isn't full.
+    // The window doubles with each round of answers while it is the limit: the other failure domain
+    // isn't full.
     door.window = std::min(door.window + 1, largestWindow);
 }
 
@@ -67,7 +68,7 @@
 
 void SpillOverPlanner::pause(Door &door, Core::Instant until)
 {
-    // Refusals that arrive together are one sign, not many.
+    // Several refusals that arrive together count once.
     if (door.pausedUntil < until - pauseAfterRefusal)
         door.window = std::max(door.window / 2, smallestWindow);
     door.pausedUntil = std::max(door.pausedUntil, until);
--- a/Libraries/LibRouting/SpillOverPlanner.h
+++ b/Libraries/LibRouting/SpillOverPlanner.h
@@ -8,20 +8,21 @@
 
 namespace Routing {
 
-/// Chooses the failure domain that takes a request of ours. Each option has a window of requests
-/// in flight that grows with answers and halves with refusals, so that a full domain isn't flooded.
+/// Chooses the failure domain for a request that is spilled over. Each option has a window of
+/// requests in flight, which grows with answers and is halved by refusals, so that a full failure
+/// domain isn't overloaded.
 class SpillOverPlanner
 {
 public:
     void setOptions(const std::vector<SpillOverOption> &options);
 
-    /// The option with the least extra latency below \p limit, if any.
+    /// Returns the option with the least extra latency if that is below \p limit.
     std::optional<SpillOverOption> choose(Core::Duration limit, Core::Instant now) const;
 
     void onSent(const Core::FailureDomainId &failureDomain);
     void onAnswered(const Core::FailureDomainId &failureDomain);
     void onRefused(const Core::FailureDomainId &failureDomain, Core::Instant now);
-    /// It can't be reached, or doesn't answer.
+    /// The failure domain can't be reached or doesn't answer.
     void onFailed(const Core::FailureDomainId &failureDomain, Core::Instant now);
 
 private:
--- a/Libraries/LibRouting/TimerQueue.h
+++ b/Libraries/LibRouting/TimerQueue.h
@@ -8,7 +8,7 @@
 
 namespace Routing {
 
-/// The next instant at which each request needs attention.
+/// The next time at which each request has something due.
 class TimerQueue
 {
 public:
@@ -21,7 +21,7 @@
 
     void cancel(Handle handle) { m_timers.erase(handle); }
 
-    /// A request whose time has come. It stays scheduled until cancelled.
+    /// Returns a request that is due. The request stays scheduled until it is cancelled.
     const Core::RequestId *due(Core::Instant now) const
     {
         if (m_timers.empty() || m_timers.begin()->first > now)
--- a/Libraries/LibRouting/TrackedRequest.h
+++ b/Libraries/LibRouting/TrackedRequest.h
@@ -14,20 +14,20 @@
 {
     enum class Stage {
         Queued,
-        /// At a backend server of our failure domain.
+        /// Sent to a backend server of this failure domain.
         Sent,
-        /// At another failure domain's door.
+        /// Sent to an entry VM of another failure domain.
         SpilledOver,
     };
 
     RequestInfo info;
     Stage stage = Stage::Queued;
-    /// The number of the last attempt; the first one is 1.
+    /// Number of the last attempt, counted from 1.
     int attempt = 0;
-    /// Attempts that were handed over and not proven to have run nowhere.
+    /// Number of attempts that were sent and may have run.
     int possibleRuns = 0;
 
-    /// About the attempt in progress.
+    // The attempt in progress.
     Core::VmId server;
     Core::FailureDomainId failureDomain;
     Core::Instant sentAt;
--- a/include/LibRouting/AdmissionController.h
+++ b/include/LibRouting/AdmissionController.h
@@ -11,25 +11,26 @@
 
 namespace Routing {
 
-/// Foresees how long a request would wait and tells refused callers when to come back. The drain
-/// rate follows from Little's law: usable slots divided by the observed service time.
+/// Predicts how long a request would wait, and determines Retry-After for refused callers. The
+/// drain rate of the queue follows from Little's law: usable slots divided by the observed service
+/// time.
 class AdmissionController
 {
 public:
     AdmissionController(const RouterSettings &settings, std::uint64_t seed);
 
     void onServiceTime(const Core::TeamId &team, Core::Duration serviceTime);
-    /// The expected service time of a team's requests.
+    /// Returns the expected service time of a team's requests.
     Core::Duration serviceTimeOf(const Core::TeamId &team) const;
     Core::Duration meanServiceTime() const { return m_mean; }
 
-    /// How long a new request of the team would wait behind the team's own queue, when \p slots
-    /// are usable and all in work; nothing if there are no slots.
+    /// Returns how long a new request of the team would wait in the team's queue if all of the
+    /// \p slots usable slots are in use; nothing if there are no slots.
     std::optional<Core::Duration> queueWait(const FairQueue &queue, const Core::TeamId &team,
                                             int slots) const;
 
-    /// When a refused caller should come back: callers of a team are spread over the time that its
-    /// queue needs for as many requests.
+    /// Returns when a refused caller should retry. The callers of a team are spread over the time
+    /// in which its queue serves as many requests.
     Core::Instant retryAfter(const FairQueue &queue, const Core::TeamId &team, int slots,
                              Core::Instant now);
 
--- a/include/LibRouting/BackendServerInfo.h
+++ b/include/LibRouting/BackendServerInfo.h
@@ -4,8 +4,8 @@
 
 namespace Routing {
 
-/// A backend server of our failure domain with this entry VM's share of its limits. A share may
-/// be lowered below what is in use; then nothing new is sent until the use is below the share.
+/// A backend server of this failure domain, with this entry VM's share of its limits. A share may
+/// be lowered below what is in use; then no request is sent until the use is below the share.
 struct BackendServerInfo
 {
     Core::VmId id;
--- a/include/LibRouting/CircuitBreaker.h
+++ b/include/LibRouting/CircuitBreaker.h
@@ -7,8 +7,8 @@
 
 namespace Routing {
 
-/// Keeps requests away from one backend server that fails them. After a pause, a probe is due;
-/// when it is answered, a single trial request decides. Pauses grow while trials keep failing.
+/// Stops requests to a backend server that fails them. After a pause a probe is due; once it is
+/// answered, the result of a single trial request decides. The pauses grow while trials fail.
 class CircuitBreaker
 {
 public:
@@ -23,16 +23,16 @@
     explicit CircuitBreaker(const RouterSettings &settings);
 
     State state() const { return m_state; }
-    /// The failures among the last attempts as a part of a full window, in [0, 1]: one failure of a
-    /// server that has just come says little.
+    /// Returns the number of failures among the last attempts divided by the size of the window, in
+    /// [0, 1], so that one failure of a new server has little effect.
     double failuresOfWindow() const;
 
     void onSuccess();
     void onFailure(Core::Instant now);
-    /// The server can't be reached at all.
+    /// The server can't be reached.
     void open(Core::Instant now);
 
-    /// When the next probe is due, while open.
+    /// When the next probe is due; only while the breaker is open.
     Core::Instant probeAt() const { return m_probeAt; }
     void onProbeSent(Core::Instant deadline);
     void onProbeAnswered();
--- a/include/LibRouting/FairQueue.h
+++ b/include/LibRouting/FairQueue.h
@@ -16,15 +16,15 @@
 {
     Core::RequestId id;
     Core::TeamId team;
-    /// The slot time that it is expected to take.
+    /// The expected service time, for which the request occupies a slot.
     Core::Duration cost {};
 
     bool operator==(const QueuedRequest &) const = default;
 };
 
-/// One queue per team, served by weighted deficit round robin over slot time: a team that asks
-/// for much waits behind itself, not before others. While a team has requests queued, at most one
-/// quantum per unit of weight of every other team is served between two of its turns.
+/// One queue per team, served by weighted deficit round robin over slot time: many requests of a
+/// team delay that team, not the others. While a team has requests queued, at most one quantum per
+/// unit of weight of each other team is served between two of its turns.
 class FairQueue
 {
 public:
@@ -35,21 +35,24 @@
     void setQuantum(Core::Duration quantum);
 
     void pushBack(const QueuedRequest &request);
-    /// For a request that was served before and comes back; it isn't charged a second time.
+    /// Queues a request again that was dequeued before. Its slot time isn't charged again.
     void pushFront(const QueuedRequest &request);
-    /// The request whose turn it is; null if none is queued. It keeps its turn until popped.
+    /// Returns the next request, which stays the next one until it is popped; null if none is
+    /// queued.
     const QueuedRequest *peek();
     std::optional<QueuedRequest> pop();
-    /// The newest request of the team that has most queued for its weight.
+    /// Returns the newest request of the team with the most queued slot time relative to its
+    /// weight.
     std::optional<QueuedRequest> takeNewestOfBusiest();
     /// True if the request was queued.
     bool remove(const Core::RequestId &request);
 
     std::size_t size() const { return m_positions.size(); }
     bool isEmpty() const { return m_positions.empty(); }
-    /// The slot time queued for a team.
+    /// Returns the slot time of a team's queued requests.
     Core::Duration costOf(const Core::TeamId &team) const;
-    /// The part of the capacity that a team would get if it had a request queued, in (0, 1].
+    /// Returns the share of the capacity that a team has, or would have with a request queued, in
+    /// (0, 1].
     double shareOf(const Core::TeamId &team) const;
 
 private:
--- a/include/LibRouting/KeyDecision.h
+++ b/include/LibRouting/KeyDecision.h
@@ -7,7 +7,7 @@
 
 namespace Routing {
 
-/// What is kept of a keyed request's end, to be given to a repetition.
+/// The stored outcome of a request with an idempotency key, which repetitions get as the answer.
 struct StoredOutcome
 {
     int status = 0;
@@ -19,19 +19,21 @@
     bool operator==(const StoredOutcome &) const = default;
 };
 
-/// First use of the key: run the request, then report the end by `KeyTable::finish`.
+/// The key is used for the first time: run the request, then report the outcome by
+/// `KeyTable::finish`.
 struct Run
 {
     bool operator==(const Run &) const = default;
 };
 
-/// The first use is still in progress at some entry VM; the caller is to come back.
+/// The first request with the key is still in progress at some entry VM; the caller should retry
+/// later.
 struct InProgress
 {
     bool operator==(const InProgress &) const = default;
 };
 
-/// The first use has ended so.
+/// The outcome of the first request with the key.
 struct Known
 {
     StoredOutcome outcome;
@@ -39,7 +41,7 @@
     bool operator==(const Known &) const = default;
 };
 
-/// This key may have been used where we can't know of it; this repetition isn't run.
+/// The key may have been used at an owner that can't be asked any more; the request isn't run.
 struct RefusedMayHaveRun
 {
     std::string reason;
@@ -47,7 +49,7 @@
     bool operator==(const RefusedMayHaveRun &) const = default;
 };
 
-/// This use of the key isn't run, and says nothing of earlier uses.
+/// The request isn't run; says nothing about earlier requests with the key.
 struct RefusedKey
 {
     std::string reason;
--- a/include/LibRouting/KeyOwnership.h
+++ b/include/LibRouting/KeyOwnership.h
@@ -10,23 +10,23 @@
 
 namespace Routing {
 
-/// Says which failure domain is a key's home and which entry VM there owns it, by rendezvous
-/// hashing, and since when we have owned it without a gap.
+/// Determines by rendezvous hashing which failure domain is a key's home and which entry VM there
+/// owns the key, and since when this VM has owned it without interruption.
 class KeyOwnership
 {
 public:
     KeyOwnership(Core::VmId self, Core::FailureDomainId ownDomain, Core::Duration keyLifetime);
 
-    /// Takes over a newer view; the renewal of a lease comes as the same version. Older versions
+    /// Applies a newer view, or the renewal of a lease, which has the same version. Older versions
     /// are ignored.
     void setView(const MembershipView &view, Core::Instant now);
 
-    /// The key's home; empty while no view is known.
+    /// Returns the key's home; empty while no view is known.
     Core::FailureDomainId homeOf(const Core::TeamId &team, const std::string &key) const;
-    /// The owner within our own failure domain; empty while no view is known.
+    /// Returns the key's owner in this failure domain; empty while no view is known.
     Core::VmId ownerOf(const Core::TeamId &team, const std::string &key) const;
 
-    /// Since when we have been the key's only owner; nothing if we aren't surely so now.
+    /// Returns since when this VM has been the key's only owner; nothing if it may not be now.
     std::optional<Core::Instant> ownedSince(const Core::TeamId &team, const std::string &key,
                                             Core::Instant now) const;
 
@@ -37,9 +37,9 @@
     Core::VmId m_self;
     Core::FailureDomainId m_ownDomain;
     Core::Duration m_keyLifetime;
-    /// What this process saw before its first view isn't known.
+    /// When the first view was applied; the ownership before that isn't known.
     Core::Instant m_knownSince;
-    /// Oldest first. Kept for a key's lifetime, as older ones say nothing that matters.
+    /// Oldest first; views older than the lifetime of a key are deleted.
     std::deque<MembershipView> m_views;
 };
 
--- a/include/LibRouting/LatencyHistogram.h
+++ b/include/LibRouting/LatencyHistogram.h
@@ -8,13 +8,14 @@
 
 namespace Routing {
 
-/// Recent latencies in buckets of a quarter octave. Old samples fade: whenever enough have come,
-/// all counts are halved.
+/// A histogram of recent latencies with buckets of a quarter octave. Each time enough samples have
+/// been added, all counts are halved, so that old samples lose weight.
 class LatencyHistogram
 {
 public:
     void add(Core::Duration latency);
-    /// The upper edge of the bucket that holds the quantile; \p fallback if too little is known.
+    /// Returns the upper bound of the bucket with the quantile; \p fallback if there are too few
+    /// samples.
     Core::Duration quantile(double quantile, Core::Duration fallback) const;
 
 private:
--- a/include/LibRouting/MembershipView.h
+++ b/include/LibRouting/MembershipView.h
@@ -8,17 +8,17 @@
 
 namespace Routing {
 
-/// Who may own callers' keys. Given by the module that holds the leases.
+/// The failure domains and entry VMs that may own callers' keys; provided by the lease module.
 struct MembershipView
 {
     std::uint64_t version = 0;
-    /// All failure domains in service, in reach or not.
+    /// All failure domains in service, reachable or not.
     std::vector<Core::FailureDomainId> failureDomains;
-    /// The entry VMs of our own failure domain that may own keys.
+    /// The entry VMs of this failure domain that may own keys.
     std::vector<Core::VmId> members;
-    /// From here on no owner of an earlier view can decide about a key any more.
+    /// From this time on no owner of an earlier view can decide about a key.
     Core::Instant ownerSince;
-    /// Until here nobody can act upon a later view.
+    /// Until this time no VM can use a later view.
     Core::Instant leaseUntil;
 
     bool operator==(const MembershipView &) const = default;
--- a/include/LibRouting/Outcome.h
+++ b/include/LibRouting/Outcome.h
@@ -7,7 +7,7 @@
 
 namespace Routing {
 
-/// Pass on the whole answer of this attempt, whatever its status.
+/// The caller gets the whole answer of this attempt, whatever its status.
 struct Answered
 {
     int attempt = 0;
@@ -15,17 +15,17 @@
     bool operator==(const Answered &) const = default;
 };
 
-/// Nothing of the request was ever handed to a backend server.
+/// No part of the request was sent to a backend server.
 struct RefusedNotRun
 {
-    /// When the caller should come back.
+    /// When the caller should retry.
     Core::Instant retryAfter;
     std::string reason;
 
     bool operator==(const RefusedNotRun &) const = default;
 };
 
-/// Bytes were sent and no whole answer came; the request may or may not have run.
+/// Bytes were sent, but no whole answer was received; the request may have run.
 struct UnknownOutcome
 {
     std::string reason;
@@ -33,7 +33,7 @@
     bool operator==(const UnknownOutcome &) const = default;
 };
 
-/// The one final answer to a caller.
+/// The final answer to a caller.
 using Outcome = std::variant<Answered, RefusedNotRun, UnknownOutcome>;
 
 } // namespace Routing
--- a/include/LibRouting/Random.h
+++ b/include/LibRouting/Random.h
@@ -4,8 +4,8 @@
 
 namespace Routing {
 
-/// A small deterministic generator (SplitMix64). Its seed is an argument, so that the same events
-/// give the same decisions.
+/// A pseudorandom number generator (SplitMix64). The seed is an argument, so that decisions are
+/// deterministic.
 class Random
 {
 public:
@@ -23,7 +23,7 @@
         return mixed ^ (mixed >> 31U);
     }
 
-    /// A number in [0, bound). \p bound must be positive.
+    /// Returns a number in [0, \p bound), which must be positive.
     std::uint64_t below(std::uint64_t bound) { return next() % bound; }
 
 private:
--- a/include/LibRouting/RequestInfo.h
+++ b/include/LibRouting/RequestInfo.h
@@ -7,19 +7,19 @@
 
 namespace Routing {
 
-/// What the decisions need to know of a caller's request. Its body stays with the shell.
+/// The properties of a caller's request on which decisions depend. The body isn't needed.
 struct RequestInfo
 {
     Core::RequestId id;
     Core::TeamId team;
-    /// True if running it twice has the effect of running it once.
+    /// True if running the request twice has the same effect as running it once.
     bool isIdempotent = false;
     /// The caller's Idempotency-Key; empty if it gave none.
     std::string key;
     Core::Instant arrivedAt;
-    /// After this instant nobody waits for the answer.
+    /// The caller doesn't wait for the answer after this time.
     Core::Instant deadline;
-    /// True if another failure domain passed it on to us; it isn't passed on again.
+    /// True if another failure domain has spilled the request over; it isn't spilled over again.
     bool isSpilledOver = false;
 
     bool operator==(const RequestInfo &) const = default;
--- a/include/LibRouting/RequestRouter.h
+++ b/include/LibRouting/RequestRouter.h
@@ -14,17 +14,17 @@
 
 namespace Routing {
 
-/// Whether a backend server surely knows that a connection has ended.
+/// Whether a backend server certainly knows that a connection has ended.
 enum class ConnectionEnd {
-    /// The server closed it, or refused it, or we closed it right after an answer had come on it.
+    /// The server closed or refused the connection, or it was closed directly after an answer.
     KnownToServer,
-    /// We closed it; on a connection that has gone silent the server doesn't learn of that.
+    /// This VM closed the connection. If the connection has gone silent, the server doesn't notice.
     Uncertain,
 };
 
-/// Decides about every request at one entry VM. Each event returns the actions that follow, in
-/// the order in which they are to be carried out. Events about unknown requests or attempts are
-/// ignored, so a late answer can't end another request.
+/// Routes the requests of one entry VM. Each event returns the resulting actions in the order in
+/// which they must be carried out. Events about unknown requests or attempts are ignored, so a late
+/// answer can't end another request.
 class RequestRouter
 {
 public:
@@ -34,47 +34,47 @@
     RequestRouter &operator=(RequestRouter &&) noexcept;
     ~RequestRouter();
 
-    /// A request came in. Its id must not be in progress. \throws Core::NotDoneError if it is.
+    /// A request has arrived. \throws Core::NotDoneError if a request with its ID is in progress.
     RouteActions onRequest(const RequestInfo &request, Core::Instant now);
-    /// The caller closed its connection: nothing is answered any more, but `Finish` still comes.
+    /// The caller has closed its connection. `Finish` is still returned, without an answer.
     RouteActions onCallerGone(const Core::RequestId &request, Core::Instant now);
 
-    /// The shell began to open a connection; it counts from then on.
+    /// A connection is being opened; it counts from now on.
     RouteActions onConnectionOpened(const Core::VmId &server, Core::Instant now);
     RouteActions onConnectionClosed(const Core::VmId &server, ConnectionEnd end, Core::Instant now);
 
-    /// Certainly nothing was written: the connection was refused, or ended before the first byte.
+    /// No byte was written: the connection was refused, or ended before the first byte.
     RouteActions onAttemptNotSent(const Core::RequestId &request, int attempt, Core::Instant now);
-    /// The first bytes of an answer came.
+    /// The first bytes of an answer were received.
     RouteActions onFirstByte(const Core::RequestId &request, int attempt, Core::Instant now);
-    /// The whole answer came. Unless a `Finish` with this attempt follows, the answer is dropped.
+    /// The whole answer was received. It is dropped unless a `Finish` with this attempt follows.
     RouteActions onAnswer(const Core::RequestId &request, int attempt, int status,
                           Core::Instant now);
     /// Bytes were sent; the answer is missing or truncated.
     RouteActions onAttemptBroken(const Core::RequestId &request, int attempt, Core::Instant now);
-    /// An abandoned attempt's answer came to its end, or its server closed the connection.
+    /// The answer of an abandoned attempt has ended, or its server has closed the connection.
     RouteActions onAbandonedEnded(const Core::RequestId &request, int attempt, Core::Instant now);
 
-    /// The other door refused as "not run" and said when to come back.
+    /// The other failure domain refused the request as not run, with Retry-After.
     RouteActions onSpillRefused(const Core::RequestId &request, int attempt,
                                 Core::Instant retryAfter, Core::Instant now);
-    /// The other door answered. `onAttemptNotSent` and `onAttemptBroken` serve spilled attempts
-    /// too.
+    /// The other failure domain answered. For spilled attempts, too, use `onAttemptNotSent` and
+    /// `onAttemptBroken`.
     RouteActions onSpillAnswer(const Core::RequestId &request, int attempt, int status,
                                Core::Instant now);
 
     RouteActions onProbeAnswered(const Core::VmId &server, Core::Instant now);
     RouteActions onProbeFailed(const Core::VmId &server, Core::Instant now);
 
-    /// Replaces the list of backend servers. One that is missing gets nothing new.
+    /// Replaces the list of backend servers. One that is no longer listed gets no further request.
     RouteActions setServers(const std::vector<BackendServerInfo> &servers, Core::Instant now);
-    /// Teams that aren't named have weight 1.
+    /// Teams that aren't listed have the weight 1.
     void setTeamWeights(const std::map<Core::TeamId, int> &weights);
-    /// Replaces the doors that may take requests of ours, the preferred one first.
+    /// Replaces the failure domains to which requests may be spilled over, the preferred one first.
     RouteActions setSpillOver(const std::vector<SpillOverOption> &options, Core::Instant now);
 
     RouteActions onTimer(Core::Instant now);
-    /// When `onTimer` is to be called at the latest; nothing if no time matters.
+    /// Returns when `onTimer` must be called at the latest; nothing if no timer is set.
     std::optional<Core::Instant> nextWakeUp() const;
 
     /// Graceful shutdown: new requests are refused, all in progress are finished.
--- a/include/LibRouting/RetryBudget.h
+++ b/include/LibRouting/RetryBudget.h
@@ -2,15 +2,15 @@
 
 namespace Routing {
 
-/// Bounds retries to a part of the first attempts, so that a fault doesn't multiply the load.
+/// Limits retries to a fraction of the first attempts, so that a fault doesn't multiply the load.
 class RetryBudget
 {
 public:
-    /// \p ratio retries are earned by each first attempt; \p burst is the most that can be saved.
+    /// Each first attempt adds \p ratio retries to the budget, up to \p burst.
     RetryBudget(double ratio, double burst);
 
     void onFirstAttempt();
-    /// True if one retry may be made; it is then spent.
+    /// Returns true if a retry is allowed, and withdraws it from the budget.
     bool tryWithdraw();
 
 private:
--- a/include/LibRouting/RouteAction.h
+++ b/include/LibRouting/RouteAction.h
@@ -9,8 +9,8 @@
 
 namespace Routing {
 
-/// Send the request to a backend server: on an idle connection if there is one, else on a new one.
-/// The router itself gives up at the deadline by `Abandon`; the shell needs no timer of its own.
+/// Send the request to a backend server, on an idle connection if there is one, otherwise on a new
+/// one. At the deadline the router returns `Abandon`, so the caller needs no timer.
 struct Send
 {
     Core::RequestId request;
@@ -21,10 +21,10 @@
     bool operator==(const Send &) const = default;
 };
 
-/// Nothing more is awaited of this attempt; its connection is never used again. The shell either
-/// closes it at once, or reads on and drops what comes; once it has seen the answer's end, or the
-/// server close the connection, it says so by `onAbandonedEnded`, which frees the slot early.
-/// Events about this attempt that arrive later are ignored.
+/// The attempt's answer isn't needed any more, and its connection must not be reused. Either close
+/// it at once, or read and drop the answer; at the end of the answer, or when the server closes the
+/// connection, call `onAbandonedEnded`, which frees the slot early. Later events about this attempt
+/// are ignored.
 struct Abandon
 {
     Core::RequestId request;
@@ -34,7 +34,7 @@
     bool operator==(const Abandon &) const = default;
 };
 
-/// The server has surely ended an abandoned attempt: close its connection if it is still open.
+/// The server has certainly ended an abandoned attempt: close its connection if it is still open.
 struct CloseAbandoned
 {
     Core::RequestId request;
@@ -44,7 +44,7 @@
     bool operator==(const CloseAbandoned &) const = default;
 };
 
-/// Pass the request on to the callers' door of another failure domain, marked as spilled over.
+/// Send the request to an entry VM of another failure domain, marked as spilled over.
 struct SpillOver
 {
     Core::RequestId request;
@@ -55,8 +55,8 @@
     bool operator==(const SpillOver &) const = default;
 };
 
-/// Give the caller its final answer now. Comes exactly once per request; after it the request is
-/// forgotten.
+/// Send the final answer to the caller. Returned exactly once for each request, which is deleted
+/// afterwards.
 struct Finish
 {
     Core::RequestId request;
@@ -65,8 +65,8 @@
     bool operator==(const Finish &) const = default;
 };
 
-/// Open a new connection, ask for the health page, close it, and then report `onProbeAnswered` or
-/// `onProbeFailed`: exactly one of them, at the deadline at the latest. A probe takes no slot.
+/// Open a new connection, request the health page, close the connection, and call exactly one of
+/// `onProbeAnswered` and `onProbeFailed`, at the deadline at the latest. A probe uses no slot.
 struct ProbeServer
 {
     Core::VmId server;
@@ -85,7 +85,7 @@
     bool operator==(const DoubtConnections &) const = default;
 };
 
-/// Close this many idle connections, as our share of the server's connections was lowered.
+/// Close this many idle connections, since this VM's share of the server's connections was reduced.
 struct CloseIdleConnections
 {
     Core::VmId server;
--- a/include/LibRouting/RouterSettings.h
+++ b/include/LibRouting/RouterSettings.h
@@ -11,7 +11,7 @@
     RoundRobin,
     LeastInWork,
     PowerOfTwo,
-    /// Fewest expected microseconds of work: requests in work times observed service time.
+    /// Least expected work: requests in progress multiplied by the observed service time.
     LatencyAware,
 };
 
@@ -21,47 +21,49 @@
     SelectionPolicy selection = SelectionPolicy::LatencyAware;
     /// False puts the requests of all teams into one queue in order of arrival.
     bool isFair = true;
-    /// False turns early refusal off; a request then waits until its deadline.
+    /// False disables early refusal; a request then waits until its deadline.
     bool hasEarlyRefusal = true;
-    /// False turns the detection of silent connections and slow servers off.
+    /// False disables the detection of silent connections and slow servers.
     bool hasFaultDetection = true;
 
-    /// A request that would wait longer in our queue is refused on arrival.
+    /// A request that would wait longer in the queue is refused on arrival.
     Core::Duration maximumQueueWait = std::chrono::milliseconds(100);
-    /// A bound on memory; the busiest team's newest request makes room.
+    /// Maximum length of the queue. When it is reached, the newest request of the team with the
+    /// most queued work is refused.
     std::size_t maximumQueued = 20'000;
-    /// Assumed until service times have been observed.
+    /// The service time that is assumed until some have been observed.
     Core::Duration initialServiceTime = std::chrono::milliseconds(50);
 
     int maximumAttempts = 3;
-    /// Retries per first attempt in the long run, and how many may come in one burst.
+    /// Retries per first attempt in the long run, and the maximum of a burst.
     double retryRatio = 0.1;
     double retryBurst = 50;
 
-    /// No first byte after this multiple of the 99th percentile makes a connection suspect.
+    /// A connection is suspect if the first byte takes longer than this multiple of the 99th
+    /// percentile.
     double silenceFactor = 2;
     Core::Duration shortestSilence = std::chrono::milliseconds(20);
     Core::Duration longestSilence = std::chrono::seconds(5);
     Core::Duration probeTimeout = std::chrono::milliseconds(500);
 
-    /// A server this many times slower than the median gets only a trial request now and then.
+    /// A server that is this many times slower than the median gets only occasional trial requests.
     double slowServerFactor = 3;
     Core::Duration slowServerTrialInterval = std::chrono::seconds(1);
 
-    /// A server that fails this part of its last answers gets none until a trial succeeds.
+    /// A server that fails this fraction of its last requests gets none until a trial succeeds.
     double breakerFailureRatio = 0.5;
     int breakerWindow = 20;
     Core::Duration breakerShortestPause = std::chrono::seconds(1);
     Core::Duration breakerLongestPause = std::chrono::seconds(30);
 
-    /// A backend server that is alive works on no request longer than this. Until then an
-    /// abandoned attempt keeps its slot and its connection.
+    /// Maximum time for which a backend server that is alive works on a request. An abandoned
+    /// attempt keeps its slot and its connection for this long.
     Core::Duration longestServiceTime = std::chrono::seconds(10);
-    /// How long a backend server keeps a connection on which nothing comes.
+    /// How long a backend server keeps an idle connection.
     Core::Duration serverIdleTimeout = std::chrono::seconds(60);
 
     Core::Duration longestRetryAfter = std::chrono::seconds(30);
-    /// A request is passed on to another failure domain if our queue costs so much more time.
+    /// A request is spilled over if waiting in this queue would take this much longer.
     Core::Duration spillOverMargin = std::chrono::milliseconds(5);
 
     bool operator==(const RouterSettings &) const = default;
--- a/include/LibRouting/ServerSelector.h
+++ b/include/LibRouting/ServerSelector.h
@@ -10,15 +10,15 @@
 
 namespace Routing {
 
-/// A backend server that may get one more request.
+/// A backend server that may get another request.
 struct ServerCandidate
 {
-    /// Its place in the caller's list of servers.
+    /// Index in the caller's list of servers.
     std::size_t index = 0;
-    /// Our requests in work there; those of other entry VMs aren't known.
+    /// Number of this VM's requests in progress there; those of other entry VMs aren't known.
     int inWork = 0;
     Core::Duration serviceTime {};
-    /// Recent failures as a part of the breaker's window.
+    /// Recent failures as a fraction of the circuit breaker's window.
     double failureRatio = 0;
 
     bool operator==(const ServerCandidate &) const = default;
@@ -31,7 +31,7 @@
     static std::unique_ptr<ServerSelector> create(SelectionPolicy policy);
     virtual ~ServerSelector() = default;
 
-    /// The position in \p candidates, which isn't empty and is ordered by index.
+    /// Returns a position in \p candidates, which must not be empty and must be ordered by index.
     virtual std::size_t choose(const std::vector<ServerCandidate> &candidates, Random &random) = 0;
 };
 
--- a/include/LibRouting/SilenceDetector.h
+++ b/include/LibRouting/SilenceDetector.h
@@ -6,9 +6,8 @@
 
 namespace Routing {
 
-/// Says how long an attempt may go without a first byte before its connection is suspect, from
-/// the times to first byte that all servers show. Sampling all of them keeps one bad server from
-/// setting its own standard.
+/// Determines how long an attempt may wait for the first byte before its connection is suspect,
+/// from the times to first byte of all servers together: a single bad server can't raise the limit.
 class SilenceDetector
 {
 public:
@@ -18,7 +17,7 @@
     Core::Duration threshold() const { return m_threshold; }
 
 private:
-    /// The quantile is read once per so many samples, as reading it costs more than adding one.
+    /// The quantile is computed once per this many samples, since that costs more than adding one.
     static constexpr int samplesPerUpdate = 64;
     static constexpr double quantile = 0.99;
 
--- a/include/LibRouting/SpillOverOption.h
+++ b/include/LibRouting/SpillOverOption.h
@@ -5,11 +5,11 @@
 
 namespace Routing {
 
-/// The callers' door of another failure domain.
+/// Another failure domain to which requests may be spilled over.
 struct SpillOverOption
 {
     Core::FailureDomainId failureDomain;
-    /// The round trip that the hop adds.
+    /// Additional round-trip time.
     Core::Duration extraLatency {};
     bool isAccepting = false;
 
