LibJob: Count a job as begun only once a worker has shown it

Cause: a start whose call broke off, or got no answer, counted its job as begun, since it may have been executed.

Ruled out: an old copy of the jobs at the node that answered (its table was 28 ms old); a record that was lost with its owner (the jobs' records said running, not queued).

Change: a job has begun when a worker has accepted a start, lists a run or reports an end. A run that was executed without an answer shows up in the worker's next report; until then its job counts as waiting, which is what its submitter can observe.

Tests: the section "a job doesn't wait if its start may have been executed" demanded the fault, and checkBegun() of the simulation allowed it. Both now demand more: a job waits until a worker has shown a run, and no record says that a job has begun of which no worker has started a task.

--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -106,14 +106,6 @@
     return outcome == StartOutcome::Unknown || outcome == StartOutcome::Interrupted;
 }
 
-/// OldRun shows that the worker had a run with this number or a higher one, or executed a stop of
-/// this run, whose start may have been executed.
-static bool mayHaveBegun(StartOutcome outcome)
-{
-    return outcome == StartOutcome::Started || isUnanswered(outcome)
-        || outcome == StartOutcome::OldRun;
-}
-
 void JobScheduler::markBegun(OwnedJob &job)
 {
     if (job.markBegun())
@@ -132,7 +124,7 @@
         return;
     }
     OwnedJob *job = findJob(command.task.job);
-    if (job && mayHaveBegun(outcome))
+    if (job && outcome == StartOutcome::Started)
         markBegun(*job);
     TaskState *task = job ? job->findTask(command.task) : nullptr;
     const bool isCurrent = task && task->run && task->run->number == command.run
@@ -301,7 +293,6 @@
                  + " ran_ms=" + std::to_string(ranFor.count())
                  + " seen=" + (task->run->seenAt == Core::Instant() ? '0' : '1'));
         const std::int64_t run = task->run->number;
-        markBegun(*job);
         // The worker may be cut off rather than have crashed.
         removeRun(*job, name, DoubtAfterRun::Kept);
         abandon(*job, name, run);
@@ -323,7 +314,6 @@
             continue;
         note(name, "gone",
              "worker=" + worker.info().id.text() + " run=" + std::to_string(run) + " replaced");
-        markBegun(*job);
         abandon(*job, name, run);
     }
 }
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -301,7 +301,7 @@
 {
     TaskHistory &history = m_history[task];
     history.startedAtMs.push_back(m_nowMs);
-    m_mayHaveBegun.insert(task.job);
+    m_begun.insert(task.job);
     m_nodes.front()->log.note(task.text(), "STARTS", "");
     const JobEntry *entry = m_table.find(task.job);
     if (history.isDone && entry->progress && entry->progress->isFinal())
@@ -359,8 +359,6 @@
     const std::size_t target = indexOf(command.address);
     const auto answer = [this, index, generation, command](StartOutcome outcome) {
         Node &node = *m_nodes[index];
-        if (outcome == StartOutcome::Unknown || outcome == StartOutcome::Interrupted)
-            m_mayHaveBegun.insert(command.task.job);
         if (node.generation == generation && node.scheduler)
             node.scheduler->onStartOutcome(command, outcome, now());
     };
@@ -548,8 +546,8 @@
 void JobWorld::checkBegun(const ProgressRecord &record)
 {
     const JobState state = record.progress.state;
-    if (state == JobState::Running && !m_mayHaveBegun.contains(record.id))
-        fail("a job is recorded as begun before a worker may have started it: " + record.id.text());
+    if (state == JobState::Running && !m_begun.contains(record.id))
+        fail("a job is recorded as begun before a worker has started it: " + record.id.text());
     const JobEntry *entry = m_table.find(record.id);
     const bool hadBegun = entry->progress && entry->progress->state != JobState::Queued;
     if (state == JobState::Queued && hadBegun)
--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -169,7 +169,7 @@
     /// Gives the list of workers to a node that hasn't read its latest version.
     void deliverList(Node &node);
     void checkRecords(const Jobs::JobRecord &record);
-    /// Checks that a job is recorded as begun only if a worker may have started a task, and never
+    /// Checks that a job is recorded as begun only if a worker has started a task, and never
     /// as queued afterwards.
     void checkBegun(const Jobs::ProgressRecord &record);
     /// Checks that a job is given up only if one of its tasks has failed as often as allowed, has
@@ -197,8 +197,8 @@
     std::int64_t m_term = -1;
     std::int64_t m_lastOwnerWriteMs = 0;
     std::map<Jobs::TaskName, TaskHistory> m_history;
-    /// Jobs of which a worker has started a task or of which a start wasn't answered.
-    std::set<Jobs::JobId> m_mayHaveBegun;
+    /// Jobs of which a worker has started a task.
+    std::set<Jobs::JobId> m_begun;
     /// By worker, the capacities in thousandths of a core by the time at which they came into
     /// force.
     std::map<std::size_t, std::map<std::int64_t, std::int64_t>> m_capacities;
--- a/Tests/LibJob/TestOwnership.cpp
+++ b/Tests/LibJob/TestOwnership.cpp
@@ -228,7 +228,7 @@
     }
 }
 
-TEST_CASE("No job is recorded as begun before a worker may have started a task of it")
+TEST_CASE("No job is recorded as begun before a worker has started a task of it")
 {
     rc::prop(
         "even if most starts are rejected and owners change, and all jobs end once the faults stop",
--- a/Tests/LibJob/TestStarts.cpp
+++ b/Tests/LibJob/TestStarts.cpp
@@ -79,12 +79,40 @@
             CHECK(site.recordsWritten() <= site.workerRecordsWritten() + 1);
         }
     }
-    SECTION("a job doesn't wait if its start may have been executed")
+    SECTION("a job whose start may have been executed")
     {
         site.answerStarts(
             GENERATE(StartOutcome::Unknown, StartOutcome::Interrupted, StartOutcome::OldRun));
-        REQUIRE_FALSE(site.runForTwoSeconds().empty());
-        CHECK(site.waitingCount() == 0);
+        const std::vector<StartCommand> starts = site.runForTwoSeconds();
+        REQUIRE_FALSE(starts.empty());
+        SECTION("waits until a worker has shown a run of it")
+        {
+            CHECK(site.waitingCount() == 1);
+        }
+        SECTION("waits if the worker crashes before it has shown the run")
+        {
+            const Core::VmId worker = starts.back().worker;
+            site.restart(worker);
+            site.answerStarts(StartOutcome::Refused);
+            site.report(worker, {});
+            site.runForTwoSeconds();
+            CHECK(site.waitingCount() == 1);
+        }
+        SECTION("doesn't wait once a worker has reported the run as running")
+        {
+            const RunningEntry running { SchedulerFixture::task(0), starts.back().run, "", 10,
+                                         500 };
+            site.report(starts.back().worker, {}, { running });
+            site.commit();
+            CHECK(site.waitingCount() == 0);
+        }
+        SECTION("doesn't wait once a worker has reported an end of the run")
+        {
+            site.report(starts.back().worker,
+                        { SchedulerFixture::end(1, 0, starts.back().run, EndKind::Failed) });
+            site.commit();
+            CHECK(site.waitingCount() == 0);
+        }
     }
     SECTION("a job that has begun never waits again, even if later starts are rejected")
     {
--- a/include/LibJob/JobProgress.h
+++ b/include/LibJob/JobProgress.h
@@ -49,8 +49,7 @@
 /// the workers' reports.
 struct JobProgress
 {
-    /// Queued until a worker has started a task or may have done so, then running until the job
-    /// ends.
+    /// Queued until a worker has shown that it started a task, then running until the job ends.
     JobState state = JobState::Queued;
     /// By occurrence number, the progress of each step; only occurrences that have begun and
     /// haven't ended.
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -68,8 +68,8 @@
     void addWorker(const Core::VmId &worker);
     /// The workers that may have received a start command, or will once they are durable.
     const std::set<Core::VmId> &workers() const { return m_workers; }
-    /// Marks the job as begun: a worker has started a task or may have done so. Returns true if the
-    /// job was queued before.
+    /// Marks the job as begun: a worker has shown that it started a task. Returns true if the job
+    /// was queued before.
     bool markBegun();
     /// Called when a commit of the job became durable; \p workers are those that it recorded.
     void setDurableWorkers(const std::set<Core::VmId> &workers);
