Tests: Await records instead of a fixed time, and explain an entry that isn't ready

Change: SiteFixture::runUntil() waits for the condition, for 5 s at most, as await() does. What the test demands is unchanged. An entry that isn't ready is now explained by its answer and the ends of three logs.

Waiting only until the node owns the jobs, instead of 600 ms, was tried and failed: its first records aren't written by then.

--- a/Tests/LibSite/SiteFixture.h
+++ b/Tests/LibSite/SiteFixture.h
@@ -176,6 +176,14 @@
         return await(node.jobRequests.countWaiting(Jobs::QueueId("queue"), deadlineIn(1000)));
     }
 
+    /// Runs the event loop until \p isTrue() is, for 5 s at most. Returns false if it never is.
+    template<typename Condition>
+    bool runUntil(const Condition &isTrue)
+    {
+        for (int i = 0; i < 500 && !isTrue(); ++i)
+            context.run_for(milliseconds(10));
+        return isTrue();
+    }
     /// Runs the event loop until \p work has ended, for 5 s at most.
     template<typename Result>
     Result await(asio::awaitable<Result> work)
@@ -186,9 +194,7 @@
                            if (!failure)
                                result = value;
                        });
-        for (int i = 0; i < 500 && !result; ++i)
-            context.run_for(milliseconds(10));
-        REQUIRE(result);
+        REQUIRE(runUntil([&result] { return result.has_value(); }));
         return *result;
     }
 };
--- a/Tests/LibSite/TestJobTableCopies.cpp
+++ b/Tests/LibSite/TestJobTableCopies.cpp
@@ -30,24 +30,24 @@
     site.startElection(first);
     site.run(600);
     REQUIRE(first.state.owner);
+    const auto hasProgress = [&site] {
+        return site.tableOfLog().find(Jobs::JobId("a"))->progress.has_value();
+    };
 
     SECTION("if its last append was never answered")
     {
         site.log.losesAnswers = true;
         appendSubmission(site, "a");
-        site.run(300);
-        REQUIRE(site.tableOfLog().find(Jobs::JobId("a"))->progress);
+        REQUIRE(site.runUntil(hasProgress));
         appendClaim(site, "three#1");
-        site.run(200);
-        REQUIRE_FALSE(first.state.owner);
+        REQUIRE(site.runUntil([&first] { return !first.state.owner; }));
         CHECK(first.state.table == site.tableOfLog());
     }
     SECTION("if an answer arrives after the records of the next owner")
     {
         site.log.answerMs = 400;
         appendSubmission(site, "a");
-        site.run(200);
-        REQUIRE(site.tableOfLog().find(Jobs::JobId("a"))->progress);
+        REQUIRE(site.runUntil(hasProgress));
         appendClaim(site, "three#1");
         site.log.put(Topic::Jobs, Jobs::encodeRecord(ended("a")).front());
         site.run(800);
--- a/Tests/Process/site.sh
+++ b/Tests/Process/site.sh
@@ -75,7 +75,16 @@
             if curl -fsS -m 2 "http://$(site_door "$index")/healthz" > /dev/null 2>&1; then break; fi
             sleep 0.1
         done
-        [ "$tries" -lt 300 ] || { echo "entry-$index isn't ready after 30 s" >&2; return 1; }
+        [ "$tries" -lt 300 ] || { site_explain_not_ready "$index" >&2; return 1; }
+    done
+}
+
+site_explain_not_ready() {
+    local name
+    echo "entry-$1 isn't ready after 30 s: $(curl -sS -m 2 "http://$(site_door "$1")/healthz" 2>&1 | head -c 500)"
+    for name in platform backend "entry-$1"; do
+        if kill -0 "${site_pids[$name]}" 2> /dev/null; then echo "$name runs; the end of its log:"; else echo "$name has ended; the end of its log:"; fi
+        tail -n 15 "$SITE_DIR/$name.log"
     done
 }
 
