Tests: Count runs that a crash keeps from reporting their end as lost

Cause: the simulation allows that a job is given up once five workers have crashed around one of its tasks, but counted only runs that were at work at that moment. A run that had ended without a report listing its end is lost as well, as far as an owner can know: the task is started again.

Change: ends that no report has listed count too; ends that a report has listed don't, so the check allows nothing that the owner could know.

--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -90,7 +90,7 @@
     std::set<std::int64_t> attempts;
     /// Crashes of workers that the task caused.
     int crashes = 0;
-    /// Crashes of workers that ran the task, whatever caused them.
+    /// Crashes of workers that ran the task, or hadn't reported its end, whatever caused them.
     int crashesAround = 0;
     int startsAfterThirdCrash = 0;
     bool isDone = false;
@@ -246,6 +246,9 @@
     m_nodes.front()->log.note(m_workers[index]->info().id.text(), "CRASHES", "");
     for (const auto &[task, run] : m_workers[index]->running())
         ++m_history[task].crashesAround;
+    // The owner can't tell a run that ended unreported from one that was lost.
+    for (const TaskName &task : m_workers[index]->unreportedEnds())
+        ++m_history[task].crashesAround;
     m_workers[index]->crash();
 }
 
--- a/Tests/LibJob/SimulatedWorker.cpp
+++ b/Tests/LibJob/SimulatedWorker.cpp
@@ -103,9 +103,21 @@
         if (report.ended.size() < WorkerReport::maxEnds)
             report.ended.push_back(end.entry);
     }
+    if (!report.ended.empty())
+        m_reportedEnd = report.ended.back().number;
     return report;
 }
 
+std::vector<TaskName> SimulatedWorker::unreportedEnds() const
+{
+    std::vector<TaskName> tasks;
+    for (const ListedEnd &end : m_ended) {
+        if (end.entry.number > m_reportedEnd)
+            tasks.push_back(end.entry.task);
+    }
+    return tasks;
+}
+
 std::vector<EndedEntry> SimulatedWorker::takeAcknowledged()
 {
     return std::exchange(m_acknowledged, {});
@@ -142,6 +154,7 @@
     m_token = 0;
     m_leaseEndMs = 0;
     m_ends = 0;
+    m_reportedEnd = 0;
     m_highestEndedRun.clear();
     m_ended.clear();
     m_newEnds.clear();
--- a/Tests/LibJob/SimulatedWorker.h
+++ b/Tests/LibJob/SimulatedWorker.h
@@ -47,6 +47,8 @@
     /// Returns the ends that were acknowledged since the last call, except those after which the
     /// worker's lease expired before the acknowledgement.
     std::vector<Jobs::EndedEntry> takeAcknowledged();
+    /// Returns the tasks whose runs have ended although no report has listed the ends.
+    std::vector<Jobs::TaskName> unreportedEnds() const;
     void crash();
     void restart(std::int64_t nowMs);
     /// Sets the processors that the worker publishes for tasks.
@@ -69,6 +71,8 @@
     Jobs::FencingToken m_token = 0;
     std::int64_t m_leaseEndMs = 0;
     std::int64_t m_ends = 0;
+    /// Number of the last end that a report has listed.
+    std::int64_t m_reportedEnd = 0;
     std::map<Jobs::TaskName, Run> m_running;
     /// Highest run number of each task that has ended or was named by a stop command; runs up to it
     /// aren't started.
