LibJob: Ask idle workers while a suspect runs, as witnesses

What callers could see: a job without a deadly task shown as failed after waves of crashes.

Cause: a crash counts against a suspect unless another worker without one crashed at the same time. Idle workers aren't asked, so a wave that hits one busy worker and several idle ones looked like a crash of one worker.

Change: while there are isolated runs, and for 2 s after, up to 16 idle workers are asked by long polls. Their silence shows a common cause.

--- a/Libraries/LibJob/JobSchedulerCrashes.cpp
+++ b/Libraries/LibJob/JobSchedulerCrashes.cpp
@@ -10,6 +10,12 @@
 /// If more workers than one of this many had an isolated run, a crash of several workers couldn't
 /// be told from crashes by suspects.
 static constexpr std::size_t workersPerIsolatedRun = 8;
+/// If one worker of five crashes for a common cause, one of this many witnesses does so too in 97
+/// cases of 100.
+static constexpr std::size_t maxWitnesses = 16;
+/// How long witnesses are asked after the last isolated run: a crash may show only when a call
+/// times out.
+static constexpr Core::Duration witnessTime = milliseconds(2000);
 /// How long a worker is kept for a suspect each time that it finds none: several reports' time.
 static constexpr Core::Duration keptForSuspect = milliseconds(500);
 
@@ -56,7 +62,7 @@
 Suspicion JobScheduler::suspicionOf(const WorkerState &worker, const std::vector<StartedRun> &runs)
 {
     if (runs.empty())
-        return Suspicion::NoRuns;
+        return worker.isWitness() ? Suspicion::None : Suspicion::NoRuns;
     if (worker.hasIsolatedRun())
         return Suspicion::IsolatedRun;
     const bool hasStartingRun
@@ -330,14 +336,29 @@
     giveUpIfCrashing(job, name, now);
 }
 
+void JobScheduler::countIsolatingWorkers()
+{
+    m_isolatingWorkers = static_cast<std::size_t>(
+        std::count_if(m_listed.begin(), m_listed.end(),
+                      [](const WorkerState *worker) { return worker->hasIsolatedRun(); }));
+}
+
+void JobScheduler::appointWitnesses(const TimePoint &now)
+{
+    if (m_isolatingWorkers > 0)
+        m_needsWitnessesUntil = now.instant + witnessTime;
+    const bool areNeeded = now.instant < m_needsWitnessesUntil;
+    std::size_t witnesses = 0;
+    for (WorkerState *worker : m_listed) {
+        const bool isWitness = areNeeded && worker->runs().empty() && witnesses < maxWitnesses;
+        worker->setWitness(isWitness);
+        witnesses += isWitness ? 1 : 0;
+    }
+}
+
 bool JobScheduler::maySuspectStart(OwnedJob &job) const
 {
-    if (!m_isStoreReachable)
-        return false;
-    const auto isolated
-        = std::count_if(m_listed.begin(), m_listed.end(),
-                        [](const WorkerState *worker) { return worker->hasIsolatedRun(); });
-    if (static_cast<std::size_t>(isolated) > m_listed.size() / workersPerIsolatedRun)
+    if (!m_isStoreReachable || m_isolatingWorkers > m_listed.size() / workersPerIsolatedRun)
         return false;
     const std::vector<TaskName> doubts = doubtsOf(job);
     return std::none_of(doubts.begin(), doubts.end(), [&job](const TaskName &name) {
@@ -370,6 +391,8 @@
 {
     TaskRun &run = *job.findTask(name)->run;
     const WorkerInfo &worker = run.worker->info();
+    if (!run.worker->hasIsolatedRun())
+        ++m_isolatingWorkers;
     run.worker->isolate(name);
     // The start may never reach the worker, so a crash alone doesn't show that this was its cause.
     const RunInDoubt doubt { run.number, worker.id, worker.address,
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -31,7 +31,8 @@
             && !worker->isUnresponsive() && !worker->runs().empty();
         if (isGranted)
             command.leaseDeadlineMs = worker->grantLease(now.instant, m_settings.lease);
-        if (isGranted && !worker->hasUncommittedEnds())
+        const bool mayWait = isGranted || (worker->isWitness() && !worker->isUnresponsive());
+        if (mayWait && !worker->hasUncommittedEnds())
             command.waitMs = worker->hasIsolatedRun()
                 ? 0
                 : std::chrono::duration_cast<milliseconds>(renewalWait(*worker)).count();
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -66,6 +66,8 @@
     putOverdueFirst(m_pass.steps, now);
     m_reservation.reset(m_listed.size());
     m_isUnderused = isUnderused();
+    countIsolatingWorkers();
+    appointWitnesses(now);
 }
 
 void JobScheduler::continuePass(const TimePoint &now)
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -49,6 +49,14 @@
     notifyCapacityObserver();
 }
 
+void WorkerState::setWitness(bool isWitness)
+{
+    if (m_isWitness == isWitness)
+        return;
+    m_isWitness = isWitness;
+    notifyRenewalObserver();
+}
+
 void WorkerState::noteSurvivedStart(const TaskName &task)
 {
     m_startingRuns.erase(task);
@@ -256,7 +264,7 @@
     // An unresponsive worker without runs is asked until it answers; otherwise it would never be
     // given a task again.
     return !m_runs.empty() || m_unwantedUse.runs > 0
-        || (m_isListed && (!m_isReconciled || m_isUnresponsive));
+        || (m_isListed && (!m_isReconciled || m_isUnresponsive || m_isWitness));
 }
 
 void WorkerState::notifyCapacityObserver()
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -351,6 +351,9 @@
     void settleDoubtsByList(const TimePoint &now);
     void settleAsCrash(OwnedJob &job, const TaskName &name, std::string_view evidence,
                        const TimePoint &now);
+    void countIsolatingWorkers();
+    /// Chooses idle workers that are asked while there are isolated runs; see WorkerState.
+    void appointWitnesses(const TimePoint &now);
     /// False while the store is unreachable, while many workers have an isolated run, or while the
     /// job has one: a job with several crashing tasks is given up for the first.
     bool maySuspectStart(OwnedJob &job) const;
@@ -425,6 +428,10 @@
     /// The tasks with a run in doubt.
     std::set<TaskName> m_doubts;
     SilentWorkers m_silentWorkers;
+    /// The listed workers with an isolated run; counted at the beginning of a pass, and grows with
+    /// the runs that the pass isolates.
+    std::size_t m_isolatingWorkers = 0;
+    Core::Instant m_needsWitnessesUntil = {};
     std::size_t m_runs = 0;
     bool m_isStoreReachable = true;
     bool m_areStartsHeld = false;
--- a/include/LibJob/SilentWorkers.h
+++ b/include/LibJob/SilentWorkers.h
@@ -10,9 +10,9 @@
 
 /// What is known of the cause when a worker stops answering.
 enum class Suspicion {
-    /// The worker had no runs.
+    /// The worker had no runs and wasn't asked, so it may have crashed some time before.
     NoRuns,
-    /// All of its runs had been at work.
+    /// The worker was asked, and it had no runs or all of them had been at work.
     None,
     /// One of its runs, or several, had only been started.
     StartingRuns,
@@ -29,8 +29,8 @@
     void note(const Core::VmId &worker, Core::Instant at, Suspicion suspicion);
     /// True if another worker than \p worker stopped answering at about \p at.
     bool hasOther(const Core::VmId &worker, Core::Instant at) const;
-    /// True if another worker, which had runs but none under suspicion, stopped answering at about
-    /// \p at: both probably have a common cause.
+    /// True if another worker, which was asked and had no run under suspicion, stopped answering at
+    /// about \p at: both probably have a common cause.
     bool hasOtherAboveSuspicion(const Core::VmId &worker, Core::Instant at) const;
     /// True if many others without isolated runs stopped answering at nearly the same time.
     /// Crashing tasks rarely do that: only the first crash of each happens outside of isolation. \p
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -95,6 +95,10 @@
     /// Until \p until, the worker gets no run but that of a suspect.
     void keepForSuspect(Core::Instant until) { m_keptForSuspectUntil = until; }
     bool isKeptForSuspect(Core::Instant now) const { return now < m_keptForSuspectUntil; }
+    /// A witness is asked although it has no runs: if it crashes together with a worker that has an
+    /// isolated run, that run isn't the cause.
+    void setWitness(bool isWitness);
+    bool isWitness() const { return m_isWitness; }
     int bestEffortCount() const { return m_bestEffortCount; }
     int servingCount() const { return m_servingCount; }
     /// Capacity that isn't requested; negative where the capacity has shrunk below what is.
@@ -222,6 +226,7 @@
     std::set<TaskName> m_startingRuns;
     std::set<TaskName> m_isolatedRuns;
     Core::Instant m_keptForSuspectUntil = {};
+    bool m_isWitness = false;
     Core::Resources m_used;
     /// The part of m_used that long-running tasks request.
     Core::Resources m_usedByLongRunning;
