--- a/Tests/LibSite/TestJobTableCopies.cpp
+++ b/Tests/LibSite/TestJobTableCopies.cpp
@@ -30,9 +30,8 @@
     site.startElection(first);
     site.run(600);
     REQUIRE(first.state.owner);
-    const auto hasProgress = [&site] {
-        return site.tableOfLog().find(Jobs::JobId("a"))->progress.has_value();
-    };
+    const auto hasProgress
+        = [&site] { return site.tableOfLog().find(Jobs::JobId("a"))->progress.has_value(); };
 
     SECTION("if its last append was never answered")
     {
