LibJob: Excuse lost runs that were at work while other workers crashed too

Cause: five runs that are lost in a row end a job, whatever the cause and however far they had come. A task of two seconds can be on a crashing worker five times in six waves.

Ruled out: not to count runs beside a suspect at all: a task that crashes its workers only after a while is always beside one on a busy site, and "after five crashes at most" would fail. A count without a bound for excused runs: two such tasks in step could excuse each other for ever.

Suspects are never excused from the bound of five. Ten lost runs, excused ones included, end the job. The excused runs follow in the record of a crash history; a record without them reads as before.

--- a/Libraries/LibJob/JobRecord.cpp
+++ b/Libraries/LibJob/JobRecord.cpp
@@ -119,14 +119,32 @@
     return submission;
 }
 
+static Json::Value encodeRuns(const std::set<std::int64_t> &runs)
+{
+    Json::Value value(Json::arrayValue);
+    for (const std::int64_t run : runs)
+        value.append(Json::Int64(run));
+    return value;
+}
+
+static std::set<std::int64_t> decodeRuns(const Json::Value &value)
+{
+    std::set<std::int64_t> runs;
+    for (const Json::Value &run : value)
+        runs.insert(run.asInt64());
+    return runs;
+}
+
+/// Number of elements of a crash history without and with a run in doubt; the excused runs follow
+/// if there are any.
+static constexpr Json::ArrayIndex sizeWithoutRunInDoubt = 3;
+static constexpr Json::ArrayIndex sizeWithRunInDoubt = 8;
+
 static Json::Value encodeCrashHistory(int index, const CrashHistory &history)
 {
     Json::Value value(Json::arrayValue);
     value.append(index);
-    Json::Value lostRuns(Json::arrayValue);
-    for (const std::int64_t run : history.lostRuns())
-        lostRuns.append(Json::Int64(run));
-    value.append(lostRuns);
+    value.append(encodeRuns(history.lostRuns()));
     Json::Value crashes(Json::arrayValue);
     for (const SuspectedCrash &crash : history.crashes()) {
         crashes.append(crash.worker.text());
@@ -134,14 +152,15 @@
         crashes.append(crash.wasOnlySuspect);
     }
     value.append(crashes);
-    if (!history.runInDoubt())
-        return value;
-    const RunInDoubt &run = *history.runInDoubt();
-    value.append(run.worker.text());
-    value.append(Json::Int64(run.run));
-    value.append(run.isOnlySuspect);
-    value.append(run.address);
-    value.append(Json::Int64(run.processStartUnixMs));
+    if (const std::optional<RunInDoubt> &run = history.runInDoubt()) {
+        value.append(run->worker.text());
+        value.append(Json::Int64(run->run));
+        value.append(run->isOnlySuspect);
+        value.append(run->address);
+        value.append(Json::Int64(run->processStartUnixMs));
+    }
+    if (!history.excusedRuns().empty())
+        value.append(encodeRuns(history.excusedRuns()));
     return value;
 }
 
@@ -152,15 +171,13 @@
     for (Json::ArrayIndex i = 0; i + 2 < list.size(); i += 3)
         crashes.push_back(
             { Core::VmId(list[i].asString()), list[i + 1].asInt64(), list[i + 2].asBool() });
-    std::set<std::int64_t> lostRuns;
-    for (const Json::Value &run : value[1])
-        lostRuns.insert(run.asInt64());
     std::optional<RunInDoubt> runInDoubt;
-    constexpr Json::ArrayIndex sizeWithRunInDoubt = 8;
-    if (value.size() >= sizeWithRunInDoubt)
+    const bool hasRunInDoubt = value.size() >= sizeWithRunInDoubt;
+    if (hasRunInDoubt)
         runInDoubt = RunInDoubt { value[4].asInt64(), Core::VmId(value[3].asString()),
                                   value[6].asString(), value[7].asInt64(), value[5].asBool() };
-    return { std::move(crashes), std::move(lostRuns), std::move(runInDoubt) };
+    const Json::Value &excused = value[hasRunInDoubt ? sizeWithRunInDoubt : sizeWithoutRunInDoubt];
+    return { std::move(crashes), decodeRuns(value[1]), std::move(runInDoubt), decodeRuns(excused) };
 }
 
 static Json::Value encodeStepProgress(const StepProgress &step)
--- a/Libraries/LibJob/JobSchedulerCrashes.cpp
+++ b/Libraries/LibJob/JobSchedulerCrashes.cpp
@@ -111,8 +111,10 @@
         const SuspectedCrash crash { id, suspect.run->number, isOnly };
         countCrash(*suspect.job, suspect.name, crash, evidence, now);
     }
+    const bool hasCommonCause
+        = m_silentWorkers.hasOtherAboveSuspicion(id, silentSince(worker, now));
     for (const StartedRun &started : lost)
-        noteLostRun(*started.job, started.name, *started.run);
+        noteLostRun(*started.job, started.name, *started.run, hasCommonCause);
     for (const StartedRun &doubt : doubtsAbout(id)) {
         const bool wasLostBefore = !doubt.run;
         if (wasLostBefore)
@@ -132,16 +134,15 @@
                               std::string_view evidence, const TimePoint &now)
 {
     const WorkerState *worker = findWorker(crash.worker);
-    const bool isSilent = worker && worker->unresponsiveSince() != Core::Instant();
-    const Core::Instant silentSince = isSilent ? worker->unresponsiveSince() : now.instant;
+    const Core::Instant silentAt = worker ? silentSince(*worker, now) : now.instant;
     const CrashHistory &history = job.crashHistory(name);
     if (history.lostRuns().contains(crash.run))
         return;
     const bool wasIsolated = worker && worker->isIsolated(name);
-    const bool hasCommonCause = m_silentWorkers.hasOtherAboveSuspicion(crash.worker, silentSince)
-        || (wasIsolated && m_silentWorkers.isOneOfMany(crash.worker, silentSince, m_listed.size()));
+    const bool hasCommonCause = m_silentWorkers.hasOtherAboveSuspicion(crash.worker, silentAt)
+        || (wasIsolated && m_silentWorkers.isOneOfMany(crash.worker, silentAt, m_listed.size()));
     SuspectedCrash counted = crash;
-    counted.wasOnlySuspect &= !m_silentWorkers.hasOther(crash.worker, silentSince);
+    counted.wasOnlySuspect &= !m_silentWorkers.hasOther(crash.worker, silentAt);
     note(name, "crash-counted",
          "worker=" + crash.worker.text() + " run=" + std::to_string(crash.run) + " evidence="
              + std::string(evidence) + " only_suspect=" + (counted.wasOnlySuspect ? '1' : '0')
@@ -150,11 +151,22 @@
     setCrashHistory(job, name, hasCommonCause ? lost : lost.withCrash(counted));
 }
 
-void JobScheduler::noteLostRun(OwnedJob &job, const TaskName &name, const TaskRun &run)
+Core::Instant JobScheduler::silentSince(const WorkerState &worker, const TimePoint &now)
 {
-    const bool isProven = run.hasRunFor(TaskRun::provenTime);
-    setCrashHistory(job, name,
-                    isProven ? CrashHistory() : job.crashHistory(name).withLostRun(run.number));
+    const bool isSilent = worker.unresponsiveSince() != Core::Instant();
+    return isSilent ? worker.unresponsiveSince() : now.instant;
+}
+
+void JobScheduler::noteLostRun(OwnedJob &job, const TaskName &name, const TaskRun &run,
+                               bool hasCommonCause)
+{
+    const CrashHistory &history = job.crashHistory(name);
+    if (run.hasRunFor(TaskRun::provenTime))
+        setCrashHistory(job, name, {});
+    else if (hasCommonCause && run.hasSurvivedStart())
+        setCrashHistory(job, name, history.withExcusedRun(run.number));
+    else
+        setCrashHistory(job, name, history.withLostRun(run.number));
 }
 
 void JobScheduler::giveUpCrashing(const std::vector<StartedRun> &lost, const TimePoint &now)
@@ -175,6 +187,7 @@
         workers += (workers.empty() ? "" : ",") + crash.worker.text();
     m_log.noteJobGivenUp(name, "crash-limit",
                          "lost_runs=" + std::to_string(history.lostRuns().size())
+                             + " excused_runs=" + std::to_string(history.excusedRuns().size())
                              + " crashed_workers=" + workers);
     endEarly(job, JobState::Failed, now);
 }
@@ -200,7 +213,9 @@
     else
         m_doubts.erase(name);
     markDirty(job);
-    if (history.lostRuns() != former.lostRuns() || history.crashes() != former.crashes())
+    const bool hasNewLoss = history.lostRuns() != former.lostRuns()
+        || history.excusedRuns() != former.excusedRuns() || history.crashes() != former.crashes();
+    if (hasNewLoss)
         task->neededCommit = m_lastCommit + 1;
 }
 
--- a/Tests/LibJob/TestCrashHistory.cpp
+++ b/Tests/LibJob/TestCrashHistory.cpp
@@ -54,10 +54,22 @@
         CHECK_FALSE(history.isToBeGivenUp());
         CHECK(history.withLostRun(5).isToBeGivenUp());
     }
+    SECTION("or ten, if all were excused by other crashes")
+    {
+        CrashHistory history;
+        for (std::int64_t run = 1; run < 10; ++run)
+            history = history.withExcusedRun(run);
+        CHECK_FALSE(history.isSuspect());
+        CHECK_FALSE(history.isToBeGivenUp());
+        CHECK(history.withExcusedRun(10).isToBeGivenUp());
+        CHECK(history.withLostRun(10).isToBeGivenUp());
+    }
     SECTION("but a run counts once, whoever reports its crash")
     {
         const CrashHistory once = none.withLostRun(1).withCrash(crash(1, false));
         CHECK(once.withCrash(crash(1, true)).withLostRun(1) == none.withCrash(crash(1, true)));
+        CHECK(none.withLostRun(1).withExcusedRun(1) == none.withLostRun(1));
+        CHECK(none.withExcusedRun(1).withCrash(crash(1, true)) == none.withCrash(crash(1, true)));
     }
     SECTION("and those of a gang's members count together, once for each of its runs")
     {
--- a/Tests/LibJob/TestCrashRecords.cpp
+++ b/Tests/LibJob/TestCrashRecords.cpp
@@ -141,3 +141,35 @@
         CHECK(owner.runForTwoSeconds().size() == 1);
     }
 }
+
+TEST_CASE("A run that was at work is excused if other workers crashed along with its own")
+{
+    SchedulerFixture owner({ 1, 0, Core::Instant() });
+    owner.report(SchedulerFixture::first, {});
+    owner.report(SchedulerFixture::second, {});
+    owner.runForTwoSeconds();
+    owner.submit(SchedulerFixture::step(2, wholeWorker));
+    const std::vector<StartCommand> starts = owner.runForTwoSeconds();
+    REQUIRE(starts.size() == 2);
+    owner.reportAll(0);
+    const StartCommand &crashing = starts.front();
+    REQUIRE(crashing.task == SchedulerFixture::task(0));
+
+    SECTION("so five such losses don't end the job")
+    {
+        owner.failRenewal(starts.back().worker);
+        owner.failRenewal(crashing.worker);
+        owner.answerAsOtherIncarnation(crashing.worker, crashing.address);
+        owner.commit();
+        CHECK(owner.recordedCrashes().lostRuns().empty());
+        CHECK(owner.recordedCrashes().excusedRuns().size() == 1);
+    }
+    SECTION("but not if its worker alone has crashed")
+    {
+        owner.failRenewal(crashing.worker);
+        owner.answerAsOtherIncarnation(crashing.worker, crashing.address);
+        owner.commit();
+        CHECK(owner.recordedCrashes().lostRuns().size() == 1);
+        CHECK(owner.recordedCrashes().excusedRuns().empty());
+    }
+}
--- a/Tests/LibJob/TestRecords.cpp
+++ b/Tests/LibJob/TestRecords.cpp
@@ -56,8 +56,9 @@
     step.abandonedRuns[1] = 1004;
     const SuspectedCrash crash { Core::VmId("w1"), 1005, true };
     const RunInDoubt run { 1006, Core::VmId("w2"), "10.0.0.1:80", 1'790'000'000'123, true };
-    step.crashHistories.emplace(1, CrashHistory({ crash }, { 1003, 1005 }, run));
+    step.crashHistories.emplace(1, CrashHistory({ crash }, { 1003, 1005 }, run, { 1004 }));
     step.crashHistories.emplace(0, CrashHistory().withLostRun(1002));
+    step.crashHistories.emplace(2, CrashHistory().withExcusedRun(1001));
     progress.occurrences[3] = { step, StepProgress { { false, false }, {}, {}, {} } };
     progress.endedOccurrences = { 0, 1 };
     return progress;
--- a/include/LibJob/CrashHistory.h
+++ b/include/LibJob/CrashHistory.h
@@ -54,18 +54,24 @@
     static constexpr std::size_t maxCrashes = 3;
     /// or after this many successive runs that were lost in crashes, whatever the cause, if none
     /// had been at work for long. Bounds the crashes by tasks that crash their workers after a
-    /// while, or always while other workers crash too.
+    /// while.
     static constexpr std::size_t maxLostRuns = 5;
+    /// or after this many, excused ones included: bounds the crashes by tasks that crash their
+    /// workers after a while, and always while others crash too.
+    static constexpr std::size_t maxLostRunsWithExcused = 10;
 
     CrashHistory() = default;
     CrashHistory(std::vector<SuspectedCrash> crashes, std::set<std::int64_t> lostRuns,
-                 std::optional<RunInDoubt> runInDoubt);
+                 std::optional<RunInDoubt> runInDoubt, std::set<std::int64_t> excusedRuns = {});
 
     /// In the order in which they became known.
     const std::vector<SuspectedCrash> &crashes() const { return m_crashes; }
     /// The successive runs that were lost in crashes of their workers; includes those of crashes().
     const std::set<std::int64_t> &lostRuns() const { return m_lostRuns; }
     const std::optional<RunInDoubt> &runInDoubt() const { return m_runInDoubt; }
+    /// The successive runs that had survived their start and were lost in crashes with a cause
+    /// beyond their worker.
+    const std::set<std::int64_t> &excusedRuns() const { return m_excusedRuns; }
 
     bool isEmpty() const { return *this == CrashHistory(); }
     /// True if the task must be isolated from other possible causes of a crash when it runs next.
@@ -77,6 +83,7 @@
     /// The crash settles the doubt about the run, if there is one. A run counts once.
     CrashHistory withCrash(const SuspectedCrash &crash) const;
     CrashHistory withLostRun(std::int64_t run) const;
+    CrashHistory withExcusedRun(std::int64_t run) const;
     /// The history of a gang: that of all its members, whose runs start together and count once.
     CrashHistory mergedWith(const CrashHistory &other) const;
 
@@ -86,6 +93,7 @@
     std::vector<SuspectedCrash> m_crashes;
     std::set<std::int64_t> m_lostRuns;
     std::optional<RunInDoubt> m_runInDoubt;
+    std::set<std::int64_t> m_excusedRuns;
 };
 
 } // namespace Jobs
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -321,7 +321,10 @@
     /// that it has another cause: then the run only counts as lost.
     void countCrash(OwnedJob &job, const TaskName &name, const SuspectedCrash &crash,
                     std::string_view evidence, const TimePoint &now);
-    void noteLostRun(OwnedJob &job, const TaskName &name, const TaskRun &run);
+    /// When the worker stopped answering; \p now if it hasn't.
+    static Core::Instant silentSince(const WorkerState &worker, const TimePoint &now);
+    /// \p hasCommonCause excuses a run that had survived its start.
+    void noteLostRun(OwnedJob &job, const TaskName &name, const TaskRun &run, bool hasCommonCause);
     /// Fails the jobs of which a task has crashed too many workers.
     void giveUpCrashing(const std::vector<StartedRun> &lost, const TimePoint &now);
     void giveUpIfCrashing(OwnedJob &job, const TaskName &name, const TimePoint &now);
