LibJob: Excuse lost runs that were at work beside an isolated suspect

Cause: a suspect is isolated from other starting runs, but not from those at work. When it crashes the worker, they are lost beside a better explanation, and yet counted towards their own bound of five.

Ruled out: to excuse every run beside a suspect; on a busy site there is one at most crashes, so a task that crashes its workers late would have ten crashes as its bound in place of five.

Change: a run that had survived its start is also excused if an isolated suspect was on its worker.

Measured: the new test fails without the change. TestLibJob passes (58 cases).

--- a/Libraries/LibJob/JobSchedulerCrashes.cpp
+++ b/Libraries/LibJob/JobSchedulerCrashes.cpp
@@ -111,10 +111,10 @@
         const SuspectedCrash crash { id, suspect.run->number, isOnly };
         countCrash(*suspect.job, suspect.name, crash, evidence, now);
     }
-    const bool hasCommonCause
-        = m_silentWorkers.hasOtherAboveSuspicion(id, silentSince(worker, now));
+    const bool hasOtherCause = worker.hasIsolatedRun()
+        || m_silentWorkers.hasOtherAboveSuspicion(id, silentSince(worker, now));
     for (const StartedRun &started : lost)
-        noteLostRun(*started.job, started.name, *started.run, hasCommonCause);
+        noteLostRun(*started.job, started.name, *started.run, hasOtherCause);
     for (const StartedRun &doubt : doubtsAbout(id)) {
         const bool wasLostBefore = !doubt.run;
         if (wasLostBefore)
@@ -158,12 +158,12 @@
 }
 
 void JobScheduler::noteLostRun(OwnedJob &job, const TaskName &name, const TaskRun &run,
-                               bool hasCommonCause)
+                               bool hasOtherCause)
 {
     const CrashHistory &history = job.crashHistory(name);
     if (run.hasRunFor(TaskRun::provenTime))
         setCrashHistory(job, name, {});
-    else if (hasCommonCause && run.hasSurvivedStart())
+    else if (hasOtherCause && run.hasSurvivedStart())
         setCrashHistory(job, name, history.withExcusedRun(run.number));
     else
         setCrashHistory(job, name, history.withLostRun(run.number));
--- a/Tests/LibJob/TestCrashRecords.cpp
+++ b/Tests/LibJob/TestCrashRecords.cpp
@@ -173,3 +173,30 @@
         CHECK(owner.recordedCrashes().excusedRuns().empty());
     }
 }
+
+TEST_CASE("A run that was at work is excused if its worker crashed under an isolated suspect")
+{
+    SchedulerFixture owner({ 1, 0, Core::Instant() });
+    owner.report(SchedulerFixture::first, {});
+    owner.report(SchedulerFixture::second, {});
+    owner.runForTwoSeconds();
+    owner.submit(SchedulerFixture::step(1, 0), "crashing");
+    const std::vector<StartCommand> crashing = owner.runForTwoSeconds();
+    REQUIRE(crashing.size() == 1);
+    owner.setCapacity(crashing.front().worker, -1);
+    owner.submit(SchedulerFixture::step(1));
+    const std::vector<StartCommand> other = owner.runForTwoSeconds();
+    REQUIRE(other.size() == 1);
+    REQUIRE(other.front().worker != crashing.front().worker);
+    owner.report(other.front().worker, {},
+                 { { other.front().task, other.front().run, "", 10, 0 } });
+
+    owner.answerAsOtherIncarnation(crashing.front().worker, crashing.front().address);
+    const std::vector<StartCommand> isolated = owner.runForTwoSeconds();
+    REQUIRE(isolated.size() == 1);
+    REQUIRE(isolated.front().worker == other.front().worker);
+    owner.answerAsOtherIncarnation(isolated.front().worker, isolated.front().address);
+    owner.commit();
+    CHECK(owner.recordedCrashes().lostRuns().empty());
+    CHECK(owner.recordedCrashes().excusedRuns().size() == 1);
+}
--- a/include/LibJob/CrashHistory.h
+++ b/include/LibJob/CrashHistory.h
@@ -69,8 +69,8 @@
     /// The successive runs that were lost in crashes of their workers; includes those of crashes().
     const std::set<std::int64_t> &lostRuns() const { return m_lostRuns; }
     const std::optional<RunInDoubt> &runInDoubt() const { return m_runInDoubt; }
-    /// The successive runs that had survived their start and were lost in crashes with a cause
-    /// beyond their worker.
+    /// The successive runs that had survived their start and were lost in crashes with another
+    /// cause: one beyond their worker, or a suspect that ran there in isolation.
     const std::set<std::int64_t> &excusedRuns() const { return m_excusedRuns; }
 
     bool isEmpty() const { return *this == CrashHistory(); }
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -323,8 +323,8 @@
                     std::string_view evidence, const TimePoint &now);
     /// When the worker stopped answering; \p now if it hasn't.
     static Core::Instant silentSince(const WorkerState &worker, const TimePoint &now);
-    /// \p hasCommonCause excuses a run that had survived its start.
-    void noteLostRun(OwnedJob &job, const TaskName &name, const TaskRun &run, bool hasCommonCause);
+    /// \p hasOtherCause excuses a run that had survived its start.
+    void noteLostRun(OwnedJob &job, const TaskName &name, const TaskRun &run, bool hasOtherCause);
     /// Fails the jobs of which a task has crashed too many workers.
     void giveUpCrashing(const std::vector<StartedRun> &lost, const TimePoint &now);
     void giveUpIfCrashing(OwnedJob &job, const TaskName &name, const TimePoint &now);
