Utilities: Reword comments and names in plain technical English

Read badly: comments without a subject, everyday words for terms of the field (door, way, untruth, "said to run"), half sentences.

Change: comments of lagoonload and lagoonctl, and these names of lagoonload: DoorClient, DoorRequest, DoorAnswer, Door, NoDoor -> EntryVmClient, EntryVmRequest, EntryVmResponse, EntryVm, NoEntryVm.

--- a/Utilities/lagoonctl/Commands.cpp
+++ b/Utilities/lagoonctl/Commands.cpp
@@ -13,7 +13,7 @@
 
 namespace Control {
 
-/// How often a change of one line is put on top of another operator's change.
+/// Maximum number of times that a change of one line is rebased onto another operator's change.
 static constexpr int mostRebases = 3;
 
 const char *const commandSummary = "rules check FILE | rules publish FILE --for WHO | rules show | "
@@ -160,7 +160,7 @@
     if (needsName())
         return usageError("--for must say who asks for the change");
     ExitStatus status = ExitStatus::LostRace;
-    // The change concerns one line only, so it may be put on top of what another operator changed.
+    // The change concerns one line only, so it can be rebased onto another operator's change.
     for (int attempt = 0; attempt < mostRebases && status == ExitStatus::LostRace; ++attempt) {
         const DaemonAnswer current = m_daemon.get("/admin/rules");
         if (current.status != 200)
--- a/Utilities/lagoonctl/Commands.h
+++ b/Utilities/lagoonctl/Commands.h
@@ -8,21 +8,21 @@
 
 namespace Control {
 
-/// What the command line asks for.
+/// The parsed command line.
 struct Invocation
 {
     std::vector<std::string> words;
-    /// On whose behalf, for changes.
+    /// The person on whose behalf a change is made.
     std::string requestedBy;
     bool isJson = false;
 
     bool operator==(const Invocation &) const = default;
 };
 
-/// The commands that `lagoonctl` knows, for `--help`.
+/// Describes the commands of `lagoonctl`, for `--help`.
 extern const char *const commandSummary;
 
-/// Carries out one command and prints its result.
+/// Executes one command and prints its result.
 class Commands
 {
 public:
@@ -44,7 +44,7 @@
     ExitStatus cancel(const std::string &id);
 
     ExitStatus publish(std::uint64_t base, const std::string &text);
-    /// Prints the answer as JSON if asked to, and its error if it is one.
+    /// Prints the response as JSON if that was requested, and its message if it is an error.
     ExitStatus conclude(const DaemonAnswer &answer) const;
     ExitStatus usageError(const std::string &message) const;
     bool needsName() const { return m_invocation.requestedBy.empty(); }
--- a/Utilities/lagoonctl/DaemonClient.cpp
+++ b/Utilities/lagoonctl/DaemonClient.cpp
@@ -26,7 +26,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-/// Longer than a daemon takes at most to say what became of a change.
+/// Exceeds the time within which a daemon reports the outcome of a change.
 static constexpr std::chrono::seconds patience(15);
 
 using Request = http::request<http::string_body>;
@@ -34,7 +34,7 @@
 
 namespace {
 
-/// Errors are kept apart by whether bytes may have left.
+/// Distinguishes errors by whether bytes of the request may have been sent.
 struct CallFailure
 {
     bool isSent = false;
--- a/Utilities/lagoonctl/DaemonClient.h
+++ b/Utilities/lagoonctl/DaemonClient.h
@@ -7,25 +7,25 @@
 
 namespace Control {
 
-/// A daemon's answer to one HTTP request.
+/// A daemon's response to an HTTP request.
 struct DaemonAnswer
 {
     unsigned status = 0;
-    /// The body if it is JSON, otherwise null.
+    /// The body; null if it isn't JSON.
     Json::Value body;
     std::string outcome;
 
     bool operator==(const DaemonAnswer &) const = default;
 };
 
-/// Speaks HTTP with one daemon.
+/// Sends HTTP requests to one daemon.
 class DaemonClient
 {
 public:
     DaemonClient(std::string address, std::uint16_t port);
 
-    /// \throws Core::NotDoneError if nothing was sent, and Core::OutcomeUnknownError if no answer
-    /// came.
+    /// \throws Core::NotDoneError if nothing was sent, and Core::OutcomeUnknownError if no response
+    /// arrived.
     DaemonAnswer get(const std::string &target) const;
     DaemonAnswer post(const std::string &target, const Json::Value &body) const;
     DaemonAnswer remove(const std::string &target) const;
--- a/Utilities/lagoonctl/ExitStatus.h
+++ b/Utilities/lagoonctl/ExitStatus.h
@@ -5,13 +5,13 @@
 /// The exit statuses of lagoonctl, as docs/operators/LAGOONCTL.md lists them.
 enum class ExitStatus {
     Success = 0,
-    /// The daemon refused or failed; nothing was changed.
+    /// The daemon rejected the command or failed; nothing was changed.
     Refused = 1,
-    /// The command line, a file or a rule is wrong.
+    /// The command line, a file or a rule is invalid.
     BadInput = 2,
-    /// No daemon answered.
+    /// No daemon could be reached.
     Unreachable = 3,
-    /// Another operator's change came first.
+    /// The change conflicts with another operator's.
     LostRace = 4,
     /// The change may or may not have taken effect.
     Unknown = 5,
--- a/Utilities/lagoonload/Balancer.cpp
+++ b/Utilities/lagoonload/Balancer.cpp
@@ -16,50 +16,51 @@
 static constexpr Core::Duration healthTimeLimit = std::chrono::milliseconds(500);
 
 Balancer::Balancer(const asio::any_io_executor &executor,
-                   const std::vector<asio::ip::tcp::endpoint> &doors)
+                   const std::vector<asio::ip::tcp::endpoint> &entryVms)
     : m_executor(executor)
 {
-    for (const auto &endpoint : doors)
-        m_doors.push_back({ std::make_unique<DoorClient>(executor, endpoint),
-                            std::make_unique<DoorClient>(executor, endpoint) });
+    for (const auto &endpoint : entryVms)
+        m_entryVms.push_back({ std::make_unique<EntryVmClient>(executor, endpoint),
+                               std::make_unique<EntryVmClient>(executor, endpoint) });
 }
 
 asio::awaitable<void> Balancer::watchHealth(Core::Instant end)
 {
-    for (Door &door : m_doors)
-        asio::co_spawn(m_executor, watch(door, end), asio::detached);
+    for (EntryVm &entryVm : m_entryVms)
+        asio::co_spawn(m_executor, watch(entryVm, end), asio::detached);
     co_return;
 }
 
-asio::awaitable<void> Balancer::watch(Door &door, Core::Instant end)
+asio::awaitable<void> Balancer::watch(EntryVm &entryVm, Core::Instant end)
 {
     asio::steady_timer timer(m_executor);
     while (Core::steadyNow() < end) {
-        door.isHealthy = co_await isHealthy(door);
+        entryVm.isHealthy = co_await isHealthy(entryVm);
         timer.expires_after(healthInterval);
         co_await timer.async_wait(asio::use_awaitable);
     }
 }
 
-asio::awaitable<bool> Balancer::isHealthy(Door &door)
+asio::awaitable<bool> Balancer::isHealthy(EntryVm &entryVm)
 {
     try {
-        DoorRequest request { "GET", "/healthz", {}, {} };
+        EntryVmRequest request { "GET", "/healthz", {}, {} };
         const Core::Instant deadline = Core::steadyNow() + healthTimeLimit;
-        const DoorAnswer answer = co_await door.healthClient->call(std::move(request), deadline);
+        const EntryVmResponse answer
+            = co_await entryVm.healthClient->call(std::move(request), deadline);
         co_return answer.status == 200;
     } catch (const Core::Error &) {
         co_return false;
     }
 }
 
-DoorClient *Balancer::next()
+EntryVmClient *Balancer::next()
 {
-    for (std::size_t tried = 0; tried < m_doors.size(); ++tried) {
-        Door &door = m_doors[m_next];
-        m_next = (m_next + 1) % m_doors.size();
-        if (door.isHealthy)
-            return door.client.get();
+    for (std::size_t tried = 0; tried < m_entryVms.size(); ++tried) {
+        EntryVm &entryVm = m_entryVms[m_next];
+        m_next = (m_next + 1) % m_entryVms.size();
+        if (entryVm.isHealthy)
+            return entryVm.client.get();
     }
     return nullptr;
 }
--- a/Utilities/lagoonload/Balancer.h
+++ b/Utilities/lagoonload/Balancer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "DoorClient.h"
+#include "EntryVmClient.h"
 
 #include <cstddef>
 #include <memory>
@@ -8,34 +8,34 @@
 
 namespace Load {
 
-/// Chooses doors in turn and skips those whose health page isn't 200, as the platform's balancer
-/// does.
+/// Chooses entry VMs round-robin and skips those whose health check fails, like the platform's load
+/// balancer.
 class Balancer
 {
 public:
     Balancer(const boost::asio::any_io_executor &executor,
-             const std::vector<boost::asio::ip::tcp::endpoint> &doors);
+             const std::vector<boost::asio::ip::tcp::endpoint> &entryVms);
 
-    /// Polls all health pages again and again. Runs until \p end.
+    /// Polls the health checks of all entry VMs periodically until \p end.
     boost::asio::awaitable<void> watchHealth(Core::Instant end);
 
-    /// The next healthy door; null if there is none.
-    DoorClient *next();
+    /// Returns the next healthy entry VM; null if there is none.
+    EntryVmClient *next();
 
 private:
-    struct Door
+    struct EntryVm
     {
-        std::unique_ptr<DoorClient> client;
-        /// Polled apart from the requests, so that they don't wait for each other.
-        std::unique_ptr<DoorClient> healthClient;
+        std::unique_ptr<EntryVmClient> client;
+        /// Separate from `client`, so that health checks don't wait for requests.
+        std::unique_ptr<EntryVmClient> healthClient;
         bool isHealthy = true;
     };
 
-    boost::asio::awaitable<void> watch(Door &door, Core::Instant end);
-    boost::asio::awaitable<bool> isHealthy(Door &door);
+    boost::asio::awaitable<void> watch(EntryVm &entryVm, Core::Instant end);
+    boost::asio::awaitable<bool> isHealthy(EntryVm &entryVm);
 
     boost::asio::any_io_executor m_executor;
-    std::vector<Door> m_doors;
+    std::vector<EntryVm> m_entryVms;
     std::size_t m_next = 0;
 };
 
--- a/Utilities/lagoonload/DoorClient.cpp
+++ b/Utilities/lagoonload/EntryVmClient.cpp
@@ -1,4 +1,4 @@
-#include "DoorClient.h"
+#include "EntryVmClient.h"
 
 #include <LibCore/Error.h>
 #include <LibCore/SteadyClock.h>
@@ -27,14 +27,14 @@
     return asio::redirect_error(asio::use_awaitable, error);
 }
 
-struct DoorClient::Connection
+struct EntryVmClient::Connection
 {
     explicit Connection(const asio::any_io_executor &executor)
         : stream(executor)
     {
     }
 
-    /// True if the server has neither closed the idle connection nor sent stray bytes on it.
+    /// True if the server has neither closed the idle connection nor sent unexpected bytes on it.
     bool isQuiet()
     {
         error_code error;
@@ -48,22 +48,22 @@
     boost::beast::flat_buffer buffer;
 };
 
-DoorClient::DoorClient(asio::any_io_executor executor, asio::ip::tcp::endpoint endpoint)
+EntryVmClient::EntryVmClient(asio::any_io_executor executor, asio::ip::tcp::endpoint endpoint)
     : m_executor(std::move(executor))
     , m_endpoint(std::move(endpoint))
 {
 }
 
-DoorClient::~DoorClient() = default;
+EntryVmClient::~EntryVmClient() = default;
 
-std::string DoorClient::name() const
+std::string EntryVmClient::name() const
 {
     std::ostringstream text;
     text << m_endpoint;
     return text.str();
 }
 
-asio::awaitable<DoorAnswer> DoorClient::call(DoorRequest request, Core::Instant deadline)
+asio::awaitable<EntryVmResponse> EntryVmClient::call(EntryVmRequest request, Core::Instant deadline)
 {
     std::unique_ptr<Connection> connection = takeIdle();
     const bool isNew = connection == nullptr;
@@ -81,7 +81,7 @@
     co_return co_await receive(std::move(connection));
 }
 
-std::unique_ptr<DoorClient::Connection> DoorClient::takeIdle()
+std::unique_ptr<EntryVmClient::Connection> EntryVmClient::takeIdle()
 {
     while (!m_idle.empty()) {
         std::unique_ptr<Connection> connection = std::move(m_idle.back());
@@ -92,7 +92,7 @@
     return nullptr;
 }
 
-asio::awaitable<void> DoorClient::send(Connection &connection, const DoorRequest &request)
+asio::awaitable<void> EntryVmClient::send(Connection &connection, const EntryVmRequest &request)
 {
     http::request<http::string_body> message;
     message.method_string(request.method);
@@ -118,14 +118,14 @@
     return std::chrono::seconds(seconds);
 }
 
-asio::awaitable<DoorAnswer> DoorClient::receive(std::unique_ptr<Connection> connection)
+asio::awaitable<EntryVmResponse> EntryVmClient::receive(std::unique_ptr<Connection> connection)
 {
     error_code error;
     http::response<http::string_body> message;
     co_await http::async_read(connection->stream, connection->buffer, message, awaitInto(error));
     if (error)
         throw Core::OutcomeUnknownError(step, name(), "receive: " + error.message());
-    DoorAnswer answer;
+    EntryVmResponse answer;
     answer.status = message.result_int();
     answer.outcome = std::string(message["Lagoonford-Outcome"]);
     answer.retryAfter = parseSeconds(message[http::field::retry_after]);
--- a/Utilities/lagoonload/DoorClient.h
+++ b/Utilities/lagoonload/EntryVmClient.h
@@ -14,7 +14,7 @@
 
 namespace Load {
 
-struct DoorRequest
+struct EntryVmRequest
 {
     std::string method;
     std::string target;
@@ -22,28 +22,28 @@
     std::string body;
 };
 
-struct DoorAnswer
+struct EntryVmResponse
 {
     unsigned status = 0;
-    /// The value of the header `Lagoonford-Outcome`; empty if there is none.
+    /// Value of the header `Lagoonford-Outcome`; empty if absent.
     std::string outcome;
-    /// From the header `Retry-After`.
+    /// Value of the header `Retry-After`.
     Core::Duration retryAfter {};
     std::string body;
 };
 
-/// Calls to one entry VM's door over keep-alive connections.
-class DoorClient
+/// Sends HTTP requests to the callers' port of one entry VM over keep-alive connections.
+class EntryVmClient
 {
 public:
-    DoorClient(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint endpoint);
-    ~DoorClient();
-    DoorClient(const DoorClient &) = delete;
-    DoorClient &operator=(const DoorClient &) = delete;
+    EntryVmClient(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint endpoint);
+    ~EntryVmClient();
+    EntryVmClient(const EntryVmClient &) = delete;
+    EntryVmClient &operator=(const EntryVmClient &) = delete;
 
     /// \throws Core::NotDoneError if nothing was sent.
-    /// \throws Core::OutcomeUnknownError if no whole answer came before \p deadline.
-    boost::asio::awaitable<DoorAnswer> call(DoorRequest request, Core::Instant deadline);
+    /// \throws Core::OutcomeUnknownError if no complete response arrived before \p deadline.
+    boost::asio::awaitable<EntryVmResponse> call(EntryVmRequest request, Core::Instant deadline);
 
     const boost::asio::ip::tcp::endpoint &endpoint() const { return m_endpoint; }
 
@@ -51,8 +51,8 @@
     struct Connection;
 
     std::unique_ptr<Connection> takeIdle();
-    boost::asio::awaitable<void> send(Connection &connection, const DoorRequest &request);
-    boost::asio::awaitable<DoorAnswer> receive(std::unique_ptr<Connection> connection);
+    boost::asio::awaitable<void> send(Connection &connection, const EntryVmRequest &request);
+    boost::asio::awaitable<EntryVmResponse> receive(std::unique_ptr<Connection> connection);
     std::string name() const;
 
     boost::asio::any_io_executor m_executor;
--- a/Utilities/lagoonload/ExecutionCheck.cpp
+++ b/Utilities/lagoonload/ExecutionCheck.cpp
@@ -1,6 +1,6 @@
 #include "ExecutionCheck.h"
 
-#include "DoorClient.h"
+#include "EntryVmClient.h"
 
 #include <LibCore/Error.h>
 #include <LibCore/Json.h>
@@ -16,14 +16,14 @@
 
 static constexpr Core::Duration controlTimeLimit = std::chrono::seconds(5);
 
-/// How often each request id was executed.
+/// Number of executions by request ID.
 using Counts = std::map<std::string, int>;
 
 static void addCounts(Counts &counts, const asio::ip::tcp::endpoint &control)
 {
     asio::io_context context;
-    DoorClient client(context.get_executor(), control);
-    DoorRequest request { "GET", "/control/executions", {}, {} };
+    EntryVmClient client(context.get_executor(), control);
+    EntryVmRequest request { "GET", "/control/executions", {}, {} };
     auto pending = asio::co_spawn(
         context, client.call(std::move(request), Core::steadyNow() + controlTimeLimit),
         asio::use_future);
@@ -46,7 +46,7 @@
         const auto found = counts.find(result.id);
         const int executions = found == counts.end() ? 0 : found->second;
         const bool isPromisedNotRun = result.ending == Ending::NotRun
-            || result.ending == Ending::NoDoor || result.ending == Ending::NotSent;
+            || result.ending == Ending::NoEntryVm || result.ending == Ending::NotSent;
         notRunButRan += isPromisedNotRun && executions > 0 ? 1 : 0;
         answeredButNeverRan += result.ending == Ending::Answered && executions == 0 ? 1 : 0;
         ranMoreThanOnce += !result.isIdempotent && executions > 1 ? 1 : 0;
--- a/Utilities/lagoonload/ExecutionCheck.h
+++ b/Utilities/lagoonload/ExecutionCheck.h
@@ -6,9 +6,9 @@
 
 namespace Load {
 
-/// Compares what callers were told with what the backend servers' stand-ins say they executed,
-/// read from their control ports. The value has `total` and the count of each kind of untruth.
-/// \throws Core::Error if a stand-in can't be asked.
+/// Compares the outcomes that callers got with the executions that the backend servers' stand-ins
+/// report at their control ports. The result has `total` and the count of each kind of
+/// contradiction. \throws Core::Error if a stand-in can't be reached.
 Json::Value checkExecutions(const std::vector<RequestResult> &results,
                             const std::vector<boost::asio::ip::tcp::endpoint> &controls);
 
--- a/Utilities/lagoonload/LoadRun.cpp
+++ b/Utilities/lagoonload/LoadRun.cpp
@@ -18,16 +18,16 @@
 
 namespace asio = boost::asio;
 
-/// How much longer than its deadline the caller waits for the daemon to say how a request ended.
+/// Time after a request's deadline for which the caller waits for the daemon's final response.
 static constexpr Core::Duration answerGrace = std::chrono::seconds(2);
 static constexpr Core::Duration jobCallTimeLimit = std::chrono::seconds(5);
-/// The pause before a refused request is sent again if the refusal doesn't say how long.
+/// Delay before a rejected request is retried if the response has no Retry-After header.
 static constexpr Core::Duration defaultRetryPause = std::chrono::milliseconds(50);
 
 LoadRun::LoadRun(RunSettings settings, const std::vector<TraceEvent> &events)
     : m_settings(std::move(settings))
     , m_events(events)
-    , m_balancer(m_context.get_executor(), m_settings.doors)
+    , m_balancer(m_context.get_executor(), m_settings.entryVms)
 {
 }
 
@@ -92,7 +92,8 @@
     for (int attempt = 0; attempt <= m_settings.retries; ++attempt) {
         Core::Duration retryAfter = defaultRetryPause;
         co_await sendOnce(event, deadline, result, retryAfter);
-        const bool mayRepeat = result.ending == Ending::NotRun || result.ending == Ending::NoDoor;
+        const bool mayRepeat
+            = result.ending == Ending::NotRun || result.ending == Ending::NoEntryVm;
         if (!mayRepeat || Core::steadyNow() + retryAfter >= deadline)
             break;
         if (attempt < m_settings.retries)
@@ -125,13 +126,13 @@
     return text;
 }
 
-static DoorRequest makeRequest(const TraceEvent &event, Core::Instant deadline,
-                               std::int64_t startUnixMs)
+static EntryVmRequest makeRequest(const TraceEvent &event, Core::Instant deadline,
+                                  std::int64_t startUnixMs)
 {
     using std::chrono::milliseconds;
     const auto left = std::chrono::floor<milliseconds>(deadline - Core::steadyNow()).count();
     const auto service = std::chrono::duration_cast<milliseconds>(event.service).count();
-    DoorRequest request;
+    EntryVmRequest request;
     request.method = event.method;
     request.target = "/service/load/" + event.id;
     request.headers = { { "Lagoonford-Team", event.team },
@@ -145,7 +146,7 @@
     return request;
 }
 
-static Ending endingOf(const DoorAnswer &answer)
+static Ending endingOf(const EntryVmResponse &answer)
 {
     if (answer.outcome == "not-run")
         return Ending::NotRun;
@@ -157,22 +158,23 @@
 asio::awaitable<void> LoadRun::sendOnce(const TraceEvent &event, Core::Instant deadline,
                                         RequestResult &result, Core::Duration &retryAfter)
 {
-    DoorClient *door = m_balancer.next();
-    if (!door) {
-        result.ending = Ending::NoDoor;
+    EntryVmClient *entryVm = m_balancer.next();
+    if (!entryVm) {
+        result.ending = Ending::NoEntryVm;
         co_return;
     }
-    DoorRequest request = makeRequest(event, deadline, m_startUnixMs);
+    EntryVmRequest request = makeRequest(event, deadline, m_startUnixMs);
     ++result.sendings;
     try {
-        const DoorAnswer answer = co_await door->call(std::move(request), deadline + answerGrace);
+        const EntryVmResponse answer
+            = co_await entryVm->call(std::move(request), deadline + answerGrace);
         result.ending = endingOf(answer);
         result.isForeign = result.ending == Ending::Answered
             && answer.body.find(event.id + '"') == std::string::npos;
         if (answer.retryAfter.count() > 0)
             retryAfter = answer.retryAfter;
     } catch (const Core::NotDoneError &) {
-        result.ending = Ending::NoDoor;
+        result.ending = Ending::NoEntryVm;
     } catch (const Core::OutcomeUnknownError &) {
         result.ending = Ending::NoAnswer;
     }
@@ -209,19 +211,19 @@
 
 asio::awaitable<void> LoadRun::submit(const TraceEvent &event, JobResult &result)
 {
-    DoorClient *door = m_balancer.next();
-    if (!door) {
+    EntryVmClient *entryVm = m_balancer.next();
+    if (!entryVm) {
         result.state = "no door";
         co_return;
     }
-    DoorRequest request;
+    EntryVmRequest request;
     request.method = "POST";
     request.target = "/jobs";
     request.headers = { { "Content-Type", "application/json" } };
     request.body = encodeJob(event);
     try {
-        const DoorAnswer answer
-            = co_await door->call(std::move(request), Core::steadyNow() + jobCallTimeLimit);
+        const EntryVmResponse answer
+            = co_await entryVm->call(std::move(request), Core::steadyNow() + jobCallTimeLimit);
         result.isAccepted = answer.status == 201;
         if (result.isAccepted)
             result.untilAccepted = Core::steadyNow() - (m_start + event.at);
@@ -234,7 +236,7 @@
 
 asio::awaitable<void> LoadRun::follow(const TraceEvent &event, JobResult &result)
 {
-    // A submission with unknown outcome may have been accepted all the same.
+    // A submission with an unknown outcome may have been accepted.
     bool isFollowed = result.isAccepted || result.state == "unknown";
     while (isFollowed && Core::steadyNow() < m_end) {
         co_await pause(m_settings.jobPollInterval);
@@ -252,16 +254,16 @@
     }
 }
 
-/// The job's state; empty if nobody says.
+/// Returns the job's state; empty if no daemon could be asked.
 asio::awaitable<std::string> LoadRun::readState(const std::string &id)
 {
-    DoorClient *door = m_balancer.next();
-    if (!door)
+    EntryVmClient *entryVm = m_balancer.next();
+    if (!entryVm)
         co_return std::string();
     try {
-        DoorRequest request { "GET", "/jobs/" + id, {}, {} };
-        const DoorAnswer answer
-            = co_await door->call(std::move(request), Core::steadyNow() + jobCallTimeLimit);
+        EntryVmRequest request { "GET", "/jobs/" + id, {}, {} };
+        const EntryVmResponse answer
+            = co_await entryVm->call(std::move(request), Core::steadyNow() + jobCallTimeLimit);
         if (answer.status != 200)
             co_return std::string();
         co_return Core::Json::stringMember(Core::Json::parse(answer.body, id), "state");
@@ -272,14 +274,14 @@
 
 asio::awaitable<void> LoadRun::performCancel(const TraceEvent &event)
 {
-    DoorClient *door = m_balancer.next();
-    if (!door)
+    EntryVmClient *entryVm = m_balancer.next();
+    if (!entryVm)
         co_return;
     try {
-        DoorRequest request { "DELETE", "/jobs/" + event.id, {}, {} };
-        co_await door->call(std::move(request), Core::steadyNow() + jobCallTimeLimit);
+        EntryVmRequest request { "DELETE", "/jobs/" + event.id, {}, {} };
+        co_await entryVm->call(std::move(request), Core::steadyNow() + jobCallTimeLimit);
     } catch (const Core::Error &) {
-        // What became of the job shows in its state.
+        // The outcome is read from the job's state.
     }
 }
 
--- a/Utilities/lagoonload/LoadRun.h
+++ b/Utilities/lagoonload/LoadRun.h
@@ -9,23 +9,26 @@
 
 struct RunSettings
 {
-    std::vector<boost::asio::ip::tcp::endpoint> doors;
-    /// Events beyond this many under way at once aren't sent.
+    std::vector<boost::asio::ip::tcp::endpoint> entryVms;
+    /// Maximum number of concurrent events; further ones aren't sent.
     std::size_t maximumUnderWay = 5000;
-    /// How often a request that was refused as not run is sent again, within its deadline.
+    /// Maximum number of retries of a request that was rejected without being executed, within its
+    /// deadline.
     int retries = 0;
-    /// How long jobs are followed after the last event.
+    /// How long jobs are polled after the last event.
     Core::Duration jobWait = std::chrono::seconds(30);
     Core::Duration jobPollInterval = std::chrono::milliseconds(200);
 };
 
-/// Replays a trace open-loop: each event is sent at its moment, whatever became of earlier ones.
+/// Replays a trace as an open loop: each event is sent at its time, whether or not earlier ones
+/// have ended.
 class LoadRun
 {
 public:
     LoadRun(RunSettings settings, const std::vector<TraceEvent> &events);
 
-    /// Runs to the end, which the trace's length, the deadlines and the job wait bound.
+    /// Returns once all events have ended. The duration is bounded by the length of the trace, the
+    /// deadlines and the time for which jobs are polled.
     void run();
 
     const Recorder &recorder() const { return m_recorder; }
--- a/Utilities/lagoonload/Recorder.cpp
+++ b/Utilities/lagoonload/Recorder.cpp
@@ -17,7 +17,7 @@
     return static_cast<double>(duration.count()) / 1000.0;
 }
 
-/// The smallest sample that at least \p part of all samples don't exceed.
+/// Returns the quantile \p part of the samples, from 0 to 1 (nearest-rank method).
 static double percentile(const std::vector<Core::Duration> &sorted, double part)
 {
     const auto rank = static_cast<std::size_t>(std::ceil(part * double(sorted.size())));
@@ -41,7 +41,7 @@
 
 namespace {
 
-/// The counts and latencies of some of the requests.
+/// The counts and latencies of a subset of the requests.
 struct Group
 {
     std::array<int, endingNames.size()> endings {};
--- a/Utilities/lagoonload/Recorder.h
+++ b/Utilities/lagoonload/Recorder.h
@@ -11,21 +11,21 @@
 
 namespace Load {
 
-/// How a request ended for its caller.
+/// The outcome of a request from the point of view of its caller.
 enum class Ending {
-    /// The backend server's whole answer.
+    /// The backend server's response arrived completely.
     Answered,
-    /// Refused with the promise that it didn't run.
+    /// The daemon rejected the request and states that it wasn't executed.
     NotRun,
-    /// The daemon says that it may or may not have run.
+    /// The daemon states that the request may have been executed.
     Unknown,
-    /// The backend server's own error.
+    /// The backend server responded with an error.
     BackendError,
-    /// The connection broke, or nothing came in time.
+    /// The connection broke, or the deadline passed without a response.
     NoAnswer,
-    /// No door was healthy or took the request; nothing was sent.
-    NoDoor,
-    /// The load program itself had too much under way and didn't send it.
+    /// No entry VM was healthy or accepted the connection; nothing was sent.
+    NoEntryVm,
+    /// The load program had reached its limit of concurrent events and didn't send the request.
     NotSent,
 };
 
@@ -36,10 +36,10 @@
     std::string taskClass;
     bool isIdempotent = true;
     Ending ending = Ending::NoAnswer;
-    /// Since the moment at which the trace has it sent.
+    /// Measured from the time at which the trace sends the request.
     Core::Duration latency {};
     bool isInTime = false;
-    /// True if the answer is to another request.
+    /// True if the response belongs to another request.
     bool isForeign = false;
     int sendings = 0;
 };
@@ -49,9 +49,9 @@
     std::string id;
     std::string team;
     bool isAccepted = false;
-    /// The last state that was seen.
+    /// The last state that a daemon reported.
     std::string state;
-    /// Since the moment at which the trace has it submitted; negative if it wasn't seen.
+    /// Measured from the time at which the trace submits the job; negative if no end was seen.
     Core::Duration untilAccepted { -1 };
     Core::Duration untilRunning { -1 };
     Core::Duration untilEnded { -1 };
@@ -76,7 +76,7 @@
     std::vector<JobResult> m_jobs;
 };
 
-/// The report for people, a few lines.
+/// Returns a human-readable summary of a few lines.
 std::string toText(const Json::Value &report);
 
 } // namespace Load
--- a/Utilities/lagoonload/TraceEvent.h
+++ b/Utilities/lagoonload/TraceEvent.h
@@ -12,42 +12,42 @@
 enum class EventKind {
     Request,
     Job,
-    /// Cancels the job that `id` names.
+    /// Cancels the job with the ID `id`.
     Cancel,
 };
 
-/// One line of a trace: what a caller does, and when.
+/// One line of a trace: an action of a caller at a given time.
 struct TraceEvent
 {
-    /// Since the start of the trace.
+    /// Time from the start of the trace.
     Core::Duration at {};
     EventKind kind = EventKind::Request;
-    /// Of a request, its request id; of a job or its cancellation, the job's.
+    /// The request ID, or the job ID for a submission or cancellation.
     std::string id;
     std::string team;
     std::string taskClass;
 
     std::string method = "GET";
     bool isIdempotent = true;
-    /// How long a backend server works on the request.
+    /// Processing time at the backend server.
     Core::Duration service {};
-    /// How long the caller waits; the daemon is told too.
+    /// Time limit of the caller, which is also sent to the daemon.
     Core::Duration timeLimit {};
     /// The idempotency key; may be empty.
     std::string key;
 
     Core::Resources declared;
-    /// What the caller says that the job takes.
+    /// Run time that the caller declares.
     Core::Duration expectedRun {};
-    /// What the job really takes, told to the worker's stand-in.
+    /// Actual run time, for the worker's stand-in.
     Core::Duration realRun {};
     bool isFailing = false;
 
     bool operator==(const TraceEvent &) const = default;
 };
 
-/// Reads one JSON object a line and returns the events in order of time. An event without an id
-/// gets one from its line's number. \throws Core::FormatError naming the line.
+/// Reads one JSON object per line and returns the events in chronological order. An event without
+/// an ID gets one from its line number. \throws Core::FormatError that names the line.
 std::vector<TraceEvent> readTrace(std::istream &stream, const std::string &file);
 
 std::string toLine(const TraceEvent &event);
--- a/Utilities/lagoonload/TraceGenerator.cpp
+++ b/Utilities/lagoonload/TraceGenerator.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// How far a job's real run time may be from the declared one, as a factor either way.
+/// Maximum ratio between the actual and the declared run time of a job, in either direction.
 constexpr double declarationError = 3.0;
 constexpr double failingJobShare = 0.02;
 
--- a/Utilities/lagoonload/TraceGenerator.h
+++ b/Utilities/lagoonload/TraceGenerator.h
@@ -10,13 +10,14 @@
 {
     std::uint64_t seed = 1;
     Core::Duration length = std::chrono::seconds(10);
-    /// Events a second, on average; arrivals are a Poisson process.
+    /// Mean number of events per second; arrivals are a Poisson process.
     double requestRate = 100;
     double jobRate = 0;
     int teams = 5;
-    /// The part of all events that belongs to the first team; the others share the rest evenly.
+    /// Fraction of the events that belongs to the first team, from 0 to 1; the others share the
+    /// rest evenly.
     double busiestShare = 0.5;
-    /// The part of the requests that must run at most once.
+    /// Fraction of the requests that must be executed at most once, from 0 to 1.
     double nonIdempotentShare = 0.2;
     Core::Duration meanService = std::chrono::milliseconds(20);
     Core::Duration timeLimit = std::chrono::seconds(1);
@@ -26,7 +27,7 @@
     bool operator==(const GeneratorSettings &) const = default;
 };
 
-/// The same settings always give the same trace with the same standard library.
+/// Deterministic for the same settings and standard library.
 std::vector<TraceEvent> generateTrace(const GeneratorSettings &settings);
 
 } // namespace Load
--- a/Utilities/lagoonload/main.cpp
+++ b/Utilities/lagoonload/main.cpp
@@ -46,8 +46,8 @@
     using std::chrono::milliseconds;
     using std::chrono::seconds;
     TCLAP::CmdLine line("Replays a trace of requests and jobs against entry VMs, open-loop");
-    TCLAP::MultiArg<std::string> doors("d", "door", "Callers' door of an entry VM", false,
-                                       "ADDRESS:PORT", line);
+    TCLAP::MultiArg<std::string> entryVms("d", "door", "Callers' door of an entry VM", false,
+                                          "ADDRESS:PORT", line);
     TCLAP::ValueArg<std::string> trace("t", "trace", "Trace to replay; without it one is made",
                                        false, "", "file", line);
     TCLAP::ValueArg<std::string> write("w", "write-trace", "Write the trace here", false, "",
@@ -90,7 +90,7 @@
                             milliseconds(service.getValue()),
                             milliseconds(limit.getValue()),
                             milliseconds(run.getValue()) };
-    arguments.run.doors = parseEndpoints(doors.getValue());
+    arguments.run.entryVms = parseEndpoints(entryVms.getValue());
     arguments.run.maximumUnderWay = static_cast<std::size_t>(underWay.getValue());
     arguments.run.retries = retries.getValue();
     arguments.run.jobWait = seconds(wait.getValue());
@@ -123,7 +123,7 @@
     const std::vector<Load::TraceEvent> events = loadTrace(arguments);
     if (!arguments.writeTraceFile.empty())
         writeTrace(events, arguments.writeTraceFile);
-    if (arguments.run.doors.empty())
+    if (arguments.run.entryVms.empty())
         return 0;
     Load::LoadRun load(arguments.run, events);
     load.run();
