Tests: Reword the stand-ins' comments in plain technical English

Read badly: comments without a verb or subject ("As in POST", "How often"), everyday words for terms of the field (misbehave, says nothing, told).

Change: comments of Tests/StandIns only.

Measured: builds; no line of code differs.

--- a/Tests/StandIns/Backend/BackendControl.h
+++ b/Tests/StandIns/Backend/BackendControl.h
@@ -9,7 +9,7 @@
 
 /// The control port of a process of backend servers.
 ///
-/// `GET /control/report` has the counts of each server and of executions;
+/// `GET /control/report` returns the counts of each server and of executions;
 /// `GET /control/executions` the count of every request id. `POST /control/fault` takes the members
 /// of Faults, `target` (a port as a string, `*` for all) and `silenceOpen`.
 class BackendControl final : public RequestHandler
--- a/Tests/StandIns/Backend/BackendServer.h
+++ b/Tests/StandIns/Backend/BackendServer.h
@@ -17,12 +17,12 @@
     bool operator==(const BackendLimits &) const = default;
 };
 
-/// One backend server: works on each request for its service time, one request a slot, and
-/// counts what exceeds its limits. Further requests are worked on all the same.
+/// Simulates a backend server: processes each request for its service time, one request per slot,
+/// and counts the requests and connections beyond its limits, which are processed as well.
 class BackendServer final : public RequestHandler
 {
 public:
-    /// \p executions is shared by all backend servers of a process.
+    /// All backend servers of a process share \p executions.
     BackendServer(const boost::asio::any_io_executor &executor, std::uint16_t port,
                   const BackendLimits &limits, Executions &executions);
 
--- a/Tests/StandIns/Backend/Executions.h
+++ b/Tests/StandIns/Backend/Executions.h
@@ -7,17 +7,17 @@
 
 namespace StandIn {
 
-/// How often each request and each idempotency key was executed.
+/// Counts the executions of each request and of each idempotency key.
 class Executions
 {
 public:
-    /// Empty names aren't counted.
+    /// Ignores empty names.
     void count(const std::string &requestId, const std::string &key);
 
-    /// How often each request id was executed.
+    /// Returns the number of executions by request ID.
     const std::map<std::string, int> &byRequest() const { return m_byRequest; }
 
-    /// The numbers of executions, and the names that were executed more than once.
+    /// Returns the numbers of executions, and the names with more than one.
     Json::Value report() const;
 
 private:
--- a/Tests/StandIns/Common/Await.h
+++ b/Tests/StandIns/Common/Await.h
@@ -12,7 +12,8 @@
 
 namespace StandIn {
 
-/// Runs \p context until \p operation is done, and returns its result or throws its exception.
+/// Runs \p context until \p operation has completed, and returns its result or throws its
+/// exception.
 template<typename Result>
 Result await(boost::asio::io_context &context, boost::asio::awaitable<Result> operation)
 {
@@ -23,13 +24,13 @@
     return result.get();
 }
 
-/// A deadline that no healthy exchange on the loopback interface misses.
+/// A deadline for exchanges on the loopback interface that are expected to succeed.
 inline Core::Instant amply()
 {
     return Core::steadyNow() + std::chrono::seconds(20);
 }
 
-/// A deadline for exchanges that are to fail.
+/// A deadline for exchanges that are expected to fail.
 inline Core::Instant soon()
 {
     return Core::steadyNow() + std::chrono::milliseconds(40);
--- a/Tests/StandIns/Common/Faults.h
+++ b/Tests/StandIns/Common/Faults.h
@@ -8,34 +8,35 @@
 
 namespace StandIn {
 
-/// How a server misbehaves from now on.
+/// The faults that a server injects.
 struct Faults
 {
-    /// Refuses connections and ends the open ones; of one path, ends the connection unanswered.
+    /// Refuses connections and closes the open ones; for a single path, closes the connection
+    /// without a response.
     bool isDown = false;
-    /// Accepts connections and requests and says nothing; doesn't act.
+    /// Accepts connections and requests, but neither executes them nor responds.
     bool isFrozen = false;
-    /// Acts, then ends the connection instead of answering.
+    /// Executes the request, then closes the connection without a response.
     bool losesAnswers = false;
-    /// Announces the whole body, sends half of it and ends the connection.
+    /// Announces the complete body, sends half of it and closes the connection.
     bool truncatesBodies = false;
-    /// Answers 500 at once without acting.
+    /// Responds with status 500 immediately without executing the request.
     bool failsFast = false;
-    /// Waits before it acts.
+    /// Delay before a request is executed.
     std::chrono::milliseconds delay {};
 
     bool operator==(const Faults &) const = default;
 
-    /// From the members `down`, `freeze`, `loseAnswers`, `truncate`, `fail` and `slowMs`, all
+    /// Decodes the members `down`, `freeze`, `loseAnswers`, `truncate`, `fail` and `slowMs`, all
     /// optional.
     static Faults fromJson(const Json::Value &value);
 };
 
-/// Faults by path; the longest path that is the whole or a leading part of a request's wins.
+/// Faults by path; those of the longest path that is a prefix of the request's path apply.
 class FaultTable
 {
 public:
-    /// Sets the faults of \p path, `/` for everything.
+    /// Sets the faults of \p path; `/` applies to all requests.
     void set(const std::string &path, const Faults &faults);
     Faults find(const std::string &path) const;
 
--- a/Tests/StandIns/Common/Http.h
+++ b/Tests/StandIns/Common/Http.h
@@ -9,7 +9,7 @@
 
 struct Request
 {
-    /// As in `POST`.
+    /// The HTTP method in upper case.
     std::string method;
     /// The path without the query.
     std::string path;
@@ -19,7 +19,7 @@
     std::string body;
 
     std::string header(const std::string &name) const;
-    /// \throws Core::FormatError if the value is no number.
+    /// \throws Core::FormatError if the value isn't a number.
     long queryNumber(const std::string &name, long fallback) const;
     Json::Value json() const;
 };
--- a/Tests/StandIns/Common/HttpConnection.h
+++ b/Tests/StandIns/Common/HttpConnection.h
@@ -19,10 +19,10 @@
 
     boost::asio::awaitable<void> run();
 
-    /// Answers nothing any more.
+    /// From now on the connection sends no response.
     void silence() { m_isSilent = true; }
     void close();
-    /// Called when the server is destroyed first.
+    /// Called if the server is destroyed before the connection.
     void forgetServer() { m_server = nullptr; }
 
 private:
--- a/Tests/StandIns/Common/HttpServer.h
+++ b/Tests/StandIns/Common/HttpServer.h
@@ -13,12 +13,12 @@
 
 class HttpConnection;
 
-/// An HTTP/1.1 server on the loopback interface that can misbehave. It and its handler must outlive
-/// the run of the executor's context.
+/// An HTTP/1.1 server on the loopback interface with fault injection. The server and its handler
+/// must outlive the run of the executor's context.
 class HttpServer
 {
 public:
-    /// Port 0 takes any free one. \throws boost::system::system_error
+    /// Port 0 selects any free port. \throws boost::system::system_error
     HttpServer(boost::asio::any_io_executor executor, std::uint16_t port, RequestHandler &handler);
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
@@ -26,10 +26,10 @@
 
     std::uint16_t port() const { return m_endpoint.port(); }
 
-    /// While down, it refuses connections. Going down ends the open ones.
+    /// While the server is down it refuses connections. Open connections are closed.
     void setDown(bool isDown);
 
-    /// The connections that are open now answer nothing any more, for good.
+    /// The connections that are open now never send a response again.
     void silenceOpenConnections();
 
     RequestHandler &handler() { return m_handler; }
--- a/Tests/StandIns/Common/RequestHandler.h
+++ b/Tests/StandIns/Common/RequestHandler.h
@@ -11,7 +11,7 @@
 
 namespace StandIn {
 
-/// What a server does with its requests.
+/// Handles the requests of a server.
 class RequestHandler
 {
 public:
@@ -20,10 +20,10 @@
     RequestHandler &operator=(const RequestHandler &) = delete;
     virtual ~RequestHandler() = default;
 
-    /// A Core::FormatError becomes status 400.
+    /// A Core::FormatError results in status 400.
     virtual boost::asio::awaitable<Reply> handle(Request request) = 0;
 
-    /// The faults that apply to \p request.
+    /// Returns the faults that apply to \p request.
     virtual Faults faultsFor(const Request & /*request*/) { return {}; }
 
     /// Called with the number of open connections whenever it changes.
--- a/Tests/StandIns/Platform/Attempt.cpp
+++ b/Tests/StandIns/Platform/Attempt.cpp
@@ -10,7 +10,7 @@
 using Core::Json::integerMember;
 using Core::Json::stringMember;
 
-/// How long after its start an attempt's use shows in reports.
+/// Time from the start of an attempt until reports include its use.
 static constexpr Core::Duration usageLag = std::chrono::seconds(1);
 static constexpr std::array<const char *, 4> phaseNames { "running", "finished", "failed",
                                                           "stopped" };
@@ -42,7 +42,7 @@
         const Json::Value value = Core::Json::parse(payload, "payload");
         return value.isObject() ? value : Json::Value(Json::objectValue);
     } catch (const Core::FormatError &) {
-        // Payloads are opaque; one that isn't ours runs as declared.
+        // Payloads are opaque; one in another format runs as declared.
         return Json::Value(Json::objectValue);
     }
 }
--- a/Tests/StandIns/Platform/Attempt.h
+++ b/Tests/StandIns/Platform/Attempt.h
@@ -11,7 +11,7 @@
 
 namespace StandIn {
 
-/// The task and the number of the attempt.
+/// Identifies an attempt by its task and number.
 using AttemptName = std::pair<std::string, std::int64_t>;
 
 enum class Phase {
@@ -27,14 +27,14 @@
     AttemptName name;
     std::string worker;
     Core::Resources declared;
-    /// What it really uses, which may differ from what was declared.
+    /// Actual use, which may differ from what was declared.
     Core::Resources used;
-    /// How much undisturbed run time the whole task takes; zero runs until it is stopped.
+    /// Run time of the whole task without interference; zero if it runs until it is stopped.
     Core::Duration runTime {};
     bool isFailing = false;
-    /// The part of the run time that is done.
+    /// The part of the run time that has been completed.
     Core::Duration progress {};
-    /// The progress that the newest checkpoint holds.
+    /// The progress recorded by the latest checkpoint.
     Core::Duration checkpointed {};
     int throttlePercent = 100;
     Phase phase = Phase::Running;
@@ -44,11 +44,11 @@
 
     bool operator==(const Attempt &) const = default;
 
-    /// Reads the command of a start. \throws Core::FormatError
+    /// Decodes a start command. \throws Core::FormatError
     static Attempt fromJson(const std::string &worker, const Json::Value &command,
                             Core::Instant now);
 
-    /// The report in the wire's format.
+    /// Returns the report in the wire format.
     Json::Value report(double slowdown, Core::Instant now) const;
 };
 
--- a/Tests/StandIns/Platform/LogStore.h
+++ b/Tests/StandIns/Platform/LogStore.h
@@ -10,23 +10,23 @@
 
 namespace StandIn {
 
-/// The streams of the log, in memory.
+/// Stores the streams of the log in memory.
 class LogStore
 {
 public:
-    /// The largest page, in bytes of record bodies; at least one record is returned nevertheless.
+    /// Maximum size of a page in bytes of record bodies; a page has at least one record.
     static constexpr std::size_t maximumPageBytes = 1024 * 1024;
 
-    /// Keeps at most \p retainedRecords of each stream.
+    /// Retains at most \p retainedRecords records of each stream.
     explicit LogStore(std::size_t retainedRecords);
 
-    /// Appends all and returns the offset of the first.
+    /// Appends all records and returns the offset of the first.
     std::uint64_t append(const std::string &stream, const std::vector<std::string> &bodies);
 
-    /// The page in the wire's format. A stream that nobody wrote to is empty.
+    /// Returns a page in the wire format. A stream without appends is empty.
     Json::Value read(const std::string &stream, std::uint64_t from, std::size_t maximum) const;
 
-    /// How many appends there were of each stream.
+    /// Returns the number of appends by stream.
     Json::Value report() const;
 
     void setRetention(std::size_t retainedRecords) { m_retainedRecords = retainedRecords; }
--- a/Tests/StandIns/Platform/PlatformControl.h
+++ b/Tests/StandIns/Platform/PlatformControl.h
@@ -6,12 +6,12 @@
 
 /// The control port of the platform's stand-in. All bodies are JSON objects.
 ///
-/// - `GET /control/violations`: what should never have happened.
+/// - `GET /control/violations`: the violations of the platform's rules.
 /// - `GET /control/attempts`: counts of attempts; `GET /control/log`: counts of appends.
 /// - `POST /control/fault`: members of Faults, `target` (a path such as `/log/rules`, or `/`) and
 ///   `silenceOpen`.
 /// - `POST /control/vms`: replaces the list by the member `vms`; `POST /control/vm`: changes one.
-/// - `POST /control/domain`: `failureDomain` and `isOut`, as the operators' rules have it.
+/// - `POST /control/domain`: `failureDomain` and `isOut`, as in the operators' rules.
 /// - `POST /control/worker`: `worker`, and any of `failsTasks` and `slowdown`.
 /// - `POST /control/retention`: `records`.
 class PlatformControl final : public RequestHandler
--- a/Tests/StandIns/Platform/PlatformHandler.h
+++ b/Tests/StandIns/Platform/PlatformHandler.h
@@ -11,16 +11,16 @@
 struct PlatformSettings
 {
     std::size_t retainedRecords = 100000;
-    /// How far the shown list of VMs lags behind.
+    /// Delay with which changes of the list of VMs are published.
     Core::Duration listLag {};
-    /// How long after a change a start against it is no violation yet.
+    /// Time after a change during which a start that contradicts it isn't a violation.
     Core::Duration grace = std::chrono::seconds(3);
     bool isFencing = false;
 
     bool operator==(const PlatformSettings &) const = default;
 };
 
-/// The platform's pages: `/log/...`, `/vms` and `/workers/...`.
+/// Serves the platform's paths `/log/...`, `/vms` and `/workers/...`.
 class PlatformHandler final : public RequestHandler
 {
 public:
--- a/Tests/StandIns/Platform/Violations.h
+++ b/Tests/StandIns/Platform/Violations.h
@@ -8,7 +8,7 @@
 
 namespace StandIn {
 
-/// Counts what must never happen, by kind, and keeps the first few in words.
+/// Counts violations of the platform's rules by kind, and keeps the descriptions of the first few.
 class Violations
 {
 public:
--- a/Tests/StandIns/Platform/VmList.cpp
+++ b/Tests/StandIns/Platform/VmList.cpp
@@ -38,7 +38,7 @@
 
 void VmList::publish(Core::Instant now)
 {
-    // The very first list has nothing to lag behind.
+    // The first list is published without delay.
     const Core::Instant visibleFrom = m_versions.empty() ? now : now + m_lag;
     Json::Value vms(Json::arrayValue);
     for (const auto &[id, vm] : m_vms)
--- a/Tests/StandIns/Platform/VmList.h
+++ b/Tests/StandIns/Platform/VmList.h
@@ -22,25 +22,25 @@
     bool operator==(const WorkerInfo &) const = default;
 };
 
-/// The true list of VMs, and the one that is shown, which lags behind it.
+/// The actual list of VMs, and the published one, which is delayed.
 class VmList
 {
 public:
     explicit VmList(Core::Duration lag);
 
-    /// Replaces the list by the objects of \p vms. \throws Core::FormatError
+    /// Replaces the list with the objects of \p vms. \throws Core::FormatError
     void replace(const Json::Value &vms, Core::Instant now);
 
     /// Adds a VM, or changes the members of a known one that \p change has. The state `gone`
     /// removes it. \throws Core::FormatError
     void change(const Json::Value &change, Core::Instant now);
 
-    /// The worker as it truly is; nothing if there is none of that name.
+    /// Returns the actual state of the worker; nothing if it is unknown.
     std::optional<WorkerInfo> worker(const std::string &id) const;
 
     std::vector<std::string> leavingWorkers() const;
 
-    /// The list as it was some time ago, in the wire's format.
+    /// Returns the published list in the wire format.
     Json::Value shown(const std::string &unlessVersion, Core::Instant now);
 
 private:
--- a/Tests/StandIns/Platform/WorkerSimulation.cpp
+++ b/Tests/StandIns/Platform/WorkerSimulation.cpp
@@ -6,7 +6,7 @@
 
 namespace StandIn {
 
-/// How much progress lies between two checkpoints that a task writes by itself.
+/// Progress between two checkpoints that a task writes on its own.
 static constexpr Core::Duration checkpointInterval = std::chrono::seconds(1);
 
 WorkerSimulation::WorkerSimulation(const VmList &vms, Core::Duration grace, bool isFencing)
@@ -20,7 +20,7 @@
 {
     const Core::Duration elapsed = std::max(now - m_now, Core::Duration());
     std::erase_if(m_attempts, [this](const auto &entry) {
-        // A VM that is gone takes its attempts with it.
+        // The attempts on a removed VM are lost.
         return !m_vms.worker(entry.second.worker);
     });
     for (auto &[name, attempt] : m_attempts) {
@@ -119,7 +119,7 @@
     return sum;
 }
 
-/// The larger of what was set and of how far the real use exceeds the processors.
+/// The maximum of the configured slowdown and the ratio of the actual use to the processors.
 double WorkerSimulation::slowdown(const std::string &worker) const
 {
     const auto set = m_slowdowns.find(worker);
@@ -172,7 +172,7 @@
         return false;
     for (const AttemptName &name : names) {
         Attempt *attempt = find(worker, name);
-        // A renewal that was under way for long mustn't shorten a newer one.
+        // A delayed renewal must not shorten the lease of a newer one.
         if (attempt && attempt->phase == Phase::Running)
             attempt->leaseDeadline = std::max(attempt->leaseDeadline, leaseDeadline);
     }
--- a/Tests/StandIns/Platform/WorkerSimulation.h
+++ b/Tests/StandIns/Platform/WorkerSimulation.h
@@ -12,15 +12,15 @@
 namespace StandIn {
 
 enum class StartResult {
-    /// It runs, or did so before.
+    /// The attempt runs, or has run before.
     Accepted,
     UnknownWorker,
-    /// The epoch is lower than one that the worker has seen.
+    /// The epoch is lower than the highest one that the worker has seen.
     Fenced,
 };
 
-/// All workers and what runs on them. Time is an argument. It carries out whatever it is told
-/// and counts what it should never have been told.
+/// Simulates all workers and the attempts on them. The time is an argument. Executes every command,
+/// and counts those that violate the platform's rules.
 class WorkerSimulation
 {
 public:
@@ -28,11 +28,11 @@
     /// the change. With \p isFencing workers refuse outdated epochs.
     WorkerSimulation(const VmList &vms, Core::Duration grace, bool isFencing);
 
-    /// Lets everything run up to \p now.
+    /// Advances all attempts to \p now.
     void advance(Core::Instant now);
 
     StartResult start(const std::string &worker, const Json::Value &command, Core::Instant now);
-    /// The following return false if the worker isn't known. Unknown attempts are ignored.
+    /// The following functions return false if the worker is unknown. Unknown attempts are ignored.
     bool stop(const std::string &worker, const AttemptName &name, bool withCheckpoint);
     bool throttle(const std::string &worker, const AttemptName &name, int percent);
     bool renew(const std::string &worker, const std::vector<AttemptName> &names,
@@ -40,17 +40,17 @@
     void acknowledge(const std::string &worker, const std::vector<AttemptName> &names);
     Json::Value reports(const std::string &worker, Core::Instant now) const;
 
-    /// Everything that starts on \p worker fails at once from now on.
+    /// From now on all attempts that start on \p worker fail immediately.
     void setFailing(const std::string &worker, bool isFailing);
-    /// Everything on \p worker takes \p slowdown times as long.
+    /// All attempts on \p worker take \p slowdown times as long.
     void setSlowdown(const std::string &worker, double slowdown);
     void setDomainOut(const std::string &failureDomain, bool isOut, Core::Instant now);
 
-    /// Notes which workers are leaving. To be called after each change of the list of VMs.
+    /// Records which workers are leaving. Must be called after each change of the list of VMs.
     void noteVmChange(Core::Instant now);
 
     Violations &violations() { return m_violations; }
-    /// Counts of attempts by phase, starts and run time that was done.
+    /// Returns the counts of attempts by phase, the starts and the completed run time.
     Json::Value report() const;
 
 private:
@@ -66,7 +66,7 @@
     bool m_isFencing;
     Core::Instant m_now;
     std::map<AttemptName, Attempt> m_attempts;
-    /// Attempts that were acknowledged; a late copy of their start mustn't run them again.
+    /// Acknowledged attempts; a delayed copy of a start command must not run them again.
     std::set<AttemptName> m_acknowledged;
     std::set<std::string> m_finishedTasks;
     std::map<std::string, std::uint64_t> m_epochs;
--- a/Tests/StandIns/Platform/main.cpp
+++ b/Tests/StandIns/Platform/main.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-/// How often the workers run on without being asked.
+/// Interval at which the workers are advanced without a request.
 constexpr std::chrono::milliseconds simulationStep { 20 };
 
 struct Arguments
