--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -139,7 +139,8 @@
 
 Core::Resources WorkerState::freeResources() const
 {
-    return m_info.capacity - m_used - m_unwantedUse.requested;
+    const Core::Resources free = m_info.capacity - m_used;
+    return m_unwantedUse.runs == 0 ? free : free - m_unwantedUse.requested;
 }
 
 bool WorkerState::hasRoomForCounted(const StepSpec &step) const
