LibSupervision: Reword comments and names in plain technical English

Read badly: "whoever sleeps gives way", limits named most... and first..., "escalated" for a part that exceeded its restart limits, comments without a subject ("fires when").

Change: comments, the fields maxFailures, initialBackOff and maxBackOff, the member m_failedPart, the titles of one test case and two sections. Reasons and figures are kept. Behaviour, log lines and the text of the error aren't touched.

--- a/Libraries/LibSupervision/Supervisor.cpp
+++ b/Libraries/LibSupervision/Supervisor.cpp
@@ -50,19 +50,19 @@
 asio::awaitable<void> Supervisor::run()
 {
     m_isStopping = false;
-    m_escalated.clear();
+    m_failedPart.clear();
     for (const auto &child : m_children) {
         child->isRunning = true;
         child->isStopping = false;
         asio::co_spawn(m_executor, runChild(*child), asio::detached);
     }
-    while (!m_isStopping && m_escalated.empty()) {
+    while (!m_isStopping && m_failedPart.empty()) {
         boost::system::error_code ignored;
         co_await m_changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     co_await stopChildren();
-    if (!m_escalated.empty())
-        throw Core::Error("supervise", m_escalated, "the part failed too often");
+    if (!m_failedPart.empty())
+        throw Core::Error("supervise", m_failedPart, "the part failed too often");
 }
 
 void Supervisor::requestStop()
@@ -80,7 +80,7 @@
             break;
         const auto restartAt = child.policy.onFailure(Core::steadyNow());
         if (!restartAt) {
-            m_escalated = child.part.name();
+            m_failedPart = child.part.name();
             break;
         }
         co_await waitUntil(*restartAt);
--- a/Libraries/LibSupervision/Wakeup.cpp
+++ b/Libraries/LibSupervision/Wakeup.cpp
@@ -14,8 +14,8 @@
 
 namespace asio = boost::asio;
 
-/// Whoever sleeps looks again after this time at the latest.
-static constexpr Core::Duration longestSleep = std::chrono::hours(1);
+/// The longest time that one call sleeps.
+static constexpr Core::Duration maxSleep = std::chrono::hours(1);
 
 Wakeup::Wakeup(const asio::any_io_executor &executor)
     : m_timer(executor)
@@ -25,11 +25,12 @@
 asio::awaitable<void> Wakeup::sleepUntil(Core::Instant instant)
 {
     if (m_isWoken) {
-        // Whoever sleeps gives way to the others at least once, however often it is woken.
+        // Yields to other handlers of the executor, so that a coroutine that is woken all the time
+        // doesn't starve them.
         co_await asio::post(m_timer.get_executor(), asio::use_awaitable);
     } else {
-        // The timer counts in nanoseconds, so the latest instants that we can name overflow there.
-        const Core::Instant latest = Core::steadyNow() + longestSleep;
+        // The timer counts nanoseconds, so instants near the maximum would overflow.
+        const Core::Instant latest = Core::steadyNow() + maxSleep;
         m_timer.expires_at(Core::toSteadyTimePoint(std::min(instant, latest)));
         boost::system::error_code ignored;
         co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/Tests/LibSupervision/TestSupervisor.cpp
+++ b/Tests/LibSupervision/TestSupervisor.cpp
@@ -52,14 +52,14 @@
 
 } // namespace
 
-TEST_CASE("Restarts are spaced out, and given up when they are too many")
+TEST_CASE("Restarts back off, and end when there are too many")
 {
     Supervision::RestartPolicy policy({ 3, 10s, 100ms, 300ms });
     const Core::Instant start {};
     CHECK(policy.onFailure(start) == start + 100ms);
     CHECK(policy.onFailure(start) == start + 200ms);
     CHECK(policy.onFailure(start) == start + 300ms);
-    SECTION("a fourth failure within the window is escalated")
+    SECTION("a fourth failure within the window exceeds the limit")
     {
         CHECK_FALSE(policy.onFailure(start + 10s).has_value());
     }
@@ -94,7 +94,7 @@
         CHECK(first.runs() == 1);
         CHECK(stops == std::vector<std::string> { "second", "first" });
     }
-    SECTION("one that keeps failing stops the others and is escalated")
+    SECTION("a part that keeps failing stops the others and makes the supervisor fail")
     {
         FlakyPart first(context, "first", 0, stops);
         FlakyPart second(context, "second", 100, stops);
--- a/include/LibSupervision/Part.h
+++ b/include/LibSupervision/Part.h
@@ -8,7 +8,7 @@
 
 namespace Supervision {
 
-/// One part of the daemon, run and restarted by a Supervisor.
+/// A component of the daemon that a Supervisor runs and restarts.
 class Part
 {
 public:
@@ -19,12 +19,12 @@
 
     virtual std::string name() const = 0;
 
-    /// Works until `requestStop()`, then finishes what is in progress and returns. An exception is
-    /// a failure; the part is then run again on the same object, so it must set up its state anew
-    /// here.
+    /// Works until `requestStop()`, then completes its operations in progress and returns. An
+    /// exception counts as a failure. The supervisor then calls run() of the same object again, so
+    /// run() has to initialize the state that it uses.
     virtual boost::asio::awaitable<void> run() = 0;
 
-    /// Asks `run()` to return soon. May be called at any time, also when it isn't running.
+    /// Asks `run()` to return soon. May be called at any time, also while `run()` isn't active.
     virtual void requestStop() = 0;
 };
 
--- a/include/LibSupervision/RestartPolicy.h
+++ b/include/LibSupervision/RestartPolicy.h
@@ -8,19 +8,19 @@
 
 namespace Supervision {
 
-/// How often a part may be restarted, and how long to wait before.
+/// Limits on the restarts of a failed part, with exponential back-off between them.
 struct RestartLimits
 {
-    /// More failures than this within `window` are escalated.
-    std::size_t mostFailures = 5;
+    /// One failure more than this within `window` makes the supervisor itself fail.
+    std::size_t maxFailures = 5;
     Core::Duration window = std::chrono::seconds(30);
-    Core::Duration firstBackOff = std::chrono::milliseconds(50);
-    Core::Duration longestBackOff = std::chrono::seconds(5);
+    Core::Duration initialBackOff = std::chrono::milliseconds(50);
+    Core::Duration maxBackOff = std::chrono::seconds(5);
 
     auto operator<=>(const RestartLimits &) const = default;
 };
 
-/// Decides when a failed part is started again, or that its supervisor has to give up.
+/// Decides when a failed part is restarted, or that its supervisor has to fail in turn.
 class RestartPolicy
 {
 public:
@@ -29,8 +29,7 @@
     {
     }
 
-    /// When to start the part again; nothing if it failed too often, so that the failure must be
-    /// escalated.
+    /// Returns when to restart the part; empty if it has failed more often than the limits allow.
     std::optional<Core::Instant> onFailure(Core::Instant now);
 
 private:
--- a/include/LibSupervision/Supervisor.h
+++ b/include/LibSupervision/Supervisor.h
@@ -13,19 +13,20 @@
 
 namespace Supervision {
 
-/// Runs parts, restarts those that fail, and stops them in reverse order. A supervisor is a part
-/// itself, so supervisors form a tree; one whose part fails too often fails in turn.
+/// Runs parts, restarts those that fail, and stops all of them in reverse order. A supervisor is a
+/// part itself, so supervisors form a tree. When a part exceeds the restart limits, its supervisor
+/// stops the other parts and fails in turn.
 class Supervisor final : public Part
 {
 public:
     using Report = std::function<void(const std::string &part, const std::string &event)>;
 
-    /// \p report is told of each start, failure and stop, for the log.
+    /// \p report is called for each start, failure and end of a part; meant for logging.
     Supervisor(std::string name, boost::asio::any_io_executor executor, const RestartLimits &limits,
                Report report);
     ~Supervisor() override;
 
-    /// Adds a part that outlives the supervisor's run; parts start in the order in which they were
+    /// Adds a part, which must outlive the supervisor. Parts start in the order in which they were
     /// added.
     void add(Part &part);
 
@@ -37,7 +38,7 @@
     struct Child;
 
     boost::asio::awaitable<void> runChild(Child &child);
-    /// Runs the part once; true if it returned by itself or on request.
+    /// Runs the part once. Returns false if it failed.
     boost::asio::awaitable<bool> runOnce(Child &child);
     boost::asio::awaitable<void> waitUntil(Core::Instant instant);
     boost::asio::awaitable<void> stopChildren();
@@ -47,10 +48,11 @@
     RestartLimits m_limits;
     Report m_report;
     std::vector<std::unique_ptr<Child>> m_children;
-    /// Fires when a stop is requested, a child ends or a failure is escalated.
+    /// Cancelled when a stop is requested, or when a child ends or exceeds the restart limits.
     boost::asio::steady_timer m_changed;
     bool m_isStopping = false;
-    std::string m_escalated;
+    /// The name of the part that exceeded the restart limits; empty if none has.
+    std::string m_failedPart;
 };
 
 } // namespace Supervision
--- a/include/LibSupervision/Wakeup.h
+++ b/include/LibSupervision/Wakeup.h
@@ -8,8 +8,8 @@
 
 namespace Supervision {
 
-/// Lets one coroutine sleep until an instant or until somebody wakes it. A wake that comes while
-/// nobody sleeps is kept.
+/// Lets one coroutine sleep until an instant or until wake() is called. A call of wake() while no
+/// coroutine sleeps ends the next sleep at once.
 class Wakeup
 {
 public:
