LibLog: Reword comments in plain technical English

Read badly: "so many lines may come at once after a quiet time", "stands before the part", "the same with another descriptor", lines that "an engineer can't do without".

Change: comments, and maxLineLength for longestLine. BudgetLimits and LineBudget::take() have a doc comment now.

--- a/Libraries/LibLog/BoundedAppender.cpp
+++ b/Libraries/LibLog/BoundedAppender.cpp
@@ -8,9 +8,10 @@
 
 namespace Log {
 
-/// A pipe that reports itself writable takes this much without blocking.
-static constexpr std::size_t longestLine = 4000;
-/// How often it is said that lines were left out.
+/// Maximum length of a line, in bytes. A pipe that poll() reports as writable accepts this much
+/// without blocking.
+static constexpr std::size_t maxLineLength = 4000;
+/// Minimum time between two lines that report dropped lines.
 static constexpr Core::Duration reportInterval = std::chrono::seconds(1);
 
 BoundedAppender::BoundedAppender(const log4cxx::LayoutPtr &layout, int descriptor,
@@ -36,7 +37,7 @@
 
 void BoundedAppender::writeLine(const std::string &line, LineKind kind)
 {
-    // A line that can't be written can't be reported either, but it is counted.
+    // A failed write can't be logged, so it is only counted.
     if (::write(m_descriptor, line.data(), line.size()) < 0)
         countDropped(kind);
 }
@@ -65,8 +66,8 @@
     reportDropped(now);
     log4cxx::LogString text;
     m_lineLayout->format(text, event, pool);
-    if (text.size() > longestLine) {
-        text.resize(longestLine);
+    if (text.size() > maxLineLength) {
+        text.resize(maxLineLength);
         text += '\n';
     }
     writeLine(text, kind);
--- a/Libraries/LibLog/BoundedAppender.h
+++ b/Libraries/LibLog/BoundedAppender.h
@@ -11,7 +11,7 @@
 
 namespace Log {
 
-/// Writes lines to a file descriptor unless that would block or exceed the budget.
+/// Writes lines to a file descriptor. Drops those that would block or exceed the budget.
 class BoundedAppender final : public log4cxx::AppenderSkeleton
 {
 public:
@@ -33,7 +33,7 @@
     int m_descriptor;
     LineBudget m_budget;
     std::int64_t m_dropped = 0;
-    /// Of the dropped lines.
+    /// How many of the dropped lines were essential.
     std::int64_t m_droppedEssential = 0;
     Core::Instant m_nextReportAt = {};
 };
--- a/Libraries/LibLog/EssentialLines.h
+++ b/Libraries/LibLog/EssentialLines.h
@@ -8,10 +8,10 @@
 
 namespace Log {
 
-/// Stands before the part in the names of loggers whose lines are essential.
+/// Prefix of the names of loggers whose lines are essential.
 inline constexpr std::string_view essentialPrefix = "essential.";
 
-/// Essential are warnings and worse, and what an essential logger says unless it is for debugging.
+/// Warnings and errors are essential, and lines of an essential logger at level INFO or higher.
 LineKind lineKind(const log4cxx::spi::LoggingEvent &event);
 
 } // namespace Log
--- a/Libraries/LibLog/Logging.cpp
+++ b/Libraries/LibLog/Logging.cpp
@@ -20,7 +20,7 @@
 
 void configureLogging(const std::string &level, int descriptor, const BudgetLimits &limits)
 {
-    // The last component of a logger's name is the part, for either kind of line.
+    // %c{1} is the last component of the logger's name: the part, also for essential loggers.
     const auto layout = std::make_shared<log4cxx::PatternLayout>(
         LOG4CXX_STR("%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %c{1}: %m%n"));
     const auto appender = std::make_shared<BoundedAppender>(layout, descriptor, limits);
--- a/include/LibLog/LineBudget.h
+++ b/include/LibLog/LineBudget.h
@@ -9,22 +9,23 @@
 
 enum class LineKind {
     Ordinary,
-    /// What an engineer on call can't do without; rare.
+    /// Rare lines that explain an incident; ordinary lines don't crowd them out.
     Essential,
 };
 
+/// The rate limit of a log.
 struct BudgetLimits
 {
     double linesPerSecond = 200;
-    /// So many lines may come at once after a quiet time.
+    /// Capacity of the token bucket, in lines.
     double burstLines = 400;
-    /// The last lines of a burst, which only essential lines may use.
+    /// Tokens of the bucket, in lines, that only essential lines may take.
     double reservedLines = 100;
 
     auto operator<=>(const BudgetLimits &) const = default;
 };
 
-/// Decides whether one more line may be written: a token bucket.
+/// Token bucket that decides whether one more line may be written.
 class LineBudget
 {
 public:
@@ -34,6 +35,7 @@
     {
     }
 
+    /// Takes a token for a line of \p kind. Returns false if there is none for that kind.
     bool take(Core::Instant now, LineKind kind);
 
 private:
--- a/include/LibLog/Logging.h
+++ b/include/LibLog/Logging.h
@@ -8,17 +8,17 @@
 
 namespace Log {
 
-/// Sends the log to the standard output, each line with its time, level and part. The volume is
-/// bounded and writing never blocks; what is left out is counted in a line of its own.
+/// Writes the log to the standard output, each line with its time, level and part. The volume is
+/// bounded and writing never blocks. A line of its own says how many lines were dropped.
 void configureLogging(const std::string &level);
-/// The same with another \p descriptor and other \p limits; it replaces what was configured before.
+/// Writes the log to \p descriptor within \p limits. Replaces the former configuration.
 void configureLogging(const std::string &level, int descriptor, const BudgetLimits &limits);
 
 /// The logger of one part; its name is the prefix of the part's lines.
 log4cxx::LoggerPtr logger(const std::string &part);
-/// The logger for those lines of a part that an engineer on call can't do without: other lines
-/// don't crowd them out. For the ownership, dependencies, and the process's start, stop and reload.
-/// Warnings and worse are treated so whichever logger they come from.
+/// The logger for the essential lines of a part, which other lines don't crowd out: those on
+/// ownership, on dependencies, and on start, stop and reload of the process. Warnings and errors
+/// of any logger are essential too.
 log4cxx::LoggerPtr essentialLogger(const std::string &part);
 
 } // namespace Log
