LibSupervision: State how long a part has to live

Read in the diff as a newcomer: the comment of Supervisor::add() asked for more than the code needs. A part must outlive run(), not the supervisor; the tests' parts don't outlive it.

--- a/include/LibSupervision/Supervisor.h
+++ b/include/LibSupervision/Supervisor.h
@@ -26,8 +26,8 @@
                Report report);
     ~Supervisor() override;
 
-    /// Adds a part, which must outlive the supervisor. Parts start in the order in which they were
-    /// added.
+    /// Adds a part, which must outlive the supervisor's run. Parts start in the order in which they
+    /// were added.
     void add(Part &part);
 
     std::string name() const override { return m_name; }
