LibSite: Tell how long reads of the log take and whether they reach its end

What was ruled out: a line for each read: an owner reads 20 times a second.

Change: a histogram of read times and a counter of records by topic; `event=slow-read`, at most once a second and topic, for a read that took over 0.3 s beyond the permitted wait or ended before the end of the log; the owner's failed reads of the workers at WARN with the age of its copy.

--- a/Libraries/LibSite/LogFollower.cpp
+++ b/Libraries/LibSite/LogFollower.cpp
@@ -1,7 +1,9 @@
 #include <LibSite/LogFollower.h>
 
 #include <LibCore/SteadyClock.h>
+#include <LibLog/Logging.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Site {
@@ -10,6 +12,10 @@
 
 /// Time within which an answer must begin, on top of the time that the store may wait for a record.
 static constexpr Core::Duration answerTimeout = std::chrono::milliseconds(900);
+/// A read is logged as slow if it takes longer, on top of the time that the store may wait.
+static constexpr Core::Duration slowReadTime = std::chrono::milliseconds(300);
+static constexpr Core::Duration slowReadLogInterval = std::chrono::seconds(1);
+static const auto partLogger = Log::essentialLogger("reads");
 
 LogFollower::LogFollower(KeyedLog &log, Topic topic, RecordSink &sink)
     : m_log(log)
@@ -87,9 +93,30 @@
         co_await readSnapshotPage();
         co_return false;
     }
+    const Core::Instant beganAt = Core::steadyNow();
     const LogPage page = co_await readPage(waitMs);
+    const Core::Instant answeredAt = Core::steadyNow();
     applyPage(page);
+    const Core::Instant waitedUntil
+        = std::min(answeredAt, beganAt + std::chrono::milliseconds(waitMs));
+    const bool isSlow = answeredAt - (page.records.empty() ? waitedUntil : beganAt) > slowReadTime;
+    if (isSlow || m_nextOffset < page.end)
+        logSlowRead(page, answeredAt - beganAt, answeredAt);
     co_return m_nextOffset >= page.end;
 }
 
+void LogFollower::logSlowRead(const LogPage &page, Core::Duration duration, Core::Instant now)
+{
+    ++m_unloggedSlowReads;
+    if (now < m_nextSlowReadLogAt)
+        return;
+    m_nextSlowReadLogAt = now + slowReadLogInterval;
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    LOG4CXX_INFO(partLogger,
+                 "event=slow-read topic="
+                     << topicText(m_topic) << " ms=" << ms << " records=" << page.records.size()
+                     << " behind=" << page.end - m_nextOffset << " reads=" << m_unloggedSlowReads);
+    m_unloggedSlowReads = 0;
+}
+
 } // namespace Site
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -611,7 +611,11 @@
             if (isChanged && !m_isOver)
                 applyWorkers();
         } catch (const Core::Error &error) {
-            LOG4CXX_DEBUG(partLogger, "event=read-failed reason=\"" << error.what() << '"');
+            LOG4CXX_WARN(partLogger,
+                         "event=read-failed topic=workers workers_age_ms=" << formatAgeMs(
+                             m_workerFollower.completeAsOf(), Core::suspendAwareNow())
+                                                                           << " reason=\""
+                                                                           << error.what() << '"');
             pause = retryDelay;
         }
         co_await m_workersWakeup.sleepUntil(Core::steadyNow() + pause);
--- a/Libraries/LibSite/SiteMetrics.cpp
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -34,6 +34,10 @@
                             "Calls to the platform's store by kind and outcome"))
     , m_storeSeconds(histograms(m_registry, "lagoonford_store_call_seconds",
                                 "Time of calls to the platform's store, waiting included"))
+    , m_readSeconds(histograms(m_registry, "lagoonford_log_read_seconds",
+                               "Time of reads of the log by topic, waiting for records included"))
+    , m_readRecords(counters(m_registry, "lagoonford_log_read_records_total",
+                             "Records read from the log by topic"))
     , m_starts(
           counters(m_registry, "lagoonford_task_starts_total", "Orders to start a task by outcome"))
     , m_startSeconds(histograms(m_registry, "lagoonford_task_start_seconds",
@@ -75,6 +79,12 @@
     m_startSeconds.Observe(seconds);
 }
 
+void SiteMetrics::countRead(const std::string &topic, std::size_t records, double seconds)
+{
+    m_readSeconds.Add({ { "topic", topic } }, latencyBuckets).Observe(seconds);
+    m_readRecords.Add({ { "topic", topic } }).Increment(static_cast<double>(records));
+}
+
 void SiteMetrics::countDecision(const std::string &event)
 {
     m_decisions.Add({ { "event", event } }).Increment();
--- a/include/LibSite/KeyedLog.h
+++ b/include/LibSite/KeyedLog.h
@@ -55,6 +55,20 @@
     Workers,
 };
 
+/// The topic's name in logs and metrics.
+constexpr const char *topicText(Topic topic)
+{
+    switch (topic) {
+    case Topic::Jobs:
+        return "jobs";
+    case Topic::Operators:
+        return "operators";
+    case Topic::Workers:
+        return "workers";
+    }
+    return "unknown";
+}
+
 struct LoggedRecord
 {
     std::int64_t offset = 0;
--- a/include/LibSite/LogFollower.h
+++ b/include/LibSite/LogFollower.h
@@ -53,6 +53,8 @@
     void applySnapshot();
     void applyPage(const LogPage &page);
     void discardSnapshot();
+    /// Logs, at most once a second, a read that took long or ended before the end of the log.
+    void logSlowRead(const LogPage &page, Core::Duration duration, Core::Instant now);
 
     KeyedLog &m_log;
     Topic m_topic;
@@ -65,6 +67,9 @@
     /// The log's end offset as of the snapshot's first page; -1 before that page.
     std::int64_t m_endAtSnapshotStart = -1;
     std::size_t m_snapshotSize = 0;
+    Core::Instant m_nextSlowReadLogAt = {};
+    /// Slow reads since the last line about one.
+    int m_unloggedSlowReads = 0;
 };
 
 } // namespace Site
--- a/include/LibSite/SiteMetrics.h
+++ b/include/LibSite/SiteMetrics.h
@@ -5,6 +5,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <cstddef>
 #include <string>
 
 namespace Site {
@@ -19,6 +20,9 @@
     void countRequest(const std::string &request, const std::string &outcome, double seconds);
     /// \p call is append, read or newest; \p outcome is ok, refused, unknown or not-sent.
     void countStoreCall(const std::string &call, const std::string &outcome, double seconds);
+    /// Counts a successful read of the log. \p topic is jobs, operators or workers; \p seconds is
+    /// how long the call took, including the time for which the store waited for a record.
+    void countRead(const std::string &topic, std::size_t records, double seconds);
     void countStart(const std::string &outcome, double seconds);
     void countDecision(const std::string &event);
     void setOwner(bool isOwner);
@@ -42,6 +46,8 @@
     prometheus::Family<prometheus::Histogram> &m_requestSeconds;
     prometheus::Family<prometheus::Counter> &m_storeCalls;
     prometheus::Family<prometheus::Histogram> &m_storeSeconds;
+    prometheus::Family<prometheus::Histogram> &m_readSeconds;
+    prometheus::Family<prometheus::Counter> &m_readRecords;
     prometheus::Family<prometheus::Counter> &m_starts;
     prometheus::Histogram &m_startSeconds;
     prometheus::Family<prometheus::Counter> &m_decisions;
