LibJob: Review throttles of a bounded number of workers in one call

Change: a call reviews at most 128 workers; the next call goes on. The reviews of one worker are at least 0.4 ms a listed worker apart (200 ms up to 500 workers, 581 ms at 1,453): each report leads to a review as well, so no throttle waits for these alone. Sites of up to 128 workers decide as before.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -337,6 +337,8 @@
 {
     if (!m_pass.isOver() && !m_isDeposed)
         return now.instant;
+    if (isThrottleSweepUnderWay())
+        return now.instant;
     Core::Instant next = now.instant + passInterval;
     if (m_needsPass)
         next = std::min(next, m_nextPassAt);
--- a/Libraries/LibJob/JobSchedulerThrottling.cpp
+++ b/Libraries/LibJob/JobSchedulerThrottling.cpp
@@ -10,6 +10,11 @@
 static constexpr int fullPercent = 100;
 /// Interval at which throttles are reviewed independently of reports.
 static constexpr Core::Duration throttleUpdateInterval = milliseconds(200);
+/// Lower bound of that interval for each listed worker: reports lead to reviews as well, so a large
+/// site can do with fewer of these.
+static constexpr Core::Duration throttleUpdateIntervalPerWorker = std::chrono::microseconds(400);
+/// Bounds the time that one call takes.
+static constexpr std::size_t maxThrottleUpdatesPerCall = 128;
 /// Range of times ahead for which loads are predicted: a short task that starts now runs at least
 /// until the first.
 static constexpr Core::Duration forecastBegin = milliseconds(300);
@@ -113,16 +118,24 @@
 
 void JobScheduler::updateAllThrottles(const TimePoint &now)
 {
-    if (now.instant < m_nextThrottleUpdateAt)
-        return;
-    m_throttleController.updatePriors();
-    m_nextThrottleUpdateAt = now.instant + throttleUpdateInterval;
-    for (WorkerState *worker : m_listed) {
-        if (worker->servingCount() > 0)
-            forecastLoads(*worker, colocatedRuns(*worker), now);
+    if (!isThrottleSweepUnderWay()) {
+        if (now.instant < m_nextThrottleUpdateAt)
+            return;
+        m_throttleController.updatePriors();
+        const auto workers = static_cast<Core::Duration::rep>(m_listed.size());
+        m_nextThrottleUpdateAt = now.instant
+            + std::max(throttleUpdateInterval, workers * throttleUpdateIntervalPerWorker);
+        m_nextThrottleUpdate = 0;
+    }
+    const std::size_t end
+        = std::min(m_nextThrottleUpdate + maxThrottleUpdatesPerCall, m_listed.size());
+    for (; m_nextThrottleUpdate < end; ++m_nextThrottleUpdate) {
+        WorkerState &worker = *m_listed[m_nextThrottleUpdate];
+        if (worker.servingCount() > 0)
+            forecastLoads(worker, colocatedRuns(worker), now);
         // Also on workers without serving tasks: throttles that were set for tasks that have ended
         // must be released.
-        updateThrottles(*worker, now);
+        updateThrottles(worker, now);
     }
 }
 
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -377,7 +377,9 @@
     void forecastLoads(WorkerState &worker, const std::vector<ColocatedRun> &runs,
                        const TimePoint &now);
     void updateThrottles(WorkerState &worker, const TimePoint &now);
+    /// Reviews the throttles of all listed workers from time to time, of some workers in each call.
     void updateAllThrottles(const TimePoint &now);
+    bool isThrottleSweepUnderWay() const { return m_nextThrottleUpdate < m_listed.size(); }
     static void setThrottle(TaskRun &run, const StepSpec &spec, int percent);
     /// Returns the highest ratio of tail latency to target among \p runs; 0 without serving tasks.
     static double highestTailRatio(const std::vector<ColocatedRun> &runs);
@@ -453,6 +455,9 @@
     Core::Instant m_nextPassAt = {};
     Core::Instant m_nextCheckAt = {};
     Core::Instant m_nextThrottleUpdateAt = {};
+    /// Position in m_listed of the worker whose throttles are reviewed next; behind the last one
+    /// between two reviews of all.
+    std::size_t m_nextThrottleUpdate = 0;
 };
 
 } // namespace Jobs
