Benchmarks: Give jobs names of the real length

Real names have 16 digits, so the benchmark didn't show what copies of task names cost the owner.

Change: the names have 16 digits.

--- a/Benchmarks/jobs/LoadedSite.cpp
+++ b/Benchmarks/jobs/LoadedSite.cpp
@@ -7,6 +7,13 @@
 static constexpr std::int64_t workerMebibytes = 128'000;
 static constexpr int shortJobsEvery = 4;
 
+/// Returns an identifier of 16 digits, as long as that of a real job.
+static JobId jobId(int number)
+{
+    const std::string digits = std::to_string(number);
+    return JobId(std::string(16 - digits.size(), '0') + digits);
+}
+
 LoadedSite::LoadedSite(const SiteLoad &load)
     : m_load(load)
     , m_scheduler(SchedulerSettings(), { 1, 0, Core::Instant() }, m_log)
@@ -56,7 +63,7 @@
 void LoadedSite::submit(int number, const StepSpec &step, int priority)
 {
     Submission submission;
-    submission.id = JobId("job-" + std::to_string(number));
+    submission.id = jobId(number);
     submission.queue.id = QueueId("queue-" + std::to_string(priority));
     submission.queue.service = ServiceId("service");
     submission.queue.priority = priority;
