LibJob: Look at the runs on a worker once for each report

Cause: a report made the scheduler collect the running tasks of its worker twice, copy the names of all its runs and of all reported ones into sets, and copy the crash history of each run that has worked for 5 s.

What was ruled out: to recognize listed runs by the time at which they were last seen: two reports may have the same time.

Change: updateColocation() collects the running tasks once for the model and the throttles; so does the review of all throttles. The look for missing runs walks through both ordered lists at once. A crash history that stays as it is isn't copied. checkProgress() gets the step from its caller instead of finding the job again.

TestLibJob passes.

--- a/Libraries/LibJob/JobSchedulerCrashes.cpp
+++ b/Libraries/LibJob/JobSchedulerCrashes.cpp
@@ -203,9 +203,12 @@
 
 void JobScheduler::setCrashHistory(OwnedJob &job, const TaskName &name, const CrashHistory &history)
 {
+    // Nearly all calls change nothing; only the others need a copy.
+    if (history == job.crashHistory(name))
+        return;
     const CrashHistory former = job.crashHistory(name);
     TaskState *task = job.findTask(name);
-    if (!task || job.isOver() || history == former)
+    if (!task || job.isOver())
         return;
     job.setCrashHistory(name, history);
     if (history.runInDoubt())
@@ -269,7 +272,8 @@
 
 void JobScheduler::withdrawDoubt(OwnedJob &job, const TaskName &name)
 {
-    setCrashHistory(job, name, job.crashHistory(name).withoutRunInDoubt());
+    if (job.crashHistory(name).runInDoubt())
+        setCrashHistory(job, name, job.crashHistory(name).withoutRunInDoubt());
 }
 
 void JobScheduler::withdrawDoubtsAbout(const WorkerState &worker)
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -135,8 +135,8 @@
         removeMissingRuns(*worker, report, sentAt);
     withdrawDoubtsAbout(*worker);
     giveUpCrashing(lost, now);
-    updateSlowdownModel(*worker, now);
-    updateThrottles(*worker, now);
+    if (worker->servingCount() > 0 || worker->bestEffortCount() > 0)
+        updateColocation(*worker, now);
     worker->setNextRenewalAt(
         now.instant
         + (worker->hasUncommittedEnds() ? uncommittedRenewalInterval : renewalInterval()));
@@ -190,7 +190,7 @@
         task->checkpoint = entry.checkpoint;
     run.recentLoad = entry.recentLoad;
     updateOverTarget(job->spec(entry.task.step), run, now.instant);
-    checkProgress(entry.task, run, entry, now);
+    checkProgress(job->spec(entry.task.step), run, entry, now);
     return true;
 }
 
@@ -230,16 +230,42 @@
     use.requested = use.requested + need;
 }
 
+/// Returns the tasks that the report lists as running, in their order.
+static std::vector<const TaskName *> listedTasks(const WorkerReport &report)
+{
+    std::vector<const TaskName *> listed;
+    listed.reserve(report.running.size());
+    for (const RunningEntry &entry : report.running)
+        listed.push_back(&entry.task);
+    const auto isBefore
+        = [](const TaskName *left, const TaskName *right) { return *left < *right; };
+    if (!std::is_sorted(listed.begin(), listed.end(), isBefore))
+        std::sort(listed.begin(), listed.end(), isBefore);
+    return listed;
+}
+
+/// Returns the tasks with a run on the worker that the report doesn't list.
+static std::vector<TaskName> unlistedTasks(const WorkerState &worker, const WorkerReport &report)
+{
+    std::vector<TaskName> unlisted;
+    const std::vector<const TaskName *> listed = listedTasks(report);
+    auto next = listed.begin();
+    for (const TaskName &name : worker.runs()) {
+        next = std::find_if(next, listed.end(),
+                            [&name](const TaskName *other) { return *other >= name; });
+        if (next == listed.end() || **next != name)
+            unlisted.push_back(name);
+    }
+    return unlisted;
+}
+
 void JobScheduler::removeMissingRuns(WorkerState &worker, const WorkerReport &report,
                                      Core::Instant sentAt)
 {
-    std::set<TaskName> listed;
-    for (const RunningEntry &entry : report.running)
-        listed.insert(entry.task);
-    for (const TaskName &name : std::set<TaskName>(worker.runs())) {
+    for (const TaskName &name : unlistedTasks(worker, report)) {
         OwnedJob *job = findJob(name.job);
         TaskState *task = job ? job->findTask(name) : nullptr;
-        if (listed.contains(name) || !task || !task->run)
+        if (!task || !task->run)
             continue;
         const TaskRun &run = *task->run;
         const bool wasRunning = run.phase == RunPhase::Running && run.phaseBeganAt <= sentAt;
@@ -255,11 +281,9 @@
     }
 }
 
-void JobScheduler::checkProgress(const TaskName &name, TaskRun &run, const RunningEntry &entry,
+void JobScheduler::checkProgress(const StepSpec &spec, TaskRun &run, const RunningEntry &entry,
                                  const TimePoint &now)
 {
-    const OwnedJob *job = findJob(name.job);
-    const StepSpec &spec = job->spec(name.step);
     const bool isProgressing = entry.percentDone != run.percentDone
         || (spec.isLongRunning && entry.percentDone >= fullPercent);
     // A best-effort task may get no processor time from the other tasks.
@@ -270,11 +294,11 @@
     const Core::Duration stalledFor = now.instant - run.progressedAt;
     if (run.isStopWanted || stalledFor < m_settings.stallTimeout)
         return;
-    note(name, "standstill",
+    note(entry.task, "standstill",
          "worker=" + run.worker->info().id.text()
              + " percent=" + std::to_string(entry.percentDone));
     run.worker->noteTaskFailed(now.instant);
-    requestStop(name, run, now);
+    requestStop(entry.task, run, now);
 }
 
 } // namespace Jobs
--- a/Libraries/LibJob/JobSchedulerThrottling.cpp
+++ b/Libraries/LibJob/JobSchedulerThrottling.cpp
@@ -37,16 +37,19 @@
         run.overTargetSince = now;
 }
 
-std::vector<JobScheduler::ColocatedRun> JobScheduler::colocatedRuns(const WorkerState &worker)
+JobScheduler::ColocatedRuns JobScheduler::colocatedRuns(const WorkerState &worker)
 {
-    std::vector<ColocatedRun> runs;
+    ColocatedRuns all;
+    all.tasks.reserve(worker.runs().size());
+    all.runs.reserve(worker.runs().size());
+    all.specs.reserve(worker.runs().size());
     for (const TaskName &name : worker.runs()) {
         OwnedJob *job = findJob(name.job);
         TaskState *task = job ? job->findTask(name) : nullptr;
         if (!task || !task->run || task->run->phase != RunPhase::Running)
             continue;
         const StepSpec &spec = job->spec(name.step);
-        ColocatedTask colocated;
+        ColocatedTask &colocated = all.tasks.emplace_back();
         colocated.name = name;
         colocated.image = job->images[static_cast<std::size_t>(name.step)];
         colocated.isBestEffort = spec.isBestEffort;
@@ -56,43 +59,39 @@
         colocated.overTargetSince = task->run->overTargetSince;
         colocated.reportedAt = worker.lastAnswerAt();
         colocated.percent = task->run->throttlePercent;
-        runs.push_back({ colocated, task->run.get() });
+        all.runs.push_back(task->run.get());
+        all.specs.push_back(&spec);
     }
-    return runs;
+    return all;
 }
 
-std::vector<ColocatedTask> JobScheduler::colocatedTasks(const std::vector<ColocatedRun> &runs)
+void JobScheduler::updateColocation(WorkerState &worker, const TimePoint &now)
 {
-    std::vector<ColocatedTask> colocatedTasks;
-    colocatedTasks.reserve(runs.size());
-    for (const ColocatedRun &colocatedRun : runs)
-        colocatedTasks.push_back(colocatedRun.task);
-    return colocatedTasks;
+    const ColocatedRuns colocated = colocatedRuns(worker);
+    if (worker.servingCount() > 0)
+        updateSlowdownModel(worker, colocated, now);
+    if (worker.bestEffortCount() > 0)
+        updateThrottles(colocated, now);
 }
 
-void JobScheduler::updateSlowdownModel(WorkerState &worker, const TimePoint &now)
+void JobScheduler::updateSlowdownModel(WorkerState &worker, const ColocatedRuns &colocated,
+                                       const TimePoint &now)
 {
-    if (worker.servingCount() == 0)
-        return;
-    const std::vector<ColocatedRun> runs = colocatedRuns(worker);
     worker.isOverTarget
-        = std::any_of(runs.begin(), runs.end(), [](const ColocatedRun &colocatedRun) {
-              return colocatedRun.run->overTargetSince != Core::Instant();
-          });
-    m_throttleController.observe(colocatedTasks(runs), worker.endedBestEffort(now.instant),
-                                 now.instant);
-    forecastLoads(worker, runs, now);
+        = std::any_of(colocated.runs.begin(), colocated.runs.end(),
+                      [](const TaskRun *run) { return run->overTargetSince != Core::Instant(); });
+    m_throttleController.observe(colocated.tasks, worker.endedBestEffort(now.instant), now.instant);
+    forecastLoads(worker, colocated.tasks, now);
 }
 
-void JobScheduler::forecastLoads(WorkerState &worker, const std::vector<ColocatedRun> &runs,
+void JobScheduler::forecastLoads(WorkerState &worker, const std::vector<ColocatedTask> &tasks,
                                  const TimePoint &now)
 {
     worker.servingLoads.clear();
     ++worker.revision;
     double requestedShare = 0;
     double usedShare = 0;
-    for (const ColocatedRun &colocatedRun : runs) {
-        const ColocatedTask &colocated = colocatedRun.task;
+    for (const ColocatedTask &colocated : tasks) {
         if (colocated.tailRatio <= 0)
             continue;
         double load = 0;
@@ -118,55 +117,56 @@
     m_throttleController.updatePriors();
     m_nextThrottleUpdateAt = now.instant + throttleUpdateInterval;
     for (WorkerState *worker : m_listed) {
+        if (worker->servingCount() == 0 && worker->bestEffortCount() == 0)
+            continue;
+        const ColocatedRuns colocated = colocatedRuns(*worker);
         if (worker->servingCount() > 0)
-            forecastLoads(*worker, colocatedRuns(*worker), now);
+            forecastLoads(*worker, colocated.tasks, now);
         // Also on workers without serving tasks: throttles that were set for tasks that have ended
         // must be released.
-        updateThrottles(*worker, now);
+        if (worker->bestEffortCount() > 0)
+            updateThrottles(colocated, now);
     }
 }
 
-double JobScheduler::highestTailRatio(const std::vector<ColocatedRun> &runs)
+double JobScheduler::highestTailRatio(const std::vector<ColocatedTask> &tasks)
 {
     double highest = 0;
-    for (const ColocatedRun &colocatedRun : runs)
-        highest = std::max(highest, colocatedRun.task.tailRatio);
+    for (const ColocatedTask &colocated : tasks)
+        highest = std::max(highest, colocated.tailRatio);
     return highest;
 }
 
-void JobScheduler::updateThrottles(WorkerState &worker, const TimePoint &now)
+void JobScheduler::updateThrottles(const ColocatedRuns &colocated, const TimePoint &now)
 {
-    if (worker.bestEffortCount() == 0)
-        return;
-    const std::vector<ColocatedRun> runs = colocatedRuns(worker);
     const std::vector<int> percents
-        = m_throttleController.throttlePercents(colocatedTasks(runs), now.instant);
-    for (std::size_t i = 0; i < runs.size(); ++i) {
-        const TaskRun &run = *runs[i].run;
-        if (!runs[i].task.isBestEffort || run.isStopWanted
+        = m_throttleController.throttlePercents(colocated.tasks, now.instant);
+    for (std::size_t i = 0; i < colocated.tasks.size(); ++i) {
+        TaskRun &run = *colocated.runs[i];
+        if (!colocated.tasks[i].isBestEffort || run.isStopWanted
             || now.instant < run.throttledAt + minThrottleInterval)
             continue;
         const int rise = percents[i] - run.throttlePercent;
         const bool isWanted
             = rise < 0 || rise >= minThrottleRise || (rise > 0 && percents[i] == fullPercent);
         if (isWanted || !run.isThrottleKnown)
-            throttle(runs[i], percents[i], highestTailRatio(runs), now);
+            throttle(colocated.tasks[i].name, run, *colocated.specs[i], percents[i],
+                     highestTailRatio(colocated.tasks), now);
     }
 }
 
-void JobScheduler::throttle(const ColocatedRun &bestEffort, int percent, double highestTailRatio,
-                            const TimePoint &now)
+void JobScheduler::throttle(const TaskName &name, TaskRun &run, const StepSpec &spec, int percent,
+                            double highestTailRatio, const TimePoint &now)
 {
-    TaskRun &run = *bestEffort.run;
-    setThrottle(run, findJob(bestEffort.task.name.job)->spec(bestEffort.task.name.step), percent);
+    setThrottle(run, spec, percent);
     run.throttledAt = now.instant;
     run.isThrottleKnown = true;
     const WorkerInfo &worker = run.worker->info();
-    note(bestEffort.task.name, "throttle",
+    note(name, "throttle",
          "worker=" + worker.id.text() + " run=" + std::to_string(run.number) + " percent="
              + std::to_string(percent) + " tail_of_target=" + std::to_string(highestTailRatio));
-    m_commands.emplace_back(ThrottleCommand { worker.id, worker.address, bestEffort.task.name,
-                                              run.number, percent, m_ownership.token });
+    m_commands.emplace_back(ThrottleCommand { worker.id, worker.address, name, run.number, percent,
+                                              m_ownership.token });
 }
 
 void JobScheduler::onThrottleFailed(const ThrottleCommand &command)
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -190,11 +190,12 @@
         bool isOver() const { return next >= steps.size(); }
     };
 
-    /// One of the runs on a worker.
-    struct ColocatedRun
+    /// The running tasks on a worker, and the run and the step of each, by index.
+    struct ColocatedRuns
     {
-        ColocatedTask task;
-        TaskRun *run = nullptr;
+        std::vector<ColocatedTask> tasks;
+        std::vector<TaskRun *> runs;
+        std::vector<const StepSpec *> specs;
     };
 
     OwnedJob *findJob(const JobId &id);
@@ -290,7 +291,7 @@
     /// Records that the outcome of the task's runs up to \p run will never be known.
     void abandon(OwnedJob &job, const TaskName &name, std::int64_t run);
     void abandonUnknownRuns(OwnedJob &job);
-    void checkProgress(const TaskName &name, TaskRun &run, const RunningEntry &entry,
+    void checkProgress(const StepSpec &spec, TaskRun &run, const RunningEntry &entry,
                        const TimePoint &now);
     void resendStops(const TimePoint &now);
 
@@ -368,21 +369,23 @@
     void keepWorkerForSuspect(const PlacementRequest &request);
 
     // Best-effort tasks beside serving tasks.
-    std::vector<ColocatedRun> colocatedRuns(const WorkerState &worker);
-    static std::vector<ColocatedTask> colocatedTasks(const std::vector<ColocatedRun> &runs);
+    ColocatedRuns colocatedRuns(const WorkerState &worker);
     static void updateOverTarget(const StepSpec &spec, TaskRun &run, Core::Instant now);
-    void updateSlowdownModel(WorkerState &worker, const TimePoint &now);
+    /// Updates the model and the throttles from the worker's last report.
+    void updateColocation(WorkerState &worker, const TimePoint &now);
+    void updateSlowdownModel(WorkerState &worker, const ColocatedRuns &colocated,
+                             const TimePoint &now);
     /// Predicts the loads of the serving tasks on the worker, for the placement of tasks beside
     /// them.
-    void forecastLoads(WorkerState &worker, const std::vector<ColocatedRun> &runs,
+    void forecastLoads(WorkerState &worker, const std::vector<ColocatedTask> &tasks,
                        const TimePoint &now);
-    void updateThrottles(WorkerState &worker, const TimePoint &now);
+    void updateThrottles(const ColocatedRuns &colocated, const TimePoint &now);
     void updateAllThrottles(const TimePoint &now);
     static void setThrottle(TaskRun &run, const StepSpec &spec, int percent);
-    /// Returns the highest ratio of tail latency to target among \p runs; 0 without serving tasks.
-    static double highestTailRatio(const std::vector<ColocatedRun> &runs);
-    void throttle(const ColocatedRun &bestEffort, int percent, double highestTailRatio,
-                  const TimePoint &now);
+    /// Returns the highest ratio of tail latency to target among \p tasks; 0 without serving tasks.
+    static double highestTailRatio(const std::vector<ColocatedTask> &tasks);
+    void throttle(const TaskName &name, TaskRun &run, const StepSpec &spec, int percent,
+                  double highestTailRatio, const TimePoint &now);
     void deleteOldJobs(const TimePoint &now);
 
     void note(const TaskName &task, std::string_view event, const std::string &inputs);
