--- a/Benchmarks/jobs/main.cpp
+++ b/Benchmarks/jobs/main.cpp
@@ -3,12 +3,15 @@
 #include "LoadedSite.h"
 
 #include <ReportDecoder.h>
+#include <WorkerMessages.h>
 
 #include <LibCore/Json.h>
 
 #include <benchmark/benchmark.h>
 #include <json/value.h>
 
+#include <string>
+
 /// Workers that are full of serving tasks, and jobs of 8 tasks that wait.
 static SiteLoad fullSite(const benchmark::State &state)
 {
@@ -108,6 +111,18 @@
     state.counters["running"] = static_cast<double>(site.lastReport().running.size());
 }
 
+static void encode(benchmark::State &state)
+{
+    Jobs::StartCommand command;
+    command.task = { Jobs::JobId("0123456789abcdef"), 0, 0, 17 };
+    command.run = 2001;
+    command.payload = std::string(64, 'a');
+    command.leaseDeadlineMs = 482'113;
+    command.token = 12;
+    for (auto _ : state)
+        benchmark::DoNotOptimize(Adapter::WorkerMessages::encodeStart(command));
+}
+
 BENCHMARK(pass)->Args({ 48, 100 })->Args({ 48, 500 })->Args({ 660, 500 });
 BENCHMARK(report)->Args({ 48, 100 })->Args({ 48, 500 })->Args({ 660, 500 });
 BENCHMARK(endAndPass)->Args({ 48, 100 })->Args({ 48, 500 })->Args({ 660, 500 });
@@ -117,4 +132,5 @@
     ->ArgsProduct({ { 66, 660, 1100 }, { 100, 500, 2000 } })
     ->Unit(benchmark::kMillisecond);
 BENCHMARK(decode);
+BENCHMARK(encode);
 BENCHMARK_MAIN();
