--- a/Tests/platform/TestOddWorkers.cpp
+++ b/Tests/platform/TestOddWorkers.cpp
@@ -77,6 +77,22 @@
     return entries;
 }
 
+std::vector<std::string> entriesWithOddNumber()
+{
+    std::vector<std::string> entries;
+    for (const char *number :
+         { "1e400", "-1e400", "1e18", "9223372036854775807", "9223372036854775808",
+           "-9223372036854775808", "-1", "NaN", "Infinity", "\"7\"", "true", "[]", "{}", "0.5" }) {
+        entries.push_back(changed("16000", number));
+        entries.push_back(changed("32768", number));
+        entries.push_back(changed("\"gpu\":0", std::string("\"gpu\":") + number));
+    }
+    for (const char *number :
+         { "1e400", "9223372036854775808", "-1", "NaN", "\"17\"", "true", "[]", "{}", "0.5" })
+        entries.push_back(changed("\"born\":17", std::string("\"born\":") + number));
+    return entries;
+}
+
 std::vector<std::string> entriesOfOddTypes()
 {
     std::vector<std::string> entries { "null", "7", "\"text\"", "[]", "{}", "true", " " };
@@ -194,6 +210,10 @@
     {
         checkAll(entriesWithOddAddress());
     }
+    SECTION("with numbers too large, negative or no numbers")
+    {
+        checkAll(entriesWithOddNumber());
+    }
     SECTION("with members of other types")
     {
         checkAll(entriesOfOddTypes());
@@ -209,6 +229,7 @@
     Followed followed;
     followed.idsAfter("a", deepEntries().front());
     followed.idsAfter("b", entriesWithOddAddress().front());
+    followed.idsAfter("c", entriesWithOddNumber().front());
     followed.idsAfter("zz", "\xff\xfe");
     CHECK(followed.idsOfNewNode() == neighbours);
 }
@@ -226,6 +247,9 @@
             const std::string &address = worker.address;
             asio::ip::make_address(address.substr(0, address.rfind(':')), error);
             RC_ASSERT(!error);
+            RC_ASSERT(worker.capacity.milliCores >= 0);
+            RC_ASSERT(worker.capacity.mebibytes >= 0);
+            RC_ASSERT(worker.capacity.accelerators >= 0);
         }
         RC_ASSERT(followed.idsAfter("odd", goodEntry) == neighboursAndOdd);
     });
