--- a/Tests/platform/TestOddWorkers.cpp
+++ b/Tests/platform/TestOddWorkers.cpp
@@ -102,6 +102,9 @@
         entries.push_back(changed("\"ready\"", value));
         entries.push_back(changed("{\"cpu\":16000,\"memMb\":32768,\"gpu\":0}", value));
     }
+    for (const char *labels : { "\"a\"", "7", "true", "{\"0\":\"a\"}", "[1]", "[[\"a\"]]", "[null]",
+                                "[true]", "[\"a\",{}]" })
+        entries.push_back(changed("[\"a\",\"r1-3\"]", labels));
     entries.push_back(changed("\"ready\"", "\"upset\""));
     return entries;
 }
