--- a/Tests/platform/TestOddWorkers.cpp
+++ b/Tests/platform/TestOddWorkers.cpp
@@ -227,6 +227,22 @@
     }
 }
 
+TEST_CASE("A key that can't be a worker's id names no worker")
+{
+    Followed followed;
+    const std::vector<std::string> keys {
+        "", "a b", "a\r\nX-Other: 1", std::string("a\0b", 3), "\xff\xfe", std::string(256, 'k')
+    };
+    for (const std::string &key : keys) {
+        INFO("key of " << key.size() << " bytes");
+        CHECK(followed.idsAfter(key, goodEntry) == neighbours);
+    }
+    SECTION("a node that starts later sees the same")
+    {
+        CHECK(followed.idsOfNewNode() == neighbours);
+    }
+}
+
 TEST_CASE("A node that starts beside odd entries lists the good ones")
 {
     Followed followed;
