Platform: Go on behind a record that can't be read

Cause: one frame without content or with a key longer than the frame failed its whole page, and one item of another type, without a key or with another text than base64 failed all newest records. The store sends the same bytes at the next read, so a node stopped following the topic for ever, and a node that started got no list at all.

What was ruled out: to skip by the records alone.

A page that is cut short stays an error, as does a page without any key to go on from.

--- a/Libraries/LibSite/LogFollower.cpp
+++ b/Libraries/LibSite/LogFollower.cpp
@@ -32,8 +32,10 @@
     // of the first page.
     if (m_endAtSnapshotStart < 0)
         m_endAtSnapshotStart = page.end;
-    const bool isLast = !page.hasMore || page.records.empty();
-    if (!page.records.empty())
+    const bool isLast = !page.hasMore || (page.records.empty() && page.skippedKey.empty());
+    if (!page.skippedKey.empty())
+        m_afterKey = page.skippedKey;
+    else if (!page.records.empty())
         m_afterKey = page.records.back().record.key;
     for (LoggedRecord &record : page.records)
         m_snapshot.push_back(std::move(record));
@@ -70,6 +72,7 @@
         m_sink.apply(record);
         m_nextOffset = record.offset + 1;
     }
+    m_nextOffset = std::max(m_nextOffset, page.skippedEnd);
 }
 
 asio::awaitable<LogPage> LogFollower::readPage(std::int64_t waitMs)
--- a/include/LibSite/KeyedLog.h
+++ b/include/LibSite/KeyedLog.h
@@ -82,6 +82,9 @@
     std::vector<LoggedRecord> records;
     /// The log's end offset as of this answer: the offset that the next record will get.
     std::int64_t end = 0;
+    /// The offset after the last record of the answer that can't be read and so isn't among
+    /// `records`; 0 if there is none.
+    std::int64_t skippedEnd = 0;
 
     bool operator==(const LogPage &) const = default;
 };
@@ -94,6 +97,9 @@
     std::int64_t end = 0;
     /// The log has keys after the last one of this page.
     bool hasMore = false;
+    /// The last key of the answer, if its record can't be read and so isn't among `records`;
+    /// otherwise empty.
+    std::string skippedKey = {};
 
     bool operator==(const NewestRecordsPage &) const = default;
 };
