LibRules: Rename RuleBook to RuleReplica

The class applies the records of a stream in order, on each VM: it is a replica, as `Lease` already calls its own.

Change: RuleBook becomes RuleReplica (files and test file included), PublishFate becomes PublishOutcome, Lost becomes Rejected (its comment now also names texts that don't parse, which were always in it), and the local names and comments follow. Names of test cases are reworded; what they check is unchanged. No text on the wire changes.

--- a/Services/lagoonfordd/AdminService.cpp
+++ b/Services/lagoonfordd/AdminService.cpp
@@ -20,7 +20,7 @@
 namespace http = boost::beast::http;
 
 static constexpr Core::Duration appendTimeout = std::chrono::seconds(2);
-static constexpr Core::Duration fateTimeout = std::chrono::seconds(4);
+static constexpr Core::Duration outcomeTimeout = std::chrono::seconds(4);
 /// How long a publication waits for the entry VMs. One that hasn't received the version by then
 /// starts no further task, since its rules aren't fresh any more.
 static constexpr Core::Duration inForceTimeout = std::chrono::seconds(3);
@@ -50,7 +50,7 @@
     }
     value["peers"] = peers;
     Json::Value out(Json::objectValue);
-    for (const auto &[domain, rule] : m_node.ruleBook().current().rules.domainsOut)
+    for (const auto &[domain, rule] : m_node.ruleReplica().current().rules.domainsOut)
         out[domain.text()] = rule.requestedBy;
     value["domainsOut"] = out;
     return jsonResponse(http::status::ok, value);
@@ -58,7 +58,7 @@
 
 HttpResponse AdminService::showRules() const
 {
-    const Rules::RuleVersion &current = m_node.ruleBook().current();
+    const Rules::RuleVersion &current = m_node.ruleReplica().current();
     Json::Value value(Json::objectValue);
     value["version"] = Json::UInt64(current.number);
     value["text"] = current.text;
@@ -98,13 +98,14 @@
         LOG4CXX_WARN(partLogger, "change in doubt: " << error.what());
         isInDoubt = true;
     }
-    const Rules::PublishFate fate = co_await awaitFate(record.id, Core::steadyNow() + fateTimeout);
-    if (fate == Rules::PublishFate::Pending)
+    const Rules::PublishOutcome outcome
+        = co_await awaitOutcome(record.id, Core::steadyNow() + outcomeTimeout);
+    if (outcome == Rules::PublishOutcome::Pending)
         co_return unknownResponse(isInDoubt ? "the log gave no answer; the change may still land"
                                             : "recorded, but not read back yet");
     Json::Value answer(Json::objectValue);
-    const Rules::RuleVersion &current = m_node.ruleBook().current();
-    if (fate == Rules::PublishFate::Lost) {
+    const Rules::RuleVersion &current = m_node.ruleReplica().current();
+    if (outcome == Rules::PublishOutcome::Rejected) {
         answer["error"] = "another change came first";
         answer["version"] = Json::UInt64(current.number);
         answer["by"] = current.publishedBy;
@@ -118,14 +119,14 @@
     co_return jsonResponse(http::status::ok, answer);
 }
 
-asio::awaitable<Rules::PublishFate> AdminService::awaitFate(std::string recordId,
-                                                            Core::Instant deadline)
+asio::awaitable<Rules::PublishOutcome> AdminService::awaitOutcome(std::string recordId,
+                                                                  Core::Instant deadline)
 {
     asio::steady_timer timer(m_node.executor());
     while (true) {
-        const Rules::PublishFate fate = m_node.ruleBook().fate(recordId);
-        if (fate != Rules::PublishFate::Pending || Core::steadyNow() > deadline)
-            co_return fate;
+        const Rules::PublishOutcome outcome = m_node.ruleReplica().outcome(recordId);
+        if (outcome != Rules::PublishOutcome::Pending || Core::steadyNow() > deadline)
+            co_return outcome;
         m_node.rulesWakeup().wake();
         timer.expires_after(checkInterval);
         co_await timer.async_wait(asio::use_awaitable);
--- a/Services/lagoonfordd/AdminService.h
+++ b/Services/lagoonfordd/AdminService.h
@@ -24,8 +24,8 @@
 
 private:
     /// Waits until it is known whether the record was appended, or until the deadline.
-    boost::asio::awaitable<Rules::PublishFate> awaitFate(std::string recordId,
-                                                         Core::Instant deadline);
+    boost::asio::awaitable<Rules::PublishOutcome> awaitOutcome(std::string recordId,
+                                                               Core::Instant deadline);
     /// Waits until every reachable entry VM has \p version in force. Adds to the answer which ones
     /// have and which don't.
     boost::asio::awaitable<void> awaitInForce(Rules::Version version, Json::Value &answer);
--- a/Services/lagoonfordd/JobService.cpp
+++ b/Services/lagoonfordd/JobService.cpp
@@ -241,7 +241,7 @@
     // FIXME: A submission of unknown outcome that is repeated after its failure domain was taken
     //        out goes to another stream. If the first one is appended late, the task has two
     //        owners.
-    const Rules::RuleSet &rules = m_node.ruleBook().current().rules;
+    const Rules::RuleSet &rules = m_node.ruleReplica().current().rules;
     Core::FailureDomainId best;
     std::uint64_t bestWeight = 0;
     for (const Core::FailureDomainId &domain : m_node.failureDomains()) {
@@ -258,7 +258,7 @@
 
 std::string JobService::reasonNeverFits(const Task::TaskSpec &spec) const
 {
-    const Rules::RuleSet &rules = m_node.ruleBook().current().rules;
+    const Rules::RuleSet &rules = m_node.ruleReplica().current().rules;
     std::string reason;
     for (const Platform::VmEntry &vm : m_node.vms()) {
         if (vm.kind != Platform::VmKind::Worker
--- a/Services/lagoonfordd/Node.cpp
+++ b/Services/lagoonfordd/Node.cpp
@@ -129,7 +129,7 @@
 
 void Node::applyRules()
 {
-    const Rules::RuleVersion &current = m_ruleBook.current();
+    const Rules::RuleVersion &current = m_ruleReplica.current();
     m_placer->setRules(current.rules, current.number);
     m_metrics.setRulesVersion(static_cast<double>(current.number));
     m_placerWakeup.wake();
@@ -183,7 +183,7 @@
     state.isLeaving = m_isLeaving;
     state.isPlacer = m_lease.isHolder(now);
     state.free = m_placer->spareResources();
-    state.rulesVersion = m_ruleBook.current().number;
+    state.rulesVersion = m_ruleReplica.current().number;
     state.queued = m_queued;
     return state;
 }
--- a/Services/lagoonfordd/Node.h
+++ b/Services/lagoonfordd/Node.h
@@ -14,7 +14,7 @@
 #include <LibPlatform/Http/HttpWorkerControl.h>
 #include <LibPlatform/VmEntry.h>
 #include <LibRules/FreshnessGate.h>
-#include <LibRules/RuleBook.h>
+#include <LibRules/RuleReplica.h>
 #include <LibSettings/Settings.h>
 #include <LibTask/DomainPlacer.h>
 #include <LibTask/SchedulerFactory.h>
@@ -60,7 +60,7 @@
     Platform::VmDirectory &directory() { return m_directory; }
     Peer::TcpPeerClient &peers() { return m_peers; }
 
-    Rules::RuleBook &ruleBook() { return m_ruleBook; }
+    Rules::RuleReplica &ruleReplica() { return m_ruleReplica; }
     Rules::FreshnessGate &freshness() { return m_freshness; }
     Lease::LeaseManager &lease() { return m_lease; }
     Lease::MembershipManager &membership() { return m_membership; }
@@ -110,7 +110,7 @@
     Platform::HttpWorkerControl m_workers;
     Platform::HttpVmDirectory m_directory;
     Peer::TcpPeerClient m_peers;
-    Rules::RuleBook m_ruleBook;
+    Rules::RuleReplica m_ruleReplica;
     Rules::FreshnessGate m_freshness;
     Lease::LeaseManager m_lease;
     Lease::MembershipManager m_membership;
--- a/Services/lagoonfordd/PeersPart.cpp
+++ b/Services/lagoonfordd/PeersPart.cpp
@@ -36,7 +36,7 @@
         return node().ownState(Core::steadyNow()).toJson();
     });
     m_server->addMethod(RulesAnswer::methodName, [this](const Json::Value &parameters) {
-        return RulesAnswer::answer(parameters, node().ruleBook(), node().freshness(),
+        return RulesAnswer::answer(parameters, node().ruleReplica(), node().freshness(),
                                    Core::steadyNow())
             .toJson();
     });
--- a/Services/lagoonfordd/PlacerPart.cpp
+++ b/Services/lagoonfordd/PlacerPart.cpp
@@ -33,7 +33,7 @@
 asio::awaitable<Core::Instant> PlacerPart::step(Core::Instant now)
 {
     followLease(now);
-    m_vm.placer().setRulesFresh(m_vm.ruleBook().isReady() && m_vm.freshness().isFresh(now));
+    m_vm.placer().setRulesFresh(m_vm.ruleReplica().isReady() && m_vm.freshness().isFresh(now));
     for (const Task::PlacerAction &action : m_vm.placer().poll(now))
         perform(action);
     const Core::Instant latest = now + longestSleep;
--- a/Services/lagoonfordd/RequestService.cpp
+++ b/Services/lagoonfordd/RequestService.cpp
@@ -83,7 +83,7 @@
 void RequestService::refresh(Core::Instant now)
 {
     std::map<Core::TeamId, int> weights;
-    for (const auto &[team, rule] : m_node.ruleBook().current().rules.teams)
+    for (const auto &[team, rule] : m_node.ruleReplica().current().rules.teams)
         weights[team] = rule.weight;
     m_router.setTeamWeights(weights);
     perform(m_router.setServers(servers(now), now));
@@ -96,7 +96,7 @@
 
 std::vector<Routing::BackendServerInfo> RequestService::servers(Core::Instant now) const
 {
-    const Rules::RuleSet &rules = m_node.ruleBook().current().rules;
+    const Rules::RuleSet &rules = m_node.ruleReplica().current().rules;
     const bool isOut = rules.isOut(m_node.settings().failureDomain);
     std::vector<Routing::BackendServerInfo> servers;
     for (const Platform::VmEntry &vm : m_node.vms()) {
@@ -116,7 +116,7 @@
 std::vector<Routing::SpillOverOption> RequestService::spillOverOptions(Core::Instant now) const
 {
     std::map<Core::FailureDomainId, bool> accepting;
-    const Rules::RuleSet &rules = m_node.ruleBook().current().rules;
+    const Rules::RuleSet &rules = m_node.ruleReplica().current().rules;
     for (const auto &[id, peerState] : m_node.peerStates()) {
         const VmState &state = peerState.state;
         if (state.failureDomain == m_node.settings().failureDomain
--- a/Services/lagoonfordd/RulesAnswer.cpp
+++ b/Services/lagoonfordd/RulesAnswer.cpp
@@ -20,25 +20,25 @@
                                       Core::Json::stringMember(value, "by"));
 }
 
-Json::Value RulesAnswer::request(const Rules::RuleBook &book)
+Json::Value RulesAnswer::request(const Rules::RuleReplica &replica)
 {
     Json::Value value(Json::objectValue);
-    value["have"] = Json::UInt64(book.current().number);
-    value["gap"] = !book.isReady();
+    value["have"] = Json::UInt64(replica.current().number);
+    value["gap"] = !replica.isReady();
     return value;
 }
 
-RulesAnswer RulesAnswer::answer(const Json::Value &parameters, const Rules::RuleBook &book,
+RulesAnswer RulesAnswer::answer(const Json::Value &parameters, const Rules::RuleReplica &replica,
                                 const Rules::FreshnessGate &freshness, Core::Instant now)
 {
     const auto have = static_cast<std::uint64_t>(Core::Json::integerMember(parameters, "have"));
     RulesAnswer answer;
-    answer.m_currentNumber = book.current().number;
-    if (book.current().number > have)
-        answer.m_current = book.current();
-    if (Core::Json::booleanMember(parameters, "gap") && book.isReady()) {
-        answer.m_logVersion = book.logVersion();
-        answer.m_readThrough = book.nextOffset();
+    answer.m_currentNumber = replica.current().number;
+    if (replica.current().number > have)
+        answer.m_current = replica.current();
+    if (Core::Json::booleanMember(parameters, "gap") && replica.isReady()) {
+        answer.m_logVersion = replica.logVersion();
+        answer.m_readThrough = replica.nextOffset();
     }
     if (const auto asOf = freshness.freshAsOf())
         answer.m_age = (now - *asOf).count();
@@ -76,15 +76,15 @@
     return answer;
 }
 
-void RulesAnswer::applyTo(Rules::RuleBook &book, Rules::FreshnessGate &freshness,
+void RulesAnswer::applyTo(Rules::RuleReplica &replica, Rules::FreshnessGate &freshness,
                           Core::Instant askedAt) const
 {
     if (m_current)
-        book.learn(*m_current);
+        replica.learn(*m_current);
     if (m_logVersion)
-        book.bridge(*m_logVersion, m_readThrough);
-    const bool hasItsVersion = book.current().number >= m_currentNumber;
-    if (m_age && hasItsVersion && book.isReady())
+        replica.bridge(*m_logVersion, m_readThrough);
+    const bool hasItsVersion = replica.current().number >= m_currentNumber;
+    if (m_age && hasItsVersion && replica.isReady())
         freshness.onPeerAnswer(askedAt, Core::Duration(*m_age));
 }
 
--- a/Services/lagoonfordd/RulesAnswer.h
+++ b/Services/lagoonfordd/RulesAnswer.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibRules/FreshnessGate.h>
-#include <LibRules/RuleBook.h>
+#include <LibRules/RuleReplica.h>
 
 #include <json/value.h>
 
@@ -17,10 +17,10 @@
 public:
     static constexpr const char *methodName = "rules.get";
 
-    /// Returns the parameters of a call by a VM with \p book.
-    static Json::Value request(const Rules::RuleBook &book);
-    /// Returns the answer of a VM with \p book to a call with \p parameters.
-    static RulesAnswer answer(const Json::Value &parameters, const Rules::RuleBook &book,
+    /// Returns the parameters of a call by a VM with \p replica.
+    static Json::Value request(const Rules::RuleReplica &replica);
+    /// Returns the answer of a VM with \p replica to a call with \p parameters.
+    static RulesAnswer answer(const Json::Value &parameters, const Rules::RuleReplica &replica,
                               const Rules::FreshnessGate &freshness, Core::Instant now);
 
     Json::Value toJson() const;
@@ -28,7 +28,7 @@
     static RulesAnswer fromJson(const Json::Value &value);
 
     /// Applies the answer to a call that was sent at \p askedAt.
-    void applyTo(Rules::RuleBook &book, Rules::FreshnessGate &freshness,
+    void applyTo(Rules::RuleReplica &replica, Rules::FreshnessGate &freshness,
                  Core::Instant askedAt) const;
 
 private:
--- a/Services/lagoonfordd/RulesFollower.cpp
+++ b/Services/lagoonfordd/RulesFollower.cpp
@@ -34,7 +34,7 @@
     if (isReachable != m_isLogReachable)
         LOG4CXX_WARN(partLogger, (isReachable ? "log in reach again" : "log out of reach"));
     m_isLogReachable = isReachable;
-    if (!isReachable || !node().ruleBook().isReady())
+    if (!isReachable || !node().ruleReplica().isReady())
         co_await askPeers();
     announce();
     if (isReachable)
@@ -44,21 +44,21 @@
 
 asio::awaitable<bool> RulesFollower::readToEnd()
 {
-    Rules::RuleBook &book = node().ruleBook();
+    Rules::RuleReplica &replica = node().ruleReplica();
     while (true) {
         const Core::Instant readBegan = Core::steadyNow();
         Platform::LogPage page;
         try {
-            page = co_await node().log().read(rulesStream, book.nextOffset(), recordsPerRead,
+            page = co_await node().log().read(rulesStream, replica.nextOffset(), recordsPerRead,
                                               readBegan + readTimeout);
         } catch (const Core::Error &error) {
             LOG4CXX_DEBUG(partLogger, error.what());
             co_return false;
         }
         apply(page);
-        if (book.nextOffset() < page.end)
+        if (replica.nextOffset() < page.end)
             continue;
-        if (book.isReady())
+        if (replica.isReady())
             node().freshness().onEndRead(readBegan);
         co_return true;
     }
@@ -66,10 +66,10 @@
 
 void RulesFollower::apply(const Platform::LogPage &page)
 {
-    Rules::RuleBook &book = node().ruleBook();
+    Rules::RuleReplica &replica = node().ruleReplica();
     m_firstRetained = page.firstRetained;
-    if (book.nextOffset() < page.firstRetained || page.end < book.nextOffset())
-        book.startReadingAt(page.firstRetained);
+    if (replica.nextOffset() < page.firstRetained || page.end < replica.nextOffset())
+        replica.startReadingAt(page.firstRetained);
     for (const Platform::LogRecord &record : page.records) {
         std::optional<Rules::RuleRecord> decoded;
         try {
@@ -78,9 +78,9 @@
             LOG4CXX_ERROR(partLogger, "skips offset " << record.offset << ": " << error.what());
         }
         if (decoded)
-            book.apply(record.offset, *decoded, Core::steadyNow());
+            replica.apply(record.offset, *decoded, Core::steadyNow());
         else
-            book.skip(record.offset);
+            replica.skip(record.offset);
     }
 }
 
@@ -90,9 +90,10 @@
         const Core::Instant askedAt = Core::steadyNow();
         try {
             const Json::Value answer = co_await node().peers().call(
-                peer.id, RulesAnswer::methodName, RulesAnswer::request(node().ruleBook()),
+                peer.id, RulesAnswer::methodName, RulesAnswer::request(node().ruleReplica()),
                 askedAt + peerTimeout);
-            RulesAnswer::fromJson(answer).applyTo(node().ruleBook(), node().freshness(), askedAt);
+            RulesAnswer::fromJson(answer).applyTo(node().ruleReplica(), node().freshness(),
+                                                  askedAt);
         } catch (const Core::Error &error) {
             LOG4CXX_DEBUG(partLogger, error.what());
         }
@@ -102,7 +103,7 @@
 asio::awaitable<void> RulesFollower::writeSnapshotIfDue(Core::Instant now)
 {
     const bool isDue
-        = node().ruleBook().isSnapshotDue(m_firstRetained, node().settings().snapshotAge, now);
+        = node().ruleReplica().isSnapshotDue(m_firstRetained, node().settings().snapshotAge, now);
     if (!isDue) {
         const std::size_t spread = std::hash<std::string>()(node().run()) % longestSnapshotDelayMs;
         m_snapshotNotBefore = now + std::chrono::milliseconds(spread);
@@ -110,7 +111,7 @@
     }
     if (now < m_snapshotNotBefore)
         co_return;
-    const Rules::RuleRecord snapshot = node().ruleBook().makeSnapshot(node().makeId("rules"));
+    const Rules::RuleRecord snapshot = node().ruleReplica().makeSnapshot(node().makeId("rules"));
     try {
         std::vector<std::string> bodies;
         bodies.push_back(Core::Json::write(snapshot.toJson()));
@@ -125,8 +126,8 @@
 void RulesFollower::announce()
 {
     const bool isFresh = node().freshness().isFresh(Core::steadyNow());
-    node().placer().setRulesFresh(isFresh && node().ruleBook().isReady());
-    const Rules::RuleVersion &current = node().ruleBook().current();
+    node().placer().setRulesFresh(isFresh && node().ruleReplica().isReady());
+    const Rules::RuleVersion &current = node().ruleReplica().current();
     if (current.number == m_announced)
         return;
     m_announced = current.number;
--- a/Services/lagoonfordd/RulesFollower.h
+++ b/Services/lagoonfordd/RulesFollower.h
@@ -6,7 +6,7 @@
 
 namespace Daemon {
 
-/// Reads the stream `rules` into the rule book, asks peers while the log isn't reachable, and
+/// Reads the stream `rules` into the rule replica, asks peers while the log isn't reachable, and
 /// writes a new snapshot before the last one expires.
 class RulesFollower final : public StoppablePart
 {
--- a/Tests/lagoonfordd/TestRulesAnswer.cpp
+++ b/Tests/lagoonfordd/TestRulesAnswer.cpp
@@ -18,18 +18,18 @@
 TEST_CASE("A VM that can't read the log learns the rules from a peer")
 {
     const Core::Instant start {};
-    Rules::RuleBook peerBook;
-    peerBook.learn(version(3));
+    Rules::RuleReplica peerReplica;
+    peerReplica.learn(version(3));
     Rules::FreshnessGate peerGate(2s);
     peerGate.onEndRead(start + 10s);
 
-    Rules::RuleBook book;
+    Rules::RuleReplica replica;
     Rules::FreshnessGate gate(2s);
-    const Json::Value answer = Daemon::RulesAnswer::answer(Daemon::RulesAnswer::request(book),
-                                                           peerBook, peerGate, start + 11s)
+    const Json::Value answer = Daemon::RulesAnswer::answer(Daemon::RulesAnswer::request(replica),
+                                                           peerReplica, peerGate, start + 11s)
                                    .toJson();
-    Daemon::RulesAnswer::fromJson(answer).applyTo(book, gate, start + 20s);
-    CHECK(book.current().number == 3);
+    Daemon::RulesAnswer::fromJson(answer).applyTo(replica, gate, start + 20s);
+    CHECK(replica.current().number == 3);
     SECTION("and counts its age from before it asked")
     {
         CHECK(gate.isFresh(start + 20900ms));
@@ -37,10 +37,10 @@
     }
     SECTION("a version that is only in force there bridges no gap of its own")
     {
-        Rules::RuleBook behind;
+        Rules::RuleReplica behind;
         behind.startReadingAt(7);
         Rules::FreshnessGate closed(2s);
-        Rules::RuleBook ahead;
+        Rules::RuleReplica ahead;
         ahead.learn(version(4));
         const Json::Value other = Daemon::RulesAnswer::answer(Daemon::RulesAnswer::request(behind),
                                                               ahead, peerGate, start + 11s)
