LibRules, LibSettings: Rename Mistake to Diagnostic

Cause: "Mistake" is a word of this project for what compilers and checkers of files call a diagnostic: line, column and message.

Change: Rules::Mistake becomes Rules::Diagnostic, and mistakes() of RulesError becomes diagnostics(). SettingsError holds whole lines, so its mistakes() becomes messages(). Local variables of lagoonfordd become formatError.

--- a/Libraries/LibRules/RuleSetBuilder.cpp
+++ b/Libraries/LibRules/RuleSetBuilder.cpp
@@ -48,8 +48,8 @@
 void RuleSetBuilder::addLine(const RuleLine &line)
 {
     if (line.requestedBy.empty())
-        addMistake(line.number, line.commentColumn,
-                   "the rule doesn't say who asked for it; end the line with '# NAME'");
+        addDiagnostic(line.number, line.commentColumn,
+                      "the rule doesn't say who asked for it; end the line with '# NAME'");
     const std::string &kind = line.words.front().text;
     if (kind == "team")
         addTeam(line);
@@ -62,24 +62,24 @@
     else if (kind == "domain")
         addDomain(line);
     else
-        addMistake(line.number, line.words.front().column,
-                   "'" + kind + "' is no rule; allowed: team, class, place, slots, domain");
+        addDiagnostic(line.number, line.words.front().column,
+                      "'" + kind + "' is no rule; allowed: team, class, place, slots, domain");
 }
 
 void RuleSetBuilder::checkWhole()
 {
     for (const auto &[taskClass, line] : m_placeLines) {
         if (!m_rules.classes.contains(taskClass))
-            addMistake(line.number, line.words[1].column,
-                       "no rule defines the class '" + taskClass.text() + "'");
+            addDiagnostic(line.number, line.words[1].column,
+                          "no rule defines the class '" + taskClass.text() + "'");
     }
-    std::sort(m_mistakes.begin(), m_mistakes.end());
+    std::sort(m_diagnostics.begin(), m_diagnostics.end());
 }
 
 void RuleSetBuilder::addTeam(const RuleLine &line)
 {
     const std::string name = subject(line);
-    RuleOptions options(line, 2, { "cores", "memory", "accelerators", "weight" }, m_mistakes);
+    RuleOptions options(line, 2, { "cores", "memory", "accelerators", "weight" }, m_diagnostics);
     TeamRule rule;
     rule.team = Core::TeamId(name);
     rule.quota.milliCores = milliCoresPerCore
@@ -97,7 +97,7 @@
 void RuleSetBuilder::addClass(const RuleLine &line)
 {
     const std::string name = subject(line);
-    RuleOptions options(line, 2, { "kind", "priority", "cut-off", "after" }, m_mistakes);
+    RuleOptions options(line, 2, { "kind", "priority", "cut-off", "after" }, m_diagnostics);
     TaskClassRule rule;
     rule.taskClass = Core::TaskClassId(name);
     rule.kind = options.value<TaskKind>("kind", parseKind, "latency-critical, batch");
@@ -116,8 +116,8 @@
 {
     const std::string name = subject(line);
     if (line.words.size() != 4 || line.words[2].text != "in") {
-        addMistake(line.number, line.words.front().column,
-                   "allowed: place CLASS in DOMAIN[,DOMAIN...]");
+        addDiagnostic(line.number, line.words.front().column,
+                      "allowed: place CLASS in DOMAIN[,DOMAIN...]");
         return;
     }
     PlaceRule rule;
@@ -129,8 +129,8 @@
         const std::size_t end = std::min(list.text.find(',', begin), list.text.size());
         const std::string domain = list.text.substr(begin, end - begin);
         if (!Core::isName(domain))
-            addMistake(line.number, list.column + static_cast<int>(begin),
-                       "'" + domain + "' is no name of a failure domain");
+            addDiagnostic(line.number, list.column + static_cast<int>(begin),
+                          "'" + domain + "' is no name of a failure domain");
         rule.failureDomains.insert(Core::FailureDomainId(domain));
         begin = end + 1;
     }
@@ -141,8 +141,8 @@
 void RuleSetBuilder::addSlots(const RuleLine &line)
 {
     if (m_rules.slots)
-        addMistake(line.number, line.words.front().column, "'slots' is given twice");
-    RuleOptions options(line, 1, { "limit", "connections" }, m_mistakes);
+        addDiagnostic(line.number, line.words.front().column, "'slots' is given twice");
+    RuleOptions options(line, 1, { "limit", "connections" }, m_diagnostics);
     SlotRule rule;
     rule.slots = static_cast<int>(
         options.value<std::int64_t>("limit", numberFrom(1, mostSlots), "1 to 10000"));
@@ -158,7 +158,7 @@
     const bool isKnown
         = line.words.size() == 3 && (line.words[2].text == "out" || line.words[2].text == "in");
     if (!isKnown) {
-        addMistake(line.number, line.words.front().column, "allowed: domain NAME out|in");
+        addDiagnostic(line.number, line.words.front().column, "allowed: domain NAME out|in");
         return;
     }
     // `in` changes nothing, but keeps the name of who brought the failure domain back.
@@ -173,21 +173,21 @@
     const std::string &kind = line.words.front().text;
     if (line.words.size() < 2 || !Core::isName(line.words[1].text)) {
         const int column = line.words.size() < 2 ? line.commentColumn : line.words[1].column;
-        addMistake(line.number, column, "a name must follow '" + kind + "'");
+        addDiagnostic(line.number, column, "a name must follow '" + kind + "'");
         return {};
     }
     const std::string &name = line.words[1].text;
     const auto [first, isNew] = m_firstLines.emplace(kind + ' ' + name, line.number);
     if (!isNew)
-        addMistake(line.number, line.words[1].column,
-                   "'" + kind + ' ' + name + "' already has a rule on line "
-                       + std::to_string(first->second));
+        addDiagnostic(line.number, line.words[1].column,
+                      "'" + kind + ' ' + name + "' already has a rule on line "
+                          + std::to_string(first->second));
     return name;
 }
 
-void RuleSetBuilder::addMistake(int line, int column, const std::string &message)
+void RuleSetBuilder::addDiagnostic(int line, int column, const std::string &message)
 {
-    m_mistakes.push_back({ line, column, message });
+    m_diagnostics.push_back({ line, column, message });
 }
 
 } // namespace Rules
--- a/Libraries/LibRules/RuleSetBuilder.h
+++ b/Libraries/LibRules/RuleSetBuilder.h
@@ -11,7 +11,7 @@
 
 namespace Rules {
 
-/// Collects the rules and the mistakes of one file, line by line.
+/// Collects the rules and the diagnostics of one file, line by line.
 class RuleSetBuilder
 {
 public:
@@ -20,7 +20,7 @@
     void checkWhole();
 
     const RuleSet &rules() const { return m_rules; }
-    const std::vector<Mistake> &mistakes() const { return m_mistakes; }
+    const std::vector<Diagnostic> &diagnostics() const { return m_diagnostics; }
 
 private:
     void addTeam(const RuleLine &line);
@@ -28,12 +28,12 @@
     void addPlace(const RuleLine &line);
     void addSlots(const RuleLine &line);
     void addDomain(const RuleLine &line);
-    /// The name that the rule is about; an empty text, with a mistake, if there is none.
+    /// The name that the rule is about; an empty text and a diagnostic if there is none.
     std::string subject(const RuleLine &line);
-    void addMistake(int line, int column, const std::string &message);
+    void addDiagnostic(int line, int column, const std::string &message);
 
     RuleSet m_rules;
-    std::vector<Mistake> m_mistakes;
+    std::vector<Diagnostic> m_diagnostics;
     /// The line on which each subject was first given a rule, to name it when a second one comes.
     std::map<std::string, int> m_firstLines;
     std::map<Core::TaskClassId, RuleLine> m_placeLines;
--- a/Libraries/LibRules/RulesParser.cpp
+++ b/Libraries/LibRules/RulesParser.cpp
@@ -24,8 +24,8 @@
         begin = end + 1;
     }
     builder.checkWhole();
-    if (!builder.mistakes().empty())
-        throw RulesError(fileName, builder.mistakes());
+    if (!builder.diagnostics().empty())
+        throw RulesError(fileName, builder.diagnostics());
     return builder.rules();
 }
 
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -40,9 +40,9 @@
         for (const SettingKey &key : settingKeys())
             storeKey(key, settings);
         for (const auto &[place, values] : m_values)
-            addMistake(place.first, place.second, "there is no such key");
-        if (!m_mistakes.empty())
-            throw SettingsError(m_fileName, m_mistakes);
+            addMessage(place.first, place.second, "there is no such key");
+        if (!m_messages.empty())
+            throw SettingsError(m_fileName, m_messages);
         return settings;
     }
 
@@ -53,7 +53,7 @@
             throw SettingsError(m_fileName, { m_fileName + ": the file is longer than 64 KiB" });
         const int line = ini_parse_string(text.c_str(), collect, &m_values);
         if (line != 0)
-            m_mistakes.push_back(m_fileName + ':' + std::to_string(line)
+            m_messages.push_back(m_fileName + ':' + std::to_string(line)
                                  + ": neither a section nor a key with a value");
     }
 
@@ -64,25 +64,25 @@
             if (!key.fallback.empty())
                 key.store(key.fallback, settings);
             else if (!key.isOptional)
-                addMistake(key.section, key.name, "the key is missing; allowed: " + key.allowed);
+                addMessage(key.section, key.name, "the key is missing; allowed: " + key.allowed);
             return;
         }
         const std::vector<std::string> &values = found.mapped();
         if (values.size() > 1)
-            addMistake(key.section, key.name, "the key is given more than once");
+            addMessage(key.section, key.name, "the key is given more than once");
         else if (!key.store(values.front(), settings))
-            addMistake(key.section, key.name,
+            addMessage(key.section, key.name,
                        "'" + values.front() + "' isn't allowed; allowed: " + key.allowed);
     }
 
-    void addMistake(const std::string &section, const std::string &key, const std::string &message)
+    void addMessage(const std::string &section, const std::string &key, const std::string &message)
     {
-        m_mistakes.push_back(m_fileName + ": [" + section + "] " + key + ": " + message);
+        m_messages.push_back(m_fileName + ": [" + section + "] " + key + ": " + message);
     }
 
     std::string m_fileName;
     Values m_values;
-    std::vector<std::string> m_mistakes;
+    std::vector<std::string> m_messages;
 };
 
 } // namespace
--- a/Libraries/LibSettings/SettingsError.cpp
+++ b/Libraries/LibSettings/SettingsError.cpp
@@ -4,10 +4,10 @@
 
 namespace Settings {
 
-SettingsError::SettingsError(const std::string &fileName, std::vector<std::string> mistakes)
+SettingsError::SettingsError(const std::string &fileName, std::vector<std::string> messages)
     : Core::FormatError("read settings", fileName,
-                        std::to_string(mistakes.size()) + " mistakes in the settings")
-    , m_mistakes(std::move(mistakes))
+                        std::to_string(messages.size()) + " errors in the settings")
+    , m_messages(std::move(messages))
 {
 }
 
--- a/Services/lagoonfordd/AdminService.cpp
+++ b/Services/lagoonfordd/AdminService.cpp
@@ -69,7 +69,7 @@
 asio::awaitable<HttpResponse> AdminService::publishRules(HttpRequest request)
 {
     Rules::RuleRecord record;
-    std::string mistake;
+    std::string formatError;
     try {
         const Json::Value body = Core::Json::parse(request.body(), "the body");
         record.text = Core::Json::stringMember(body, "text");
@@ -80,10 +80,10 @@
         record.baseVersion = static_cast<Rules::Version>(base);
         Rules::parseRules(record.text, "rules");
     } catch (const Core::FormatError &error) {
-        mistake = error.what();
+        formatError = error.what();
     }
-    if (!mistake.empty())
-        co_return errorResponse(http::status::bad_request, mistake);
+    if (!formatError.empty())
+        co_return errorResponse(http::status::bad_request, formatError);
     record.id = m_node.makeId("change");
     bool isInDoubt = false;
     try {
@@ -161,14 +161,14 @@
 asio::awaitable<HttpResponse> AdminService::takeOver(HttpRequest request)
 {
     Lease::OperatorTakeoverRecord record;
-    std::string mistake;
+    std::string formatError;
     try {
         const Json::Value body = Core::Json::parse(request.body(), "the body");
         record.requestedBy = Core::Json::stringMember(body, "by");
     } catch (const Core::FormatError &error) {
-        mistake = error.what();
+        formatError = error.what();
     }
-    if (!mistake.empty() || record.requestedBy.empty())
+    if (!formatError.empty() || record.requestedBy.empty())
         co_return errorResponse(http::status::bad_request, "the body must say by whom");
     record.id = m_node.makeId("takeover");
     record.epoch = m_node.lease().epoch();
--- a/Services/lagoonfordd/JobService.cpp
+++ b/Services/lagoonfordd/JobService.cpp
@@ -73,14 +73,14 @@
 asio::awaitable<HttpResponse> JobService::submit(HttpRequest request)
 {
     Task::TaskSpec spec;
-    std::string mistake;
+    std::string formatError;
     try {
         spec = specFromJson(Core::Json::parse(request.body(), "the body"));
     } catch (const Core::FormatError &error) {
-        mistake = error.what();
+        formatError = error.what();
     }
-    if (!mistake.empty())
-        co_return errorResponse(http::status::bad_request, mistake);
+    if (!formatError.empty())
+        co_return errorResponse(http::status::bad_request, formatError);
     if (const Task::TaskEntry *known = m_node.placer().table().find(spec.id)) {
         if (known->spec != spec)
             co_return errorResponse(http::status::conflict, "another job has this id");
--- a/Services/lagoonfordd/main.cpp
+++ b/Services/lagoonfordd/main.cpp
@@ -45,8 +45,8 @@
         commandLine.parse(argumentCount, arguments);
         return runDaemon(settingsPath.getValue(), isCheckOnly.getValue());
     } catch (const Settings::SettingsError &error) {
-        for (const std::string &mistake : error.mistakes())
-            std::cerr << mistake << '\n';
+        for (const std::string &message : error.messages())
+            std::cerr << message << '\n';
         return BadSettings;
     } catch (const std::exception &exception) {
         std::cerr << "lagoonfordd: " << exception.what() << '\n';
--- a/Tests/LibRules/TestRulesParser.cpp
+++ b/Tests/LibRules/TestRulesParser.cpp
@@ -21,12 +21,12 @@
 domain south in                                     # Eva Luna
 )";
 
-std::vector<Rules::Mistake> mistakesIn(const std::string &text)
+std::vector<Rules::Diagnostic> diagnosticsIn(const std::string &text)
 {
     try {
         Rules::parseRules(text, "test.rules");
     } catch (const Rules::RulesError &error) {
-        return error.mistakes();
+        return error.diagnostics();
     }
     return {};
 }
@@ -54,34 +54,34 @@
     }
 }
 
-TEST_CASE("Each mistake is reported with its line and column")
+TEST_CASE("Each error is reported with its line and column")
 {
     SECTION("a rule that doesn't say who asked for it is refused")
     {
-        CHECK(mistakesIn("domain north out\n")
-              == std::vector<Rules::Mistake> {
+        CHECK(diagnosticsIn("domain north out\n")
+              == std::vector<Rules::Diagnostic> {
                   { 1, 17, "the rule doesn't say who asked for it; end the line with '# NAME'" } });
-        CHECK(mistakesIn("domain north out #  \n").size() == 1);
+        CHECK(diagnosticsIn("domain north out #  \n").size() == 1);
     }
-    SECTION("all mistakes of a file are reported at once")
+    SECTION("all errors of a file are reported at once")
     {
-        const auto mistakes = mistakesIn("team a cores=x memory=1G # Eva\n"
-                                         "fence b # Eva\n"
-                                         "place c in d # Eva\n");
-        REQUIRE(mistakes.size() == 3);
-        CHECK(mistakes[0].column == 14);
-        CHECK(mistakes[1].line == 2);
-        CHECK(mistakes[2].message == "no rule defines the class 'c'");
+        const auto diagnostics = diagnosticsIn("team a cores=x memory=1G # Eva\n"
+                                               "fence b # Eva\n"
+                                               "place c in d # Eva\n");
+        REQUIRE(diagnostics.size() == 3);
+        CHECK(diagnostics[0].column == 14);
+        CHECK(diagnostics[1].line == 2);
+        CHECK(diagnostics[2].message == "no rule defines the class 'c'");
     }
     SECTION("a second rule on the same subject names the first one")
     {
-        const auto mistakes = mistakesIn("domain a out # Eva\ndomain a in # Luis\n");
-        REQUIRE(mistakes.size() == 1);
-        CHECK(mistakes[0].message == "'domain a' already has a rule on line 1");
+        const auto diagnostics = diagnosticsIn("domain a out # Eva\ndomain a in # Luis\n");
+        REQUIRE(diagnostics.size() == 1);
+        CHECK(diagnostics[0].message == "'domain a' already has a rule on line 1");
     }
     SECTION("a file that is too long is refused whole")
     {
-        CHECK(mistakesIn(std::string(Rules::maximumRulesBytes + 1, '\n')).size() == 1);
+        CHECK(diagnosticsIn(std::string(Rules::maximumRulesBytes + 1, '\n')).size() == 1);
     }
     rc::prop("no text crashes the parser: it is read or refused with places", [] {
         const auto words = rc::gen::elementOf(std::vector<std::string> {
@@ -92,7 +92,7 @@
         for (const std::string &word : *rc::gen::container<std::vector<std::string>>(words))
             text += word + ' ';
         text += *rc::gen::string<std::string>();
-        for (const Rules::Mistake &mistake : mistakesIn(text))
-            RC_ASSERT(mistake.line >= 1 && mistake.column >= 1);
+        for (const Rules::Diagnostic &diagnostic : diagnosticsIn(text))
+            RC_ASSERT(diagnostic.line >= 1 && diagnostic.column >= 1);
     });
 }
--- a/Tests/LibSettings/TestSettings.cpp
+++ b/Tests/LibSettings/TestSettings.cpp
@@ -27,12 +27,12 @@
 freshness = 1500ms
 )";
 
-std::vector<std::string> mistakesIn(const std::string &text)
+std::vector<std::string> messagesIn(const std::string &text)
 {
     try {
         Settings::parseSettings(text, "test.ini");
     } catch (const Settings::SettingsError &error) {
-        return error.mistakes();
+        return error.messages();
     }
     return {};
 }
@@ -51,9 +51,9 @@
     }
     SECTION("an unknown key, a value out of range and a repeated key are all reported at once")
     {
-        const auto mistakes
-            = mistakesIn(goodSettings + "fresh = 1s\n[door]\nport = 1\n[tasks]\nlease = 1h\n");
-        CHECK(mistakes
+        const auto messages
+            = messagesIn(goodSettings + "fresh = 1s\n[door]\nport = 1\n[tasks]\nlease = 1h\n");
+        CHECK(messages
               == std::vector<std::string> {
                   "test.ini: [door] port: the key is given more than once",
                   "test.ini: [tasks] lease: '1h' isn't allowed; allowed: 2s to 10m",
@@ -61,15 +61,15 @@
     }
     SECTION("an empty file misses every required key")
     {
-        CHECK(mistakesIn("").size() == 7);
+        CHECK(messagesIn("").size() == 7);
     }
     SECTION("a missing file is said so")
     {
         CHECK_THROWS_AS(Settings::readSettings("no/such/file.ini"), Settings::SettingsError);
     }
     rc::prop("no text crashes the reader", [](const std::string &text) {
-        mistakesIn(text);
-        mistakesIn(goodSettings + text);
+        messagesIn(text);
+        messagesIn(goodSettings + text);
     });
 }
 
--- a/Utilities/lagoonctl/Commands.cpp
+++ b/Utilities/lagoonctl/Commands.cpp
@@ -102,9 +102,9 @@
                       << " failure domains out\n";
         return ExitStatus::Success;
     } catch (const Rules::RulesError &error) {
-        for (const Rules::Mistake &mistake : error.mistakes())
-            std::cerr << path << ':' << mistake.line << ':' << mistake.column << ": "
-                      << mistake.message << '\n';
+        for (const Rules::Diagnostic &diagnostic : error.diagnostics())
+            std::cerr << path << ':' << diagnostic.line << ':' << diagnostic.column << ": "
+                      << diagnostic.message << '\n';
         return ExitStatus::BadInput;
     }
 }
--- a/include/LibRules/RulesError.h
+++ b/include/LibRules/RulesError.h
@@ -8,26 +8,26 @@
 
 namespace Rules {
 
-/// One thing that is wrong in a rules file. Lines and columns count from 1.
-struct Mistake
+/// One error in a rules file. Lines and columns count from 1.
+struct Diagnostic
 {
     int line = 0;
     int column = 0;
     std::string message;
 
-    auto operator<=>(const Mistake &) const = default;
+    auto operator<=>(const Diagnostic &) const = default;
 };
 
-/// A rules file that can't be accepted, with all its mistakes.
+/// A rules file that is rejected, with a diagnostic for each of its errors.
 class RulesError : public Core::FormatError
 {
 public:
-    RulesError(const std::string &fileName, std::vector<Mistake> mistakes);
+    RulesError(const std::string &fileName, std::vector<Diagnostic> diagnostics);
 
-    const std::vector<Mistake> &mistakes() const { return m_mistakes; }
+    const std::vector<Diagnostic> &diagnostics() const { return m_diagnostics; }
 
 private:
-    std::vector<Mistake> m_mistakes;
+    std::vector<Diagnostic> m_diagnostics;
 };
 
 } // namespace Rules
--- a/include/LibRules/RulesParser.h
+++ b/include/LibRules/RulesParser.h
@@ -14,7 +14,7 @@
 /// Reads the operators' rules file: one rule a line, each with a trailing comment that names who
 /// asked for it. Blank lines and lines that begin with `#` are free. docs/operators/RULES.md
 /// describes the rules.
-/// \throws RulesError with every mistake in the file.
+/// \throws RulesError with a diagnostic for every error in the file.
 RuleSet parseRules(std::string_view text, const std::string &fileName);
 
 } // namespace Rules
--- a/include/LibSettings/Settings.h
+++ b/include/LibSettings/Settings.h
@@ -39,7 +39,7 @@
 };
 
 /// Reads the settings file at \p path.
-/// \throws SettingsError with every mistake in it.
+/// \throws SettingsError with every error in the file.
 Settings readSettings(const std::string &path);
 
 /// Reads settings from \p text; \p name stands for the file in errors.
--- a/include/LibSettings/SettingsError.h
+++ b/include/LibSettings/SettingsError.h
@@ -7,17 +7,17 @@
 
 namespace Settings {
 
-/// Settings that can't be used. Each mistake is one line with file, section, key and what is
+/// Settings that can't be used. Each error is one line with file, section, key and what is
 /// allowed.
 class SettingsError : public Core::FormatError
 {
 public:
-    SettingsError(const std::string &fileName, std::vector<std::string> mistakes);
+    SettingsError(const std::string &fileName, std::vector<std::string> messages);
 
-    const std::vector<std::string> &mistakes() const { return m_mistakes; }
+    const std::vector<std::string> &messages() const { return m_messages; }
 
 private:
-    std::vector<std::string> m_mistakes;
+    std::vector<std::string> m_messages;
 };
 
 } // namespace Settings
