LibSite, platform: Rename the log parts desk and door

Cause: "desk" and "door" are figures of this project. Operators read them as the part of a log line.

Change: The part `desk` becomes `requests` (it logs the outcomes of requests on jobs and queues), and `door` becomes `api` (it logs refused calls of the job API, and in lagoonfordd the server for callers). Lines of the HTTP server name it as `server=` instead of `door=`. TestEssentialLines looks for the new part in the same check; nothing else in the repository matches the old ones. The section `[door]` of the settings and the part name that lagoonfordd gives its supervisor stay.

TestSite was not run.

--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -59,8 +59,8 @@
                                            m_endpoint.port);
     m_acceptor = std::make_unique<asio::ip::tcp::acceptor>(m_executor, endpoint);
     LOG4CXX_INFO(partLogger,
-                 "event=listen door=" << m_name << " address=" << m_endpoint.address << ':'
-                                      << endpoint.port());
+                 "event=listen server=" << m_name << " address=" << m_endpoint.address << ':'
+                                        << endpoint.port());
     co_await accept();
     const std::set<Stream *> idle = m_idle;
     for (Stream *stream : idle)
@@ -68,7 +68,7 @@
     const Core::Instant deadline = Core::steadyNow() + drainTime;
     while (m_inProgress > 0 && Core::steadyNow() < deadline)
         co_await m_changed.sleepUntil(deadline);
-    LOG4CXX_INFO(partLogger, "event=closed door=" << m_name << " in_progress=" << m_inProgress);
+    LOG4CXX_INFO(partLogger, "event=closed server=" << m_name << " in_progress=" << m_inProgress);
 }
 
 void Server::requestStop()
@@ -91,8 +91,8 @@
         if (error) {
             // Such as no free descriptor: connections that end make room.
             LOG4CXX_WARN(partLogger,
-                         "event=accept-failed door=" << m_name << " reason=\"" << error.message()
-                                                     << '"');
+                         "event=accept-failed server=" << m_name << " reason=\"" << error.message()
+                                                       << '"');
             Supervision::Wakeup pause(m_executor);
             co_await pause.sleepUntil(Core::steadyNow() + acceptRetrySpacing);
             continue;
@@ -177,7 +177,7 @@
         // One request that can't be answered must not end the whole daemon.
         failure = exception.what();
     }
-    LOG4CXX_ERROR(partLogger, "event=failure door=" << m_name << " reason=\"" << failure << '"');
+    LOG4CXX_ERROR(partLogger, "event=failure server=" << m_name << " reason=\"" << failure << '"');
     co_return makeResponse(500, "{\"error\":\"internal error\"}");
 }
 
--- a/Libraries/LibSite/JobRequestService.cpp
+++ b/Libraries/LibSite/JobRequestService.cpp
@@ -16,7 +16,7 @@
 static constexpr Core::Duration maxWriteTime = std::chrono::milliseconds(2000);
 /// Time reserved before a caller's deadline for the answer to reach the caller.
 static constexpr Core::Duration responseMargin = std::chrono::milliseconds(200);
-static const auto partLogger = Log::logger("desk");
+static const auto partLogger = Log::logger("requests");
 
 static const char *outcomeText(WriteOutcome outcome)
 {
--- a/Libraries/LibSite/QueueResolver.cpp
+++ b/Libraries/LibSite/QueueResolver.cpp
@@ -13,7 +13,7 @@
 static constexpr Core::Duration maxRefreshWait = std::chrono::milliseconds(1000);
 /// Time reserved before a caller's deadline for the answer to reach the caller.
 static constexpr Core::Duration responseMargin = std::chrono::milliseconds(200);
-static const auto partLogger = Log::logger("desk");
+static const auto partLogger = Log::logger("requests");
 
 QueueResolver::QueueResolver(SiteState &state, OperatorFollower &follower)
     : m_state(state)
--- a/Services/lagoonfordd/CallerServer.cpp
+++ b/Services/lagoonfordd/CallerServer.cpp
@@ -28,7 +28,7 @@
 static constexpr std::size_t mostHeaderBytes = 16 * 1024;
 static constexpr std::int64_t longestDeadlineMs = 600'000;
 static constexpr const char *defaultTeam = "unnamed";
-static const auto partLogger = Log::logger("door");
+static const auto partLogger = Log::logger("api");
 
 CallerServer::CallerServer(Node &node, RequestService &requests, KeyService &keys, JobService &jobs,
                            AdminService &admin)
--- a/Tests/LibSite/TestEssentialLines.cpp
+++ b/Tests/LibSite/TestEssentialLines.cpp
@@ -81,7 +81,7 @@
         const std::vector<std::string> lines = pipe.takeLines();
         CHECK(countLines(lines, "INFO  owner: event=start") == 0);
         CHECK(countLines(lines, "INFO  owner: event=load") == 0);
-        CHECK(countLines(lines, "INFO  desk: event=submit") == 0);
+        CHECK(countLines(lines, "INFO  requests: event=submit") == 0);
     }
     site.context.stop();
 }
