Tests: Give new owners of the model their jobs before the workers

Cause: JobWorld::claim() handed a new scheduler the list of workers first and the jobs after it, so the runs in doubt that the jobs' records name met no list until the next change of it. OwnerSession::loadState() adds the jobs before the list is read. Ruled out: a loss of the record. In a traced world (workers that return under a new ID, 4 s without an owner, killed 0.5 s after the second crash) the doubt was recorded, the list showed the successor, and the crash wasn't counted, for the order alone: with the jobs first it is. Change: The jobs first, as in OwnerSession.

--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -211,9 +211,9 @@
     m_lastOwnerWriteMs = m_nowMs;
     Catalogue catalogue;
     node.scheduler->setCatalogue(catalogue);
-    node.scheduler->setWorkers(listedWorkers(), now());
     for (const auto &[id, entry] : m_table.jobs())
         node.scheduler->addJob(entry, now());
+    node.scheduler->setWorkers(listedWorkers(), now());
 }
 
 void JobWorld::kill(std::size_t node)
