Tests: Kill the owner at varied moments of a task's crashes

Tests killed owners 0.3 s after each crash or at times that had nothing to do with one, never before the owner records it, and none checked that other jobs are completed when a crash goes unrecorded. Ruled out: A bound of three crashes at all moments. An owner that is killed before the first call to the worker fails (up to 0.2 s after the crash) leaves no record, so four workers crash; that needs a record for each start. Change: One test, four sections: three crashes at most if the first one is recorded, the same if the second one isn't, four if the first one isn't, five among several such tasks. All innocent jobs are completed in each. It doesn't fail without the wait for the record before the next start; TestCrashRecords holds that.

--- a/Tests/LibJob/TestCrashes.cpp
+++ b/Tests/LibJob/TestCrashes.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::uint32_t seeds = 15;
+constexpr std::uint32_t deathSeeds = 5;
 
 WorkerLife manyWorkers(bool returnsUnderNewId)
 {
@@ -82,6 +83,70 @@
     std::vector<JobId> m_longRunning;
 };
 
+/// The first owner is killed shortly after a crash.
+struct OwnerDeath
+{
+    bool returnsUnderNewId = false;
+    /// Crashes until the owner is killed.
+    int crashes = 1;
+    int afterCrashMs = 0;
+    /// Time until another node is the owner.
+    int vacancyMs = 0;
+};
+
+void killOwner(BusySite &site, const OwnerDeath &death)
+{
+    for (int i = 0; i < death.crashes; ++i)
+        site.runUntilNextCrash();
+    site.world().run(death.afterCrashMs);
+    site.world().kill(0);
+    site.world().run(death.vacancyMs);
+    site.world().claim(1);
+}
+
+void checkEnd(std::uint32_t seed, BusySite &site, int maxCrashes)
+{
+    INFO("seed " << seed << ": " << site.world().violation());
+    CHECK(site.mostCrashes() <= maxCrashes);
+    CHECK(site.areCrashingGivenUp());
+    CHECK(site.areInnocentCompleted());
+    CHECK(site.areLongRunningKept());
+    REQUIRE(site.world().violation().empty());
+}
+
+void checkOwnerDeath(const OwnerDeath &death, int maxCrashes)
+{
+    for (std::uint32_t seed = 1; seed <= deathSeeds; ++seed) {
+        BusySite site(seed, manyWorkers(death.returnsUnderNewId));
+        site.submitLongRunning(8);
+        site.runBusy(1);
+        site.submitCrashing({ 3 });
+        killOwner(site, death);
+        site.runBusy(15);
+        site.world().run(20'000);
+        checkEnd(seed, site, maxCrashes);
+    }
+}
+
+/// A job with a crashing task begins each second; the owner is killed while there are \p jobs.
+void checkOwnerDeathAmongSeveral(const OwnerDeath &death, int jobs, int maxCrashes)
+{
+    for (std::uint32_t seed = 1; seed <= deathSeeds; ++seed) {
+        BusySite site(seed, manyWorkers(death.returnsUnderNewId));
+        site.submitLongRunning(8);
+        site.runBusy(1);
+        for (int i = 1; i <= 5; ++i) {
+            site.submitCrashing({ 3 });
+            site.runBusy(1);
+            if (i == jobs)
+                killOwner(site, death);
+        }
+        site.runBusy(12);
+        site.world().run(30'000);
+        checkEnd(seed, site, maxCrashes);
+    }
+}
+
 } // namespace
 
 TEST_CASE("A task that crashes each worker that starts it is given up", "[crashes]")
@@ -272,3 +337,41 @@
         REQUIRE(site.world().violation().empty());
     }
 }
+
+TEST_CASE("A task that crashes its workers is given up although its owner is killed", "[crashes]")
+{
+    OwnerDeath death;
+    death.returnsUnderNewId = GENERATE(false, true);
+    // The next owner begins before or after the crashed worker is back.
+    death.vacancyMs = GENERATE(1000, 4000);
+    INFO("workers return under a new ID: " << death.returnsUnderNewId);
+    INFO("ms without an owner: " << death.vacancyMs);
+
+    SECTION("after three crashes at most if the first one is recorded")
+    {
+        death.afterCrashMs = GENERATE(300, 500, 1500);
+        INFO("ms from the first crash until the owner is killed: " << death.afterCrashMs);
+        checkOwnerDeath(death, 3);
+    }
+    SECTION("also if the second one isn't")
+    {
+        death.crashes = 2;
+        death.afterCrashMs = GENERATE(0, 30, 100, 200);
+        INFO("ms from the second crash until the owner is killed: " << death.afterCrashMs);
+        checkOwnerDeath(death, 3);
+    }
+    SECTION("after four at most if the first one isn't, since no record shows it to anybody")
+    {
+        death.afterCrashMs = GENERATE(0, 30, 100, 200);
+        INFO("ms from the first crash until the owner is killed: " << death.afterCrashMs);
+        checkOwnerDeath(death, 4);
+    }
+    SECTION("after five, as many as may be, among others of its kind")
+    {
+        const int jobs = GENERATE(2, 3, 4);
+        death.afterCrashMs = GENERATE(0, 40, 300);
+        INFO("jobs with such a task: " << jobs);
+        INFO("ms from a crash until the owner is killed: " << death.afterCrashMs);
+        checkOwnerDeathAmongSeveral(death, jobs, 5);
+    }
+}
