--- a/Libraries/LibCore/Json.cpp
+++ b/Libraries/LibCore/Json.cpp
@@ -29,7 +29,7 @@
 {
     if (text.size() > maximumTextBytes)
         throw FormatError("parse JSON", peer, "the text is too long");
-    // A reader costs more to make than most texts cost to read.
+    // Creating a reader takes longer than parsing most texts.
     thread_local const std::unique_ptr<::Json::CharReader> reader(makeReader());
     ::Json::Value value;
     std::string errors;
--- a/Libraries/LibCore/TextValues.cpp
+++ b/Libraries/LibCore/TextValues.cpp
@@ -6,17 +6,17 @@
 
 namespace Core {
 
-static constexpr std::int64_t largestNumber = 1'000'000'000;
-static constexpr std::size_t longestName = 64;
+static constexpr std::int64_t maxNumber = 1'000'000'000;
+static constexpr std::size_t maxNameLength = 64;
 
-std::optional<std::int64_t> parseNumber(std::string_view text, std::int64_t least,
-                                        std::int64_t most)
+std::optional<std::int64_t> parseNumber(std::string_view text, std::int64_t minimum,
+                                        std::int64_t maximum)
 {
     std::int64_t number = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
     if (error != std::errc() || end != text.data() + text.size())
         return std::nullopt;
-    if (number < least || number > most)
+    if (number < minimum || number > maximum)
         return std::nullopt;
     return number;
 }
@@ -25,7 +25,7 @@
 {
     if (text.empty())
         return std::nullopt;
-    const auto number = parseNumber(text.substr(0, text.size() - 1), 0, largestNumber);
+    const auto number = parseNumber(text.substr(0, text.size() - 1), 0, maxNumber);
     if (!number)
         return std::nullopt;
     switch (text.back()) {
@@ -43,7 +43,7 @@
 std::optional<Duration> parseDuration(std::string_view text)
 {
     const std::size_t digits = std::min(text.find_first_not_of("0123456789"), text.size());
-    const auto number = parseNumber(text.substr(0, digits), 0, largestNumber);
+    const auto number = parseNumber(text.substr(0, digits), 0, maxNumber);
     if (!number)
         return std::nullopt;
     const std::string_view unit = text.substr(digits);
@@ -60,7 +60,7 @@
 
 bool isName(std::string_view text)
 {
-    if (text.empty() || text.size() > longestName)
+    if (text.empty() || text.size() > maxNameLength)
         return false;
     return std::all_of(text.begin(), text.end(), [](unsigned char character) {
         return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -15,25 +15,25 @@
 {
 public:
     Connection(const boost::asio::any_io_executor &executor, ConnectionSlot slot);
-    /// Closes at once and discards what the system hasn't sent yet, so that a call given up on
+    /// Closes immediately and discards what the system hasn't sent yet, so that an abandoned call
     /// isn't delivered much later.
     ~Connection();
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
-    /// \throws Core::NotDoneError if there is no connection before \p deadline.
+    /// \throws Core::NotDoneError if no connection is established before \p deadline.
     boost::asio::awaitable<void> connect(const boost::asio::ip::tcp::endpoint &endpoint,
                                          const Request &request, const std::string &peer,
                                          Core::Instant deadline);
 
-    /// Sends \p request and reads the whole answer.
+    /// Sends \p request and reads the complete answer.
     /// \throws Core::NotDoneError if nothing was sent.
-    /// \throws Core::OutcomeUnknownError if no whole answer came before \p deadline, or, for a long
-    /// one, before it ceased to flow.
+    /// \throws Core::OutcomeUnknownError if no complete answer arrived before \p deadline or, for a
+    /// long one, within the limits of `Client`.
     boost::asio::awaitable<Answer> exchange(const Request &request, const std::string &peer,
                                             Core::Instant deadline);
 
-    /// True if the server has neither closed the idle connection nor sent stray bytes on it.
+    /// True if the server has neither closed the idle connection nor sent unexpected bytes on it.
     bool isQuiet();
 
 private:
@@ -41,7 +41,7 @@
     boost::asio::awaitable<Answer> receive(const Request &request, const std::string &peer,
                                            Core::Instant deadline);
 
-    /// Outlives the socket.
+    /// Destroyed after the socket.
     ConnectionSlot m_slot;
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
--- a/Libraries/LibHttp/ConnectionBudget.cpp
+++ b/Libraries/LibHttp/ConnectionBudget.cpp
@@ -4,8 +4,7 @@
 
 namespace Http {
 
-/// The share of the budget, as its divisor, that deferrable calls may use however many peers are
-/// known.
+/// Deferrable calls may always use the budget divided by this, however many peers are known.
 static constexpr std::size_t deferrableShareDivisor = 8;
 
 ConnectionBudget::ConnectionBudget(std::size_t maxOpen)
--- a/Libraries/LibHttp/ConnectionSlot.h
+++ b/Libraries/LibHttp/ConnectionSlot.h
@@ -7,11 +7,11 @@
 
 namespace Http {
 
-/// The place of one open connection in a budget; destroying it gives the place back.
+/// Counts one open connection in a budget until it is destroyed.
 class ConnectionSlot
 {
 public:
-    /// \p budget must have counted the connection by ConnectionBudget::tryOpen().
+    /// ConnectionBudget::tryOpen() must have succeeded for the connection.
     explicit ConnectionSlot(std::shared_ptr<ConnectionBudget> budget)
         : m_budget(std::move(budget))
     {
--- a/Libraries/LibPlatform/Http/HttpVmDirectory.cpp
+++ b/Libraries/LibPlatform/Http/HttpVmDirectory.cpp
@@ -19,7 +19,7 @@
 
 boost::asio::awaitable<std::vector<VmEntry>> HttpVmDirectory::list(Core::Instant deadline)
 {
-    // The list is long and seldom changes, so it is only sent again when it has changed.
+    // The list is long and rarely changes, so it is only sent again after a change.
     const std::string target
         = m_version.empty() ? "/vms" : "/vms?unless=" + WireFormat::pathSegment(m_version);
     Http::Request request { "list VMs", Http::Method::Get, target, {}, true };
--- a/Libraries/LibPlatform/Http/HttpWorkerControl.cpp
+++ b/Libraries/LibPlatform/Http/HttpWorkerControl.cpp
@@ -8,7 +8,7 @@
 
 namespace Platform {
 
-/// All calls are idempotent by attempt, so each may be repeated on a new connection.
+/// All calls are idempotent per attempt, so each may be retried on a new connection.
 static Http::Request makeRequest(const char *step, const Core::VmId &worker,
                                  std::function<std::string()> encodeBody)
 {
@@ -30,7 +30,7 @@
     const auto encodeBody = [&command] {
         const Core::Instant now = Core::steadyNow();
         if (command.leaseDeadline <= now)
-            throw Core::NotDoneError("start", command.worker.text(), "the lease has lapsed");
+            throw Core::NotDoneError("start", command.worker.text(), "the lease has expired");
         return WireFormat::encodeStart(command, now);
     };
     Http::Request request = makeRequest("start", command.worker, encodeBody);
--- a/Libraries/LibPlatform/Http/WireFormat.cpp
+++ b/Libraries/LibPlatform/Http/WireFormat.cpp
@@ -92,7 +92,7 @@
     return value;
 }
 
-/// Rounds down, so that a lease never lapses later than its holder assumes.
+/// Rounds down, so that a lease never expires later than its holder assumes.
 static Value encodeRelative(Core::Instant moment, Core::Instant now)
 {
     const auto left = std::chrono::floor<std::chrono::milliseconds>(moment - now);
--- a/Libraries/LibPlatform/Http/WireFormat.h
+++ b/Libraries/LibPlatform/Http/WireFormat.h
@@ -9,16 +9,16 @@
 #include <string_view>
 #include <vector>
 
-/// The JSON texts that cross the wire to the platform. Moments cross it as milliseconds from now
-/// on, because the clocks of two VMs have nothing in common.
+/// The JSON messages exchanged with the platform. Times are sent as milliseconds from now, because
+/// the monotonic clocks of two VMs have different epochs.
 namespace Platform::WireFormat {
 
-/// The platform's answer to a question for its list of VMs.
+/// The platform's answer to a request for its list of VMs.
 struct VmListAnswer
 {
-    /// Names this state of the list; empty if the platform doesn't number its states.
+    /// The version of the list; empty if the platform doesn't version it.
     std::string version;
-    /// Nothing if the list is still the one that the asker named.
+    /// Empty if the list is still of the version that the request named.
     std::optional<std::vector<VmEntry>> entries;
 };
 
@@ -32,7 +32,7 @@
 std::string encodeRenew(const std::vector<Task::AttemptId> &attempts, Core::Instant leaseDeadline,
                         const std::vector<Task::AttemptId> &acknowledged, Core::Instant now);
 
-/// All decoders throw Core::FormatError; \p peer names the origin of \p text in it.
+/// All decoders throw Core::FormatError, in which \p peer names the origin of \p text.
 Offset decodeAppend(std::string_view text, const std::string &peer);
 LogPage decodeLogPage(std::string_view text, const std::string &peer);
 VmListAnswer decodeVmList(std::string_view text, const std::string &peer);
--- a/Libraries/LibRules/FreshnessGate.cpp
+++ b/Libraries/LibRules/FreshnessGate.cpp
@@ -4,7 +4,7 @@
 
 namespace Rules {
 
-/// Clocks of two VMs may drift apart by one part in this many.
+/// The rates of two VMs' clocks may differ by one part in this many.
 static constexpr int driftDivisor = 1'000;
 
 void FreshnessGate::onEndRead(Core::Instant readBegan)
@@ -14,7 +14,7 @@
 
 void FreshnessGate::onPeerAnswer(Core::Instant askedAt, Core::Duration age)
 {
-    // The peer answered after it was asked, so its reading began no earlier than this.
+    // The peer answered after it was asked, so its read began no earlier than this.
     onEndRead(askedAt - age - age / driftDivisor);
 }
 
--- a/Libraries/LibRules/RuleLine.h
+++ b/Libraries/LibRules/RuleLine.h
@@ -8,7 +8,7 @@
 
 namespace Rules {
 
-/// A word of a rule and where it stands. Columns count from 1.
+/// A word of a rule and its position. Columns count from 1.
 struct Word
 {
     std::string text;
@@ -24,13 +24,13 @@
     std::vector<Word> words;
     /// Who asked for the rule; empty if the line has no comment.
     std::string requestedBy;
-    /// Where the comment stands, or should stand.
+    /// The column of the comment; without one, the column at which it is expected.
     int commentColumn = 0;
 
     bool operator==(const RuleLine &) const = default;
 };
 
-/// Splits \p text; nothing for a blank line or one that is only a comment.
+/// Splits \p text. Returns nothing for a blank line or one with only a comment.
 std::optional<RuleLine> splitRuleLine(std::string_view text, int number);
 
 } // namespace Rules
--- a/Libraries/LibRules/RuleOptions.h
+++ b/Libraries/LibRules/RuleOptions.h
@@ -17,7 +17,7 @@
 class RuleOptions
 {
 public:
-    /// Reads the words from index \p first on; only the names in \p known are allowed.
+    /// Parses the words from index \p first on; only the names in \p known are allowed.
     RuleOptions(const RuleLine &line, std::size_t first, const std::set<std::string> &known,
                 std::vector<Diagnostic> &diagnostics);
 
--- a/Libraries/LibRules/RuleRecord.cpp
+++ b/Libraries/LibRules/RuleRecord.cpp
@@ -34,7 +34,7 @@
 {
     if (Core::Json::integerMember(value, "v") > formatVersion)
         throw Core::FormatError("read rule record", "rules",
-                                "the record's format is newer than ours");
+                                "the record's format is newer than supported");
     const std::string type = Core::Json::stringMember(value, "type");
     if (type != changeType && type != snapshotType)
         return std::nullopt;
--- a/Libraries/LibRules/RuleSetBuilder.cpp
+++ b/Libraries/LibRules/RuleSetBuilder.cpp
@@ -10,19 +10,21 @@
 
 namespace Rules {
 
-static constexpr std::int64_t mostCores = 1'000'000;
-static constexpr std::int64_t mostAccelerators = 100'000;
-static constexpr std::int64_t mostWeight = 1'000;
-static constexpr std::int64_t highestPriority = 1'000;
-static constexpr std::int64_t mostSlots = 10'000;
+static constexpr std::int64_t maxCores = 1'000'000;
+static constexpr std::int64_t maxAccelerators = 100'000;
+static constexpr std::int64_t maxWeight = 1'000;
+static constexpr std::int64_t maxPriority = 1'000;
+static constexpr std::int64_t maxSlots = 10'000;
 static constexpr std::int64_t milliCoresPerCore = 1'000;
 
 namespace {
 
-/// A parser of whole numbers within bounds, for `RuleOptions::value`.
-auto numberFrom(std::int64_t least, std::int64_t most)
+/// Returns a parser of integers within bounds, for `RuleOptions::value`.
+auto boundedNumber(std::int64_t minimum, std::int64_t maximum)
 {
-    return [least, most](std::string_view text) { return Core::parseNumber(text, least, most); };
+    return [minimum, maximum](std::string_view text) {
+        return Core::parseNumber(text, minimum, maximum);
+    };
 }
 
 std::optional<TaskKind> parseKind(std::string_view text)
@@ -83,13 +85,13 @@
     TeamRule rule;
     rule.team = Core::TeamId(name);
     rule.quota.milliCores = milliCoresPerCore
-        * options.value<std::int64_t>("cores", numberFrom(0, mostCores), "0 to 1000000");
+        * options.value<std::int64_t>("cores", boundedNumber(0, maxCores), "0 to 1000000");
     rule.quota.mebibytes = options.value<std::int64_t>("memory", Core::parseMebibytes,
                                                        "a size such as 512M or 800G");
     rule.quota.accelerators = options.value<std::int64_t>(
-        "accelerators", numberFrom(0, mostAccelerators), "0 to 100000", 0);
+        "accelerators", boundedNumber(0, maxAccelerators), "0 to 100000", 0);
     rule.weight = static_cast<int>(
-        options.value<std::int64_t>("weight", numberFrom(1, mostWeight), "1 to 1000", 1));
+        options.value<std::int64_t>("weight", boundedNumber(1, maxWeight), "1 to 1000", 1));
     rule.requestedBy = line.requestedBy;
     m_rules.teams.emplace(rule.team, rule);
 }
@@ -102,7 +104,7 @@
     rule.taskClass = Core::TaskClassId(name);
     rule.kind = options.value<TaskKind>("kind", parseKind, "latency-critical, batch");
     rule.priority = static_cast<int>(
-        options.value<std::int64_t>("priority", numberFrom(0, highestPriority), "0 to 1000"));
+        options.value<std::int64_t>("priority", boundedNumber(0, maxPriority), "0 to 1000"));
     rule.cutOffPolicy
         = options.value<CutOffPolicy>("cut-off", parseCutOff, "stay, move", CutOffPolicy::Stay);
     rule.cutOffAfter = options.value<Core::Duration>("after", Core::parseDuration,
@@ -145,9 +147,9 @@
     RuleOptions options(line, 1, { "limit", "connections" }, m_diagnostics);
     SlotRule rule;
     rule.slots = static_cast<int>(
-        options.value<std::int64_t>("limit", numberFrom(1, mostSlots), "1 to 10000"));
+        options.value<std::int64_t>("limit", boundedNumber(1, maxSlots), "1 to 10000"));
     rule.connections = static_cast<int>(
-        options.value<std::int64_t>("connections", numberFrom(1, mostSlots), "1 to 10000"));
+        options.value<std::int64_t>("connections", boundedNumber(1, maxSlots), "1 to 10000"));
     rule.requestedBy = line.requestedBy;
     m_rules.slots = rule;
 }
@@ -161,7 +163,7 @@
         addDiagnostic(line.number, line.words.front().column, "allowed: domain NAME out|in");
         return;
     }
-    // `in` changes nothing, but keeps the name of who brought the failure domain back.
+    // `in` has no effect, but documents who brought the failure domain back.
     if (line.words[2].text == "in")
         return;
     const Core::FailureDomainId failureDomain(name);
--- a/Libraries/LibRules/RuleSetBuilder.h
+++ b/Libraries/LibRules/RuleSetBuilder.h
@@ -16,7 +16,7 @@
 {
 public:
     void addLine(const RuleLine &line);
-    /// Checks what needs the whole file, such as classes that a rule names but none defines.
+    /// Checks what depends on the whole file, such as classes that a rule names but none defines.
     void checkWhole();
 
     const RuleSet &rules() const { return m_rules; }
@@ -28,13 +28,13 @@
     void addPlace(const RuleLine &line);
     void addSlots(const RuleLine &line);
     void addDomain(const RuleLine &line);
-    /// The name that the rule is about; an empty text and a diagnostic if there is none.
+    /// The name that the rule applies to; an empty text and a diagnostic if there is none.
     std::string subject(const RuleLine &line);
     void addDiagnostic(int line, int column, const std::string &message);
 
     RuleSet m_rules;
     std::vector<Diagnostic> m_diagnostics;
-    /// The line on which each subject was first given a rule, to name it when a second one comes.
+    /// The line of the first rule on each subject, for the diagnostic on a second one.
     std::map<std::string, int> m_firstLines;
     std::map<Core::TaskClassId, RuleLine> m_placeLines;
 };
--- a/Libraries/LibSettings/SettingKey.cpp
+++ b/Libraries/LibSettings/SettingKey.cpp
@@ -9,8 +9,8 @@
 
 namespace Settings {
 
-static constexpr std::int64_t highestPort = 65'535;
-static constexpr std::int64_t largestBodyAllowed = 64 * 1024 * 1024;
+static constexpr std::int64_t maxPort = 65'535;
+static constexpr std::int64_t maxBodyBytes = 64 * 1024 * 1024;
 
 namespace {
 
@@ -42,7 +42,7 @@
 
 std::optional<std::uint16_t> parsePort(std::string_view text)
 {
-    const auto port = Core::parseNumber(text, 1, highestPort);
+    const auto port = Core::parseNumber(text, 1, maxPort);
     if (!port)
         return std::nullopt;
     return static_cast<std::uint16_t>(*port);
@@ -57,11 +57,12 @@
     };
 }
 
-Store storeDuration(Core::Duration Settings::*member, Core::Duration least, Core::Duration most)
+Store storeDuration(Core::Duration Settings::*member, Core::Duration minimum,
+                    Core::Duration maximum)
 {
     return [=](std::string_view text, Settings &settings) {
         const auto duration = Core::parseDuration(text);
-        if (!duration || *duration < least || *duration > most)
+        if (!duration || *duration < minimum || *duration > maximum)
             return false;
         settings.*member = *duration;
         return true;
@@ -70,7 +71,7 @@
 
 bool storeBodyBytes(std::string_view text, Settings &settings)
 {
-    const auto bytes = Core::parseNumber(text, 1, largestBodyAllowed);
+    const auto bytes = Core::parseNumber(text, 1, maxBodyBytes);
     settings.largestBodyBytes = bytes.value_or(0);
     return bytes.has_value();
 }
@@ -102,11 +103,11 @@
     if (endpoint.size() != 3 || !isAddress(endpoint[0]))
         return std::nullopt;
     const auto peerPort = parsePort(endpoint[1]);
-    const auto doorPort = parsePort(endpoint[2]);
-    if (!peerPort || !doorPort)
+    const auto callerPort = parsePort(endpoint[2]);
+    if (!peerPort || !callerPort)
         return std::nullopt;
     return KnownPeer { Core::VmId(parts[0]), Core::FailureDomainId(parts[1]), endpoint[0],
-                       *peerPort, *doorPort };
+                       *peerPort, *callerPort };
 }
 
 bool storeKnownPeers(std::string_view text, Settings &settings)
@@ -133,20 +134,20 @@
           storeName(&Settings::vmId) },
         { "vm", "failure-domain", "", false, name, "The failure domain that this VM is in.",
           storeName(&Settings::failureDomain) },
-        { "vm", "address", "", false, "an IP number", "The address to listen on.",
+        { "vm", "address", "", false, "an IP address", "The address to listen on.",
           storeAddress(&Settings::address) },
         { "door", "port", "", false, port, "The port for callers, the balancer and operators.",
-          storePort(&Settings::doorPort) },
+          storePort(&Settings::callerPort) },
         { "peers", "port", "", false, port, "The port for the other entry VMs.",
           storePort(&Settings::peerPort) },
-        { "peers", "known", "", true, "ID@DOMAIN@ADDRESS:PEERPORT:DOORPORT, with commas between",
+        { "peers", "known", "", true, "ID@DOMAIN@ADDRESS:PEERPORT:CALLERPORT, separated by commas",
           "Entry VMs to try before the platform's list has been read.", storeKnownPeers },
-        { "platform", "address", "", false, "an IP number", "Where the platform is.",
+        { "platform", "address", "", false, "an IP address", "The platform's address.",
           storeAddress(&Settings::platformAddress) },
         { "platform", "port", "", false, port, "The platform's port.",
           storePort(&Settings::platformPort) },
         { "requests", "default-deadline", "30s", false, "1ms to 10m",
-          "How long a request may take if its caller doesn't say.",
+          "How long a request may take if its caller sets no deadline.",
           storeDuration(&Settings::defaultDeadline, 1ms, 10min) },
         { "requests", "drain-time", "30s", false, "0s to 10m",
           "How long requests in progress may take to finish when the daemon is stopped.",
@@ -154,7 +155,7 @@
         { "requests", "largest-body", "8388608", false, "1 to 67108864",
           "The largest request or answer body, in bytes.", storeBodyBytes },
         { "requests", "key-lifetime", "10m", false, "10s to 24h",
-          "How long a caller's key is remembered; callers must not repeat a request later.",
+          "How long a caller's key is kept; callers must not repeat a request later.",
           storeDuration(&Settings::keyLifetime, 10s, 24h) },
         { "rules", "freshness", "2s", false, "500ms to 2500ms",
           "No task starts if the end of the rules' stream was read longer ago than this.",
@@ -163,19 +164,19 @@
           "How often the streams of the platform's log are read.",
           storeDuration(&Settings::pollInterval, 50ms, 1s) },
         { "log", "snapshot-age", "1h", false, "1s to 24h",
-          "How old a snapshot may grow; must be well below the log's retention.",
+          "The maximum age of a snapshot; must be well below the log's retention.",
           storeDuration(&Settings::snapshotAge, 1s, 24h) },
         { "log", "silence-bound", "10m", false, "10s to 24h",
-          "How long a placer goes on without having read its stream's end.",
+          "How long a placer continues without having read to the end of its stream.",
           storeDuration(&Settings::logSilenceBound, 10s, 24h) },
         { "lease", "length", "1500ms", false, "200ms to 10s",
           "How long a promise to the placer lasts.",
           storeDuration(&Settings::leaseLength, 200ms, 10s) },
         { "tasks", "lease", "30s", false, "2s to 10m",
-          "How long a worker goes on with a task that nobody renews.",
+          "How long a worker continues a task whose lease isn't renewed.",
           storeDuration(&Settings::taskLeaseLength, 2s, 10min) },
-        { "logging", "level", "info", false, "debug, info, warn, error", "What is logged.",
-          storeLogLevel },
+        { "logging", "level", "info", false, "debug, info, warn, error",
+          "The minimum level of the log lines that are written.", storeLogLevel },
     };
 }
 
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -13,7 +13,7 @@
 
 namespace Settings {
 
-static constexpr std::size_t largestFileBytes = 64 * 1024;
+static constexpr std::size_t maxFileBytes = 64 * 1024;
 
 namespace {
 
@@ -49,7 +49,7 @@
 private:
     void collectValues(const std::string &text)
     {
-        if (text.size() > largestFileBytes)
+        if (text.size() > maxFileBytes)
             throw SettingsError(m_fileName, { m_fileName + ": the file is longer than 64 KiB" });
         const int line = ini_parse_string(text.c_str(), collect, &m_values);
         if (line != 0)
--- a/Services/lagoonfordd/CallerServer.cpp
+++ b/Services/lagoonfordd/CallerServer.cpp
@@ -45,7 +45,7 @@
 {
     m_isStopping = false;
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_node.settings().address),
-                                           m_node.settings().doorPort);
+                                           m_node.settings().callerPort);
     m_acceptor = std::make_unique<asio::ip::tcp::acceptor>(m_node.executor(), endpoint);
     LOG4CXX_INFO(partLogger, "listens on port " << endpoint.port());
     co_await accept();
--- a/Services/lagoonfordd/Node.cpp
+++ b/Services/lagoonfordd/Node.cpp
@@ -83,7 +83,7 @@
         vm.failureDomain = peer.failureDomain;
         vm.address = peer.address;
         vm.port = peer.peerPort;
-        vm.callerPort = peer.doorPort;
+        vm.callerPort = peer.callerPort;
         vms.push_back(vm);
     }
     return vms;
--- a/Tests/LibCore/TestResources.cpp
+++ b/Tests/LibCore/TestResources.cpp
@@ -7,7 +7,7 @@
 TEST_CASE("Resources are compared by every dimension")
 {
     const Resources worker { 32000, 128000, 1 };
-    SECTION("a task that needs exactly what there is fits")
+    SECTION("a task that needs exactly the available resources fits")
     {
         CHECK(worker.fitsIn(worker));
         SECTION("one more accelerator is named as the dimension that doesn't fit")
@@ -15,7 +15,7 @@
             CHECK((worker + Resources { 0, 0, 1 }).firstDimensionAbove(worker) == "accelerators");
         }
     }
-    rc::prop("what is added can be taken away", [](int cores, int memory) {
+    rc::prop("subtraction reverses addition", [](int cores, int memory) {
         const Resources sum = Resources { cores, memory, 0 } + Resources { 7, 8, 9 };
         RC_ASSERT((sum - Resources { 7, 8, 9 }) == (Resources { cores, memory, 0 }));
     });
--- a/Tests/LibHttp/TestClient.cpp
+++ b/Tests/LibHttp/TestClient.cpp
@@ -75,7 +75,7 @@
     }
 
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
-    /// Falls silent after so many pieces.
+    /// Sends nothing more after this many pieces.
     int silentAfter = 1000;
 
 private:
@@ -110,7 +110,7 @@
     SlowServer server { context, 8, milliseconds(100) };
     Http::Client client { context.get_executor(), { "127.0.0.1", server.port() } };
 
-    /// The length of the answer's body, or nothing if there was no whole answer in 300 ms.
+    /// The length of the answer's body, or nothing if no complete answer arrived in 300 ms.
     std::optional<std::size_t> bytesOf(Http::Request request)
     {
         std::optional<std::size_t> bytes;
@@ -137,16 +137,16 @@
     request.step = "read";
     request.target = "/";
 
-    SECTION("an answer that is still arriving then is given up")
+    SECTION("an answer that is still arriving at the deadline is abandoned")
     {
         CHECK_FALSE(fixture.bytesOf(request));
     }
-    SECTION("unless it is long: then it may go on for as long as it flows")
+    SECTION("unless it is long: then it may continue while parts of it arrive")
     {
         request.isAnswerLong = true;
         CHECK(fixture.bytesOf(request) == 8000);
     }
-    SECTION("but not once it has fallen silent")
+    SECTION("but not once no part arrives any more")
     {
         request.isAnswerLong = true;
         fixture.server.silentAfter = 2;
@@ -219,14 +219,14 @@
     runUntil([&] { return answers == 1; });
     REQUIRE(budget->idle() == 1);
 
-    SECTION("an idle connection makes room")
+    SECTION("an idle connection is closed for the call")
     {
         begin(second, "/");
         runUntil([&] { return answers == 2; });
         CHECK(budget->open() == 1);
         CHECK(refusals.empty());
     }
-    SECTION("one in use doesn't: the other call is refused at once, and nothing is sent")
+    SECTION("one in use doesn't: the other call is refused immediately, and nothing is sent")
     {
         begin(second, "/silent");
         begin(first, "/");
--- a/Tests/LibHttp/TestConnectionBudget.cpp
+++ b/Tests/LibHttp/TestConnectionBudget.cpp
@@ -36,7 +36,7 @@
             return true;
         }
         ++openedConnections;
-        // A call that may begin is promised room.
+        // A call that may begin is never denied a new connection.
         REQUIRE(m_budget.tryOpen());
         return true;
     }
--- a/Tests/LibHttp/TestLongAnswers.cpp
+++ b/Tests/LibHttp/TestLongAnswers.cpp
@@ -33,7 +33,7 @@
     ~OneAnswerServer() { m_thread.join(); }
 
     Http::Endpoint endpoint() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
-    /// True once the system has taken the whole answer.
+    /// True once the system has accepted the whole answer for sending.
     bool hasAnswered() const { return m_hasAnswered; }
 
 private:
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-TEST_CASE("A server keeps no more connections than its part of the descriptors")
+TEST_CASE("A server keeps no more connections than its share of the descriptors")
 {
     constexpr int maxConnections = 3;
     constexpr int callers = 5;
--- a/Tests/LibPlatform/TestHttpLogService.cpp
+++ b/Tests/LibPlatform/TestHttpLogService.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-/// The log's stand-in and a client of it in one thread.
+/// The simulated log and a client of it in one thread.
 struct LogFixture
 {
     boost::asio::io_context context;
@@ -60,7 +60,7 @@
 
 } // namespace
 
-TEST_CASE("The log over HTTP says what became of an append")
+TEST_CASE("The log over HTTP reports the outcome of an append")
 {
     LogFixture fixture;
     REQUIRE(fixture.append("first", amply()) == 0);
@@ -107,7 +107,7 @@
         CHECK_THROWS_AS(fixture.append("second", Core::steadyNow()), Core::NotDoneError);
         CHECK(fixture.bodies().size() == 1);
     }
-    SECTION("pooled connections that went silent cost one call its deadline")
+    SECTION("pooled connections that no longer answer make one call miss its deadline")
     {
         fixture.appendAtOnce({ "a", "b", "c" });
         fixture.server.silenceOpenConnections();
@@ -129,7 +129,7 @@
     Faults faults;
     bool *const switches[] = { &faults.isDown, &faults.isFrozen, &faults.losesAnswers,
                                &faults.truncatesBodies, &faults.failsFast };
-    // Beyond the switches: no fault at all.
+    // The values beyond the switches stand for no fault.
     const auto chosen = *rc::gen::inRange<std::size_t>(0, 2 * std::size(switches));
     if (chosen < std::size(switches))
         *switches[chosen] = true;
@@ -155,7 +155,7 @@
     }
 };
 
-TEST_CASE("No fault makes the log's client tell an untruth")
+TEST_CASE("No fault makes the log's client report a wrong outcome")
 {
     rc::prop("appended is there once, not done is absent, unknown is there at most once", [] {
         LogFixture fixture;
--- a/Tests/LibPlatform/TestHttpWorkerControl.cpp
+++ b/Tests/LibPlatform/TestHttpWorkerControl.cpp
@@ -62,7 +62,7 @@
     }
 };
 
-/// Serves one request; carries the second one out and then neither answers nor accepts again.
+/// Serves one request; executes the second one and then neither answers nor accepts again.
 class VanishingHandler final : public StandIn::RequestHandler
 {
 public:
@@ -122,13 +122,13 @@
             await(fixture.context, fixture.control.throttle(fixture.worker, attempt, 50, amply())),
             Core::OutcomeUnknownError);
     }
-    SECTION("an unknown worker certainly doesn't run it")
+    SECTION("an unknown worker certainly doesn't run the attempt")
     {
         Platform::StartCommand command = fixture.command();
         command.worker = Core::VmId("w2/start?");
         CHECK_THROWS_AS(fixture.start(command), Core::NotDoneError);
     }
-    SECTION("a lapsed lease starts nothing")
+    SECTION("an expired lease starts nothing")
     {
         Platform::StartCommand command = fixture.command();
         command.leaseDeadline = Core::steadyNow();
@@ -137,7 +137,7 @@
     }
 }
 
-TEST_CASE("A repeated sending that is refused doesn't hide what the first may have done")
+TEST_CASE("A retry that is refused doesn't hide that the first transmission may have had an effect")
 {
     boost::asio::io_context context;
     VanishingHandler handler;
--- a/Tests/LibPlatform/TestWorkerSimulation.cpp
+++ b/Tests/LibPlatform/TestWorkerSimulation.cpp
@@ -57,7 +57,7 @@
 
 } // namespace
 
-TEST_CASE("The simulated workers run attempts and count what must not happen")
+TEST_CASE("The simulated workers run attempts and count violations")
 {
     SimulationFixture fixture;
     REQUIRE(fixture.start("w1", "a", 1) == StandIn::StartResult::Accepted);
@@ -76,7 +76,7 @@
             CHECK(fixture.violations("finishedTwice") == 1);
         }
     }
-    SECTION("a throttled attempt stops by itself when its lease lapses")
+    SECTION("a throttled attempt stops by itself when its lease expires")
     {
         fixture.workers.throttle("w1", { "a", 1 }, 20);
         fixture.pass(10s);
@@ -94,7 +94,7 @@
         CHECK(fixture.phase("w2") == "finished");
         CHECK(fixture.workers.violations().report()["total"] == 0);
     }
-    SECTION("too much on one worker and a task run twice at once are violations")
+    SECTION("an overcommitted worker and two concurrent attempts of a task are violations")
     {
         fixture.start("w1", "b", 1);
         CHECK(fixture.violations("capacity") == 1);
--- a/Tests/LibRules/TestRulesEditor.cpp
+++ b/Tests/LibRules/TestRulesEditor.cpp
@@ -10,13 +10,13 @@
     const std::string out = Rules::withDomainRule(before, north, true, "Eva Luna");
     CHECK(out == before + "domain north out  # Eva Luna\n");
     CHECK(Rules::parseRules(out, "test").isOut(north));
-    SECTION("the way back keeps the name of who asked for it")
+    SECTION("bringing it back records who asked for it")
     {
         const std::string back = Rules::withDomainRule(out, north, false, "Luis");
         CHECK(back == before + "domain north in  # Luis\n");
         CHECK_FALSE(Rules::parseRules(back, "test").isOut(north));
     }
-    SECTION("a line that speaks of another failure domain stays")
+    SECTION("a line on another failure domain is unchanged")
     {
         const std::string other
             = Rules::withDomainRule("domain northwest out # Ana", north, true, "Eva");
--- a/Tests/LibRules/TestRulesParser.cpp
+++ b/Tests/LibRules/TestRulesParser.cpp
@@ -33,7 +33,7 @@
 
 } // namespace
 
-TEST_CASE("A rules file is read, one rule a line")
+TEST_CASE("A rules file is parsed, one rule per line")
 {
     const Rules::RuleSet rules = Rules::parseRules(goodRules, "test.rules");
     CHECK(rules.teams.at(Core::TeamId("puebla")).quota == Core::Resources { 200'000, 819'200, 0 });
@@ -56,7 +56,7 @@
 
 TEST_CASE("Each error is reported with its line and column")
 {
-    SECTION("a rule that doesn't say who asked for it is refused")
+    SECTION("a rule that doesn't say who asked for it is rejected")
     {
         CHECK(diagnosticsIn("domain north out\n")
               == std::vector<Rules::Diagnostic> {
@@ -79,11 +79,11 @@
         REQUIRE(diagnostics.size() == 1);
         CHECK(diagnostics[0].message == "'domain a' already has a rule on line 1");
     }
-    SECTION("a file that is too long is refused whole")
+    SECTION("a file that is too long is rejected with one diagnostic")
     {
         CHECK(diagnosticsIn(std::string(Rules::maximumRulesBytes + 1, '\n')).size() == 1);
     }
-    rc::prop("no text crashes the parser: it is read or refused with places", [] {
+    rc::prop("no text crashes the parser: it is accepted or rejected with positions", [] {
         const auto words = rc::gen::elementOf(std::vector<std::string> {
             "team", "class",   "place",     "slots",      "domain",     "a",       "in",
             "out",  "cores=1", "memory=1G", "kind=batch", "priority=5", "limit=",  "=",
--- a/Tests/LibSettings/TestSettings.cpp
+++ b/Tests/LibSettings/TestSettings.cpp
@@ -39,13 +39,13 @@
 
 } // namespace
 
-TEST_CASE("Settings are checked whole")
+TEST_CASE("All settings of a file are checked")
 {
     const Settings::Settings settings = Settings::parseSettings(goodSettings, "test.ini");
     CHECK(settings.vmId.text() == "entry-1");
     CHECK(settings.rulesFreshness == 1500ms);
     CHECK(settings.knownPeers.size() == 2);
-    SECTION("a key that is left out has its default")
+    SECTION("a missing key has its default")
     {
         CHECK(settings.drainTime == 30s);
     }
@@ -59,11 +59,11 @@
                   "test.ini: [tasks] lease: '1h' isn't allowed; allowed: 2s to 10m",
                   "test.ini: [rules] fresh: there is no such key" });
     }
-    SECTION("an empty file misses every required key")
+    SECTION("every required key of an empty file is reported")
     {
         CHECK(messagesIn("").size() == 7);
     }
-    SECTION("a missing file is said so")
+    SECTION("a missing file is an error")
     {
         CHECK_THROWS_AS(Settings::readSettings("no/such/file.ini"), Settings::SettingsError);
     }
--- a/include/LibCore/Error.h
+++ b/include/LibCore/Error.h
@@ -5,7 +5,7 @@
 
 namespace Core {
 
-/// The base of all our exceptions: what went wrong, at which step, and with which peer.
+/// The base of all exceptions of this project: the reason, the operation and the peer.
 class Error : public std::runtime_error
 {
 public:
@@ -20,15 +20,15 @@
     std::string m_peer;
 };
 
-/// The peer answered nothing before the deadline, or the connection broke after bytes were sent.
-/// The effect may or may not have taken place.
+/// The peer sent no answer before the deadline, or the connection broke after bytes were sent.
+/// The operation may or may not have taken effect.
 class OutcomeUnknownError : public Error
 {
 public:
     using Error::Error;
 };
 
-/// The peer certainly didn't act: nothing was sent, or it said that it refused.
+/// The operation certainly had no effect: nothing was sent, or the peer refused it.
 class NotDoneError : public Error
 {
 public:
--- a/include/LibCore/Identifier.h
+++ b/include/LibCore/Identifier.h
@@ -9,7 +9,7 @@
 
 namespace Core {
 
-/// A name that can't be mistaken for a name of another kind. \p Tag tells the kinds apart.
+/// A name. Each \p Tag makes a distinct type, so that the kinds of names can't be mixed up.
 template<typename Tag>
 class Identifier
 {
@@ -41,7 +41,7 @@
 using TaskId = Identifier<struct TaskTag>;
 /// A quota holder: a club at Compás Lector, a firm at Kopīgā.
 using TeamId = Identifier<struct TeamTag>;
-/// A kind of task that rules speak of, such as `reminder` or `roster`.
+/// A kind of task that rules refer to, such as `reminder` or `roster`.
 using TaskClassId = Identifier<struct TaskClassTag>;
 using RequestId = Identifier<struct RequestTag>;
 
--- a/include/LibCore/Json.h
+++ b/include/LibCore/Json.h
@@ -9,11 +9,11 @@
 
 namespace Core::Json {
 
-/// The largest JSON text that we read from anybody, in bytes.
+/// The largest JSON text that is accepted, in bytes.
 inline constexpr std::size_t maximumTextBytes = 4 * 1024 * 1024;
 
 /// Parses \p text strictly. \p peer names its origin in errors.
-/// \throws FormatError if the text is no JSON document, too deep or too long.
+/// \throws FormatError if the text isn't a JSON document, is nested too deeply or is too long.
 ::Json::Value parse(std::string_view text, const std::string &peer);
 
 /// Writes \p value on one line.
--- a/include/LibCore/TextValues.h
+++ b/include/LibCore/TextValues.h
@@ -8,16 +8,16 @@
 
 namespace Core {
 
-/// Readers of values in text files; nothing if the text isn't such a value.
+/// Parsers of values in text files. They return nothing if the text isn't valid.
 
-/// A whole number from \p least to \p most.
-std::optional<std::int64_t> parseNumber(std::string_view text, std::int64_t least,
-                                        std::int64_t most);
+/// An integer from \p minimum to \p maximum.
+std::optional<std::int64_t> parseNumber(std::string_view text, std::int64_t minimum,
+                                        std::int64_t maximum);
 /// A size such as `512M` or `800G`, in mebibytes.
 std::optional<std::int64_t> parseMebibytes(std::string_view text);
 /// A length of time such as `500ms`, `30s`, `5m` or `2h`.
 std::optional<Duration> parseDuration(std::string_view text);
-/// Letters, digits, `-`, `_` and `.`, at most 64 of them.
+/// True for 1 to 64 characters out of letters, digits, `-`, `_` and `.`.
 bool isName(std::string_view text);
 
 } // namespace Core
--- a/include/LibCore/WallClock.h
+++ b/include/LibCore/WallClock.h
@@ -4,8 +4,8 @@
 
 namespace Core {
 
-/// Milliseconds since 1970 by the wall clock, for times that leave the VM. It may jump; deadlines
-/// go by `steadyNow()`.
+/// Milliseconds since the Unix epoch by the wall clock, for times that leave the VM. It may jump,
+/// so deadlines use `steadyNow()`.
 std::int64_t unixMillisecondsNow();
 
 } // namespace Core
--- a/include/LibHttp/Client.h
+++ b/include/LibHttp/Client.h
@@ -30,7 +30,7 @@
     bool operator==(const HeaderField &) const = default;
 };
 
-/// A whole answer, whatever its status.
+/// A complete response of any status.
 struct Answer
 {
     unsigned status = 0;
@@ -47,16 +47,16 @@
     std::string step;
     Method method = Method::Get;
     std::string target;
-    /// Called at the last moment before each sending, so that moments relative to now stay true
-    /// while a connection is being opened. May throw Core::NotDoneError. Empty for no body.
+    /// Called immediately before each transmission, so that times relative to now are still correct
+    /// after a connection was opened. May throw Core::NotDoneError. Empty for no body.
     std::function<std::string()> encodeBody;
-    /// True if sending it twice has the effect of sending it once. Such a request is repeated once
-    /// if the server had closed the pooled connection that it went out on.
+    /// True if sending it twice has the effect of sending it once. Such a request is retried once
+    /// if the server had closed the pooled connection on which it was sent.
     bool isIdempotent = false;
-    /// The deadline is that of the answer's beginning: the rest may arrive later, for as long as
-    /// it flows.
+    /// The deadline applies to the start of the answer; the rest may arrive later, within the
+    /// limits `longestPause` and `longestFlow`.
     bool isAnswerLong = false;
-    /// Whether the call may take one of the connections that are kept free for essential calls.
+    /// Whether the call may use the connections that are reserved for essential calls.
     ConnectionBudget::Use connectionUse = ConnectionBudget::Use::Essential;
     std::string contentType = "application/json";
     std::vector<HeaderField> fields = {};
@@ -64,44 +64,43 @@
 
 /// Calls to one HTTP/1.1 endpoint over a pool of keep-alive connections.
 ///
-/// A connection serves one call at a time and is closed unless its answer was read whole, so an
-/// answer never reaches another call than its own.
+/// A connection serves one call at a time and is closed unless its answer was read completely, so
+/// that no call receives the answer of another one.
 class Client
 {
 public:
     /// The largest answer body that is read, in bytes.
     static constexpr std::size_t maximumBodyBytes = 4 * 1024 * 1024;
-    /// A long answer flows while at most this time passes between two parts of it, and counts as
-    /// lost if it takes longer than the second.
+    /// A long answer is abandoned if more than `longestPause` passes between two parts of it, or if
+    /// it takes longer than `longestFlow`.
     static constexpr Core::Duration longestPause = std::chrono::milliseconds(900);
     static constexpr Core::Duration longestFlow = std::chrono::seconds(15);
-    /// How many calls may be under way at once; further ones fail at once.
+    /// The maximum number of concurrent calls; further ones fail immediately.
     static constexpr std::size_t maximumConnections = 256;
-    /// How many unused connections are kept.
+    /// The maximum number of idle connections that are kept.
     static constexpr std::size_t maximumIdleConnections = 16;
 
     /// A client with its own budget of maximumConnections.
-    /// \throws Core::FormatError if the endpoint's address is no IP number.
+    /// \throws Core::FormatError if the endpoint's address isn't an IP address.
     Client(const boost::asio::any_io_executor &executor, const Endpoint &endpoint);
     /// A client that shares \p budget with others, for which it counts as one peer.
-    /// \throws Core::FormatError if the endpoint's address is no IP number.
+    /// \throws Core::FormatError if the endpoint's address isn't an IP address.
     Client(const boost::asio::any_io_executor &executor, const Endpoint &endpoint,
            std::shared_ptr<ConnectionBudget> budget);
     ~Client();
     Client(const Client &) = delete;
     Client &operator=(const Client &) = delete;
 
-    /// Returns the body of a 2xx answer. \p deadline bounds everything, connecting included.
-    /// \throws Core::NotDoneError if nothing was sent, such as for want of a connection in the
-    /// budget, or the answer is a refusal (4xx).
-    /// \throws Core::OutcomeUnknownError if bytes were sent and no whole answer came, or one
-    /// of another status.
+    /// Returns the body of a 2xx answer. \p deadline bounds the whole call, connecting included.
+    /// \throws Core::NotDoneError if nothing was sent, for example because the connection budget
+    /// was exhausted, or if the answer is a refusal (4xx). \throws Core::OutcomeUnknownError if
+    /// bytes were sent and no complete answer arrived, or one of another status.
     boost::asio::awaitable<std::string> call(Request request, Core::Instant deadline);
 
-    /// Returns the answer whatever its status. \p deadline bounds everything.
-    /// \throws Core::NotDoneError if nothing was sent, such as for want of a connection in the
-    /// budget.
-    /// \throws Core::OutcomeUnknownError if bytes were sent and no whole answer came.
+    /// Returns the answer of any status. \p deadline bounds the whole call.
+    /// \throws Core::NotDoneError if nothing was sent, for example because the connection budget
+    /// was exhausted. \throws Core::OutcomeUnknownError if bytes were sent and no complete answer
+    /// arrived.
     boost::asio::awaitable<Answer> exchange(Request request, Core::Instant deadline);
 
 private:
--- a/include/LibHttp/ConnectionBudget.h
+++ b/include/LibHttp/ConnectionBudget.h
@@ -8,7 +8,7 @@
 
 namespace Http {
 
-/// Holds unused connections that it closes when a ConnectionBudget needs the room.
+/// Keeps idle connections and closes them when a ConnectionBudget needs their places.
 class IdleConnectionOwner
 {
 public:
@@ -56,8 +56,8 @@
     bool tryBeginCall(Use use);
     void endCall(Use use);
 
-    /// Makes room for a new connection and counts it until onClosed(). At the limit, the connection
-    /// that has been idle longest is closed for it, whoever owns it; false if none is idle.
+    /// Reserves a new connection, which counts until onClosed(). At the limit, the connection that
+    /// has been idle longest is closed first, whoever owns it. Returns false if none is idle.
     bool tryOpen();
     void onClosed() { --m_open; }
 
@@ -66,17 +66,17 @@
     IdlePosition addIdle(IdleConnectionOwner &owner, Core::Instant now);
     /// An idle connection is used again, or its owner closes it.
     void removeIdle(IdlePosition position) { m_idle.erase(position); }
-    /// Closes at most \p maxClosed of the connections that have been idle for too long.
+    /// Closes at most \p maxClosed of the connections that have been idle for `idleTime`.
     void closeExpired(Core::Instant now, std::size_t maxClosed);
 
     /// Connections in use and idle.
     std::size_t open() const { return m_open; }
     std::size_t idle() const { return m_idle.size(); }
-    /// The number of calls so far that were denied a connection.
+    /// The total number of calls that were denied a connection.
     std::uint64_t refusedCalls() const { return m_refusedCalls; }
 
 private:
-    /// How many deferrable calls may be under way at once.
+    /// The maximum number of concurrent deferrable calls.
     std::size_t maxDeferrableCalls() const;
 
     std::size_t m_maxOpen;
@@ -85,7 +85,7 @@
     std::size_t m_calls = 0;
     std::size_t m_deferrableCalls = 0;
     std::uint64_t m_refusedCalls = 0;
-    /// The one idle longest first, which is also the first to expire.
+    /// Ordered by the start of the idle time, so that the first entry is the first to expire.
     std::list<IdleEntry> m_idle;
 };
 
--- a/include/LibHttp/Endpoint.h
+++ b/include/LibHttp/Endpoint.h
@@ -6,10 +6,10 @@
 
 namespace Http {
 
-/// Where an HTTP service listens.
+/// The address and port of an HTTP service.
 struct Endpoint
 {
-    /// An IP number; names aren't resolved.
+    /// An IP address; host names aren't resolved.
     std::string address;
     std::uint16_t port = 0;
 
--- a/include/LibHttp/Server.h
+++ b/include/LibHttp/Server.h
@@ -23,7 +23,7 @@
 using ServerRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using ServerResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
-/// Bounds on what a client may send and how long it may take.
+/// Limits on the size and duration of requests.
 struct ServerLimits
 {
     std::uint32_t headerBytes = 16 * 1024;
@@ -44,9 +44,9 @@
     RequestHandler &operator=(const RequestHandler &) = delete;
     virtual ~RequestHandler() = default;
 
-    /// What it throws is answered with status 500.
+    /// If it throws, the client gets status 500.
     virtual boost::asio::awaitable<ServerResponse> answer(ServerRequest request) = 0;
-    /// The bounds for the next request.
+    /// The limits for the next request.
     virtual ServerLimits limits() const { return {}; }
 };
 
@@ -57,16 +57,16 @@
 class Server final : public Supervision::Part
 {
 public:
-    /// \p maxConnections bounds the open connections whatever the handler's limits say.
+    /// \p maxConnections limits the open connections even if the handler allows more.
     Server(std::string name, const Endpoint &endpoint, RequestHandler &handler,
            const boost::asio::any_io_executor &executor,
            std::size_t maxConnections = ServerLimits().connections);
 
     std::string name() const override { return m_name; }
     boost::asio::awaitable<void> run() override;
-    /// Accepts nothing new, closes idle connections, and lets requests in progress finish.
+    /// Stops accepting, closes idle connections, and lets requests in progress finish.
     void requestStop() override;
-    /// Answers tell clients from now on to close their connections.
+    /// From now on answers ask clients to close their connections.
     void beginLeaving() { m_isLeaving = true; }
 
     std::size_t inProgress() const { return m_inProgress; }
@@ -76,7 +76,7 @@
 
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(std::shared_ptr<Stream> stream);
-    /// Serves one request; false when the connection ends.
+    /// Serves one request. Returns false when the connection has ended.
     boost::asio::awaitable<bool> serveOne(Stream &stream, boost::beast::flat_buffer &buffer);
     boost::asio::awaitable<ServerResponse> answer(ServerRequest request);
 
--- a/include/LibPlatform/Http/HttpLogService.h
+++ b/include/LibPlatform/Http/HttpLogService.h
@@ -13,12 +13,12 @@
 
 namespace Platform {
 
-/// The log service over HTTP; docs/design/PLATFORM.md has the format. It must outlive its calls and
-/// is used from one thread only.
+/// The log service over HTTP; docs/design/PLATFORM.md describes the format. It must outlive its
+/// calls and is used from one thread only.
 class HttpLogService final : public LogService
 {
 public:
-    /// \throws Core::FormatError if the endpoint's address is no IP number.
+    /// \throws Core::FormatError if the endpoint's address isn't an IP address.
     HttpLogService(const boost::asio::any_io_executor &executor, const Http::Endpoint &endpoint);
     ~HttpLogService() override;
 
--- a/include/LibPlatform/Http/HttpVmDirectory.h
+++ b/include/LibPlatform/Http/HttpVmDirectory.h
@@ -15,12 +15,12 @@
 
 namespace Platform {
 
-/// The list of VMs over HTTP; docs/design/PLATFORM.md has the format. It must outlive its calls and
-/// is used from one thread only.
+/// The list of VMs over HTTP; docs/design/PLATFORM.md describes the format. It must outlive its
+/// calls and is used from one thread only.
 class HttpVmDirectory final : public VmDirectory
 {
 public:
-    /// \throws Core::FormatError if the endpoint's address is no IP number.
+    /// \throws Core::FormatError if the endpoint's address isn't an IP address.
     HttpVmDirectory(const boost::asio::any_io_executor &executor, const Http::Endpoint &endpoint);
     ~HttpVmDirectory() override;
 
@@ -28,7 +28,7 @@
 
 private:
     std::unique_ptr<Http::Client> m_client;
-    /// The latest list and the platform's name for its state.
+    /// The latest list, and its version as the platform names it.
     std::vector<VmEntry> m_entries;
     std::string m_version;
 };
--- a/include/LibPlatform/Http/HttpWorkerControl.h
+++ b/include/LibPlatform/Http/HttpWorkerControl.h
@@ -13,12 +13,12 @@
 
 namespace Platform {
 
-/// Worker control over HTTP through the platform's endpoint; docs/design/PLATFORM.md has the
+/// Worker control over HTTP through the platform's endpoint; docs/design/PLATFORM.md describes the
 /// format. It must outlive its calls and is used from one thread only.
 class HttpWorkerControl final : public WorkerControl
 {
 public:
-    /// \throws Core::FormatError if the endpoint's address is no IP number.
+    /// \throws Core::FormatError if the endpoint's address isn't an IP address.
     HttpWorkerControl(const boost::asio::any_io_executor &executor, const Http::Endpoint &endpoint);
     ~HttpWorkerControl() override;
 
--- a/include/LibPlatform/LogService.h
+++ b/include/LibPlatform/LogService.h
@@ -25,11 +25,11 @@
     auto operator<=>(const LogRecord &) const = default;
 };
 
-/// A consecutive part of a stream.
+/// A sequence of consecutive records of a stream.
 struct LogPage
 {
     std::vector<LogRecord> records;
-    /// The oldest offset that the service still keeps.
+    /// The oldest offset that the service retains.
     Offset firstRetained = 0;
     /// The offset that the next append will get, as of this read.
     Offset end = 0;
@@ -37,7 +37,8 @@
     auto operator<=>(const LogPage &) const = default;
 };
 
-/// The platform's append-only log. Each stream is totally ordered; records expire after a while.
+/// The platform's append-only log. Each stream is totally ordered; records expire after the
+/// retention time.
 class LogService
 {
 public:
@@ -48,7 +49,7 @@
 
     /// Appends \p bodies as consecutive records, all or none, and returns the offset of the first.
     /// \throws Core::NotDoneError if certainly nothing was appended.
-    /// \throws Core::OutcomeUnknownError if the records may have been appended, or may yet be.
+    /// \throws Core::OutcomeUnknownError if the records may have been, or may still be, appended.
     virtual boost::asio::awaitable<Offset>
     append(std::string stream, std::vector<std::string> bodies, Core::Instant deadline) = 0;
 
--- a/include/LibPlatform/VmDirectory.h
+++ b/include/LibPlatform/VmDirectory.h
@@ -9,7 +9,7 @@
 
 namespace Platform {
 
-/// The platform's lagging list of live and leaving VMs.
+/// The platform's list of live and leaving VMs, which may be out of date.
 class VmDirectory
 {
 public:
@@ -18,7 +18,7 @@
     VmDirectory &operator=(const VmDirectory &) = delete;
     virtual ~VmDirectory() = default;
 
-    /// \throws Core::Error if the platform can't be asked before \p deadline.
+    /// \throws Core::Error if the platform doesn't answer before \p deadline.
     virtual boost::asio::awaitable<std::vector<VmEntry>> list(Core::Instant deadline) = 0;
 };
 
--- a/include/LibPlatform/VmEntry.h
+++ b/include/LibPlatform/VmEntry.h
@@ -19,7 +19,7 @@
     Leaving,
 };
 
-/// One line of the platform's list of VMs, which lags behind the truth.
+/// One entry of the platform's list of VMs, which may be out of date.
 struct VmEntry
 {
     Core::VmId id;
@@ -27,17 +27,17 @@
     VmState state = VmState::Live;
     Core::FailureDomainId failureDomain;
     std::string rack;
-    /// The IP number of the VM.
+    /// The IP address of the VM.
     std::string address;
     /// Of an entry VM: the port for its peers. Of a worker: the port of its backend server.
     std::uint16_t port = 0;
-    /// Of an entry VM: the port of its callers' door, used for spill-over between failure domains.
+    /// Of an entry VM: the port for callers, also used for spill-over between failure domains.
     std::uint16_t callerPort = 0;
-    /// What a worker offers to tasks.
+    /// The capacity of a worker for tasks.
     Core::Resources capacity;
-    /// How many requests the worker's backend server may have in work.
+    /// The maximum number of concurrent requests of the worker's backend server.
     int slots = 0;
-    /// How many connections the worker's backend server accepts.
+    /// The maximum number of connections of the worker's backend server.
     int connections = 0;
 
     bool operator==(const VmEntry &) const = default;
--- a/include/LibPlatform/WorkerControl.h
+++ b/include/LibPlatform/WorkerControl.h
@@ -19,12 +19,12 @@
     Core::VmId worker;
     Task::TaskSpec spec;
     Task::AttemptId attempt;
-    /// The epoch of the placer's lease; a worker that knows fencing refuses a lower one than it has
-    /// seen.
+    /// The epoch of the placer's lease. A worker that supports fencing refuses an epoch below the
+    /// highest one that it has seen.
     std::uint64_t epoch = 0;
-    /// The checkpoint to resume from; empty to start afresh.
+    /// The checkpoint to resume from; empty to start from the beginning.
     std::string checkpoint;
-    /// When the attempt's lease lapses unless renewed; the worker then stops it by itself.
+    /// When the attempt's lease expires unless renewed; the worker then stops it by itself.
     Core::Instant leaseDeadline;
 
     bool operator==(const StartCommand &) const = default;
@@ -53,8 +53,8 @@
                                                   int percent, Core::Instant deadline)
         = 0;
 
-    /// Renews the leases of \p attempts and returns what the worker knows of every attempt that it
-    /// runs or that ended there lately. An ended attempt is reported until it is acknowledged.
+    /// Renews the leases of \p attempts and returns a report on each attempt that runs on the
+    /// worker or has recently ended there. An ended attempt is reported until it is acknowledged.
     virtual boost::asio::awaitable<std::vector<Task::AttemptReport>>
     renew(Core::VmId worker, std::vector<Task::AttemptId> attempts, Core::Instant leaseDeadline,
           std::vector<Task::AttemptId> acknowledged, Core::Instant deadline)
--- a/include/LibRules/RuleSet.h
+++ b/include/LibRules/RuleSet.h
@@ -17,11 +17,11 @@
     Batch,
 };
 
-/// What becomes of a running task whose failure domain can't be reached.
+/// How a running task is treated while its failure domain can't be reached.
 enum class CutOffPolicy {
-    /// The task is started elsewhere only when it is proven to have stopped.
+    /// The task is started elsewhere only once it is proven to have stopped.
     Stay,
-    /// The task's lease lapses after `cutOffAfter`, and another failure domain may take it then.
+    /// The task's lease expires after `cutOffAfter`; another failure domain may then start it.
     Move,
 };
 
@@ -44,7 +44,7 @@
 {
     Core::TaskClassId taskClass;
     TaskKind kind = TaskKind::Batch;
-    /// 0 to 1000; higher goes first.
+    /// 0 to 1000; tasks of a higher priority are placed first.
     int priority = 0;
     CutOffPolicy cutOffPolicy = CutOffPolicy::Stay;
     Core::Duration cutOffAfter {};
@@ -63,7 +63,7 @@
     bool operator==(const PlaceRule &) const = default;
 };
 
-/// `slots limit=N connections=N`: lowers, never raises, what each backend server is given.
+/// `slots limit=N connections=N`: lowers, never raises, each backend server's limits.
 struct SlotRule
 {
     int slots = 0;
@@ -73,7 +73,7 @@
     bool operator==(const SlotRule &) const = default;
 };
 
-/// `domain NAME out`: nothing starts there, and its work moves away.
+/// `domain NAME out`: nothing starts there, and its tasks move to other failure domains.
 struct DomainOutRule
 {
     Core::FailureDomainId failureDomain;
@@ -82,7 +82,7 @@
     bool operator==(const DomainOutRule &) const = default;
 };
 
-/// The whole of one version of the operators' rules.
+/// All rules of one version.
 struct RuleSet
 {
     std::map<Core::TeamId, TeamRule> teams;
--- a/include/LibRules/RulesEditor.h
+++ b/include/LibRules/RulesEditor.h
@@ -6,9 +6,9 @@
 
 namespace Rules {
 
-/// Returns \p text with the rule that takes \p failureDomain out, or brings it back, on behalf of
-/// \p requestedBy. It replaces the line that there is, or comes last; every other line stays as it
-/// is.
+/// Returns \p text with a rule that takes \p failureDomain out, or brings it back, on behalf of
+/// \p requestedBy. The rule replaces the existing one of that failure domain, or is appended; every
+/// other line is unchanged.
 std::string withDomainRule(const std::string &text, const Core::FailureDomainId &failureDomain,
                            bool isOut, const std::string &requestedBy);
 
--- a/include/LibRules/RulesParser.h
+++ b/include/LibRules/RulesParser.h
@@ -11,8 +11,8 @@
 /// The largest rules file that is read, in bytes.
 inline constexpr std::size_t maximumRulesBytes = 256 * 1024;
 
-/// Reads the operators' rules file: one rule a line, each with a trailing comment that names who
-/// asked for it. Blank lines and lines that begin with `#` are free. docs/operators/RULES.md
+/// Parses the operators' rules file: one rule per line, each with a trailing comment that names who
+/// asked for it. Blank lines and lines that begin with `#` are ignored. docs/operators/RULES.md
 /// describes the rules.
 /// \throws RulesError with a diagnostic for every error in the file.
 RuleSet parseRules(std::string_view text, const std::string &fileName);
--- a/include/LibSettings/KnownPeer.h
+++ b/include/LibSettings/KnownPeer.h
@@ -8,14 +8,14 @@
 
 namespace Settings {
 
-/// Another entry VM, as the settings name it: `ID@DOMAIN@ADDRESS:PEERPORT:DOORPORT`.
+/// Another entry VM, as the settings name it: `ID@DOMAIN@ADDRESS:PEERPORT:CALLERPORT`.
 struct KnownPeer
 {
     Core::VmId id;
     Core::FailureDomainId failureDomain;
     std::string address;
     std::uint16_t peerPort = 0;
-    std::uint16_t doorPort = 0;
+    std::uint16_t callerPort = 0;
 
     auto operator<=>(const KnownPeer &) const = default;
 };
--- a/include/LibSettings/SettingKey.h
+++ b/include/LibSettings/SettingKey.h
@@ -14,18 +14,18 @@
 {
     std::string section;
     std::string name;
-    /// The text that stands in when the key is missing; the key is required if this is empty and
+    /// The value used when the key is missing; the key is required if this is empty and
     /// `isOptional` is false.
     std::string fallback;
     bool isOptional = false;
-    /// What values are allowed, for people.
+    /// The allowed values, as shown in messages and in the documentation.
     std::string allowed;
     std::string meaning;
-    /// Stores the value; false if it isn't allowed.
+    /// Stores the value. Returns false if it isn't allowed.
     std::function<bool(std::string_view, Settings &)> store;
 };
 
-/// Every key that there is.
+/// All keys of the settings file.
 const std::vector<SettingKey> &settingKeys();
 
 } // namespace Settings
--- a/include/LibSettings/Settings.h
+++ b/include/LibSettings/Settings.h
@@ -10,14 +10,14 @@
 
 namespace Settings {
 
-/// The settings of one `lagoonfordd`. docs/operators/SETTINGS.md describes each key; a test holds
-/// that page against the table of keys.
+/// The settings of one `lagoonfordd`. docs/operators/SETTINGS.md describes each key; a test
+/// compares that page with the table of keys.
 struct Settings
 {
     Core::VmId vmId;
     Core::FailureDomainId failureDomain;
     std::string address;
-    std::uint16_t doorPort = 0;
+    std::uint16_t callerPort = 0;
     std::uint16_t peerPort = 0;
     /// Entry VMs to try before the platform's list has been read.
     std::vector<KnownPeer> knownPeers;
@@ -42,7 +42,7 @@
 /// \throws SettingsError with every error in the file.
 Settings readSettings(const std::string &path);
 
-/// Reads settings from \p text; \p name stands for the file in errors.
+/// Parses settings from \p text; \p name is the file name in errors.
 Settings parseSettings(const std::string &text, const std::string &name);
 
 } // namespace Settings
--- a/include/LibSettings/SettingsError.h
+++ b/include/LibSettings/SettingsError.h
@@ -7,8 +7,8 @@
 
 namespace Settings {
 
-/// Settings that can't be used. Each error is one line with file, section, key and what is
-/// allowed.
+/// A settings file that is rejected. Each message is one line with file, section, key and the
+/// allowed values.
 class SettingsError : public Core::FormatError
 {
 public:
