LibJob: Refuse records of jobs that no owner could carry out

Cause: the jobs' topic was read by type only, and what it said was used as it stood. A step that follows a step the job doesn't have wrote outside an array; a count of tasks below 0 or of 2^31 asked for memory that isn't there; progress of a task that the job doesn't have threw from the follower's sink, which left the owner an empty entry among its jobs and ended the process at its next turn. The store keeps such a record, so the next owner ends the same way. Terms, runs, resources and times near 2^63 overflowed.

What was ruled out: nesting, broken bytes and other types: each was refused with a line of the log before. Bounds as tight as those of callers' jobs: a record that other nodes of the site have accepted must stay readable, so the bounds here only keep sums and memory in range.

Change: named bounds for counts, resources, durations, runs, terms and times where a record is decoded; steps may follow earlier steps only; progress of unknown tasks is ignored.

--- a/Libraries/LibJob/JobRecord.cpp
+++ b/Libraries/LibJob/JobRecord.cpp
@@ -14,6 +14,34 @@
 static constexpr const char *ownerKey = "owner";
 static constexpr const char *heartbeatKey = "beat";
 
+/// Bounds the tasks of a job, and with them the memory that a record can make a node take.
+static constexpr std::int64_t maxTasks = 1'000'000;
+/// Bounds the resources of a task and the durations of a step in milliseconds, so that sums over
+/// all tasks of a job don't overflow.
+static constexpr std::int64_t maxAmount = 1'000'000'000'000;
+/// Bounds run numbers and times of the wall clock in milliseconds: the next run, and the time in
+/// microseconds, have to be representable too.
+static constexpr std::int64_t maxNumber = 9'000'000'000'000'000;
+/// Bounds the terms of owners. Run numbers are a multiple of the term.
+static constexpr std::int64_t maxTerm = maxAmount;
+
+/// The value of a whole number from 0 to \p max, or 0 if it is absent. \throws Core::FormatError
+static std::int64_t numberUpTo(const Json::Value &value, std::int64_t max, const char *what)
+{
+    if (value.isNull())
+        return 0;
+    if (!value.isInt64() || value.asInt64() < 0 || value.asInt64() > max)
+        throw Core::FormatError("decode record", what, "the number is out of range");
+    return value.asInt64();
+}
+
+static std::int64_t requiredNumberUpTo(const Json::Value &object, const char *name,
+                                       std::int64_t max)
+{
+    Core::Json::integerMember(object, name);
+    return numberUpTo(object[name], max, name);
+}
+
 static Json::Value encodeStep(const StepSpec &step)
 {
     Json::Value value(Json::objectValue);
@@ -52,16 +80,31 @@
     return value;
 }
 
-static StepSpec decodeStep(const Json::Value &value)
+/// The steps that must end before the step with index \p step; only earlier ones are valid.
+static std::vector<int> decodeDependencies(const Json::Value &value, std::size_t step)
+{
+    std::vector<int> after;
+    if (!value.isNull() && !value.isArray())
+        throw Core::FormatError("decode record", "a", "the member is no array");
+    for (const Json::Value &dependency : value) {
+        const bool isEarlier = dependency.isInt() && dependency.asInt() >= 0
+            && static_cast<std::size_t>(dependency.asInt()) < step;
+        if (!isEarlier)
+            throw Core::FormatError("decode record", "a", "no earlier step is named");
+        after.push_back(dependency.asInt());
+    }
+    return after;
+}
+
+static StepSpec decodeStep(const Json::Value &value, std::size_t index)
 {
     StepSpec step;
-    step.taskCount = value["n"].asInt();
-    step.need.milliCores = value["c"].asInt64();
-    step.need.mebibytes = value["m"].asInt64();
-    step.need.accelerators = value["g"].asInt64();
-    step.estimateMs = value["e"].asInt64();
-    for (const Json::Value &dependency : value["a"])
-        step.after.push_back(dependency.asInt());
+    step.taskCount = static_cast<int>(numberUpTo(value["n"], maxTasks, "n"));
+    step.need.milliCores = numberUpTo(value["c"], maxAmount, "c");
+    step.need.mebibytes = numberUpTo(value["m"], maxAmount, "m");
+    step.need.accelerators = numberUpTo(value["g"], maxAmount, "g");
+    step.estimateMs = numberUpTo(value["e"], maxAmount, "e");
+    step.after = decodeDependencies(value["a"], index);
     step.isCheckpointing = value["cp"].asBool();
     step.isGang = value["ga"].asBool();
     step.isRackSensitive = value["rs"].asBool();
@@ -71,7 +114,7 @@
     step.isSpeculative = value["sp"].asBool();
     step.isLongRunning = value["lr"].asBool();
     step.image = value["im"].asString();
-    step.tailTargetMs = value["tt"].asInt64();
+    step.tailTargetMs = numberUpTo(value["tt"], maxAmount, "tt");
     step.isBestEffort = value["fi"].asBool();
     step.maxUnavailable = value["mm"].asInt();
     return step;
@@ -109,10 +152,15 @@
     submission.queue.attemptLimit = value["qa"].asInt();
     submission.queue.stretch = value["qf"].asDouble();
     submission.queue.objectiveBaseMs = value["qx"].asInt64();
-    submission.submittedUnixMs = Core::Json::integerMember(value, "t");
+    submission.submittedUnixMs = requiredNumberUpTo(value, "t", maxNumber);
     submission.spec.payload = Core::Json::stringMember(value, "p");
-    for (const Json::Value &step : Core::Json::arrayMember(value, "s"))
-        submission.spec.steps.push_back(decodeStep(step));
+    std::int64_t tasks = 0;
+    for (const Json::Value &step : Core::Json::arrayMember(value, "s")) {
+        submission.spec.steps.push_back(decodeStep(step, submission.spec.steps.size()));
+        tasks += submission.spec.steps.back().taskCount;
+    }
+    if (tasks > maxTasks)
+        throw Core::FormatError("decode record", id.text(), "the job has too many tasks");
     submission.spec.repeatCount = value["rc"].asInt64();
     submission.spec.firstDueUnixMs = value["rf"].asInt64();
     submission.spec.intervalMs = value["ri"].asInt64();
@@ -216,7 +264,7 @@
         step.failedRuns[failures[i].asInt()].insert(failures[i + 1].asInt64());
     const Json::Value &abandoned = value[2];
     for (Json::ArrayIndex i = 0; i + 1 < abandoned.size(); i += 2)
-        step.abandonedRuns[abandoned[i].asInt()] = abandoned[i + 1].asInt64();
+        step.abandonedRuns[abandoned[i].asInt()] = numberUpTo(abandoned[i + 1], maxNumber, "run");
     for (const Json::Value &history : value[3])
         step.crashHistories.emplace(history[0].asInt(), decodeCrashHistory(history));
     return step;
@@ -269,7 +317,7 @@
     if (state < 0 || state > static_cast<int>(JobState::Cancelled))
         throw Core::FormatError("decode progress", id.text(), "the state is unknown");
     progress.state = static_cast<JobState>(state);
-    progress.endedUnixMs = value["t"].asInt64();
+    progress.endedUnixMs = numberUpTo(value["t"], maxNumber, "t");
     const Json::Value &occurrences = value["o"];
     for (const std::string &name : occurrences.getMemberNames()) {
         std::vector<StepProgress> &steps = progress.occurrences[std::stoi(name)];
@@ -323,7 +371,7 @@
             return Heartbeat { Core::Json::integerMember(value, "t") };
         if (key == ownerKey)
             return OwnerClaim { Core::Json::stringMember(value, "n"),
-                                Core::Json::integerMember(value, "t"),
+                                requiredNumberUpTo(value, "t", maxTerm),
                                 Core::Json::booleanMember(value, "r") };
         if (isJobKey && key[0] == 's')
             return decodeSubmission(id, value);
--- a/Libraries/LibJob/OwnedJob.cpp
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -76,8 +76,12 @@
         const auto count = static_cast<std::size_t>(m_submission.spec.steps[i].taskCount);
         progress[i].isDone.resize(count);
         steps[i].tasks.resize(count);
-        for (const auto &[index, run] : progress[i].abandonedRuns)
-            steps[i].tasks.at(static_cast<std::size_t>(index)).lastRun = run;
+        for (const auto &[index, run] : progress[i].abandonedRuns) {
+            // The progress of another writer may name tasks that the submission doesn't have.
+            const auto task = static_cast<std::size_t>(index);
+            if (task < count)
+                steps[i].tasks[task].lastRun = run;
+        }
     }
     refresh(occurrence);
 }
