LibJob: Keep the time of an interruption when nothing was sent

Cause (review, by reading): a start that wasn't sent counted as the end of a run. A long-running task that waits for its restart then lost its place before all others for another 2.5 s, each time: one way to LOST.

What was ruled out: telling withheld starts apart from those that couldn't be sent: in neither a run has existed.

Change: such a run counts as planned when it is removed.

Measured: TestLibJob passes (5,361 assertions).

--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -169,6 +169,9 @@
         worker.noteRefusal(now.instant);
     if (outcome == StartOutcome::OldRun)
         task->lastRun += 1;
+    // Nothing was sent, so no run has ended, and the task is interrupted for as long as it was.
+    if (outcome == StartOutcome::Withheld || outcome == StartOutcome::NotSent)
+        setPhase(run, RunPhase::Planned, now);
     removeRun(*job, command.task);
     if (outcome == StartOutcome::OtherIncarnation)
         onOtherIncarnation(command.worker, command.address, now);
