LibJob: Renew leases at once after the first contact with a worker

Cause (review, by reading): a new owner grants no lease with its first call to a worker, and the second call waited for the renewal interval, up to 0.7 s under load, while the former owner's lease runs out.

What was ruled out: a lease with the first call: before the report the owner doesn't know what runs there, nor the worker's clock.

Change: if the first complete report lists runs, the next renewal is due at once.

--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -137,9 +137,16 @@
     giveUpCrashing(lost, now);
     if (worker->servingCount() > 0 || worker->bestEffortCount() > 0)
         updateColocation(*worker, now);
-    worker->setNextRenewalAt(
-        now.instant
-        + (worker->hasUncommittedEnds() ? uncommittedRenewalInterval : renewalInterval()));
+    worker->setNextRenewalAt(now.instant + delayToNextRenewal(*worker, wasReconciled));
+}
+
+Core::Duration JobScheduler::delayToNextRenewal(const WorkerState &worker, bool wasReconciled) const
+{
+    // A former owner granted the lease of what runs there; only the next renewal extends it.
+    const bool isFirstContact = !wasReconciled && worker.isReconciled();
+    if (isFirstContact && !worker.runs().empty())
+        return {};
+    return worker.hasUncommittedEnds() ? uncommittedRenewalInterval : renewalInterval();
 }
 
 Core::Duration JobScheduler::maxLeaseDuration() const
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -167,7 +167,7 @@
         int step = 0;
         /// A long-running task of the step was interrupted and hasn't run for longer than allowed.
         bool isOverdue = false;
-        /// The step comes before others of a lower rank; see planWaitingSteps().
+        /// The step comes before others of a lower rank; see beginPass().
         bool isPutFirst = false;
     };
 
@@ -215,6 +215,8 @@
     void rememberEndedJob(const JobId &id, std::int64_t endedUnixMs);
     /// How long the worker may delay its answer to a renewal while no run ends.
     Core::Duration renewalWait(const WorkerState &worker) const;
+    /// \p wasReconciled is false if the worker hadn't been reconciled before its last report.
+    Core::Duration delayToNextRenewal(const WorkerState &worker, bool wasReconciled) const;
     /// Upper bound of the remaining time of a lease, whichever owner granted it, with clock drift.
     Core::Duration maxLeaseDuration() const;
     void beginContact(WorkerState &worker, std::int64_t processStartUnixMs, const TimePoint &now);
