LibSite: Measure the lag of urgent and of ordinary work, and end sent starts urgently

Cause (review, by reading): the lag was measured by ordinary work only, so urgent work that fills the loop kept the measurement from running: the lag read 0, reports went on at full rate, and no start ran. Answers to starts waited behind other starts, and the time limit of a call could pass while its answer was there.

What was ruled out: a fixed share for ordinary work: it would be taken from renewals when they need it most.

Change: a probe in each lane; a probe that hasn't run counts with its lateness. Once a start is sent, the rest of its call is urgent. The members of a gang are never withheld one by one. The window shrinks above 300 ms and grows below 150 ms, after reports have given way (from 100 to 400 ms). Only a pass that the window holds back is dropped after 250 ms, and the next one begins at once. TestPlanningTurns lets the window grow, so that its bound of a call's work binds again, and answers the starts before jobs are deleted, without which its last case couldn't fail.

--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -57,10 +57,11 @@
 
 void JobScheduler::dropOutdatedPass(const TimePoint &now)
 {
-    if (m_pass.isOver() || now.instant < m_passBeganAt + maxPassAge)
+    if (m_pass.isOver() || !isStartWindowFull() || now.instant < m_passBeganAt + maxPassAge)
         return;
     m_pass = {};
     m_needsPass = true;
+    m_nextPassAt = std::min(m_nextPassAt, now.instant);
 }
 
 void JobScheduler::beginPass(const TimePoint &now)
@@ -439,6 +440,7 @@
     command.checkpoint = job.findTask(task)->checkpoint;
     command.leaseDeadlineMs = worker.grantLease(now.instant, m_settings.lease);
     command.token = m_ownership.token;
+    command.isOfGang = job.spec(task.step).isGang;
     setPhase(run, RunPhase::Starting, now);
     run.sentAt = now.instant;
     run.startDeadline = worker.latestLeaseEnd();
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -7,6 +7,7 @@
 #include <LibSite/FencedAppend.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <iterator>
@@ -223,7 +224,8 @@
 {
     m_state.metrics.setOwner(true);
     spawn(followWorkers());
-    spawnInBackground(Priority::Ordinary, measureTimerLag());
+    spawnInBackground(Priority::Ordinary, probeOrdinaryWork());
+    spawnInBackground(Priority::Urgent, measureTimerLag());
     while (!m_isOver) {
         if (m_scheduler.isDeposed())
             depose("a worker has seen a higher fencing token");
@@ -308,9 +310,10 @@
     return Priority::Urgent;
 }
 
-static Priority priorityOf(const Jobs::StartCommand &)
+static Priority priorityOf(const Jobs::StartCommand &command)
 {
-    return Priority::Ordinary;
+    // The members of a gang start together or not at all, so none of them may be withheld alone.
+    return command.isOfGang ? Priority::Urgent : Priority::Ordinary;
 }
 
 static Priority priorityOf(const Jobs::ThrottleCommand &)
@@ -326,7 +329,7 @@
         std::visit(
             [this, deadline](auto &typedCommand) {
                 spawnInBackground(priorityOf(typedCommand),
-                                  send(std::move(typedCommand), deadline));
+                                  sendUrgently(std::move(typedCommand), deadline));
             },
             command);
     }
@@ -525,11 +528,19 @@
     LOG4CXX_INFO(partLogger, "event=release term=" << m_ownership.term << " written=" << isWritten);
 }
 
+template<typename Command>
+asio::awaitable<void> OwnerSession::sendUrgently(Command command, Core::Instant deadline)
+{
+    const BackgroundExecutor urgent(m_background, Priority::Urgent);
+    co_await asio::co_spawn(urgent, send(std::move(command), deadline), asio::use_awaitable);
+}
+
 asio::awaitable<void> OwnerSession::send(Jobs::StartCommand command, Core::Instant deadline)
 {
     Jobs::StartOutcome outcome = Jobs::StartOutcome::Withheld;
     const Core::Instant began = Core::steadyNow();
-    if (isOwnershipProven() && !m_isOver && began < deadline - minStartTime)
+    const bool isInTime = command.isOfGang || began < deadline - minStartTime;
+    if (isOwnershipProven() && !m_isOver && isInTime)
         outcome = co_await m_workers.start(command, deadline);
     const std::chrono::duration<double> took = Core::steadyNow() - began;
     m_state.metrics.countStart(Jobs::startOutcomeText(outcome), took.count());
@@ -608,13 +619,27 @@
     m_wakeup.wake();
 }
 
+asio::awaitable<void> OwnerSession::probeOrdinaryWork()
+{
+    Supervision::Wakeup pause(m_executor);
+    while (!m_isOver) {
+        m_ordinaryProbeDueAt = Core::steadyNow() + timerLagInterval;
+        co_await pause.sleepUntil(m_ordinaryProbeDueAt);
+        m_ordinaryLag = Core::steadyNow() - m_ordinaryProbeDueAt;
+    }
+}
+
 asio::awaitable<void> OwnerSession::measureTimerLag()
 {
     Supervision::Wakeup pause(m_executor);
     while (!m_isOver) {
         const Core::Instant due = Core::steadyNow() + timerLagInterval;
         co_await pause.sleepUntil(due);
-        const Core::Duration lag = Core::steadyNow() - due;
+        const Core::Instant now = Core::steadyNow();
+        // Urgent work may keep the ordinary probe from running for as long as it likes.
+        const Core::Duration lag
+            = std::max({ now - due, now - m_ordinaryProbeDueAt, m_ordinaryLag });
+        m_ordinaryLag = {};
         m_scheduler.setLag(lag);
         m_loopMeter.noteTimerLag(lag);
     }
--- a/Tests/LibJob/TestPlanningTurns.cpp
+++ b/Tests/LibJob/TestPlanningTurns.cpp
@@ -66,6 +66,8 @@
         const std::vector<Command> commands = m_scheduler.takeCommands(m_now);
         const std::int64_t work = m_scheduler.planningWork();
         commit();
+        // The process is on time, so that the start window grows and bounds no call.
+        m_scheduler.setLag({});
         for (const Command &command : commands) {
             if (const auto *start = std::get_if<StartCommand>(&command))
                 m_scheduler.onStartOutcome(*start, StartOutcome::Started, m_now);
@@ -148,6 +150,8 @@
     for (int i = 0; i < jobs; ++i)
         site.submit(i, 0);
     site.plan();
+    // Sends the starts that the first call has planned, so that others may follow.
+    site.plan();
     const std::size_t starts = site.starts().size();
     REQUIRE(starts > 0);
     REQUIRE(starts < std::size_t { jobs } * EmptySite::tasksPerJob);
--- a/Tests/LibJob/TestStartWindow.cpp
+++ b/Tests/LibJob/TestStartWindow.cpp
@@ -32,7 +32,7 @@
     }
     SECTION("between the limits it stays")
     {
-        noteLag(window, milliseconds(100), true, 100);
+        noteLag(window, milliseconds(300), true, 100);
         CHECK(window.size() == StartWindow::initialSize);
     }
     SECTION("it doesn't grow while it isn't used, so that no burst follows a calm time")
--- a/include/LibJob/Commands.h
+++ b/include/LibJob/Commands.h
@@ -40,6 +40,7 @@
     /// clock.
     std::int64_t leaseDeadlineMs = 0;
     FencingToken token = 0;
+    bool isOfGang = false;
 
     bool operator==(const StartCommand &) const = default;
 };
--- a/include/LibJob/StartWindow.h
+++ b/include/LibJob/StartWindow.h
@@ -10,14 +10,15 @@
 ///
 /// Starts that the process can't send at once would delay everything else that it owes the workers.
 /// While its calls run late the bound shrinks by a factor, while they are on time it grows again,
-/// so that an owner of any speed sends what it plans within a few multiples of `maxLag`.
+/// so that an owner that is fast enough sends what it plans within about `maxLag`. Reports are
+/// requested less often at a smaller lag already; see JobScheduler::renewalInterval().
 class StartWindow
 {
 public:
     /// Calls that run later than this are late.
-    static constexpr Core::Duration maxLag = std::chrono::milliseconds(100);
+    static constexpr Core::Duration maxLag = std::chrono::milliseconds(300);
     /// Calls that run no later than this leave room for more.
-    static constexpr Core::Duration minLag = std::chrono::milliseconds(50);
+    static constexpr Core::Duration minLag = std::chrono::milliseconds(150);
     static constexpr std::size_t initialSize = 256;
     static constexpr std::size_t minSize = 128;
     static constexpr std::size_t maxSize = 1024;
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/SteadyClock.h>
 #include <LibJob/DecisionLog.h>
 #include <LibJob/JobScheduler.h>
 #include <LibSite/AppendBatches.h>
@@ -95,6 +96,10 @@
     /// Returns false if the append failed or wasn't answered.
     boost::asio::awaitable<bool> appendOnce(const std::vector<Jobs::StoredRecord> &records);
     boost::asio::awaitable<void> writeRelease();
+    /// Sends a command. Once it has been sent, its answer waits for no ordinary work: in the
+    /// meantime its time limit might pass, although the answer is there.
+    template<typename Command>
+    boost::asio::awaitable<void> sendUrgently(Command command, Core::Instant deadline);
     /// These send a command. \p deadline is on the steady clock.
     boost::asio::awaitable<void> send(Jobs::StartCommand command, Core::Instant deadline);
     boost::asio::awaitable<void> send(Jobs::StopCommand command, Core::Instant deadline);
@@ -108,6 +113,8 @@
     void applyWorkers();
     /// Reports to the scheduler how late the work with workers runs.
     void applyOtherIncarnation(const Core::VmId &worker, const std::string &address);
+    /// Measures how late ordinary work runs.
+    boost::asio::awaitable<void> probeOrdinaryWork();
     boost::asio::awaitable<void> measureTimerLag();
     /// Runs \p work as a coroutine of its own. `run()` doesn't return before it has ended.
     void spawn(boost::asio::awaitable<void> work);
@@ -148,6 +155,10 @@
     Core::Instant m_nextHeartbeatAt;
     Core::Instant m_nextMetricsAt = {};
     LoopMeter m_loopMeter;
+    /// When the probe of ordinary work was or is due, on the steady clock.
+    Core::Instant m_ordinaryProbeDueAt = Core::steadyNow();
+    /// How late that probe ran since the last measurement of the lag.
+    Core::Duration m_ordinaryLag = {};
     bool m_isCommitting = false;
     bool m_isOver = false;
     bool m_isReleasing = false;
