LibSite: Find the counters of starts and decisions without their family

Cause: each start and each decision built a map of labels and made the family compare it under its lock.

What was ruled out: the same for calls to the store: there are too few of them to matter.

Change: CountersByLabel keeps the counters that were used before, by the value of the label. The metrics are used on one thread only (NodeProcess runs its context once).

--- a/Libraries/LibSite/SiteMetrics.cpp
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -39,11 +39,12 @@
     , m_readRecords(counters(m_registry, "lagoonford_log_read_records_total",
                              "Records read from the log by topic"))
     , m_starts(
-          counters(m_registry, "lagoonford_task_starts_total", "Orders to start a task by outcome"))
+          counters(m_registry, "lagoonford_task_starts_total", "Orders to start a task by outcome"),
+          "outcome")
     , m_startSeconds(histograms(m_registry, "lagoonford_task_start_seconds",
                                 "Time until an order to start a task was answered")
                          .Add({}, latencyBuckets))
-    , m_decisions(counters(m_registry, "lagoonford_decisions_total", "Decisions on tasks"))
+    , m_decisions(counters(m_registry, "lagoonford_decisions_total", "Decisions on tasks"), "event")
     , m_isOwner(gauge(m_registry, "lagoonford_is_owner", "1 while this node owns the site's jobs"))
     , m_running(gauge(m_registry, "lagoonford_tasks_running", "Runs that aren't known to be gone"))
     , m_waiting(gauge(m_registry, "lagoonford_tasks_waiting", "Tasks that wait for a worker"))
@@ -73,9 +74,9 @@
     m_storeSeconds.Add({ { "call", call } }, latencyBuckets).Observe(seconds);
 }
 
-void SiteMetrics::countStart(const std::string &outcome, double seconds)
+void SiteMetrics::countStart(std::string_view outcome, double seconds)
 {
-    m_starts.Add({ { "outcome", outcome } }).Increment();
+    m_starts.at(outcome).Increment();
     m_startSeconds.Observe(seconds);
 }
 
@@ -85,9 +86,9 @@
     m_readRecords.Add({ { "topic", topic } }).Increment(static_cast<double>(records));
 }
 
-void SiteMetrics::countDecision(const std::string &event)
+void SiteMetrics::countDecision(std::string_view event)
 {
-    m_decisions.Add({ { "event", event } }).Increment();
+    m_decisions.at(event).Increment();
 }
 
 void SiteMetrics::setOwner(bool isOwner)
--- a/include/LibSite/SiteMetrics.h
+++ b/include/LibSite/SiteMetrics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibSite/CountersByLabel.h>
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -7,6 +9,7 @@
 
 #include <cstddef>
 #include <string>
+#include <string_view>
 
 namespace Site {
 
@@ -23,8 +26,8 @@
     /// Counts a successful read of the log. \p topic is jobs, operators or workers; \p seconds is
     /// how long the call took, including the time for which the store waited for a record.
     void countRead(const std::string &topic, std::size_t records, double seconds);
-    void countStart(const std::string &outcome, double seconds);
-    void countDecision(const std::string &event);
+    void countStart(std::string_view outcome, double seconds);
+    void countDecision(std::string_view event);
     void setOwner(bool isOwner);
     void setTasks(double running, double waiting);
     /// Sets the age of the copy of the job records; -1 if it was never complete.
@@ -48,9 +51,9 @@
     prometheus::Family<prometheus::Histogram> &m_storeSeconds;
     prometheus::Family<prometheus::Histogram> &m_readSeconds;
     prometheus::Family<prometheus::Counter> &m_readRecords;
-    prometheus::Family<prometheus::Counter> &m_starts;
+    CountersByLabel m_starts;
     prometheus::Histogram &m_startSeconds;
-    prometheus::Family<prometheus::Counter> &m_decisions;
+    CountersByLabel m_decisions;
     prometheus::Gauge &m_isOwner;
     prometheus::Gauge &m_running;
     prometheus::Gauge &m_waiting;
