LibSite: Don't decode a worker's record that hasn't changed

Cause: workers publish their records again and again, about 900 a second at the largest site, and each was decoded.

What was ruled out: a hash of the bytes: the bytes of 1,100 workers are some hundred kilobytes, and comparing them leaves no doubt. To overlook members that aren't used, such as the sequence number: that takes decoding.

Change: WorkerFollower keeps the bytes of each listed worker's record and skips a record with the same. A record that can't be decoded isn't kept, so it is reported again like before.

How many records of a real site are equal in all bytes wasn't measured. A new test checks which records are decoded and that the list is the same as ever.

--- a/Libraries/LibSite/WorkerFollower.cpp
+++ b/Libraries/LibSite/WorkerFollower.cpp
@@ -38,7 +38,7 @@
 {
     std::vector<Jobs::WorkerInfo> list;
     for (const auto &[key, worker] : m_workers)
-        list.push_back(worker);
+        list.push_back(worker.info);
     return list;
 }
 
@@ -57,8 +57,13 @@
             LOG4CXX_INFO(partLogger, "event=unlisted worker=" << key);
             return;
         }
+        // Workers publish their records again and again without a change.
+        const auto listed = m_workers.find(key);
+        if (listed != m_workers.end() && listed->second.record == logged.record.value)
+            return;
         const Jobs::WorkerInfo worker = m_decoder.decodeWorkerRecord(logged.record);
-        Jobs::WorkerInfo &known = m_workers[key];
+        m_workers[key].record = logged.record.value;
+        Jobs::WorkerInfo &known = m_workers[key].info;
         if (known == worker)
             return;
         if (known.isDraining != worker.isDraining
--- a/Tests/LibSite/TestSnapshots.cpp
+++ b/Tests/LibSite/TestSnapshots.cpp
@@ -31,6 +31,28 @@
     const SiteState &m_state;
 };
 
+/// Counts the records of workers that are decoded. One that begins with `!` is malformed.
+class CountingDecoder final : public SiteDecoder
+{
+public:
+    OperatorChange decodeOperatorRecord(const Jobs::StoredRecord &) const override
+    {
+        return IrrelevantChange();
+    }
+    Jobs::WorkerInfo decodeWorkerRecord(const Jobs::StoredRecord &record) const override
+    {
+        ++decoded;
+        if (record.value.starts_with('!'))
+            throw Core::FormatError("read worker", record.key, "malformed");
+        Jobs::WorkerInfo worker;
+        worker.id = Core::VmId(record.key);
+        worker.address = record.value.substr(0, 1);
+        return worker;
+    }
+
+    mutable int decoded = 0;
+};
+
 } // namespace
 
 TEST_CASE("Domains stay out of service while a new snapshot is read")
@@ -91,3 +113,45 @@
     CHECK(follower.workers().size() == 4);
     CHECK(fewest == 3);
 }
+
+TEST_CASE("A worker's record that is published again unchanged isn't decoded again")
+{
+    SiteFixture site;
+    const auto guard = asio::make_work_guard(site.context);
+    const CountingDecoder decoder;
+    WorkerFollower follower(site.log, decoder);
+    struct Step
+    {
+        std::string record;
+        int decoded = 0;
+        bool isChanged = false;
+        std::string address;
+    };
+    site.log.put(Topic::Workers, { "w1", "a1" });
+    while (follower.workers().empty())
+        site.await(follower.read(0));
+    const Jobs::WorkerInfo other = follower.workers().front();
+    CHECK(other.address == "a");
+    const int before = decoder.decoded;
+    int decoded = 0;
+    // An empty record unlists the worker; the same record as before then lists it again, as after
+    // one that can't be decoded.
+    for (const Step &step : std::vector<Step> { { "a1", 0, false, "a" },
+                                                { "a2", 1, false, "a" },
+                                                { "a2", 0, false, "a" },
+                                                { "a1", 1, false, "a" },
+                                                { "b1", 1, true, "b" },
+                                                { "", 0, true, "" },
+                                                { "b1", 1, true, "b" },
+                                                { "!", 1, true, "" },
+                                                { "!", 1, false, "" },
+                                                { "b1", 1, true, "b" } }) {
+        CAPTURE(step.record);
+        site.log.put(Topic::Workers, { "w1", step.record });
+        CHECK(site.await(follower.read(0)) == step.isChanged);
+        decoded += step.decoded;
+        CHECK(decoder.decoded == before + decoded);
+        const std::vector<Jobs::WorkerInfo> workers = follower.workers();
+        CHECK((workers.empty() ? "" : workers.front().address) == step.address);
+    }
+}
--- a/include/LibSite/WorkerFollower.h
+++ b/include/LibSite/WorkerFollower.h
@@ -31,9 +31,17 @@
     void endSnapshot() override { }
     void apply(const LoggedRecord &record) override;
 
+    struct ListedWorker
+    {
+        /// The record that describes the worker, as it was read.
+        std::string record;
+        Jobs::WorkerInfo info;
+    };
+
     const SiteDecoder &m_decoder;
     LogFollower m_follower;
-    std::map<std::string, Jobs::WorkerInfo> m_workers;
+    /// By the keys of their records. A record that can't be decoded isn't kept.
+    std::map<std::string, ListedWorker> m_workers;
     bool m_isChanged = false;
     std::optional<Core::Instant> m_completeAsOf;
 };
