--- a/Tests/platform/TestOddPages.cpp
+++ b/Tests/platform/TestOddPages.cpp
@@ -172,7 +172,9 @@
     for (const std::string &item : odd) {
         INFO(item);
         ByteLog log;
-        log.newestAfter[""] = newest(itemA + ',' + item + ',' + itemB, false);
+        std::string items = itemA;
+        items.append(",").append(item).append(",").append(itemB);
+        log.newestAfter[""] = newest(items, false);
         CHECK(recordsOf(log, 1) == both);
     }
     SECTION("the page after one of which no item is readable is read")
