LibSite: Read a command's priority before it is moved

Cause: the linter found that the arguments of one call read a command and move it, in no given order.

What was ruled out: nothing.

Change: the priority is read first.

Measured: lint of the file is clean; TestLibSite builds.

--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -328,8 +328,8 @@
     for (Jobs::Command &command : m_scheduler.takeCommands(now())) {
         std::visit(
             [this, deadline](auto &typedCommand) {
-                spawnInBackground(priorityOf(typedCommand),
-                                  sendUrgently(std::move(typedCommand), deadline));
+                const Priority priority = priorityOf(typedCommand);
+                spawnInBackground(priority, sendUrgently(std::move(typedCommand), deadline));
             },
             command);
     }
