Tests: Lose the answer to the progress, not that to a heartbeat

What was ruled out: a fault of the owner: without any answer it can't go on to the next append.

Change: the test waits for a heartbeat first, so that the next append is that of the progress. Its checks are unchanged, one is added.

--- a/Tests/LibSite/TestJobTableCopies.cpp
+++ b/Tests/LibSite/TestJobTableCopies.cpp
@@ -35,6 +35,10 @@
 
     SECTION("if its last append was never answered")
     {
+        // Behind a heartbeat, so that the append without an answer is that of the progress.
+        const int appends = site.log.appends;
+        REQUIRE(site.runUntil([&site, appends] { return site.log.appends > appends; }));
+        site.run(20);
         site.log.losesAnswers = true;
         appendSubmission(site, "a");
         REQUIRE(site.runUntil(hasProgress));
