LibJob: Tell where the time of a late job went

Nothing told, for one late job, from ready to started by step, from ended to known, from known to durable, so the hypotheses 'late steps lose their turn' and 'ends are learned late' couldn't be told apart from logs or metrics of the former code. Change: JobTiming keeps when each step reached each stage, in the owner's memory only; event=late-job names all of them once the end of a late job is durable. No decision changes.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -174,6 +174,7 @@
     }
     JobPtr &job = m_jobs[id];
     job = std::make_unique<OwnedJob>(entry);
+    job->timing = JobTiming(entry.submission.spec.steps.size(), now.instant);
     for (const StepSpec &step : entry.submission.spec.steps)
         job->images.push_back(m_images.indexOf(step.image));
     const std::vector<TaskName> doubts = doubtsOf(*job);
@@ -200,6 +201,7 @@
     if (job.isOver())
         return;
     job.finish(state, now.unixMs);
+    job.endKnownAt = now.instant;
     markDirty(job);
     discardPlannedRuns(job);
     stopAllRuns(job, now);
@@ -265,6 +267,7 @@
             continue;
         job->setDurableWorkers(workers);
         startPlannedRuns(*job, now);
+        noteEndDurable(*job, now);
         const bool isFinished
             = job->isOver() && !job->isDirty && !job->hasNewWorkers && !job->hasRuns();
         if (isFinished) {
@@ -283,6 +286,30 @@
     }
 }
 
+void JobScheduler::noteEndDurable(OwnedJob &job, const TimePoint &now)
+{
+    // A job that ended while the commit was under way is dirty again.
+    if (!job.isOver() || job.isDirty || job.isEndDurable)
+        return;
+    job.isEndDurable = true;
+    const Queue &queue = *queueOf(job);
+    m_log.noteEndDurable(now.instant - job.endKnownAt);
+    const JobSpec &spec = job.submission().spec;
+    if (job.progress().state != JobState::Completed || spec.isScheduled())
+        return;
+    const Core::Instant due = dueAt(job, 0, now);
+    const Core::Duration objective = StartOrder::objective(job, queue);
+    if (now.instant <= due + objective)
+        return;
+    const auto inMs = [](Core::Duration duration) {
+        return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
+    };
+    m_log.note(job.id().text(), "late-job",
+               "queue=" + queue.id.text() + " priority=" + std::to_string(queue.priority)
+                   + " total_ms=" + inMs(now.instant - due) + " objective_ms=" + inMs(objective)
+                   + ' ' + job.timing.describe(due));
+}
+
 void JobScheduler::deleteOldJobs(const TimePoint &now)
 {
     const std::int64_t retentionMs
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -102,6 +102,9 @@
     if (hasRestarted || !worker->isReconciled())
         beginContact(*worker, report.processStartUnixMs, now);
     worker->readClock(report.clockMs, now.instant);
+    const Core::Duration unwatched = worker->lastAnswerAt() == Core::Instant()
+        ? Core::Duration()
+        : std::max(Core::Duration(), sentAt - worker->lastAnswerAt());
     worker->noteAnswer(now.instant);
     const bool isComplete = report.ended.size() < WorkerReport::maxEnds;
     const bool wasReconciled = worker->isReconciled() && !hasRestarted;
@@ -115,7 +118,7 @@
         if (end.number <= lastEnd)
             continue;
         lastEnd = end.number;
-        onRunEnded(*worker, end, now);
+        onRunEnded(*worker, end, unwatched, now);
     }
     if (lastEnd > worker->processedEnd()) {
         // The worker must keep an end that proves that a job has begun until the begun state is
@@ -191,6 +194,7 @@
     if (run.phase != RunPhase::Running) {
         setPhase(run, RunPhase::Running, now);
         run.progressedAt = now.instant;
+        noteRunStarted(*job, entry.task, run, now);
     }
     if (!entry.checkpoint.empty())
         task->checkpoint = entry.checkpoint;
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -18,6 +18,7 @@
     task.run->worker = &worker;
     task.run->phase = phase;
     task.run->phaseBeganAt = now.instant;
+    task.run->plannedAt = now.instant;
     task.run->progressedAt = now.instant;
     m_pendingStarts += task.run->isStartPending() ? 1 : 0;
     task.run->sentAt = now.instant;
@@ -35,6 +36,17 @@
     m_pendingStarts += run.isStartPending() ? 1 : 0;
 }
 
+void JobScheduler::noteRunStarted(OwnedJob &job, const TaskName &name, const TaskRun &run,
+                                  const TimePoint &now)
+{
+    const OwnedStep &step
+        = job.occurrences().at(name.occurrence)[static_cast<std::size_t>(name.step)];
+    const TaskState &task = step.tasks[static_cast<std::size_t>(name.index)];
+    const Core::Instant couldStartAt = std::max(step.readyAt, task.lastRunEndedAt);
+    m_log.noteStarted(queueOf(job)->id, name.step, now.instant - couldStartAt);
+    job.timing.noteStarted(name.step, run.plannedAt, run.sentAt, now.instant);
+}
+
 void JobScheduler::setThrottle(TaskRun &run, const StepSpec &spec, int percent)
 {
     run.worker->noteThrottle(spec, run.throttlePercent, percent);
@@ -147,6 +159,7 @@
         if (run.phase == RunPhase::Starting) {
             setPhase(run, RunPhase::Running, now);
             run.progressedAt = now.instant;
+            noteRunStarted(*job, command.task, run, now);
         }
         return;
     }
@@ -193,8 +206,7 @@
 {
     if (!job.spec(name.step).isGang) {
         job.markTaskDone(name, now.unixMs);
-        job.refresh(name.occurrence);
-        markDirty(job);
+        onTasksDone(job, name.occurrence, now);
         return;
     }
     // The end of one member stands for the ends of all.
@@ -204,7 +216,15 @@
         if (job.markTaskDone({ name.job, name.occurrence, name.step, index }, now.unixMs))
             break;
     }
-    job.refresh(name.occurrence);
+    onTasksDone(job, name.occurrence, now);
+}
+
+void JobScheduler::onTasksDone(OwnedJob &job, int occurrence, const TimePoint &now)
+{
+    if (job.isOver())
+        job.endKnownAt = now.instant;
+    job.refresh(occurrence);
+    noteReadySteps(job, occurrence, now);
     markDirty(job);
 }
 
@@ -229,7 +249,8 @@
     return abandoned != step.abandonedRuns.end() && run <= abandoned->second;
 }
 
-void JobScheduler::onRunEnded(WorkerState &worker, const EndedEntry &end, const TimePoint &now)
+void JobScheduler::onRunEnded(WorkerState &worker, const EndedEntry &end, Core::Duration unwatched,
+                              const TimePoint &now)
 {
     OwnedJob *job = findJob(end.task.job);
     if (job)
@@ -274,9 +295,11 @@
     if (hasWorked)
         setCrashHistory(*job, end.task, {});
     const bool isDone = end.kind == EndKind::Done && !job->spec(end.task.step).isLongRunning;
-    if (isDone)
+    if (isDone) {
+        m_log.noteEndKnown(queueOf(*job)->id, end.task.step, unwatched);
+        job->timing.noteDone(end.task.step, now.instant, unwatched);
         onTaskDone(*job, end.task, now);
-    else if (end.kind == EndKind::Failed)
+    } else if (end.kind == EndKind::Failed)
         onTaskFailed(*job, end, now);
 }
 
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -228,6 +228,7 @@
     const JobSpec &spec = job.submission().spec;
     if (!spec.isScheduled()) {
         job.beginOccurrence(0);
+        noteReadySteps(job, 0, now);
         return;
     }
     for (std::int64_t i = 0; i < spec.repeatCount; ++i) {
@@ -237,6 +238,21 @@
         if (!job.occurrences().contains(occurrence))
             m_needsPass = true;
         job.beginOccurrence(occurrence);
+        noteReadySteps(job, occurrence, now);
+    }
+}
+
+void JobScheduler::noteReadySteps(OwnedJob &job, int occurrence, const TimePoint &now)
+{
+    const auto found = job.occurrences().find(occurrence);
+    if (found == job.occurrences().end())
+        return;
+    for (std::size_t i = 0; i < found->second.size(); ++i) {
+        OwnedStep &step = found->second[i];
+        if (!step.isReady || step.readyAt != Core::Instant())
+            continue;
+        step.readyAt = now.instant;
+        job.timing.noteReady(static_cast<int>(i), now.instant);
     }
 }
 
--- a/Libraries/LibJob/StartOrder.cpp
+++ b/Libraries/LibJob/StartOrder.cpp
@@ -12,7 +12,7 @@
 /// Places long-running steps behind all others that are on time and have the same priority.
 static constexpr double longRunningWork = 1e12;
 /// Up to this multiple of its objective, a late job still has part of its value.
-static constexpr double lateFactor = 3.0;
+static constexpr int lateFactor = 3;
 /// Number of recent jobs over which the mean is smoothed.
 static constexpr std::int64_t meanWindow = 50;
 
@@ -31,15 +31,21 @@
     return mean == m_meanWork.end() ? 0 : mean->second.value;
 }
 
-static Timeliness timeliness(const OwnedJob &job, int step, const Queue &queue, Core::Instant dueAt,
-                             Core::Instant now)
+Core::Duration StartOrder::objective(const OwnedJob &job, const Queue &queue)
 {
     const double objectiveMs = queue.stretch * static_cast<double>(job.criticalPathMs())
         + static_cast<double>(queue.objectiveBaseMs);
+    return milliseconds(static_cast<std::int64_t>(objectiveMs));
+}
+
+static Timeliness timeliness(const OwnedJob &job, int step, const Queue &queue, Core::Instant dueAt,
+                             Core::Instant now)
+{
+    const Core::Duration objective = StartOrder::objective(job, queue);
     const Core::Instant end = now + milliseconds(job.criticalPathMsFrom(step));
-    if (end <= dueAt + milliseconds(static_cast<std::int64_t>(objectiveMs)))
+    if (end <= dueAt + objective)
         return Timeliness::OnTime;
-    if (end <= dueAt + milliseconds(static_cast<std::int64_t>(lateFactor * objectiveMs)))
+    if (end <= dueAt + lateFactor * objective)
         return Timeliness::Late;
     return Timeliness::TooLate;
 }
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -165,6 +165,26 @@
     noteEssential("worker", worker, event, inputs);
 }
 
+static double inSeconds(Core::Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+void OwnerSession::noteStarted(const Jobs::QueueId &queue, int step, Core::Duration waited)
+{
+    m_state.metrics.observeStart(queue.text(), step, inSeconds(waited));
+}
+
+void OwnerSession::noteEndKnown(const Jobs::QueueId &queue, int step, Core::Duration unwatched)
+{
+    m_state.metrics.observeEnd(queue.text(), step, inSeconds(unwatched));
+}
+
+void OwnerSession::noteEndDurable(Core::Duration after)
+{
+    m_state.metrics.observeDurableEnd(inSeconds(after));
+}
+
 void OwnerSession::noteEssential(std::string_view kind, std::string_view subject,
                                  std::string_view event, std::string_view inputs)
 {
@@ -381,8 +401,7 @@
         return;
     m_nextMetricsAt = now + metricsInterval;
     const LoopSummary loop = m_loopMeter.takeSummary(now);
-    const std::chrono::duration<double> timerLag = loop.timerLag;
-    m_state.metrics.setOwnerLag(timerLag.count());
+    m_state.metrics.setOwnerLag(inSeconds(loop.timerLag));
     logIfBehind(loop);
     const LoopMeter::Work work(m_loopMeter, "metrics");
     const std::size_t waiting = m_scheduler.waitingCount();
--- a/Libraries/LibSite/SiteMetrics.cpp
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -45,6 +45,17 @@
                                 "Time until an order to start a task was answered")
                          .Add({}, latencyBuckets))
     , m_decisions(counters(m_registry, "lagoonford_decisions_total", "Decisions on tasks"), "event")
+    , m_startDelays(
+          histograms(m_registry, "lagoonford_task_start_delay_seconds",
+                     "Time from when a task could start until a worker confirmed its start"),
+          latencyBuckets)
+    , m_unwatchedEnds(
+          histograms(m_registry, "lagoonford_task_end_unwatched_seconds",
+                     "Time without an open renewal at the worker before an end was learned"),
+          latencyBuckets)
+    , m_durableEndSeconds(histograms(m_registry, "lagoonford_job_end_durable_seconds",
+                                     "Time from when a job's end was learned until it was durable")
+                              .Add({}, latencyBuckets))
     , m_isOwner(gauge(m_registry, "lagoonford_is_owner", "1 while this node owns the site's jobs"))
     , m_running(gauge(m_registry, "lagoonford_tasks_running", "Runs that aren't known to be gone"))
     , m_waiting(gauge(m_registry, "lagoonford_tasks_waiting", "Tasks that wait for a worker"))
@@ -91,6 +102,21 @@
     m_decisions.at(event).Increment();
 }
 
+void SiteMetrics::observeStart(std::string_view queue, int step, double seconds)
+{
+    m_startDelays.at(queue, step).Observe(seconds);
+}
+
+void SiteMetrics::observeEnd(std::string_view queue, int step, double seconds)
+{
+    m_unwatchedEnds.at(queue, step).Observe(seconds);
+}
+
+void SiteMetrics::observeDurableEnd(double seconds)
+{
+    m_durableEndSeconds.Observe(seconds);
+}
+
 void SiteMetrics::setOwner(bool isOwner)
 {
     m_isOwner.Set(isOwner ? 1 : 0);
--- a/include/LibJob/DecisionLog.h
+++ b/include/LibJob/DecisionLog.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include <LibCore/Time.h>
+#include <LibJob/JobSpec.h>
 #include <LibJob/TaskName.h>
 
 #include <string_view>
 
 namespace Jobs {
 
-/// Receives each scheduling decision for the log.
+/// Receives each scheduling decision, and how long what follows from it took, for the log and the
+/// metrics.
 class DecisionLog
 {
 public:
@@ -35,6 +38,19 @@
     {
         note(worker, event, inputs);
     }
+
+    /// A worker has confirmed the start of a task, which had been able to start for \p waited.
+    virtual void noteStarted(const QueueId & /*queue*/, int /*step*/, Core::Duration /*waited*/) { }
+
+    /// A report has shown the end of a run. No renewal had been open at the worker for
+    /// \p unwatched before the one that showed it, so the run may have ended that much earlier.
+    virtual void noteEndKnown(const QueueId & /*queue*/, int /*step*/, Core::Duration /*unwatched*/)
+    {
+    }
+
+    /// The end of a job, which callers may see from now on, is durable; it was learned \p after
+    /// earlier.
+    virtual void noteEndDurable(Core::Duration /*after*/) { }
 };
 
 } // namespace Jobs
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -210,6 +210,13 @@
     /// Ends the job in \p state, unless it has ended.
     void endEarly(OwnedJob &job, JobState state, const TimePoint &now);
     Core::Instant dueAt(const OwnedJob &job, int occurrence, const TimePoint &now) const;
+    /// Notes when the steps of an occurrence became ready.
+    static void noteReadySteps(OwnedJob &job, int occurrence, const TimePoint &now);
+    /// Called when it is known that a worker has carried out the start of the run.
+    void noteRunStarted(OwnedJob &job, const TaskName &name, const TaskRun &run,
+                        const TimePoint &now);
+    /// Called when all that the job's last commit recorded is durable.
+    void noteEndDurable(OwnedJob &job, const TimePoint &now);
 
     void discardAllPlannedRuns();
     void rememberEndedJob(const JobId &id, std::int64_t endedUnixMs);
@@ -284,8 +291,12 @@
     void setPhase(TaskRun &run, RunPhase phase, const TimePoint &now);
     void stopAllRuns(OwnedJob &job, const TimePoint &now);
     void requestStop(const TaskName &name, TaskRun &run, const TimePoint &now);
-    void onRunEnded(WorkerState &worker, const EndedEntry &end, const TimePoint &now);
+    /// \p unwatched is how long no renewal was open at the worker before the one that was answered
+    /// with the end.
+    void onRunEnded(WorkerState &worker, const EndedEntry &end, Core::Duration unwatched,
+                    const TimePoint &now);
     void onTaskDone(OwnedJob &job, const TaskName &name, const TimePoint &now);
+    void onTasksDone(OwnedJob &job, int occurrence, const TimePoint &now);
     void onTaskFailed(OwnedJob &job, const EndedEntry &end, const TimePoint &now);
     /// Returns false if the run isn't wanted on the worker.
     bool onRunning(WorkerState &worker, const RunningEntry &entry, const TimePoint &now);
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibJob/Catalogue.h>
 #include <LibJob/JobTable.h>
+#include <LibJob/JobTiming.h>
 #include <LibJob/SlowdownModel.h>
 #include <LibJob/TaskName.h>
 #include <LibJob/TaskRun.h>
@@ -19,6 +20,8 @@
     std::vector<TaskState> tasks;
     /// True if all steps that this one depends on have completed.
     bool isReady = false;
+    /// When the owner learned that `isReady`; the epoch before.
+    Core::Instant readyAt = {};
     /// Number of tasks that are neither done nor have a run.
     int waitingCount = 0;
     /// When the log last said why the step waits; the epoch if it never did.
@@ -97,6 +100,11 @@
     /// Workers on which a former owner may have started tasks and which haven't been reconciled
     /// or replaced yet.
     std::set<Core::VmId> unreconciledWorkers;
+    JobTiming timing { 0, Core::Instant() };
+    /// When this owner learned of the job's end, or decided it; the epoch before.
+    Core::Instant endKnownAt = {};
+    /// A commit that records the end has become durable.
+    bool isEndDurable = false;
 
 private:
     void computeWork();
--- a/include/LibJob/StartOrder.h
+++ b/include/LibJob/StartOrder.h
@@ -44,6 +44,9 @@
 
     double meanWork(const QueueId &queue) const;
 
+    /// The time objective of an occurrence of the job, counted from its due time.
+    static Core::Duration objective(const OwnedJob &job, const Queue &queue);
+
     StartRank rank(const OwnedJob &job, int occurrence, int step, const Queue &queue,
                    Core::Instant dueAt, Core::Instant now) const;
 
--- a/include/LibJob/TaskRun.h
+++ b/include/LibJob/TaskRun.h
@@ -28,6 +28,8 @@
     WorkerState *worker = nullptr;
     RunPhase phase = RunPhase::Planned;
     Core::Instant phaseBeganAt = {};
+    /// When the worker was chosen; for an adopted run, when it was adopted.
+    Core::Instant plannedAt = {};
     /// When the start command was sent; for an adopted run, when it was adopted.
     Core::Instant sentAt = {};
     /// The start command wasn't answered in time, so perhaps it never reached the worker.
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -55,6 +55,9 @@
                         std::string_view inputs) override;
     void noteWorker(std::string_view worker, std::string_view event,
                     std::string_view inputs) override;
+    void noteStarted(const Jobs::QueueId &queue, int step, Core::Duration waited) override;
+    void noteEndKnown(const Jobs::QueueId &queue, int step, Core::Duration unwatched) override;
+    void noteEndDurable(Core::Duration after) override;
 
     /// Logs a decision with a line that isn't left out. \p kind says what the subject is.
     void noteEssential(std::string_view kind, std::string_view subject, std::string_view event,
--- a/include/LibSite/SiteMetrics.h
+++ b/include/LibSite/SiteMetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibSite/CountersByLabel.h>
+#include <LibSite/HistogramsByStep.h>
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -28,6 +29,12 @@
     void countRead(const std::string &topic, std::size_t records, double seconds);
     void countStart(std::string_view outcome, double seconds);
     void countDecision(std::string_view event);
+    /// A task of the queue's jobs has been started; \p seconds is how long it had been able to.
+    void observeStart(std::string_view queue, int step, double seconds);
+    /// The end of a task was learned; \p seconds is for how long it may have gone unnoticed.
+    void observeEnd(std::string_view queue, int step, double seconds);
+    /// The end of a job became durable, \p seconds after it was learned.
+    void observeDurableEnd(double seconds);
     void setOwner(bool isOwner);
     void setTasks(double running, double waiting);
     /// Sets the age of the copy of the job records; -1 if it was never complete.
@@ -54,6 +61,9 @@
     CountersByLabel m_starts;
     prometheus::Histogram &m_startSeconds;
     CountersByLabel m_decisions;
+    HistogramsByStep m_startDelays;
+    HistogramsByStep m_unwatchedEnds;
+    prometheus::Histogram &m_durableEndSeconds;
     prometheus::Gauge &m_isOwner;
     prometheus::Gauge &m_running;
     prometheus::Gauge &m_waiting;
