--- a/Tests/LibJob/OwnerLoadSimulation.cpp
+++ b/Tests/LibJob/OwnerLoadSimulation.cpp
@@ -157,6 +157,13 @@
     return found == m_log.longestWaits.end() ? Core::Duration() : found->second;
 }
 
+Core::Duration OwnerLoadSimulation::meanUnwatched(const std::string &queue) const
+{
+    const auto ends = m_log.ends.find(queue);
+    return ends == m_log.ends.end() ? Core::Duration()
+                                    : m_log.unwatchedSums.at(queue) / ends->second;
+}
+
 void OwnerLoadSimulation::post(Lane lane, Work work)
 {
     m_lanes[lane].push_back(std::move(work));
--- a/Tests/LibJob/OwnerLoadSimulation.h
+++ b/Tests/LibJob/OwnerLoadSimulation.h
@@ -87,6 +87,8 @@
     Core::Duration longestWait(const std::string &queue, int step) const;
     /// The longest time without an open renewal before an end was learned.
     Core::Duration longestUnwatched() const { return m_log.longestUnwatched; }
+    /// The mean of that time over the ends of the queue's tasks.
+    Core::Duration meanUnwatched(const std::string &queue) const;
     /// The longest time from when the end of a job was learned until it was durable.
     Core::Duration longestToDurable() const { return m_log.longestToDurable; }
     int starts() const { return m_starts; }
@@ -148,9 +150,11 @@
             Core::Duration &longest = longestWaits[{ queue.text(), step }];
             longest = std::max(longest, waited);
         }
-        void noteEndKnown(const Jobs::QueueId &, int, Core::Duration unwatched) override
+        void noteEndKnown(const Jobs::QueueId &queue, int, Core::Duration unwatched) override
         {
             longestUnwatched = std::max(longestUnwatched, unwatched);
+            unwatchedSums[queue.text()] += unwatched;
+            ++ends[queue.text()];
         }
         void noteEndDurable(Core::Duration after) override
         {
@@ -160,6 +164,8 @@
         std::vector<std::string> lateJobs;
         std::map<std::pair<std::string, int>, Core::Duration> longestWaits;
         Core::Duration longestUnwatched = {};
+        std::map<std::string, Core::Duration> unwatchedSums;
+        std::map<std::string, int> ends;
         Core::Duration longestToDurable = {};
     };
 
--- a/Tests/LibJob/TestPlanningTurns.cpp
+++ b/Tests/LibJob/TestPlanningTurns.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
+#include <utility>
 #include <variant>
 
 using namespace Jobs;
@@ -36,7 +38,7 @@
         commit();
     }
 
-    void submit(int number, int priority)
+    void submit(int number, int priority, int steps = 1)
     {
         JobEntry entry;
         entry.submission.id = JobId("job-" + std::to_string(number));
@@ -48,7 +50,10 @@
         step.taskCount = tasksPerJob;
         step.need = { 1000, 1000, 0 };
         step.estimateMs = 1000;
-        entry.submission.spec.steps = { step };
+        for (int i = 0; i < steps; ++i) {
+            step.after = i == 0 ? std::vector<int>() : std::vector<int> { i - 1 };
+            entry.submission.spec.steps.push_back(step);
+        }
         entry.submission.submittedUnixMs = m_now.unixMs;
         m_scheduler.addJob(entry, m_now);
     }
@@ -69,12 +74,32 @@
         // The process is on time, so that the start window grows and bounds no call.
         m_scheduler.setLag({});
         for (const Command &command : commands) {
-            if (const auto *start = std::get_if<StartCommand>(&command))
-                m_scheduler.onStartOutcome(*start, StartOutcome::Started, m_now);
+            const auto *start = std::get_if<StartCommand>(&command);
+            if (!start)
+                continue;
+            m_started.push_back(*start);
+            m_scheduler.onStartOutcome(*start, StartOutcome::Started, m_now);
         }
         return work;
     }
 
+    /// Reports that all tasks that have been started so far are done.
+    void endAllTasks()
+    {
+        std::map<Core::VmId, WorkerReport> reports;
+        for (const StartCommand &start : std::exchange(m_started, {})) {
+            WorkerReport &report = reports[start.worker];
+            const auto number = static_cast<std::int64_t>(report.ended.size()) + 1;
+            report.ended.push_back({ number, start.task, start.run, EndKind::Done, "" });
+        }
+        advance();
+        for (auto &[worker, report] : reports) {
+            report.clockMs = m_now.unixMs;
+            report.processStartUnixMs = 1;
+            m_scheduler.onReport(worker, report, m_now.instant, m_now);
+        }
+    }
+
     JobScheduler &scheduler() { return m_scheduler; }
     const TimePoint &now() const { return m_now; }
     /// The job of each start, in order.
@@ -101,6 +126,7 @@
     };
 
     StartLog m_log;
+    std::vector<StartCommand> m_started;
     TimePoint m_now { Core::Instant(std::chrono::seconds(100)), 100'000 };
     JobScheduler m_scheduler { SchedulerSettings(), { 1, 0, Core::Instant() }, m_log };
 };
@@ -143,6 +169,28 @@
     CHECK(startsOf("job-6000") == 0);
 }
 
+TEST_CASE("An urgent step that has become ready doesn't wait for the rest of a long pass",
+          "[!shouldfail]")
+{
+    EmptySite site(1100);
+    site.submit(5000, 0, 2);
+    site.plan();
+    site.plan();
+    REQUIRE(site.starts().size() == EmptySite::tasksPerJob);
+    for (int i = 0; i < 2000; ++i)
+        site.submit(i, 1);
+    site.advance();
+    site.advance();
+    site.plan();
+    REQUIRE(site.scheduler().nextWakeup(site.now()) <= site.now().instant);
+    site.endAllTasks();
+    site.plan();
+    // Sends the starts of this call, which the commit has made durable.
+    site.plan();
+    CHECK(std::count(site.starts().begin(), site.starts().end(), "job-5000")
+          == 2 * EmptySite::tasksPerJob);
+}
+
 TEST_CASE("No task of a job that was cancelled and deleted during a long pass is started")
 {
     constexpr int jobs = 2000;
