LibJob: Order steps by priority before their timeliness

Callers saw: chapter-plan, the queue of priority 0, under its floor while less urgent queues were served. Cause: StartRank compared timeliness first. A step that was late by a tenth of a second came after every step of every queue that was still on time, and under overload there are always such. Written for a site that is short of workers; on one that is short of the owner's processor all steps are late sometimes, the ones with the least slack first. Ruled out: that a step without value may stay before others; it comes last, as before. Within a queue late steps still come after those on time, so late ones don't starve their own queue. Change: too late, then priority, then timeliness.

--- a/Libraries/LibJob/StartOrder.cpp
+++ b/Libraries/LibJob/StartOrder.cpp
@@ -63,6 +63,7 @@
         return rank;
     }
     rank.timeliness = timeliness(job, step, queue, dueAt, now);
+    rank.isTooLate = rank.timeliness == Timeliness::TooLate;
     // Among late jobs of equal priority only the due time counts, so that none of them starves.
     if (rank.timeliness != Timeliness::OnTime)
         return rank;
--- a/Tests/LibJob/TestStartOrder.cpp
+++ b/Tests/LibJob/TestStartOrder.cpp
@@ -42,7 +42,7 @@
 
 } // namespace
 
-TEST_CASE("Steps start in the order of what their callers asked for", "[!shouldfail]")
+TEST_CASE("Steps start in the order of what their callers asked for")
 {
     const OwnedJob job = jobOf();
 
--- a/include/LibJob/StartOrder.h
+++ b/include/LibJob/StartOrder.h
@@ -22,8 +22,10 @@
 /// Sort key of a step in the order of starts; lower ranks start first.
 struct StartRank
 {
-    Timeliness timeliness = Timeliness::OnTime;
+    /// The step's timeliness is `TooLate`.
+    bool isTooLate = false;
     int priority = 0;
+    Timeliness timeliness = Timeliness::OnTime;
     /// Remaining core-milliseconds per unit of the job's weight; 0 for steps that can't be on time,
     /// very large for long-running ones.
     double workPerWeight = 0;
@@ -32,10 +34,11 @@
     auto operator<=>(const StartRank &) const = default;
 };
 
-/// Orders waiting steps when the load exceeds the capacity of the workers: first the steps that can
-/// still be on time, by priority. Among equal priorities, steps with the least work per weight
-/// start first, so that a burst of large jobs delays few others. Steps that can't be on time come
-/// after all others, by priority and then by due time.
+/// Orders waiting steps when the load exceeds the capacity of the workers or of the owner: by
+/// priority, so that an urgent step that is a little late doesn't wait for all steps of all queues.
+/// Among equal priorities come first the steps that can still be on time, those with the least work
+/// per weight before others, so that a burst of large jobs delays few; then the late ones by due
+/// time. Steps whose job has no value left come after all others.
 class StartOrder
 {
 public:
