LibJob: Keep no standing queue in front of an overloaded owner's calls

Ruled out: long turns, appends and room on workers (10,000 of 41,000 cores idle). Change: OverloadPolicy, one class for what an owner does less of while it is late, taken out of JobScheduler. TestStartWindow had the former limit in figures, now by name. The test 'An owner that bears less than what comes in lets its calls wait*' failed before.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -10,20 +10,12 @@
 /// Upper bound of the time to the next wakeup, so that waiting tasks are planned again even if no
 /// input has changed.
 static constexpr Core::Duration passInterval = milliseconds(200);
-/// Lag below this isn't a sign of overload: a process whose processor quota is granted in periods
-/// of 100 ms can run that late.
-static constexpr Core::Duration toleratedLag = milliseconds(100);
-/// Milliseconds by which the renewal interval grows for each millisecond of lag above the tolerated
-/// lag.
-static constexpr int renewalDelayPerLag = 2;
-/// Limits the growth of the renewal interval: leases must be renewed in time whatever the lag.
-static constexpr Core::Duration maxRenewalDelay = milliseconds(600);
-
 JobScheduler::JobScheduler(const SchedulerSettings &settings, const Ownership &ownership,
                            DecisionLog &decisionLog)
     : m_settings(settings)
     , m_ownership(ownership)
     , m_log(decisionLog)
+    , m_overload(settings.renewalInterval)
 {
 }
 
@@ -321,18 +313,6 @@
     }
 }
 
-void JobScheduler::setLag(Core::Duration lag)
-{
-    m_lag = lag;
-    m_startWindow.noteLag(lag, std::exchange(m_wasStartWindowFull, false));
-}
-
-Core::Duration JobScheduler::renewalInterval() const
-{
-    const Core::Duration delay = renewalDelayPerLag * (m_lag - toleratedLag);
-    return m_settings.renewalInterval + std::clamp(delay, Core::Duration(), maxRenewalDelay);
-}
-
 std::size_t JobScheduler::waitingCount() const
 {
     std::size_t count = 0;
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -96,7 +96,8 @@
         if (!isPlanningWorkUsedUp() && !isStartWindowFull())
             ++m_pass.next;
     }
-    m_wasStartWindowFull |= !m_pass.isOver() && isStartWindowFull();
+    if (!m_pass.isOver() && isStartWindowFull())
+        m_overload.noteStartWindowFull();
 }
 
 void JobScheduler::planWaitingStep(const WaitingStep &waiting, const TimePoint &now)
--- a/Tests/LibJob/TestOwnerLoad.cpp
+++ b/Tests/LibJob/TestOwnerLoad.cpp
@@ -69,8 +69,7 @@
 }
 
 TEST_CASE("An owner that bears less than what comes in lets its calls wait for a tenth of a second "
-          "or little more, and starts as much as its processor allows",
-          "[!shouldfail]")
+          "or little more, and starts as much as its processor allows")
 {
     LoadedOwner site(1.5);
     site.run(seconds(40));
--- a/Tests/LibJob/TestStartWindow.cpp
+++ b/Tests/LibJob/TestStartWindow.cpp
@@ -6,7 +6,7 @@
 using std::chrono::milliseconds;
 
 /// Adjusts \p window \p times times.
-static void noteLag(StartWindow &window, milliseconds lag, bool wasFull, int times)
+static void noteLag(StartWindow &window, Core::Duration lag, bool wasFull, int times)
 {
     for (int i = 0; i < times; ++i)
         window.noteLag(lag, wasFull);
@@ -32,7 +32,8 @@
     }
     SECTION("between the limits it stays")
     {
-        noteLag(window, milliseconds(300), true, 100);
+        window.noteLag(StartWindow::maxLag, true);
+        noteLag(window, StartWindow::minLag + milliseconds(1), true, 100);
         CHECK(window.size() == StartWindow::initialSize);
     }
     SECTION("it doesn't grow while it isn't used, so that no burst follows a calm time")
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -6,12 +6,12 @@
 #include <LibJob/DecisionLog.h>
 #include <LibJob/ImageTable.h>
 #include <LibJob/JobTable.h>
+#include <LibJob/OverloadPolicy.h>
 #include <LibJob/OwnedJob.h>
 #include <LibJob/RenewalQueue.h>
 #include <LibJob/SchedulerSettings.h>
 #include <LibJob/SilentWorkers.h>
 #include <LibJob/StartOrder.h>
-#include <LibJob/StartWindow.h>
 #include <LibJob/ThrottleController.h>
 #include <LibJob/WorkerChooser.h>
 #include <LibJob/WorkerReport.h>
@@ -117,9 +117,9 @@
     /// Sets how late the calls of the owner's process to workers run. A process that falls behind
     /// requests reports less often and plans fewer starts at once, so that urgent work
     /// (cancellations, lease renewals, stops) isn't queued behind reports and starts.
-    void setLag(Core::Duration lag);
+    void setLag(Core::Duration lag) { m_overload.noteLag(lag); }
     /// The delay from a worker's report to its next renewal; grows with the lag.
-    Core::Duration renewalInterval() const;
+    Core::Duration renewalInterval() const { return m_overload.renewalInterval(); }
 
     /// Decides on starts, stops and throttles, and returns the commands to send. A long pass over
     /// the waiting steps takes several calls; until it is over, nextWakeup() returns now.
@@ -248,7 +248,7 @@
     void planWaitingStep(const WaitingStep &waiting, const TimePoint &now);
     bool isPlanningWorkUsedUp() const { return planningWork() >= maxPlanningWork; }
     /// True if no further run may be planned before the start of another one is answered.
-    bool isStartWindowFull() const { return m_pendingStarts >= m_startWindow.size(); }
+    bool isStartWindowFull() const { return m_pendingStarts >= m_overload.startWindow(); }
     /// Drops a pass that waits for the start window and whose order is outdated; another one begins
     /// when it is due.
     void dropOutdatedPass(const TimePoint &now);
@@ -465,9 +465,7 @@
     Core::Instant m_needsWitnessesUntil = {};
     std::size_t m_runs = 0;
     std::size_t m_pendingStarts = 0;
-    StartWindow m_startWindow;
-    /// The start window has held a pass back since the last setLag().
-    bool m_wasStartWindowFull = false;
+    OverloadPolicy m_overload;
     bool m_isStoreReachable = true;
     bool m_areStartsHeld = false;
     bool m_isDeposed = false;
@@ -475,7 +473,6 @@
     /// A worker was contacted for the first time since the last proof of ownership.
     bool m_needsProof = false;
     Core::Instant m_provenAt = {};
-    Core::Duration m_lag = {};
     /// What can start may have changed since the last pass over the waiting steps.
     bool m_needsPass = true;
     PlanningPass m_pass;
