LibJob: Let a step that becomes ready join the pass under way

Callers saw: second steps of urgent jobs start late. Cause: a pass over the waiting steps takes several calls while the start window is full, up to 250 ms; a new job joined it by its rank, a step that became ready (its predecessors had ended) waited for the next one. Change: noteReadySteps() is the one place that learns of ready steps, of new jobs too, and adds them to the pass by their ranks.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -192,7 +192,6 @@
         m_scheduled.insert(id);
     m_order.noteJob(entry.submission.queue.id, job->totalWork());
     beginDueOccurrences(*job, now);
-    joinPass(*job, now);
     m_needsPass = true;
     if (entry.isCancelled)
         cancelJob(id, now);
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -137,19 +137,13 @@
     return step.isReady && step.waitingCount > 0;
 }
 
-void JobScheduler::joinPass(OwnedJob &job, const TimePoint &now)
+void JobScheduler::joinPass(const WaitingStep &joining)
 {
-    if (m_pass.isOver())
-        return;
-    std::vector<WaitingStep> joining;
-    addWaitingSteps(job, now, joining);
-    for (const WaitingStep &step : joining) {
-        const auto isPlace = [&step](const WaitingStep &other) {
-            return !other.isPutFirst && (!other.job || isBefore(step, other));
-        };
-        const auto rest = m_pass.steps.begin() + static_cast<std::ptrdiff_t>(m_pass.next);
-        m_pass.steps.insert(std::find_if(rest, m_pass.steps.end(), isPlace), step);
-    }
+    const auto isPlace = [&joining](const WaitingStep &other) {
+        return !other.isPutFirst && (!other.job || isBefore(joining, other));
+    };
+    const auto rest = m_pass.steps.begin() + static_cast<std::ptrdiff_t>(m_pass.next);
+    m_pass.steps.insert(std::find_if(rest, m_pass.steps.end(), isPlace), joining);
 }
 
 void JobScheduler::leavePass(const OwnedJob &job)
@@ -255,6 +249,11 @@
         const auto index = static_cast<int>(i);
         step.readyAt = now.instant;
         job.timing.noteReady(index, now.instant);
+        if (m_pass.isOver() || step.waitingCount == 0)
+            continue;
+        const Core::Instant due = dueAt(job, occurrence, now);
+        joinPass({ m_order.rank(job, occurrence, index, *queueOf(job), due, now.instant), &job,
+                   occurrence, index });
     }
 }
 
--- a/Tests/LibJob/TestPlanningTurns.cpp
+++ b/Tests/LibJob/TestPlanningTurns.cpp
@@ -169,8 +169,7 @@
     CHECK(startsOf("job-6000") == 0);
 }
 
-TEST_CASE("An urgent step that has become ready doesn't wait for the rest of a long pass",
-          "[!shouldfail]")
+TEST_CASE("An urgent step that has become ready doesn't wait for the rest of a long pass")
 {
     EmptySite site(1100);
     site.submit(5000, 0, 2);
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -214,8 +214,9 @@
     /// Ends the job in \p state, unless it has ended.
     void endEarly(OwnedJob &job, JobState state, const TimePoint &now);
     Core::Instant dueAt(const OwnedJob &job, int occurrence, const TimePoint &now) const;
-    /// Notes when the steps of an occurrence became ready.
-    static void noteReadySteps(OwnedJob &job, int occurrence, const TimePoint &now);
+    /// Notes which steps of an occurrence have become ready, and adds them to a pass that has
+    /// begun.
+    void noteReadySteps(OwnedJob &job, int occurrence, const TimePoint &now);
     /// Called when it is known that a worker has carried out the start of the run.
     void noteRunStarted(OwnedJob &job, const TaskName &name, const TaskRun &run,
                         const TimePoint &now);
@@ -239,8 +240,8 @@
                          std::vector<WaitingStep> &waiting) const;
     static bool isBefore(const WaitingStep &left, const WaitingStep &right);
     static bool isStillWaiting(const WaitingStep &waiting);
-    /// Inserts the steps of a new job into the pass that has begun, by their ranks.
-    void joinPass(OwnedJob &job, const TimePoint &now);
+    /// Inserts a step that can start from now on into the pass that has begun, by its rank.
+    void joinPass(const WaitingStep &joining);
     /// Removes a job that is about to be deleted from the pass that has begun.
     void leavePass(const OwnedJob &job);
     bool awaitsReconciliation(OwnedJob &job, Core::Instant now);
