LibJob: Spare walks over all workers at each commit and pass

Change, with the same decisions: the workers with ends that aren't durable are kept in a set, so a commit doesn't visit all 1,100; a job's workers are copied into a commit only if it records them; the chooser looks up the service of a worker only if it differs from that of the one before; an idle connection isn't set to non-blocking again for each call (a system call each). Result: TestLibJob and TestLibHttp pass.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -64,6 +64,7 @@
     if (error)
         throw Core::NotDoneError(request.step, peer, "connect: " + error.message());
     m_stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+    m_stream.socket().non_blocking(true, error);
 }
 
 asio::awaitable<Answer> Connection::exchange(const Request &request, const std::string &peer,
@@ -120,7 +121,6 @@
 {
     error_code error;
     std::array<char, 1> byte {};
-    m_stream.socket().non_blocking(true, error);
     m_stream.socket().receive(asio::buffer(byte), asio::socket_base::message_peek, error);
     return error == asio::error::would_block;
 }
--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -232,11 +232,13 @@
     // a record fails before any task of it starts.
     if (!std::exchange(job.isProgressRecorded, true))
         job.isDirty = true;
-    if (std::exchange(job.hasNewWorkers, false))
+    auto &committedWorkers = m_committing[job.id()];
+    if (std::exchange(job.hasNewWorkers, false)) {
         commit.records.emplace_back(JobWorkers { job.id(), job.workers() });
+        committedWorkers = job.workers();
+    }
     if (std::exchange(job.isDirty, false))
         commit.records.emplace_back(ProgressRecord { job.id(), job.progress() });
-    m_committing[job.id()] = job.workers();
 }
 
 Commit JobScheduler::takeCommit()
@@ -273,7 +275,8 @@
         OwnedJob *job = findJob(id);
         if (!job)
             continue;
-        job->setDurableWorkers(workers);
+        if (workers)
+            job->setDurableWorkers(*workers);
         startPlannedRuns(*job, now);
         noteEndDurable(*job, now);
         const bool isFinished
@@ -286,11 +289,22 @@
         }
     }
     m_committing.clear();
-    for (const auto &[id, worker] : m_workers) {
-        const bool hadUncommitted = worker->hasUncommittedEnds();
-        worker->noteCommitted(number);
-        if (hadUncommitted && !worker->hasUncommittedEnds())
+    acknowledgeEnds(now);
+}
+
+void JobScheduler::acknowledgeEnds(const TimePoint &now)
+{
+    for (auto it = m_withUncommittedEnds.begin(); it != m_withUncommittedEnds.end();) {
+        WorkerState *worker = findWorkerState(*it);
+        if (worker && worker->hasUncommittedEnds()) {
+            worker->noteCommitted(m_committed);
+            if (worker->hasUncommittedEnds()) {
+                ++it;
+                continue;
+            }
             worker->renewBy(now.instant + renewalInterval(*worker));
+        }
+        it = m_withUncommittedEnds.erase(it);
     }
 }
 
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -126,6 +126,8 @@
         const bool isAllRecorded = !needsCommit() && m_begun.empty();
         worker->noteProcessedEnd(lastEnd, isAllRecorded ? m_lastCommit : m_lastCommit + 1);
         worker->noteCommitted(m_committed);
+        if (worker->hasUncommittedEnds())
+            m_withUncommittedEnds.insert(id);
     }
     UnwantedUse unwanted;
     for (const RunningEntry &entry : report.running) {
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -186,8 +186,12 @@
 void WorkerChooser::beginPass(const std::vector<WorkerState *> &workers)
 {
     m_maxFree.clear();
+    auto service = m_maxFree.end();
     for (const WorkerState *worker : workers) {
-        MaxFree &maxFree = m_maxFree[worker->info().service];
+        // Most successive workers have the same service.
+        if (service == m_maxFree.end() || service->first != worker->info().service)
+            service = m_maxFree.try_emplace(worker->info().service).first;
+        MaxFree &maxFree = service->second;
         const Core::Resources free = worker->freeResources();
         maxFree.free.milliCores = std::max(maxFree.free.milliCores, free.milliCores);
         maxFree.free.mebibytes = std::max(maxFree.free.mebibytes, free.mebibytes);
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -220,6 +220,8 @@
     /// Called when it is known that a worker has carried out the start of the run.
     void noteRunStarted(OwnedJob &job, const TaskName &name, const TaskRun &run,
                         const TimePoint &now);
+    /// Called when a commit has become durable: the ends that it records may be acknowledged.
+    void acknowledgeEnds(const TimePoint &now);
     /// Called when all that the job's last commit recorded is durable.
     void noteEndDurable(OwnedJob &job, const TimePoint &now);
 
@@ -410,6 +412,8 @@
     /// Reviews the throttles of all listed workers from time to time, of some workers in each call.
     void updateAllThrottles(const TimePoint &now);
     void reviewThrottles(WorkerState &worker, const TimePoint &now);
+    /// The interval at which the throttles of all workers are reviewed.
+    Core::Duration throttleSweepInterval() const;
     bool isThrottleSweepUnderWay() const { return m_nextThrottleUpdate < m_listed.size(); }
     static void setThrottle(TaskRun &run, const StepSpec &spec, int percent);
     /// Returns the highest ratio of tail latency to target among \p tasks; 0 without serving tasks.
@@ -458,8 +462,10 @@
     /// Number of the last commit that was taken, and of the last one that is durable.
     std::int64_t m_lastCommit = 0;
     std::int64_t m_committed = 0;
-    /// The recorded workers of the jobs in the commit in progress.
-    std::map<JobId, std::set<Core::VmId>> m_committing;
+    /// The jobs in the commit in progress, with their workers if it records these.
+    std::map<JobId, std::optional<std::set<Core::VmId>>> m_committing;
+    /// The workers with processed ends whose consequences aren't durable.
+    std::set<Core::VmId> m_withUncommittedEnds;
     std::vector<Command> m_commands;
     /// The runs whose stop is wanted, by their workers.
     std::set<std::pair<Core::VmId, TaskName>> m_stopping;
