--- a/Tests/LibJob/TestOwnerLoad.cpp
+++ b/Tests/LibJob/TestOwnerLoad.cpp
@@ -44,6 +44,16 @@
     CHECK(site.result("urgent").onTimeShare() >= 0.99);
     CHECK(site.result("ordinary").onTimeShare() >= 0.99);
     CHECK(site.lapsedRuns() == 0);
+    // More calls or turns for the same starts would use up the rest.
+    CHECK(site.utilization() <= 0.85);
+}
+
+TEST_CASE("An owner bears twice what comes in", "[!shouldfail]")
+{
+    LoadedOwner site(2.0);
+    site.run(seconds(40));
+    CHECK(site.result("urgent").onTimeShare() >= 0.95);
+    CHECK(site.result("ordinary").onTimeShare() >= 0.95);
 }
 
 TEST_CASE("A small queue of the highest priority gets all its starts in time from an owner that "
