LibJob: Put large jobs first within their priority only

Cause, found by the review: in each pass the two oldest large jobs of any queue came before all others, usually those of the queue with the longest objective, so the steps of the most urgent queue waited behind a wide one of the least urgent. Change: two large jobs of each priority come first among those of their priority. A step that joins a pass overtakes what is put first of less urgent queues, not what is overdue, and no longer takes the place of a deleted job.

--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -13,7 +13,8 @@
 static constexpr Core::Duration passIntervalPerStep = std::chrono::microseconds(100);
 /// A job is large if its work is at least this multiple of its queue's mean.
 static constexpr double largeJobRatio = 1.5;
-/// Number of large jobs that are started before all others, so that small jobs can't starve them.
+/// Number of large jobs that are started before the others of their priority, so that small jobs
+/// can't starve them.
 static constexpr std::size_t maxLargeJobsFirst = 2;
 /// How long a job waits for workers where it violates no target.
 static constexpr Core::Duration maxWaitWithinTargets = milliseconds(1500);
@@ -140,7 +141,9 @@
 void JobScheduler::joinPass(const WaitingStep &joining)
 {
     const auto isPlace = [&joining](const WaitingStep &other) {
-        return !other.isPutFirst && (!other.job || isBefore(joining, other));
+        const bool mayOvertake = !other.isOverdue
+            && (!other.isPutFirst || joining.rank.priority < other.rank.priority);
+        return mayOvertake && other.job && isBefore(joining, other);
     };
     const auto rest = m_pass.steps.begin() + static_cast<std::ptrdiff_t>(m_pass.next);
     m_pass.steps.insert(std::find_if(rest, m_pass.steps.end(), isPlace), joining);
@@ -197,15 +200,22 @@
         return std::tie(left->rank.dueAt, left->job->id())
             < std::tie(right->rank.dueAt, right->job->id());
     });
-    std::set<JobId> first;
+    std::map<int, std::set<JobId>> first;
     for (const WaitingStep *waiting : large) {
-        if (first.size() < maxLargeJobsFirst)
-            first.insert(waiting->job->id());
+        std::set<JobId> &ofPriority = first[waiting->rank.priority];
+        if (ofPriority.size() < maxLargeJobsFirst)
+            ofPriority.insert(waiting->job->id());
     }
     for (WaitingStep &waiting : steps)
-        waiting.isPutFirst = first.contains(waiting.job->id());
-    std::stable_partition(steps.begin(), steps.end(),
-                          [](const WaitingStep &waiting) { return waiting.isPutFirst; });
+        waiting.isPutFirst = first[waiting.rank.priority].contains(waiting.job->id());
+    std::stable_sort(steps.begin(), steps.end(),
+                     [](const WaitingStep &left, const WaitingStep &right) {
+                         const auto key = [](const WaitingStep &waiting) {
+                             return std::tuple(waiting.rank.isTooLate, waiting.rank.priority,
+                                               !waiting.isPutFirst);
+                         };
+                         return key(left) < key(right);
+                     });
 }
 
 bool JobScheduler::isUnderused() const
--- a/Libraries/LibJob/JobSchedulerThrottling.cpp
+++ b/Libraries/LibJob/JobSchedulerThrottling.cpp
@@ -72,7 +72,6 @@
 
 void JobScheduler::updateColocation(WorkerState &worker, const TimePoint &now)
 {
-    worker.throttlesReviewedAt = now.instant;
     const ColocatedRuns colocated = colocatedRuns(worker);
     if (worker.servingCount() > 0)
         updateSlowdownModel(worker, colocated, now);
@@ -116,19 +115,15 @@
         worker.setServingUtilization(usedShare / requestedShare);
 }
 
-Core::Duration JobScheduler::throttleSweepInterval() const
-{
-    const auto workers = static_cast<Core::Duration::rep>(m_listed.size());
-    return std::max(throttleUpdateInterval, workers * throttleUpdateIntervalPerWorker);
-}
-
 void JobScheduler::updateAllThrottles(const TimePoint &now)
 {
     if (!isThrottleSweepUnderWay()) {
         if (now.instant < m_nextThrottleUpdateAt)
             return;
         m_throttleController.updatePriors();
-        m_nextThrottleUpdateAt = now.instant + throttleSweepInterval();
+        const auto workers = static_cast<Core::Duration::rep>(m_listed.size());
+        m_nextThrottleUpdateAt = now.instant
+            + std::max(throttleUpdateInterval, workers * throttleUpdateIntervalPerWorker);
         m_nextThrottleUpdate = 0;
     }
     const std::size_t end
@@ -141,10 +136,6 @@
 {
     if (worker.servingCount() == 0 && worker.bestEffortCount() == 0)
         return;
-    // Where the sweep of all workers takes long, those that have just reported are left out.
-    const Core::Duration recent = throttleSweepInterval() - throttleUpdateInterval;
-    if (now.instant < worker.throttlesReviewedAt + recent)
-        return;
     const ColocatedRuns colocated = colocatedRuns(worker);
     if (worker.servingCount() > 0)
         forecastLoads(worker, colocated.tasks, now);
