--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -64,7 +64,10 @@
     if (error)
         throw Core::NotDoneError(request.step, peer, "connect: " + error.message());
     m_stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+    // isQuiet() relies on it.
     m_stream.socket().non_blocking(true, error);
+    if (error)
+        throw Core::NotDoneError(request.step, peer, "connect: " + error.message());
 }
 
 asio::awaitable<Answer> Connection::exchange(const Request &request, const std::string &peer,
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -412,8 +412,6 @@
     /// Reviews the throttles of all listed workers from time to time, of some workers in each call.
     void updateAllThrottles(const TimePoint &now);
     void reviewThrottles(WorkerState &worker, const TimePoint &now);
-    /// The interval at which the throttles of all workers are reviewed.
-    Core::Duration throttleSweepInterval() const;
     bool isThrottleSweepUnderWay() const { return m_nextThrottleUpdate < m_listed.size(); }
     static void setThrottle(TaskRun &run, const StepSpec &spec, int percent);
     /// Returns the highest ratio of tail latency to target among \p tasks; 0 without serving tasks.
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -204,8 +204,6 @@
     /// The worker's entry in RenewalQueue; none if it isn't there.
     std::optional<Core::Instant> queuedRenewalAt;
 
-    /// When a report last led to a review of the worker's throttles.
-    Core::Instant throttlesReviewedAt = {};
     /// Number of runs of the most urgent queues.
     int urgentRuns = 0;
     /// A serving task on the worker was above its target in the last report.
