LibSite: Keep the last delay of ordinary work until the next is measured

Cause, found by the review: the delay of ordinary work was forgotten at each measurement, and the probe that measures it comes later the longer that work waits; so of two successive lags the lesser often had none of it. A queue of 100 ms read as 10 ms half of the time (computed). Change: the lesser of the last two delays of that probe stays until the next one. The least start window is 128 again, as before: 32 might bind a site whose starts take 0.2 s from plan to answer, and nothing showed that it doesn't.

--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -644,7 +644,9 @@
     while (!m_isOver) {
         m_ordinaryProbeDueAt = Core::steadyNow() + timerLagInterval;
         co_await pause.sleepUntil(m_ordinaryProbeDueAt);
-        m_ordinaryLag = Core::steadyNow() - m_ordinaryProbeDueAt;
+        const Core::Duration lag = Core::steadyNow() - m_ordinaryProbeDueAt;
+        m_ordinaryLag = std::min(lag, m_lastOrdinaryLag);
+        m_lastOrdinaryLag = lag;
     }
 }
 
@@ -658,7 +660,6 @@
         // Urgent work may keep the ordinary probe from running for as long as it likes.
         const Core::Duration lag
             = std::max({ now - due, now - m_ordinaryProbeDueAt, m_ordinaryLag });
-        m_ordinaryLag = {};
         m_scheduler.setLag(lag);
         m_loopMeter.noteTimerLag(lag);
     }
--- a/Tests/LibJob/OwnerLoadSimulation.cpp
+++ b/Tests/LibJob/OwnerLoadSimulation.cpp
@@ -429,11 +429,11 @@
         post(lane, [this, lane] {
             const Core::Duration ownLag = m_now - m_probeDueAt[lane];
             if (lane == Ordinary) {
-                m_ordinaryLag = ownLag;
+                m_ordinaryLag = std::min(ownLag, m_lastOrdinaryLag);
+                m_lastOrdinaryLag = ownLag;
             } else {
                 const Core::Duration lag
                     = std::max({ ownLag, m_now - m_probeDueAt[Ordinary], m_ordinaryLag });
-                m_ordinaryLag = {};
                 m_scheduler.setLag(lag);
                 m_lagSum += lag;
                 ++m_lagCount;
--- a/Tests/LibJob/OwnerLoadSimulation.h
+++ b/Tests/LibJob/OwnerLoadSimulation.h
@@ -63,7 +63,8 @@
 /// An owner whose event loop takes time for each call, with the workers of a site, in virtual time.
 ///
 /// The loop runs its own work first, then urgent and then ordinary calls to workers, as
-/// OwnerSession does: starts are ordinary, renewals, stops and all answers are urgent.
+/// OwnerSession does: starts are ordinary unless their queue is urgent, renewals, stops and all
+/// answers are urgent.
 class OwnerLoadSimulation
 {
 public:
@@ -219,4 +220,5 @@
     int m_lagCount = 0;
     std::array<Core::Instant, 3> m_probeDueAt = {};
     Core::Duration m_ordinaryLag = {};
+    Core::Duration m_lastOrdinaryLag = {};
 };
--- a/include/LibJob/StartWindow.h
+++ b/include/LibJob/StartWindow.h
@@ -22,7 +22,7 @@
     /// Calls that run no later than this leave room for more.
     static constexpr Core::Duration minLag = std::chrono::milliseconds(40);
     static constexpr std::size_t initialSize = 256;
-    static constexpr std::size_t minSize = 32;
+    static constexpr std::size_t minSize = 128;
     static constexpr std::size_t maxSize = 1024;
 
     /// Adjusts the size once. \p lag is how late the process's calls to workers run; \p wasFull is
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -160,8 +160,10 @@
     LoopMeter m_loopMeter;
     /// When the probe of ordinary work was or is due, on the steady clock.
     Core::Instant m_ordinaryProbeDueAt = Core::steadyNow();
-    /// How late that probe ran since the last measurement of the lag.
+    /// The lesser of the last two delays of that probe; see Jobs::OverloadPolicy. It stays until
+    /// the next one, which comes later the longer the ordinary work waits.
     Core::Duration m_ordinaryLag = {};
+    Core::Duration m_lastOrdinaryLag = {};
     bool m_isCommitting = false;
     bool m_isOver = false;
     bool m_isReleasing = false;
