LibJob: Count only tasks that end as urgent

Cause, found by the review: on the users' sites the queue of tasks that last has the same priority as the urgent short one. Its runs, some 2,000 on 1,100 workers (computed), made nearly every worker urgent, so reports hardly gave way and urgent ends weren't told apart. Change: a long-running task's run doesn't count as urgent. A queue that was removed and had a more urgent priority still does.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -77,7 +77,7 @@
 
 bool JobScheduler::isUrgent(const OwnedJob &job) const
 {
-    return queueOf(job)->priority == m_urgentPriority;
+    return m_urgentPriority && queueOf(job)->priority <= *m_urgentPriority;
 }
 
 void JobScheduler::setCatalogue(const Catalogue &catalogue)
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -20,7 +20,8 @@
     task.run->phaseBeganAt = now.instant;
     task.run->plannedAt = now.instant;
     task.run->progressedAt = now.instant;
-    task.run->isUrgent = isUrgent(job);
+    // A long-running task never ends by itself, so there is no end of it to learn soon.
+    task.run->isUrgent = isUrgent(job) && !spec.isLongRunning;
     worker.urgentRuns += task.run->isUrgent ? 1 : 0;
     m_pendingStarts += task.run->isStartPending() ? 1 : 0;
     task.run->sentAt = now.instant;
@@ -45,7 +46,8 @@
         = job.occurrences().at(name.occurrence)[static_cast<std::size_t>(name.step)];
     const TaskState &task = step.tasks[static_cast<std::size_t>(name.index)];
     const Core::Instant couldStartAt = std::max(step.readyAt, task.lastRunEndedAt);
-    m_log.noteStarted(queueOf(job)->id, name.step, now.instant - couldStartAt);
+    if (couldStartAt != Core::Instant())
+        m_log.noteStarted(queueOf(job)->id, name.step, now.instant - couldStartAt);
     job.timing.noteStarted(name.step, run.plannedAt, run.sentAt, now.instant);
 }
 
