Tests: Replace the allocation that doesn't throw, too, where allocations are counted

TestCallCosts replaces operator new and delete; the operator new that doesn't throw, which Catch uses, stayed that of the sanitizers. Change: that operator is replaced as well. No check changes.

--- a/Tests/platform/TestCallCosts.cpp
+++ b/Tests/platform/TestCallCosts.cpp
@@ -28,6 +28,13 @@
     throw std::bad_alloc();
 }
 
+// The sanitizers have one of their own, which doesn't fit the operators below.
+void *operator new(std::size_t size, const std::nothrow_t &) noexcept
+{
+    ++allocations;
+    return std::malloc(size == 0 ? 1 : size);
+}
+
 void operator delete(void *memory) noexcept
 {
     std::free(memory);
