--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -248,7 +248,8 @@
     void leavePass(const OwnedJob &job);
     bool awaitsReconciliation(OwnedJob &job, Core::Instant now);
     /// Begins a pass that chooses workers for the waiting steps, in the order of their ranks,
-    /// except that overdue steps and then a few large jobs come first.
+    /// except that overdue steps come first, and a few large jobs before the others of their
+    /// priority.
     void beginPass(const TimePoint &now);
     /// Continues the pass until it is over or this call's planning work has reached its bound.
     void continuePass(const TimePoint &now);
