--- a/Tests/OwnerLoad/OwnerLoadSimulation.cpp
+++ b/Tests/OwnerLoad/OwnerLoadSimulation.cpp
@@ -127,7 +127,6 @@
     m_lagSum = {};
     m_lagCount = 0;
     m_starts = 0;
-    m_reports = 0;
     m_results.assign(m_queues.size(), {});
 }
 
@@ -412,7 +411,6 @@
         report.running.push_back({ task, run, "", 50, 500 });
     report.ended.assign(worker.ended.begin(), worker.ended.end());
     const Core::Instant sentAt = worker.renewalSentAt;
-    ++m_reports;
     after(transitTime, [this, id, report = std::move(report), sentAt] {
         post(Urgent, [this, id, report, sentAt] {
             m_scheduler.onReport(id, report, sentAt, now());
--- a/Tests/OwnerLoad/OwnerLoadSimulation.h
+++ b/Tests/OwnerLoad/OwnerLoadSimulation.h
@@ -75,7 +75,6 @@
     void run(Core::Duration duration);
     /// The loop does nothing for this long, as if there were no owner.
     void pause(Core::Duration duration);
-    void setCosts(const LoopCosts &costs) { m_costs = costs; }
     /// Jobs that are submitted from now on count in the results.
     void beginCounting();
     /// The results of jobs whose time to be late has passed.
@@ -93,7 +92,6 @@
     /// The longest time from when the end of a job was learned until it was durable.
     Core::Duration longestToDurable() const { return m_log.longestToDurable; }
     int starts() const { return m_starts; }
-    int reports() const { return m_reports; }
     int lapsedRuns() const { return m_lapsedRuns; }
     /// The share of the time in which the loop was busy, since beginCounting().
     double utilization() const;
@@ -211,7 +209,6 @@
     std::map<Jobs::JobId, JobInfo> m_jobs;
     std::vector<QueueResult> m_results;
     int m_starts = 0;
-    int m_reports = 0;
     int m_lapsedRuns = 0;
     bool m_isCounting = false;
     Core::Instant m_countingSince;
