--- a/review/standins/Http.hh
+++ b/review/standins/Http.hh
@@ -132,7 +132,11 @@
 public:
     using Handler = std::function<Response(const Request &)>;
 
-    ~HttpServer() { stop(); }
+    ~HttpServer()
+    {
+        m_isOver = true;
+        stop();
+    }
 
     /// \p port 0 picks a free one.
     void start(const std::string &ip, int port, Handler handler)
@@ -162,8 +166,7 @@
         {
             const std::lock_guard lock(m_mutex);
             for (const int fd : m_connections) {
-                const linger reset { 1, 0 };
-                setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+                reset(fd);
                 shutdown(fd, SHUT_RDWR);
             }
         }
@@ -171,9 +174,22 @@
             std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
 
+    /// Closes the port, but leaves all connections open and silent, like a machine that has lost
+    /// power. After the next `start()` they are reset when something arrives on them.
+    void goDark()
+    {
+        m_isStopping = true;
+        m_acceptor.join();
+        close(m_listener);
+        ++m_generation;
+    }
+
     int port() const { return m_port; }
 
 private:
+    /// How long a connection of a dark server stays open.
+    static constexpr int darkMs = 8000;
+
     void acceptConnections()
     {
         while (!m_isStopping) {
@@ -190,18 +206,32 @@
                 m_connections.insert(fd);
             }
             ++m_active;
-            std::thread([this, fd] { serve(fd); }).detach();
+            const int generation = m_generation;
+            std::thread([this, fd, generation] { serve(fd, generation); }).detach();
         }
     }
 
-    void serve(int fd)
+    void serve(int fd, int generation)
     {
         std::string buffer;
         std::string firstLine;
         Request request;
-        while (!m_isStopping && readMessage(fd, buffer, firstLine, request.headers, request.body)) {
+        while (readMessage(fd, buffer, firstLine, request.headers, request.body)) {
+            if (generation != m_generation) {
+                while (m_isStopping && !m_isOver)
+                    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+                reset(fd);
+                break;
+            }
+            if (m_isStopping)
+                break;
             parseFirstLine(firstLine, request);
             const Response response = m_handler(request);
+            if (generation != m_generation) {
+                for (int waited = 0; waited < darkMs && !m_isOver; waited += 10)
+                    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+                break;
+            }
             if (m_isStopping || response.status == 0)
                 break;
             const std::string head = "HTTP/1.1 " + std::to_string(response.status)
@@ -218,6 +248,12 @@
         --m_active;
     }
 
+    static void reset(int fd)
+    {
+        const linger discard { 1, 0 };
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+    }
+
     static void parseFirstLine(const std::string &line, Request &request)
     {
         const std::size_t first = line.find(' ');
@@ -247,6 +283,8 @@
     Handler m_handler;
     std::thread m_acceptor;
     std::atomic<bool> m_isStopping { false };
+    std::atomic<bool> m_isOver { false };
+    std::atomic<int> m_generation { 0 };
     std::atomic<int> m_active { 0 };
     int m_listener = -1;
     int m_port = 0;
--- a/review/standins/Site.hh
+++ b/review/standins/Site.hh
@@ -5,6 +5,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 
@@ -31,8 +32,6 @@
 {
     int nodes = 3;
     int holdMaxMs = 6000;
-    /// The third byte of the nodes' addresses in 127.0.0.0/8.
-    int subnet = 41;
     int maxAttempts = 3;
 };
 
@@ -48,6 +47,14 @@
     return ntohs(address.sin_port);
 }
 
+/// The first three bytes of the nodes' addresses, in 127.0.0.0/8. Each process has its own, since
+/// the port of the nodes' metrics is fixed.
+inline std::string nodeSubnet()
+{
+    const int pid = getpid();
+    return "127." + std::to_string(1 + pid % 250) + '.' + std::to_string(1 + pid / 250 % 250) + '.';
+}
+
 class Site
 {
 public:
@@ -60,8 +67,8 @@
         , m_history(record)
         , m_store("127.0.0.1")
     {
-        char name[] = "/tmp/review-XXXXXX";
-        m_folder = mkdtemp(name);
+        std::string name = std::filesystem::temp_directory_path() / "review-XXXXXX";
+        m_folder = mkdtemp(name.data());
         Json::Value manifest(Json::objectValue);
         manifest["version"] = 1;
         Json::Value route(Json::objectValue);
@@ -91,7 +98,7 @@
         for (int i = 0; i < settings.nodes; ++i) {
             Node node;
             node.name = "front-" + std::to_string(i + 1);
-            node.ip = "127.0." + std::to_string(settings.subnet) + '.' + std::to_string(i + 1);
+            node.ip = nodeSubnet() + std::to_string(i + 1);
             node.port = freePort(node.ip);
             node.readyPort = freePort(node.ip);
             m_nodes.push_back(node);
@@ -141,13 +148,14 @@
                             << "\naddress = " << node.ip
                             << "\n[limits]\ndescriptors = 4100\nprocessor-share = 0.25\n"
                             << "[link]\nmegabits-per-second = 1000.0\n[store]\naddress = "
-                            << m_store.address() << "\n[bounds]\nlease-ms = "
-                            << m_settings.holdMaxMs
+                            << m_store.address()
+                            << "\n[bounds]\nlease-ms = " << m_settings.holdMaxMs
                             << "\ndrain-ms = 2000\nretention-s = 120\nshutdown-s = 6\n"
                             << "[log]\nlevel = INFO\n";
         const std::string log = m_folder + '/' + node.name + ".log";
         const pid_t pid = fork();
         if (pid == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(fd, 1);
             dup2(fd, 2);
@@ -176,8 +184,9 @@
     {
         const auto until = Clock::now() + std::chrono::milliseconds(timeoutMs);
         for (const Node &node : m_nodes) {
-            while (StandIn::call(node.ip, node.readyPort, "GET", "/readiness", host, "", 1000).status
-                   != 200) {
+            while (
+                StandIn::call(node.ip, node.readyPort, "GET", "/readiness", host, "", 1000).status
+                != 200) {
                 if (Clock::now() > until)
                     return false;
                 sleepMs(100);
@@ -203,8 +212,8 @@
                   const std::string &body = "", int timeoutMs = 3000)
     {
         const Node &target = m_nodes[static_cast<std::size_t>(node % nodeCount())];
-        Response response = StandIn::call(target.ip, target.port, method, prefix + id, host, body,
-                                          timeoutMs);
+        Response response
+            = StandIn::call(target.ip, target.port, method, prefix + id, host, body, timeoutMs);
         m_record.note("caller: " + method + ' ' + id + " to " + target.name + " -> "
                       + std::to_string(response.status) + ' ' + response.body);
         return response;
--- a/review/standins/Store.hh
+++ b/review/standins/Store.hh
@@ -37,7 +37,8 @@
     for (std::size_t i = 0; i < bytes.size(); i += 3) {
         std::uint32_t group = 0;
         for (std::size_t j = 0; j < 3; ++j)
-            group = group << 8 | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0);
+            group = group << 8
+                | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0);
         for (std::size_t j = 0; j < 4; ++j)
             text += i + j <= bytes.size() ? digits[group >> (18 - 6 * j) & 63] : '=';
     }
@@ -213,8 +214,7 @@
         auto from = std::stoul(parameter(request, "from"));
         m_appended.wait_until(lock, until,
                               [&] { return m_isStopping || topic.records.size() > from; });
-        std::string body
-            = bigEndian(topic.records.size(), 8) + bigEndian(0, 8);
+        std::string body = bigEndian(topic.records.size(), 8) + bigEndian(0, 8);
         for (bool isFirst = true; from < topic.records.size(); ++from, isFirst = false) {
             const std::string &record = topic.records[from];
             if (!isFirst && body.size() + record.size() > most)
--- a/review/standins/Worker.hh
+++ b/review/standins/Worker.hh
@@ -38,7 +38,7 @@
     std::string worker;
     std::string task;
     std::int64_t run = 0;
-    /// `start`, or how the run ended.
+    /// `start`, how the run ended, or `noted-` and how it ended, when that end is taken note of.
     std::string what;
 };
 
@@ -116,9 +116,8 @@
                          .count();
             m_isUp = true;
         }
-        m_server.start(m_settings.ip, m_port, [this](const Request &request) {
-            return answer(request);
-        });
+        m_server.start(m_settings.ip, m_port,
+                       [this](const Request &request) { return answer(request); });
         m_port = m_server.port();
         m_nextHeartbeatAt = Clock::now() + std::chrono::milliseconds(firstHeartbeatMs);
         m_ticker = std::thread([this] { tick(); });
@@ -131,6 +130,22 @@
         m_record.note("worker " + m_settings.id + ": crashes");
     }
 
+    /// Its machine loses power: connections to it stay open and silent.
+    void losePower()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_isUp = false;
+            for (const auto &[task, run] : m_runs)
+                m_history.add(m_settings.id, task, run.run, "gone");
+            m_runs.clear();
+        }
+        m_server.goDark();
+        m_changed.notify_all();
+        m_ticker.join();
+        m_record.note("worker " + m_settings.id + ": loses power");
+    }
+
     /// Reports that it drains, and leaves for good after \p ms.
     void leave(int ms)
     {
@@ -149,6 +164,18 @@
 
     const std::string &id() const { return m_settings.id; }
 
+    /// Returns right after the worker has written its entry.
+    void waitForHeartbeat()
+    {
+        const auto written = [this] {
+            const std::lock_guard lock(m_mutex);
+            return m_sequence;
+        };
+        const std::int64_t before = written();
+        while (written() == before)
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+
     bool isRunning(const std::string &jobOrTask)
     {
         const std::lock_guard lock(m_mutex);
@@ -249,7 +276,8 @@
                 isHeartbeatDue = Clock::now() >= m_nextHeartbeatAt;
             }
             if (isHeartbeatDue) {
-                m_nextHeartbeatAt = Clock::now() + std::chrono::milliseconds(m_settings.heartbeatMs);
+                m_nextHeartbeatAt
+                    = Clock::now() + std::chrono::milliseconds(m_settings.heartbeatMs);
                 heartbeat();
             }
         }
@@ -315,9 +343,9 @@
     void extendLease(const Json::Value &value)
     {
         if (value["expiresMs"].isIntegral())
-            m_leaseUntil
-                = std::max(m_leaseUntil, std::min(value["expiresMs"].asInt64(),
-                                                  clockMs() + m_settings.holdMaxMs));
+            m_leaseUntil = std::max(
+                m_leaseUntil,
+                std::min(value["expiresMs"].asInt64(), clockMs() + m_settings.holdMaxMs));
     }
 
     Response answerStart(const Json::Value &value)
@@ -361,16 +389,18 @@
         extendLease(value);
         const std::int64_t lastSeen = value["lastSeen"].asInt64();
         for (const Ended &ended : m_ended) {
-            if (ended.number <= lastSeen)
-                m_record.note("worker " + m_settings.id + ": end " + std::to_string(ended.number)
-                              + " (" + ended.how + ' ' + ended.task + " run "
-                              + std::to_string(ended.run) + ") is taken note of by lastSeen "
-                              + std::to_string(lastSeen));
+            if (ended.number > lastSeen)
+                continue;
+            m_record.note("worker " + m_settings.id + ": end " + std::to_string(ended.number)
+                          + " is taken note of by lastSeen " + std::to_string(lastSeen));
+            m_history.add(m_settings.id, ended.task, ended.run, "noted-" + ended.how);
         }
         std::erase_if(m_ended, [&](const Ended &ended) { return ended.number <= lastSeen; });
         const auto until
             = Clock::now() + std::chrono::milliseconds(std::min(value["waitMs"].asInt(), 2000));
-        m_changed.wait_until(lock, until, [&] { return !m_isUp || !m_ended.empty(); });
+        m_changed.wait_until(lock, until, [&, boot = m_born] {
+            return !m_isUp || m_born != boot || !m_ended.empty();
+        });
         if (!m_isUp)
             return { 0, "" };
         Json::Value report(Json::objectValue);
@@ -380,15 +410,15 @@
         report["ended"] = Json::Value(Json::arrayValue);
         for (const auto &[task, run] : m_runs) {
             Json::Value row(Json::arrayValue);
-            const auto ranMs = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now()
-                                                                                    - run.beganAt)
-                                   .count();
+            const auto ranMs
+                = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - run.beganAt)
+                      .count();
             row.append(task);
             row.append(Json::Int64(run.run));
             row.append("");
-            row.append(run.plan.durationMs > 0
-                           ? Json::Int64(std::min<std::int64_t>(99, ranMs * 100 / run.plan.durationMs))
-                           : Json::Int64(ranMs < 300 ? 0 : 100));
+            row.append(run.plan.durationMs > 0 ? Json::Int64(
+                           std::min<std::int64_t>(99, ranMs * 100 / run.plan.durationMs))
+                                               : Json::Int64(ranMs < 300 ? 0 : 100));
             row.append(1);
             report["running"].append(row);
         }
--- a/review/standins/past-schedule.cc
+++ b/review/standins/past-schedule.cc
@@ -1,5 +1,5 @@
-/// Among ordinary jobs comes one that is repeated each minute, is due since a year ago, and can never
-/// be done since no worker is large enough. Do the other jobs still run?
+/// Among ordinary jobs comes one that is repeated each minute, is due since a year ago, and can
+/// never be done since no worker is large enough. Do the other jobs still run?
 
 #include "Site.hh"
 
@@ -45,7 +45,6 @@
         return static_cast<int>(Verdict::CouldNotRun);
     Record record(argv[1]);
     SiteSettings settings;
-    settings.subnet = 41;
     Site site(settings, record);
     site.addWorkers(4, [](const std::string &, std::int64_t) { return TaskPlan { 800, "done" }; });
     site.startNodes();
@@ -101,8 +100,7 @@
         if (ended < 2)
             record.note("judge: job " + id + " was accepted, started "
                         + std::to_string(site.history().count("start", id)) + " tasks, ended "
-                        + std::to_string(ended) + " of 2; a node says "
-                        + site.stateOf(1, id));
+                        + std::to_string(ended) + " of 2; a node says " + site.stateOf(1, id));
     }
     std::size_t running = 0;
     for (const auto &worker : site.workers())
