--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. TROUBLE=0 leaves
+# the disruption out.
+set -u
+cd "$(dirname "$0")/../.."
+
+[ -x target/platform/lagoonford-node ] && [ -x review/bin/dark-restart ] || exit 2
+timeout --kill-after=2 115 review/bin/dark-restart review/4/record.txt
+result=$?
+[ "$result" -le 1 ] || exit 2
+exit "$result"
