--- a/review/standins/Site.hh
+++ b/review/standins/Site.hh
@@ -114,12 +114,13 @@
         std::filesystem::remove_all(m_folder, ignored);
     }
 
-    void addWorkers(int count, const Worker::Plan &plan, const std::string &prefixOfIds = "i-")
+    void addWorkers(int count, const Worker::Plan &plan, int milliCores = 32000)
     {
         for (int i = 0; i < count; ++i) {
             WorkerSettings settings;
-            settings.id = prefixOfIds + std::to_string(i + 1);
+            settings.id = "i-" + std::to_string(i + 1);
             settings.ip = "127.0.0.1";
+            settings.milliCores = milliCores;
             settings.holdMaxMs = m_settings.holdMaxMs;
             m_workers.push_back(
                 std::make_unique<Worker>(settings, m_store, m_record, m_history, plan));
