--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,8 +4,8 @@
 set -u
 cd "$(dirname "$0")/../.."
 
-[ -x target/platform/lagoonford-node ] && [ -x review/bin/past-schedule ] || exit 2
-timeout --kill-after=2 115 review/bin/past-schedule review/3/record.txt
+[ -x target/platform/lagoonford-node ] && [ -x build/review/past-schedule ] || exit 2
+timeout --kill-after=2 115 build/review/past-schedule review/3/record.txt
 result=$?
 [ "$result" -le 1 ] || exit 2
 exit "$result"
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,8 +4,8 @@
 set -u
 cd "$(dirname "$0")/../.."
 
-[ -x target/platform/lagoonford-node ] && [ -x review/bin/dark-restart ] || exit 2
-timeout --kill-after=2 115 review/bin/dark-restart review/4/record.txt
+[ -x target/platform/lagoonford-node ] && [ -x build/review/dark-restart ] || exit 2
+timeout --kill-after=2 115 build/review/dark-restart review/4/record.txt
 result=$?
 [ "$result" -le 1 ] || exit 2
 exit "$result"
