LibHttp: Let a request require a connection

Cause: a caller that must reach the same server process as before can't say so. A request takes any kept connection or a new one, and an idempotent one whose connection breaks is sent again on a new one, which may lead to the server's next process. Ruled out: a pool of its own for such requests, which costs a connection for each peer. Change: answers tell the number of their connection; a request may name the one that it requires. It is sent there or not at all. Test: 'A call that requires a connection is sent on that one or not at all' (new).

--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/Error.h>
 #include <LibCore/SteadyClock.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace Http {
@@ -70,9 +71,12 @@
     };
 
     ConnectionPtr takeIdle();
+    /// Returns null if the connection isn't idle, or has been closed.
+    ConnectionPtr takeIdle(ConnectionNumber number);
     asio::awaitable<Answer> exchange(ConnectionPtr connection, const Request &request,
                                      Core::Instant deadline);
     asio::awaitable<Answer> exchangeOnNew(const Request &request, Core::Instant deadline);
+    asio::awaitable<Answer> exchangeOnRequired(const Request &request, Core::Instant deadline);
     /// Sets \p isInDoubt if a sending failed without a whole answer and another followed.
     asio::awaitable<Answer> exchangeOnAny(const Request &request, Core::Instant deadline,
                                           bool &isInDoubt);
@@ -87,6 +91,7 @@
     /// The one that answered longest ago first.
     std::vector<IdleConnection> m_idle;
     std::size_t m_callsUnderWay = 0;
+    ConnectionNumber m_lastConnection = 0;
 };
 
 static asio::ip::tcp::endpoint parseEndpoint(const Endpoint &endpoint)
@@ -160,6 +165,8 @@
 asio::awaitable<Answer> Client::Pool::exchangeOnAny(const Request &request, Core::Instant deadline,
                                                     bool &isInDoubt)
 {
+    if (request.requiredConnection)
+        co_return co_await exchangeOnRequired(request, deadline);
     ConnectionPtr idle = takeIdle();
     if (!idle)
         co_return co_await exchangeOnNew(request, deadline);
@@ -175,11 +182,21 @@
     co_return co_await exchangeOnNew(request, deadline);
 }
 
+asio::awaitable<Answer> Client::Pool::exchangeOnRequired(const Request &request,
+                                                         Core::Instant deadline)
+{
+    ConnectionPtr required = takeIdle(*request.requiredConnection);
+    if (!required)
+        throw Core::NotDoneError(request.step, m_peer, "the required connection isn't idle");
+    co_return co_await exchange(std::move(required), request, deadline);
+}
+
 asio::awaitable<Answer> Client::Pool::exchangeOnNew(const Request &request, Core::Instant deadline)
 {
     if (!m_budget->tryOpen())
         throw Core::NotDoneError(request.step, m_peer, "the connection budget is exhausted");
-    auto connection = std::make_unique<Connection>(m_executor, ConnectionSlot(m_budget));
+    auto connection
+        = std::make_unique<Connection>(m_executor, ConnectionSlot(m_budget), ++m_lastConnection);
     co_await connection->connect(m_endpoint, request, m_peer, deadline);
     co_return co_await exchange(std::move(connection), request, deadline);
 }
@@ -214,6 +231,20 @@
     return nullptr;
 }
 
+Client::Pool::ConnectionPtr Client::Pool::takeIdle(ConnectionNumber number)
+{
+    const auto found
+        = std::find_if(m_idle.begin(), m_idle.end(), [number](const IdleConnection &idle) {
+              return idle.connection->number() == number;
+          });
+    if (found == m_idle.end())
+        return nullptr;
+    m_budget->removeIdle(found->position);
+    ConnectionPtr connection = std::move(found->connection);
+    m_idle.erase(found);
+    return connection->isQuiet() ? std::move(connection) : nullptr;
+}
+
 void Client::Pool::giveBack(ConnectionPtr connection)
 {
     if (m_idle.size() >= maximumIdleConnections)
--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -41,8 +41,10 @@
     return message;
 }
 
-Connection::Connection(const asio::any_io_executor &executor, ConnectionSlot slot)
+Connection::Connection(const asio::any_io_executor &executor, ConnectionSlot slot,
+                       ConnectionNumber number)
     : m_slot(std::move(slot))
+    , m_number(number)
     , m_stream(executor)
 {
 }
@@ -115,6 +117,7 @@
         throw Core::OutcomeUnknownError(request.step, peer, "the answer announces no length");
     Answer answer;
     answer.status = parser.get().result_int();
+    answer.connection = m_number;
     answer.isReusable = parser.get().keep_alive() && m_buffer.size() == 0;
     answer.body = std::move(parser.get().body());
     co_return answer;
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -14,13 +14,16 @@
 class Connection
 {
 public:
-    Connection(const boost::asio::any_io_executor &executor, ConnectionSlot slot);
+    Connection(const boost::asio::any_io_executor &executor, ConnectionSlot slot,
+               ConnectionNumber number);
     /// Closes immediately and discards what the system hasn't sent yet, so that an abandoned call
     /// isn't delivered much later.
     ~Connection();
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
+    ConnectionNumber number() const { return m_number; }
+
     /// \throws Core::NotDoneError if no connection is established before \p deadline.
     boost::asio::awaitable<void> connect(const boost::asio::ip::tcp::endpoint &endpoint,
                                          const Request &request, const std::string &peer,
@@ -43,6 +46,7 @@
 
     /// Destroyed after the socket.
     ConnectionSlot m_slot;
+    ConnectionNumber m_number;
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
 };
--- a/Tests/LibHttp/TestClient.cpp
+++ b/Tests/LibHttp/TestClient.cpp
@@ -181,6 +181,83 @@
     CHECK(server.acceptedConnections() == 2);
 }
 
+TEST_CASE("A call that requires a connection is sent on that one or not at all")
+{
+    asio::io_context context;
+    const KeepAliveServer server(context);
+    Http::Client client(context.get_executor(), { "127.0.0.1", server.port() });
+    std::optional<Http::ConnectionNumber> answeredOn;
+    bool wasNotDone = false;
+    int endedCalls = 0;
+    const auto begin = [&](const std::string &target,
+                           std::optional<Http::ConnectionNumber> connection) {
+        Http::Request request;
+        request.step = "read";
+        request.target = target;
+        request.isIdempotent = true;
+        request.requiredConnection = connection;
+        asio::co_spawn(context,
+                       client.exchange(std::move(request), Core::steadyNow() + milliseconds(300)),
+                       [&](const std::exception_ptr &failure, const Http::Answer &answer) {
+                           ++endedCalls;
+                           answeredOn = failure ? std::nullopt : std::optional(answer.connection);
+                           try {
+                               if (failure)
+                                   std::rethrow_exception(failure);
+                           } catch (const Core::NotDoneError &) {
+                               wasNotDone = true;
+                           } catch (const Core::Error &) {
+                               wasNotDone = false;
+                           }
+                       });
+    };
+    const auto finish = [&](int calls) {
+        while (endedCalls < calls)
+            context.run_one();
+    };
+    begin("/", std::nullopt);
+    finish(1);
+    REQUIRE(answeredOn);
+    const Http::ConnectionNumber first = *answeredOn;
+
+    SECTION("if it is idle, on that one")
+    {
+        begin("/", first);
+        finish(2);
+        CHECK(answeredOn == first);
+        CHECK(server.acceptedConnections() == 1);
+    }
+    SECTION("while another call uses it, not at all")
+    {
+        begin("/silent", std::nullopt);
+        context.run_for(milliseconds(20));
+        begin("/", first);
+        finish(2);
+        CHECK(wasNotDone);
+        CHECK(server.acceptedConnections() == 1);
+        finish(3);
+    }
+    SECTION("once it is closed, not at all")
+    {
+        begin("/silent", first);
+        finish(2);
+        begin("/", std::nullopt);
+        finish(3);
+        CHECK(answeredOn != first);
+        begin("/", first);
+        finish(4);
+        CHECK(wasNotDone);
+        CHECK(server.acceptedConnections() == 2);
+    }
+    SECTION("when it breaks, it isn't sent again on another one")
+    {
+        begin("/silent", first);
+        finish(2);
+        CHECK_FALSE(wasNotDone);
+        CHECK(server.acceptedConnections() == 1);
+    }
+}
+
 TEST_CASE(
     "Clients that share a budget close each other's idle connections before they refuse a call")
 {
--- a/include/LibHttp/Client.h
+++ b/include/LibHttp/Client.h
@@ -10,8 +10,10 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,11 +32,16 @@
     bool operator==(const HeaderField &) const = default;
 };
 
+/// Numbers the connections that a client opens, from 1. A connection ends with the server process
+/// that accepted it, so two answers on one connection come from the same process.
+using ConnectionNumber = std::uint64_t;
+
 /// A complete response of any status.
 struct Answer
 {
     unsigned status = 0;
     std::string body;
+    ConnectionNumber connection = 0;
     /// True if the connection may serve another call.
     bool isReusable = false;
 
@@ -53,6 +60,8 @@
     /// True if sending it twice has the effect of sending it once. Such a request is retried once
     /// if the server had closed the pooled connection on which it was sent.
     bool isIdempotent = false;
+    /// The request is sent on this connection or not at all; it isn't retried on another one.
+    std::optional<ConnectionNumber> requiredConnection = {};
     /// The deadline applies to the start of the answer; the rest may arrive later, within the
     /// limits `longestPause` and `longestFlow`.
     bool isAnswerLong = false;
@@ -99,8 +108,8 @@
 
     /// Returns the answer of any status. \p deadline bounds the whole call.
     /// \throws Core::NotDoneError if nothing was sent, for example because the connection budget
-    /// was exhausted. \throws Core::OutcomeUnknownError if bytes were sent and no complete answer
-    /// arrived.
+    /// was exhausted, or because the required connection is closed or in use. \throws
+    /// Core::OutcomeUnknownError if bytes were sent and no complete answer arrived.
     boost::asio::awaitable<Answer> exchange(Request request, Core::Instant deadline);
 
 private:
