--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -14,6 +14,7 @@
                            DecisionLog &decisionLog)
     : m_settings(settings)
     , m_ownership(ownership)
+    , m_newestToken(ownership.token)
     , m_log(decisionLog)
     , m_overload(settings.renewalInterval)
 {
@@ -128,7 +129,8 @@
     for (const WorkerInfo &info : workers) {
         std::unique_ptr<WorkerState> &state = m_workers[info.id];
         if (!state) {
-            state = std::make_unique<WorkerState>(info, m_settings);
+            // The newest token, since the worker may have seen it before it was forgotten here.
+            state = std::make_unique<WorkerState>(info, m_settings, m_newestToken);
             state->observeRenewals(m_renewalQueue);
             state->observeCapacity(m_capacityIndex);
         }
@@ -268,6 +270,7 @@
     m_committed = number;
     m_provenAt = provenAt;
     m_needsPass |= m_needsProof;
+    renewWithHigherTokens(now);
     m_needsProof = std::any_of(m_listed.begin(), m_listed.end(), [&](const WorkerState *worker) {
         return worker->contactBeganAt() > m_provenAt;
     });
@@ -292,6 +295,20 @@
     acknowledgeEnds(now);
 }
 
+void JobScheduler::renewWithHigherTokens(const TimePoint &now)
+{
+    for (WorkerState *worker : m_listed) {
+        if (worker->needsHigherToken() && m_newestToken > worker->token())
+            worker->renewBy(now.instant);
+    }
+}
+
+bool JobScheduler::isDeposedBy(const Core::VmId &id, FencingToken token) const
+{
+    const WorkerState *worker = findWorker(id);
+    return !worker || token >= worker->token();
+}
+
 void JobScheduler::acknowledgeEnds(const TimePoint &now)
 {
     for (auto it = m_withUncommittedEnds.begin(); it != m_withUncommittedEnds.end();) {
--- a/Libraries/LibJob/JobSchedulerCrashes.cpp
+++ b/Libraries/LibJob/JobSchedulerCrashes.cpp
@@ -31,14 +31,28 @@
     return runs;
 }
 
-std::vector<JobScheduler::StartedRun> JobScheduler::runsStartedBefore(const WorkerState &worker,
-                                                                      Core::Instant time)
+/// The runs that the report lists as running or ended.
+static std::set<std::pair<TaskName, std::int64_t>> listedRuns(const WorkerReport &report)
+{
+    std::set<std::pair<TaskName, std::int64_t>> listed;
+    for (const RunningEntry &entry : report.running)
+        listed.emplace(entry.task, entry.run);
+    for (const EndedEntry &entry : report.ended)
+        listed.emplace(entry.task, entry.run);
+    return listed;
+}
+
+std::vector<JobScheduler::StartedRun> JobScheduler::runsLostBefore(const WorkerState &worker,
+                                                                   Core::Instant time,
+                                                                   const WorkerReport &report)
 {
     std::vector<StartedRun> runs = startedRuns(worker);
-    std::erase_if(runs, [time](const StartedRun &started) {
+    const auto listed = listedRuns(report);
+    std::erase_if(runs, [&](const StartedRun &started) {
         const bool wasRunning
             = started.run->phase == RunPhase::Running && started.run->phaseBeganAt <= time;
-        return !wasRunning && started.run->phase != RunPhase::Uncertain;
+        return (!wasRunning && started.run->phase != RunPhase::Uncertain)
+            || listed.contains({ started.name, started.run->number });
     });
     return runs;
 }
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -20,11 +20,14 @@
     if (m_isDeposed)
         return renewals;
     for (WorkerState *worker : m_renewalQueue.due(now.instant)) {
+        if (worker->needsHigherToken() && m_newestToken > worker->token())
+            worker->raiseToken(m_newestToken, now.instant);
         RenewCommand command;
         command.worker = worker->info().id;
         command.address = worker->info().address;
-        command.token = m_ownership.token;
-        command.acknowledgedEnd = worker->acknowledgedEnd();
+        command.token = worker->token();
+        command.acknowledgedEnd = worker->acknowledgementToSend();
+        command.processStartUnixMs = worker->processStartUnixMs();
         // No lease is granted to an unresponsive worker: its answer may be lost, and the grant
         // would delay the time at which its runs are known to be gone.
         const bool isGranted = worker->isClockKnown() && worker->isReconciled()
@@ -95,7 +98,8 @@
         && worker->processStartUnixMs() != report.processStartUnixMs;
     std::vector<StartedRun> lost;
     if (hasRestarted) {
-        lost = runsStartedBefore(*worker, sentAt);
+        noteRestart(*worker, report);
+        lost = runsLostBefore(*worker, sentAt, report);
         noteCrash(*worker, lost, "restarted", now);
     }
     settleDoubtsOfFormer(*worker, report.processStartUnixMs, now);
@@ -111,8 +115,11 @@
     if (isComplete && !wasReconciled)
         m_needsPass = true;
     // If the report is full, runs that a former owner started may be among the ended runs of the
-    // following reports.
-    worker->setReconciled(isComplete || wasReconciled);
+    // following reports. Until the worker has answered with a higher token than its former process
+    // had seen, commands for that one may still start tasks there.
+    const bool isFenced = !worker->needsHigherToken() && sentAt >= worker->tokenRaisedAt();
+    worker->setReconciled((isComplete && isFenced) || wasReconciled);
+    worker->noteAcknowledgementHeard(report.acknowledgedEnd);
     std::int64_t lastEnd = worker->processedEnd();
     for (const EndedEntry &end : report.ended) {
         if (end.number <= lastEnd)
@@ -154,10 +161,10 @@
     return worker.hasUncommittedEnds() ? uncommittedRenewalInterval : renewalInterval(worker);
 }
 
-Core::Duration JobScheduler::maxLeaseDuration() const
+Core::Duration JobScheduler::longestOf(Core::Duration length) const
 {
     const std::chrono::duration<double, std::micro> drifted
-        = std::chrono::duration<double, std::micro>(m_settings.lease) * (1 + m_settings.clockDrift);
+        = std::chrono::duration<double, std::micro>(length) * (1 + m_settings.clockDrift);
     return std::chrono::duration_cast<Core::Duration>(drifted) + m_settings.clockSlack;
 }
 
@@ -168,11 +175,25 @@
     // replaced owner. Only a proof of ownership after the first contact shows that no newer owner
     // had fenced this one off before the restart.
     worker.beginIncarnation(processStartUnixMs, now.instant);
-    // A start command for the former incarnation may have reached this one.
-    worker.extendLatestLeaseEnd(now.instant + maxLeaseDuration());
+    // A command for the former incarnation may have reached this one, with a deadline on the former
+    // one's clock.
+    const Core::Duration lease = worker.hasRestarted() ? m_settings.maxLease : m_settings.lease;
+    worker.extendLatestLeaseEnd(now.instant + longestOf(lease));
     m_needsProof = true;
 }
 
+void JobScheduler::noteRestart(const WorkerState &worker, const WorkerReport &report)
+{
+    const std::int64_t firstEnd = report.ended.empty() ? 0 : report.ended.front().number;
+    m_log.noteWorker(worker.info().id.text(), "worker-restarted",
+                     "born=" + std::to_string(report.processStartUnixMs)
+                         + " former_born=" + std::to_string(worker.processStartUnixMs())
+                         + " former_acknowledged=" + std::to_string(worker.acknowledgedEnd())
+                         + " acknowledged=" + std::to_string(report.acknowledgedEnd) + " first_end="
+                         + std::to_string(firstEnd) + " ends=" + std::to_string(report.ended.size())
+                         + " running=" + std::to_string(report.running.size()));
+}
+
 bool JobScheduler::onRunning(WorkerState &worker, const RunningEntry &entry, const TimePoint &now)
 {
     OwnedJob *job = findJob(entry.task.job);
@@ -192,6 +213,7 @@
     if (run.worker != &worker || run.number != entry.run)
         return false;
     run.seenAt = now.instant;
+    run.longestLeaseEnd = {};
     noteSeen(*job, entry.task, run);
     if (run.phase != RunPhase::Running) {
         setPhase(run, RunPhase::Running, now);
@@ -212,7 +234,7 @@
     note(entry.task, "adopt",
          "worker=" + worker.info().id.text() + " run=" + std::to_string(entry.run));
     addRun(job, entry.task, worker, entry.run, RunPhase::Running, now);
-    worker.extendLatestLeaseEnd(now.instant + maxLeaseDuration());
+    worker.extendLatestLeaseEnd(now.instant + longestOf(m_settings.lease));
     TaskState &task = *job.findTask(entry.task);
     task.run->percentDone = entry.percentDone;
     task.run->isThrottleKnown = false;
@@ -227,7 +249,7 @@
     note(entry.task, "stop-unknown",
          "worker=" + worker.info().id.text() + " run=" + std::to_string(entry.run));
     m_commands.emplace_back(StopCommand { worker.info().id, worker.info().address, entry.task,
-                                          entry.run, m_ownership.token });
+                                          entry.run, worker.token() });
     ++use.runs;
     const OwnedJob *job = findJob(entry.task.job);
     const auto step = static_cast<std::size_t>(entry.task.step);
@@ -271,6 +293,22 @@
     return unlisted;
 }
 
+bool JobScheduler::isGone(const WorkerState &worker, const TaskRun &run, Core::Instant sentAt)
+{
+    const bool wasRunning = run.phase == RunPhase::Running && run.phaseBeganAt <= sentAt;
+    const bool wasStopped = run.stopAnsweredAt != Core::Instant() && run.stopAnsweredAt <= sentAt;
+    if (wasRunning || wasStopped)
+        return true;
+    if (run.phase != RunPhase::Uncertain)
+        return false;
+    // The deadline of the start command is on the clock of the process that it was meant for; the
+    // next one rejects the command for its token.
+    const bool isForFormerProcess = run.sentAt < worker.firstReportAt();
+    const bool isFencedOff
+        = run.sentAt < worker.tokenRaisedAt() && worker.tokenRaisedAt() <= sentAt;
+    return isForFormerProcess ? isFencedOff : run.startDeadline <= sentAt;
+}
+
 void JobScheduler::removeMissingRuns(WorkerState &worker, const WorkerReport &report,
                                      Core::Instant sentAt)
 {
@@ -280,11 +318,7 @@
         if (!task || !task->run)
             continue;
         const TaskRun &run = *task->run;
-        const bool wasRunning = run.phase == RunPhase::Running && run.phaseBeganAt <= sentAt;
-        const bool wasStopped
-            = run.stopAnsweredAt != Core::Instant() && run.stopAnsweredAt <= sentAt;
-        const bool isTooLate = run.phase == RunPhase::Uncertain && run.startDeadline <= sentAt;
-        if (!wasRunning && !wasStopped && !isTooLate)
+        if (!isGone(worker, run, sentAt))
             continue;
         note(name, "gone",
              "worker=" + worker.info().id.text() + " run=" + std::to_string(run.number));
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -112,7 +112,7 @@
     m_stopping.emplace(worker.id, name);
     note(name, "stop", "worker=" + worker.id.text() + " run=" + std::to_string(run.number));
     m_commands.emplace_back(
-        StopCommand { worker.id, worker.address, name, run.number, m_ownership.token });
+        StopCommand { worker.id, worker.address, name, run.number, run.worker->token() });
     run.worker->renewBy(now.instant + renewalInterval(*run.worker));
 }
 
@@ -146,7 +146,7 @@
         note(command.task, "start-outcome",
              std::string(startOutcomeText(outcome)) + " worker=" + command.worker.text()
                  + " run=" + std::to_string(command.run));
-    if (outcome == StartOutcome::Fenced) {
+    if (outcome == StartOutcome::Fenced && isDeposedBy(command.worker, command.token)) {
         m_isDeposed = true;
         return;
     }
@@ -183,7 +183,8 @@
     }
     if (outcome == StartOutcome::Refused || outcome == StartOutcome::OtherIncarnation)
         worker.noteTaskFailed(now.instant);
-    else if (outcome != StartOutcome::OldRun && outcome != StartOutcome::Withheld)
+    else if (outcome != StartOutcome::OldRun && outcome != StartOutcome::Withheld
+             && outcome != StartOutcome::Fenced)
         worker.noteRefusal(now.instant);
     if (outcome == StartOutcome::OldRun)
         task->lastRun += 1;
@@ -323,6 +324,8 @@
         TaskState *task = job ? job->findTask(name) : nullptr;
         if (!task || !task->run || task->run->phase == RunPhase::Planned)
             continue;
+        if (now.instant <= task->run->longestLeaseEnd)
+            continue;
         const auto silentFor
             = std::chrono::duration_cast<milliseconds>(now.instant - worker.lastAnswerAt());
         const auto ranFor = std::chrono::duration_cast<milliseconds>(
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -466,12 +466,14 @@
     command.payload = job.submission().spec.payload;
     command.checkpoint = job.findTask(task)->checkpoint;
     command.leaseDeadlineMs = worker.grantLease(now.instant, m_settings.lease);
-    command.token = m_ownership.token;
+    command.token = worker.token();
     command.isOfGang = job.spec(task.step).isGang;
     command.isUrgent = run.isUrgent;
     setPhase(run, RunPhase::Starting, now);
     run.sentAt = now.instant;
     run.startDeadline = worker.latestLeaseEnd();
+    run.longestLeaseEnd
+        = now.instant + m_settings.startDeliveryTime + longestOf(m_settings.maxLease);
     worker.renewBy(now.instant + renewalInterval(worker));
     note(task, "start",
          "worker=" + command.worker.text() + " run=" + std::to_string(run.number)
@@ -500,17 +502,17 @@
     // A gang starts only when the workers of all its members are durable and have room.
     if (spec.isGang && !std::all_of(tasks.begin(), tasks.end(), isDurable))
         return;
-    const auto lacksRoom = [&spec](const TaskState &task) {
+    const auto cannotStart = [&spec](const TaskState &task) {
         return task.run && task.run->phase == RunPhase::Planned
-            && !task.run->worker->hasRoomForCounted(spec);
+            && (!task.run->worker->isAnswering() || !task.run->worker->hasRoomForCounted(spec));
     };
-    const bool isGangDropped = spec.isGang && std::any_of(tasks.begin(), tasks.end(), lacksRoom);
+    const bool isGangDropped = spec.isGang && std::any_of(tasks.begin(), tasks.end(), cannotStart);
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         TaskRun *run = tasks[index].run.get();
         if (!run || run->phase != RunPhase::Planned || !isDurable(tasks[index]))
             continue;
         const TaskName name { job.id(), occurrence, step, static_cast<int>(index) };
-        if (isGangDropped || lacksRoom(tasks[index]))
+        if (isGangDropped || cannotStart(tasks[index]))
             dropPlannedRun(job, name, *run);
         else
             sendStart(job, name, *run, now);
@@ -521,7 +523,8 @@
 {
     note(name, "plan-dropped",
          "worker=" + run.worker->info().id.text()
-             + " free=" + std::to_string(run.worker->freeResources().milliCores));
+             + " free=" + std::to_string(run.worker->freeResources().milliCores)
+             + " answering=" + (run.worker->isAnswering() ? '1' : '0'));
     removeRun(job, name);
 }
 
--- a/Libraries/LibJob/JobSchedulerThrottling.cpp
+++ b/Libraries/LibJob/JobSchedulerThrottling.cpp
@@ -182,7 +182,7 @@
          "worker=" + worker.id.text() + " run=" + std::to_string(run.number) + " percent="
              + std::to_string(percent) + " tail_of_target=" + std::to_string(highestTailRatio));
     m_commands.emplace_back(ThrottleCommand { worker.id, worker.address, name, run.number, percent,
-                                              m_ownership.token });
+                                              run.worker->token() });
 }
 
 void JobScheduler::onThrottleFailed(const ThrottleCommand &command)
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -283,11 +283,16 @@
 void WorkerState::beginIncarnation(std::int64_t processStartUnixMs, Core::Instant now)
 {
     m_contactBeganAt = now;
+    if (m_firstReportAt == Core::Instant())
+        m_firstReportAt = now;
     if (m_processStartUnixMs == processStartUnixMs)
         return;
+    m_needsHigherToken = m_processStartUnixMs != 0;
+    m_firstReportAt = now;
     m_processStartUnixMs = processStartUnixMs;
     m_processedEnd = 0;
     m_acknowledgedEnd = 0;
+    m_heardAcknowledgement = 0;
     m_uncommittedEnds.clear();
     m_clockReadAt = {};
     m_consecutiveFailures = 0;
@@ -309,6 +314,25 @@
     m_uncommittedEnds.erase(m_uncommittedEnds.begin(), end);
 }
 
+std::int64_t WorkerState::acknowledgementToSend() const
+{
+    const bool mayBeOtherProcess
+        = m_isUnresponsive || m_info.processStartUnixMs > m_processStartUnixMs;
+    return !mayBeOtherProcess && m_acknowledgedEnd > m_heardAcknowledgement ? m_acknowledgedEnd : 0;
+}
+
+void WorkerState::noteAcknowledgementHeard(std::int64_t number)
+{
+    m_heardAcknowledgement = std::max(m_heardAcknowledgement, number);
+}
+
+void WorkerState::raiseToken(FencingToken token, Core::Instant now)
+{
+    m_token = token;
+    m_tokenRaisedAt = now;
+    m_needsHigherToken = false;
+}
+
 void WorkerState::noteTaskDone()
 {
     m_consecutiveFailures = 0;
--- a/Libraries/LibSite/FencedAppend.cpp
+++ b/Libraries/LibSite/FencedAppend.cpp
@@ -25,7 +25,7 @@
     return m_isAnswered || m_isRejected || m_openCalls == 0;
 }
 
-asio::awaitable<Core::Instant> FencedAppend::send(Spawn spawn, Core::Instant deadline)
+asio::awaitable<FencedAppend::Receipt> FencedAppend::send(Spawn spawn, Core::Instant deadline)
 {
     // The answer to a repetition may be the stored one of the first call, so it proves no more.
     const Core::Instant firstSentAt = Core::suspendAwareNow();
@@ -39,7 +39,7 @@
     // Each call ends by itself soon after its deadline.
     co_await waitUntil(Core::Instant::max());
     if (m_isAnswered)
-        co_return firstSentAt;
+        co_return Receipt { firstSentAt, m_offset };
     std::rethrow_exception(m_failure);
 }
 
@@ -53,7 +53,9 @@
 {
     try {
         std::vector<Jobs::StoredRecord> records = self->m_records;
-        co_await self->m_log.appendFenced(std::move(records), self->m_writer, deadline);
+        const std::int64_t offset
+            = co_await self->m_log.appendFenced(std::move(records), self->m_writer, deadline);
+        self->m_offset = offset;
         self->m_isAnswered = true;
     } catch (const FencedError &) {
         self->m_failure = std::current_exception();
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -519,7 +519,11 @@
     const FencedAppend::Spawn spawnCall
         = [this](asio::awaitable<void> call) { spawn(std::move(call)); };
     try {
-        m_provenAt = co_await append->send(spawnCall, Core::steadyNow() + appendTimeout);
+        const FencedAppend::Receipt receipt
+            = co_await append->send(spawnCall, Core::steadyNow() + appendTimeout);
+        m_provenAt = receipt.sentAt;
+        // A claim takes the offset of its own record, and so a higher token than these records'.
+        m_scheduler.offerToken(receipt.offset + 1);
         ++m_nextSequence;
         m_loopMeter.noteAppendAnswered(Core::steadyNow());
         if (m_state.health.noteSuccess(Core::steadyNow()))
@@ -575,7 +579,7 @@
         co_await m_workers.stop(command, deadline);
         m_scheduler.onStopAnswered(command, now());
     } catch (const FencedError &error) {
-        depose(error.what());
+        applyRejectedToken(command.worker, command.token, error);
     } catch (const OtherIncarnationError &) {
         applyOtherIncarnation(command.worker, command.address);
     } catch (const Core::Error &error) {
@@ -590,7 +594,7 @@
     try {
         co_await m_workers.throttle(command, deadline);
     } catch (const FencedError &error) {
-        depose(error.what());
+        applyRejectedToken(command.worker, command.token, error);
     } catch (const Core::Error &error) {
         LOG4CXX_DEBUG(partLogger, "event=throttle-failed reason=\"" << error.what() << '"');
         m_scheduler.onThrottleFailed(command);
@@ -608,7 +612,7 @@
             applyReport(command.worker, report, sentAt);
         co_return;
     } catch (const FencedError &error) {
-        depose(error.what());
+        applyRejectedToken(command.worker, command.token, error);
     } catch (const OtherIncarnationError &) {
         applyOtherIncarnation(command.worker, command.address);
     } catch (const Core::Error &error) {
@@ -630,6 +634,13 @@
     m_scheduler.onReport(worker, report, sentAt, now());
 }
 
+void OwnerSession::applyRejectedToken(const Core::VmId &worker, Jobs::FencingToken token,
+                                      const FencedError &error)
+{
+    if (m_scheduler.isDeposedBy(worker, token))
+        depose(error.what());
+}
+
 void OwnerSession::applyOtherIncarnation(const Core::VmId &worker, const std::string &address)
 {
     if (!isIssuingCommands())
--- a/Libraries/LibSite/SiteMetrics.cpp
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -66,6 +66,10 @@
     , m_refusedWorkerCalls(counters(m_registry, "lagoonford_worker_calls_refused_total",
                                     "Calls to workers that got no connection within the budget")
                                .Add({}))
+    , m_withheldAcknowledgements(
+          counters(m_registry, "lagoonford_acknowledgements_withheld_total",
+                   "Renewals that were sent without their acknowledgement of ended runs")
+              .Add({}))
     , m_ownerLag(gauge(m_registry, "lagoonford_owner_lag_seconds",
                        "How late the owner's work with workers ran at most in the last second"))
 {
@@ -143,6 +147,11 @@
     m_refusedWorkerCalls.Increment(total - m_refusedWorkerCalls.Value());
 }
 
+void SiteMetrics::countWithheldAcknowledgement()
+{
+    m_withheldAcknowledgements.Increment();
+}
+
 void SiteMetrics::setOwnerLag(double seconds)
 {
     m_ownerLag.Set(seconds);
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -94,6 +94,10 @@
     int crashesAround = 0;
     int startsAfterThirdCrash = 0;
     bool isDone = false;
+    /// Runs that have ended as done, with the time of their end.
+    std::map<std::int64_t, std::int64_t> doneAtMs;
+    /// When the first run ended as done whose end was acknowledged in time; -1 if none was.
+    std::int64_t acknowledgedDoneAtMs = -1;
 };
 
 JobWorld::JobWorld(std::uint32_t seed, const FaultRates &faults, DisabledGuard disabledGuard,
@@ -103,6 +107,7 @@
     , m_disabledGuard(disabledGuard)
     , m_life(life)
 {
+    m_settings.maxLease = milliseconds(m_life.maxLeaseMs);
     for (std::size_t i = 0; i < m_life.workerCount; ++i) {
         WorkerInfo info;
         info.id = Core::VmId("w" + std::to_string(i));
@@ -113,6 +118,7 @@
         info.processStartUnixMs = 1;
         m_workers.push_back(std::make_unique<SimulatedWorker>(info, i % 2 == 0 ? 1.0 : 0.98));
         m_workers.back()->stopTakesMs = m_life.stopTakesMs;
+        m_workers.back()->maxLeaseMs = m_life.maxLeaseMs;
         m_workers.back()->ignoresTokens = disabledGuard == DisabledGuard::Fence;
     }
     for (std::size_t i = 0; i < nodeCount; ++i) {
@@ -189,7 +195,8 @@
     Node &node = *m_nodes[index];
     if (node.storePartitionedUntilMs > m_nowMs || node.frozenUntilMs > m_nowMs)
         return;
-    m_epoch += randomBetween(1, 40);
+    m_logEnd += randomBetween(1, 40);
+    m_epoch = m_logEnd;
     ++m_term;
     Ownership ownership;
     ownership.token = m_epoch;
@@ -260,6 +267,10 @@
     if (m_life.returnsUnderNewId)
         m_workers[index]->setId(
             Core::VmId(m_workers[index]->info().address + '-' + std::to_string(m_nowMs)));
+    if (m_life.listedAfterMs > 0) {
+        schedule(randomBetween(1, m_life.listedAfterMs), [this] { ++m_listVersion; });
+        return;
+    }
     for (const auto &node : m_nodes) {
         if (node->scheduler)
             node->scheduler->setWorkers(listedWorkers(), now());
@@ -313,6 +324,7 @@
     if (history.failedAtMs.size() >= attemptLimit)
         fail("a task is started after its last attempt: " + task.text());
     checkAttempts(task);
+    checkDone(task);
     if (history.crashes >= 3)
         ++history.startsAfterThirdCrash;
     checkCrashes(history, task);
@@ -356,6 +368,66 @@
         fail("a task is started after its last attempt: " + task.text());
 }
 
+void JobWorld::checkDone(const TaskName &task)
+{
+    const TaskHistory &history = m_history[task];
+    if (history.acknowledgedDoneAtMs >= 0 && !history.startedAtMs.empty()
+        && history.acknowledgedDoneAtMs < history.startedAtMs.back())
+        fail("a task is started after a run of it was done: " + task.text());
+}
+
+void JobWorld::noteAcknowledged(const EndedEntry &end)
+{
+    TaskHistory &history = m_history[end.task];
+    if (end.kind == EndKind::Failed) {
+        history.attempts.insert(end.run);
+        checkAttempts(end.task);
+    }
+    if (end.kind != EndKind::Done)
+        return;
+    std::int64_t &first = history.acknowledgedDoneAtMs;
+    const std::int64_t doneAtMs = history.doneAtMs.at(end.run);
+    first = first < 0 ? doneAtMs : std::min(first, doneAtMs);
+    checkDone(end.task);
+}
+
+void JobWorld::deliver(std::size_t worker, std::int64_t maxDelayMs, const Action &arrive)
+{
+    schedule(randomBetween(1, maxDelayMs), [this, worker, arrive] {
+        const bool isKept = m_life.getsCallsOfFormerProcess && !m_workers[worker]->isUp();
+        if (isKept)
+            deliverUntil(worker, m_nowMs + commandTimeoutMs, arrive);
+        else
+            arrive();
+    });
+}
+
+void JobWorld::deliverUntil(std::size_t worker, std::int64_t untilMs, const Action &arrive)
+{
+    constexpr std::int64_t maxRepetitionMs = 200;
+    schedule(randomBetween(1, maxRepetitionMs), [this, worker, untilMs, arrive] {
+        if (m_workers[worker]->isUp() || m_nowMs >= untilMs)
+            arrive();
+        else
+            deliverUntil(worker, untilMs, arrive);
+    });
+}
+
+FencingToken JobWorld::sentToken(std::size_t node, FencingToken token) const
+{
+    return m_disabledGuard == DisabledGuard::ProcessToken ? m_nodes[node]->token : token;
+}
+
+RenewCommand JobWorld::asReceived(const RenewCommand &command, std::size_t worker) const
+{
+    RenewCommand received = command;
+    const bool isForProcess
+        = m_workers[worker]->info().processStartUnixMs == command.processStartUnixMs;
+    if (!isForProcess && m_disabledGuard != DisabledGuard::AcknowledgedProcess)
+        received.acknowledgedEnd = 0;
+    return received;
+}
+
 void JobWorld::send(std::size_t index, const StartCommand &command)
 {
     const std::int64_t generation = m_nodes[index]->generation;
@@ -365,7 +437,9 @@
         if (node.generation == generation && node.scheduler)
             node.scheduler->onStartOutcome(command, outcome, now());
     };
-    const auto execute = [this, target, command]() {
+    StartCommand sent = command;
+    sent.token = sentToken(index, command.token);
+    const auto execute = [this, target, command, sent]() {
         // Draws a random number only if this fault is enabled, so that other simulations keep their
         // random sequences.
         if (m_faults.refusedStart > 0 && chance(m_faults.refusedStart))
@@ -373,8 +447,9 @@
         if (m_workers[target]->info().id != command.worker)
             return StartOutcome::OtherIncarnation;
         SimulatedWorker::Run work;
-        work.endsAtMs
-            = m_nowMs + (isLongRunning(command.payload) ? longRunningMs : randomBetween(100, 1500));
+        work.endsAtMs = m_nowMs
+            + (isLongRunning(command.payload) ? longRunningMs
+                                              : randomBetween(m_life.minTaskMs, 1500));
         work.endKind = chance(m_faults.failedRun) ? EndKind::Failed : EndKind::Done;
         work.hangs = chance(m_faults.hangingRun);
         const bool wasRunning = m_workers[target]->running().contains(command.task);
@@ -383,7 +458,7 @@
             ++m_rejectedForCapacity;
             return StartOutcome::NoRoom;
         }
-        const StartOutcome outcome = m_workers[target]->start(command, work, m_nowMs);
+        const StartOutcome outcome = m_workers[target]->start(sent, work, m_nowMs);
         if (outcome == StartOutcome::Started && !wasRunning) {
             noteStart(command.task);
             checkCapacity(target, command.task);
@@ -394,16 +469,12 @@
         return outcome;
     };
     const bool isLate = chance(m_faults.delayedCommand);
-    if (isLate)
-        // The worker's process delays the command, so the command is lost if the process ends.
-        schedule(
-            randomBetween(2000, 12000),
-            [this, target, execute, processStart = m_workers[target]->info().processStartUnixMs] {
-                if (m_workers[target]->isUp()
-                    && m_workers[target]->info().processStartUnixMs == processStart)
-                    execute();
-            });
-    schedule(randomBetween(1, 30), [this, index, target, isLate, answer, execute] {
+    const bool isDelayedByReceiver = isLate && m_life.getsCallsOfFormerProcess;
+    if (isLate && !isDelayedByReceiver)
+        executeLater(target, [execute] { execute(); });
+    deliver(target, 30, [this, index, target, isLate, isDelayedByReceiver, answer, execute] {
+        if (isDelayedByReceiver)
+            executeLater(target, [execute] { execute(); });
         if (!isLate && isRefusedBy(target)) {
             schedule(randomBetween(1, 30), [answer] { answer(StartOutcome::NotSent); });
             return;
@@ -428,9 +499,11 @@
 {
     const std::int64_t generation = m_nodes[index]->generation;
     const std::size_t target = indexOf(command.address);
-    schedule(randomBetween(1, 30), [this, index, target, generation, command] {
+    StopCommand sent = command;
+    sent.token = sentToken(index, command.token);
+    schedule(randomBetween(1, 30), [this, index, target, generation, command, sent] {
         const bool isOther = m_workers[target]->info().id != command.worker;
-        if (isOther || !reaches(index, target) || !m_workers[target]->stop(command, m_nowMs)
+        if (isOther || !reaches(index, target) || !m_workers[target]->stop(sent, m_nowMs)
             || chance(m_faults.lostAnswer))
             return;
         schedule(randomBetween(1, 30), [this, index, generation, command] {
@@ -459,25 +532,46 @@
             node.scheduler->onOtherIncarnation(command.worker, command.address, now());
         failed();
     };
-    schedule(
-        randomBetween(1, 60), [this, index, target, generation, command, sentAt, failed, replaced] {
-            const bool isReached = reaches(index, target);
-            if (isReached && m_workers[target]->info().id != command.worker) {
-                schedule(randomBetween(1, 30), replaced);
-                return;
-            }
-            const auto report
-                = isReached ? m_workers[target]->renew(command, m_nowMs) : std::nullopt;
-            if (!report || chance(m_faults.lostAnswer)) {
-                schedule(isRefusedBy(target) ? randomBetween(1, 30) : commandTimeoutMs, failed);
-                return;
-            }
-            schedule(randomBetween(1, 30), [this, index, generation, command, sentAt, report] {
-                Node &node = *m_nodes[index];
-                if (node.generation == generation && node.scheduler)
-                    node.scheduler->onReport(command.worker, *report, sentAt, now());
+    RenewCommand sent = command;
+    sent.token = sentToken(index, command.token);
+    const auto execute = [this, target, sent] {
+        return m_workers[target]->renew(asReceived(sent, target), m_nowMs);
+    };
+    // Draws a random number only if this fault is enabled; see above.
+    const bool isLate = m_faults.delayedRenewal > 0 && chance(m_faults.delayedRenewal);
+    deliver(target, 60,
+            [this, index, target, generation, command, sentAt, failed, replaced, execute, isLate] {
+                const bool isReached = reaches(index, target);
+                if (isReached && m_workers[target]->info().id != command.worker) {
+                    schedule(randomBetween(1, 30), replaced);
+                    return;
+                }
+                if (isReached && isLate)
+                    executeLater(target, [execute] { execute(); });
+                const auto report = isReached && !isLate ? execute() : std::nullopt;
+                if (!report || chance(m_faults.lostAnswer)) {
+                    schedule(isRefusedBy(target) ? randomBetween(1, 30) : commandTimeoutMs, failed);
+                    return;
+                }
+                schedule(randomBetween(1, 30), [this, index, generation, command, sentAt, report] {
+                    Node &node = *m_nodes[index];
+                    if (node.generation == generation && node.scheduler)
+                        node.scheduler->onReport(command.worker, *report, sentAt, now());
+                });
             });
-        });
+}
+
+void JobWorld::executeLater(std::size_t worker, const Action &execute)
+{
+    const auto isSameProcess
+        = [this, worker, processStart = m_workers[worker]->info().processStartUnixMs] {
+              return m_workers[worker]->isUp()
+                  && m_workers[worker]->info().processStartUnixMs == processStart;
+          };
+    schedule(randomBetween(2000, 12000), [isSameProcess, execute] {
+        if (isSameProcess())
+            execute();
+    });
 }
 
 bool JobWorld::isRefusedBy(std::size_t worker) const
@@ -520,6 +614,8 @@
         checkRecords(record);
         m_table.apply(record);
     }
+    ++m_logEnd;
+    owner.scheduler->offerToken(m_logEnd);
     m_lastOwnerWriteMs = m_nowMs;
     owner.provenAtMs = std::max(owner.provenAtMs, pending.sentAtMs);
     owner.isCommitting = false;
@@ -707,13 +803,11 @@
             history.isDone |= end.kind == EndKind::Done;
             if (end.kind == EndKind::Failed)
                 history.failedAtMs[end.run] = m_nowMs;
+            if (end.kind == EndKind::Done)
+                history.doneAtMs[end.run] = m_nowMs;
         }
-        for (const EndedEntry &end : worker->takeAcknowledged()) {
-            if (end.kind != EndKind::Failed)
-                continue;
-            m_history[end.task].attempts.insert(end.run);
-            checkAttempts(end.task);
-        }
+        for (const EndedEntry &end : worker->takeAcknowledged())
+            noteAcknowledged(end);
     }
     for (std::size_t i = 0; i < nodeCount; ++i)
         runOwner(i);
--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -20,6 +20,8 @@
     double lostAnswer = 0;
     /// A start command isn't answered and is executed 2 to 12 s later.
     double delayedCommand = 0;
+    /// A renewal isn't answered and is executed 2 to 12 s later by the process that received it.
+    double delayedRenewal = 0;
     /// A worker rejects a start command without executing it.
     double refusedStart = 0;
     double workerCrash = 0;
@@ -43,6 +45,10 @@
     FormerLeases,
     /// An owner sends commands without a recent proof of ownership.
     Proof,
+    /// Acknowledgements reach whichever process of a worker is there.
+    AcknowledgedProcess,
+    /// A worker's next process gets the same token as its former one.
+    ProcessToken,
 };
 
 /// Returns a job whose steps have the given numbers of tasks and run one after the other. The
@@ -57,6 +63,15 @@
     bool returnsUnderNewId = false;
     /// Calls to a crashed worker are refused at once; otherwise they get no answer.
     bool refusesCallsWhileDown = false;
+    /// A call to a crashed worker reaches its next process if that starts within the call's time
+    /// limit, as with a connection request that the network repeats.
+    bool getsCallsOfFormerProcess = false;
+    /// Time from the start of a process to its first entry in the list of workers.
+    std::int64_t listedAfterMs = 0;
+    /// The longest lease that a worker grants.
+    std::int64_t maxLeaseMs = 6000;
+    /// Minimum time that a task takes.
+    std::int64_t minTaskMs = 100;
     /// How long a worker that a task or crashWorkers() has crashed is away.
     std::int64_t returnsAfterMs = 3400;
     /// Time from the start of a crashing task to the crash of its worker.
@@ -146,7 +161,18 @@
     void send(std::size_t node, const Jobs::StartCommand &command);
     void send(std::size_t node, const Jobs::StopCommand &command);
     void send(std::size_t node, const Jobs::RenewCommand &command);
+    /// Calls \p arrive when a call that is sent now reaches the worker's machine; see
+    /// WorkerLife::getsCallsOfFormerProcess.
+    void deliver(std::size_t worker, std::int64_t maxDelayMs, const Action &arrive);
+    void deliverUntil(std::size_t worker, std::int64_t untilMs, const Action &arrive);
+    /// The command as the worker gets it: its connection ends with the process, so another one
+    /// gets no acknowledgement.
+    Jobs::RenewCommand asReceived(const Jobs::RenewCommand &command, std::size_t worker) const;
+    /// The token with which a command of the node is sent.
+    Jobs::FencingToken sentToken(std::size_t node, Jobs::FencingToken token) const;
     bool reaches(std::size_t node, std::size_t worker) const;
+    /// The worker's process delays a command, which is lost if the process ends.
+    void executeLater(std::size_t worker, const Action &execute);
     /// True if a call to the worker fails at once since its process is down.
     bool isRefusedBy(std::size_t worker) const;
     std::size_t indexOf(const std::string &address) const;
@@ -158,6 +184,10 @@
     /// Checks that the task wasn't started after its last attempt. A failed end counts as an
     /// attempt once it is acknowledged, even if that happens after the start in question.
     void checkAttempts(const Jobs::TaskName &task);
+    /// Checks that the task wasn't started after a run of it that has ended as done, which counts
+    /// like a failed one.
+    void checkDone(const Jobs::TaskName &task);
+    void noteAcknowledged(const Jobs::EndedEntry &end);
     void checkRuns();
     /// Checks that the runs on a worker, with those that are being stopped, don't request more than
     /// the capacity that it has or had shortly before.
@@ -193,6 +223,8 @@
     std::vector<std::unique_ptr<SimulatedWorker>> m_workers;
     std::vector<std::unique_ptr<Node>> m_nodes;
     Jobs::JobTable m_table;
+    /// The offset of the next record in the log.
+    std::int64_t m_logEnd = 0;
     Jobs::FencingToken m_epoch = 0;
     std::int64_t m_term = -1;
     std::int64_t m_lastOwnerWriteMs = 0;
--- a/Tests/LibJob/SchedulerFixture.cpp
+++ b/Tests/LibJob/SchedulerFixture.cpp
@@ -13,6 +13,7 @@
 
 SchedulerFixture::SchedulerFixture(const Ownership &ownership)
     : m_scheduler(SchedulerSettings(), ownership, m_log)
+    , m_newestToken(ownership.token)
 {
     for (const Core::VmId &id : { first, second }) {
         WorkerInfo info;
@@ -78,17 +79,38 @@
 void SchedulerFixture::report(const Core::VmId &worker, const std::vector<EndedEntry> &ended,
                               const std::vector<RunningEntry> &running)
 {
-    collectRenewals();
     WorkerReport report;
-    report.clockMs = m_now.unixMs;
-    report.processStartUnixMs = m_processStarts.emplace(worker, 1).first->second;
     report.running = running;
     report.ended = ended;
+    deliver(worker, report);
+}
+
+void SchedulerFixture::deliver(const Core::VmId &worker, WorkerReport report)
+{
+    collectRenewals();
+    report.clockMs = m_now.unixMs;
+    report.processStartUnixMs = m_processStarts.emplace(worker, 1).first->second;
     advance(1);
     m_scheduler.onReport(worker, report, m_now.instant - milliseconds(1), m_now);
     advance(1);
 }
 
+void SchedulerFixture::reportAcknowledged(const Core::VmId &worker, std::int64_t number)
+{
+    WorkerReport report;
+    report.acknowledgedEnd = number;
+    deliver(worker, report);
+}
+
+void SchedulerFixture::listRestarted(const Core::VmId &worker)
+{
+    for (WorkerInfo &info : m_workers) {
+        if (info.id == worker)
+            info.processStartUnixMs = m_processStarts.at(worker);
+    }
+    m_scheduler.setWorkers(m_workers, m_now);
+}
+
 void SchedulerFixture::restart(const Core::VmId &worker)
 {
     m_processStarts[worker] = m_now.unixMs;
@@ -205,6 +227,12 @@
     return m_renewals[worker].acknowledgedEnd;
 }
 
+FencingToken SchedulerFixture::tokenOf(const Core::VmId &worker)
+{
+    collectRenewals();
+    return m_renewals[worker].token;
+}
+
 void SchedulerFixture::partition(const Core::VmId &worker)
 {
     constexpr int maxLeaseMs = 8000;
@@ -277,6 +305,7 @@
     m_recordsWritten += static_cast<int>(commit.records.size());
     for (const JobRecord &record : commit.records)
         m_workerRecordsWritten += std::holds_alternative<JobWorkers>(record) ? 1 : 0;
+    m_scheduler.offerToken(++m_newestToken);
     m_scheduler.onCommitted(commit.number, m_now.instant, m_now);
 }
 
--- a/Tests/LibJob/SchedulerFixture.h
+++ b/Tests/LibJob/SchedulerFixture.h
@@ -32,8 +32,12 @@
     /// A worker answers a renewal with a report.
     void report(const Core::VmId &worker, const std::vector<Jobs::EndedEntry> &ended,
                 const std::vector<Jobs::RunningEntry> &running = {});
+    /// A worker answers a renewal that acknowledged its ends up to \p number, and runs nothing.
+    void reportAcknowledged(const Core::VmId &worker, std::int64_t number);
     /// The worker has crashed and is back under its ID; its reports show it from now on.
     void restart(const Core::VmId &worker);
+    /// The store's list shows the process that restart() has started.
+    void listRestarted(const Core::VmId &worker);
     /// A report arrives late that the worker sent before everything else happened.
     void reportFromBefore(const Core::VmId &worker, const std::vector<Jobs::EndedEntry> &ended);
     /// Another incarnation answers a renewal that was sent to \p address for \p worker.
@@ -69,6 +73,8 @@
     int workerRecordsWritten() const { return m_workerRecordsWritten; }
     /// The number up to which the latest renewal sent to the worker acknowledges ended runs.
     std::int64_t acknowledgedEnd(const Core::VmId &worker);
+    /// The token of the latest renewal sent to the worker.
+    Jobs::FencingToken tokenOf(const Core::VmId &worker);
     /// The worker doesn't answer renewals until its leases have expired.
     void partition(const Core::VmId &worker);
     /// A renewal that was sent to the worker gets no answer.
@@ -99,6 +105,7 @@
                                 int attemptLimit) const;
     void advance(std::int64_t forMs);
     void collectRenewals();
+    void deliver(const Core::VmId &worker, Jobs::WorkerReport report);
 
     static constexpr std::int64_t capacityMilliCores = 4000;
 
@@ -108,6 +115,8 @@
     Jobs::JobScheduler m_scheduler;
     Jobs::JobTable m_table;
     bool m_isStoreReachable = true;
+    /// One more than the offset of the last append.
+    Jobs::FencingToken m_newestToken;
     Jobs::StartOutcome m_startOutcome = Jobs::StartOutcome::Started;
     int m_recordsWritten = 0;
     int m_workerRecordsWritten = 0;
--- a/Tests/LibJob/SimulatedWorker.cpp
+++ b/Tests/LibJob/SimulatedWorker.cpp
@@ -4,7 +4,6 @@
 
 using namespace Jobs;
 
-static constexpr std::int64_t maxLeaseMs = 6000;
 /// Longer runs are those of long-running tasks, which report 100 percent progress.
 static constexpr std::int64_t maxWorkMs = 1'000'000;
 
@@ -88,6 +87,7 @@
         m_ended.erase(m_ended.begin());
     }
     WorkerReport report;
+    report.acknowledgedEnd = command.acknowledgedEnd;
     report.clockMs = clock;
     report.processStartUnixMs = m_info.processStartUnixMs;
     for (const auto &[task, run] : m_running) {
--- a/Tests/LibJob/SimulatedWorker.h
+++ b/Tests/LibJob/SimulatedWorker.h
@@ -59,6 +59,8 @@
     bool ignoresTokens = false;
     /// Time from a stop command to the end of the run.
     std::int64_t stopTakesMs = 0;
+    /// The longest lease that the worker grants.
+    std::int64_t maxLeaseMs = 6000;
 
 private:
     bool acceptToken(Jobs::FencingToken token);
--- a/Tests/LibJob/TestCrashRecords.cpp
+++ b/Tests/LibJob/TestCrashRecords.cpp
@@ -120,6 +120,9 @@
         const StartCommand &other = starts[static_cast<std::size_t>(1 - crash)];
         owner.restart(crashing.worker);
         owner.report(crashing.worker, {});
+        // The new process is used once it has answered with a higher token.
+        owner.commit();
+        owner.report(crashing.worker, {});
         owner.report(other.worker,
                      { { crash + 1, other.task, other.run, EndKind::GangBroken, "" } });
     }
--- a/Tests/LibJob/TestRenewalQueue.cpp
+++ b/Tests/LibJob/TestRenewalQueue.cpp
@@ -18,7 +18,7 @@
     for (int i = 0; i < count; ++i) {
         WorkerInfo info;
         info.id = Core::VmId("worker-" + std::to_string(i));
-        workers.push_back(std::make_unique<WorkerState>(info, SchedulerSettings()));
+        workers.push_back(std::make_unique<WorkerState>(info, SchedulerSettings(), 0));
         workers.back()->observeRenewals(queue);
         workers.back()->setListed(static_cast<std::size_t>(i));
     }
--- a/Tests/LibJob/TestWorkerChooser.cpp
+++ b/Tests/LibJob/TestWorkerChooser.cpp
@@ -151,7 +151,7 @@
 
     std::unique_ptr<WorkerState> worker(int number)
     {
-        auto worker = std::make_unique<WorkerState>(info(number), SchedulerSettings());
+        auto worker = std::make_unique<WorkerState>(info(number), SchedulerSettings(), 0);
         worker->observeCapacity(m_index);
         worker->setReconciled(below(8) != 0);
         worker->readClock(1, now);
--- /dev/null
+++ b/Tests/platform/TestAcknowledgements.cpp
@@ -0,0 +1,129 @@
+#include "PlatformWorkerClient.h"
+#include "RestartingWorker.h"
+
+#include <LibCore/SteadyClock.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t connections = 16;
+constexpr Core::Duration callTime = std::chrono::seconds(2);
+constexpr std::int64_t acknowledged = 12;
+
+using Renewals = std::vector<RestartingWorker::Renewal>;
+
+struct OneWorker
+{
+    asio::io_context context;
+    RestartingWorker worker { context };
+    Site::SiteMetrics metrics;
+    Adapter::PlatformWorkerClient client { context.get_executor(), connections, metrics };
+    std::optional<Jobs::WorkerReport> lastReport;
+    int callsUnderWay = 0;
+
+    void beginRenewal(std::int64_t acknowledgedEnd, std::int64_t processStartUnixMs)
+    {
+        Jobs::RenewCommand command;
+        command.address = worker.address();
+        command.acknowledgedEnd = acknowledgedEnd;
+        command.processStartUnixMs = processStartUnixMs;
+        ++callsUnderWay;
+        asio::co_spawn(context, client.renew(std::move(command), Core::steadyNow() + callTime),
+                       [this](const std::exception_ptr &failure, Jobs::WorkerReport report) {
+                           --callsUnderWay;
+                           if (!failure)
+                               lastReport = std::move(report);
+                       });
+    }
+    void finishCalls(int except = 0)
+    {
+        for (int i = 0; i < 500 && callsUnderWay > except; ++i)
+            context.run_for(std::chrono::milliseconds(10));
+        REQUIRE(callsUnderWay == except);
+    }
+    Jobs::WorkerReport renew(std::int64_t acknowledgedEnd, std::int64_t processStartUnixMs)
+    {
+        lastReport.reset();
+        beginRenewal(acknowledgedEnd, processStartUnixMs);
+        finishCalls();
+        REQUIRE(lastReport);
+        return *lastReport;
+    }
+    bool hasWithheld(int count) const
+    {
+        const std::string line
+            = "lagoonford_acknowledgements_withheld_total " + std::to_string(count) + '\n';
+        return metrics.text().find(line) != std::string::npos;
+    }
+};
+
+} // namespace
+
+// Guards against TWICE: the next process under the worker's ID numbers its ends from 1 again, and
+// forgets unreported ones if it gets the former one's acknowledgement.
+TEST_CASE("Only the process of a worker that has reported ends gets their acknowledgement")
+{
+    OneWorker site;
+    const std::int64_t former = site.worker.processStartUnixMs();
+
+    SECTION("it gets them while it lives")
+    {
+        site.renew(0, 0);
+        CHECK(site.renew(acknowledged, former).acknowledgedEnd == acknowledged);
+        CHECK(site.worker.renewals() == Renewals { { former, 0 }, { former, acknowledged } });
+        CHECK(site.hasWithheld(0));
+    }
+    SECTION("nobody has reported yet")
+    {
+        CHECK(site.renew(acknowledged, former).acknowledgedEnd == 0);
+        CHECK(site.worker.renewals() == Renewals { { former, 0 } });
+    }
+    SECTION("its next process has reported meanwhile")
+    {
+        site.renew(0, 0);
+        site.worker.restart();
+        site.renew(0, former);
+        CHECK(site.renew(acknowledged, former).acknowledgedEnd == 0);
+        CHECK(site.worker.renewals().back() == RestartingWorker::Renewal { former + 1, 0 });
+    }
+    SECTION("it has ended since its report")
+    {
+        site.renew(0, 0);
+        site.worker.restart();
+        const Jobs::WorkerReport report = site.renew(acknowledged, former);
+        CHECK(report.processStartUnixMs == former + 1);
+        CHECK(report.acknowledgedEnd == 0);
+        CHECK(site.worker.renewals() == Renewals { { former, 0 }, { former + 1, 0 } });
+        CHECK(site.hasWithheld(1));
+    }
+    SECTION("it ends while the renewal is under way")
+    {
+        site.renew(0, 0);
+        site.worker.restartOnNextRenewal();
+        const Jobs::WorkerReport report = site.renew(acknowledged, former);
+        CHECK(report.processStartUnixMs == former + 1);
+        CHECK(report.acknowledgedEnd == 0);
+        CHECK(site.worker.renewals()
+              == Renewals { { former, 0 }, { former, acknowledged }, { former + 1, 0 } });
+    }
+    SECTION("its connection is in use, so that the renewal opens another one")
+    {
+        site.renew(0, 0);
+        site.worker.holdNextRenewal();
+        site.beginRenewal(0, former);
+        while (site.worker.renewals().size() < 2)
+            site.context.run_for(std::chrono::milliseconds(1));
+        site.beginRenewal(acknowledged, former);
+        site.finishCalls(1);
+        CHECK(site.lastReport->acknowledgedEnd == 0);
+        site.worker.answerHeld();
+        site.finishCalls();
+        CHECK(site.renew(acknowledged, former).acknowledgedEnd == acknowledged);
+    }
+}
--- a/include/LibJob/Commands.h
+++ b/include/LibJob/Commands.h
@@ -10,8 +10,9 @@
 
 namespace Jobs {
 
-/// Identifies the owner that sends a command. A worker rejects a token lower than the highest that
-/// it has seen.
+/// Orders the commands to a worker: it rejects a token lower than the highest that it has seen.
+/// Each owner uses higher ones than all owners before it, and a higher one than before for each
+/// further process of a worker.
 using FencingToken = std::int64_t;
 
 /// A point in time on both clocks that the scheduler uses.
@@ -82,10 +83,14 @@
     /// without renewing the lease.
     std::int64_t leaseDeadlineMs = 0;
     FencingToken token = 0;
-    /// The worker may delete its records of ended runs up to and including this number.
+    /// The worker may delete its records of ended runs up to and including this number; 0 for none.
+    /// Each process of a worker numbers its ends from 1, so the number must reach only the process
+    /// that has reported them.
     std::int64_t acknowledgedEnd = 0;
     /// How long the worker may delay its answer while no run ends, in milliseconds (long polling).
     std::int64_t waitMs = 0;
+    /// When the process started that `acknowledgedEnd` is meant for; 0 if it isn't known.
+    std::int64_t processStartUnixMs = 0;
 
     bool operator==(const RenewCommand &) const = default;
 };
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -17,6 +17,7 @@
 #include <LibJob/WorkerReport.h>
 #include <LibJob/WorkerState.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -40,7 +41,8 @@
 /// The terms under which a node owns the site's jobs.
 struct Ownership
 {
-    /// Increases with each claim of the site's jobs.
+    /// Increases with each claim of the site's jobs. Commands carry it or a higher one; see
+    /// JobScheduler::offerToken().
     FencingToken token = 0;
     /// Number of the claim, counted from 0.
     std::int64_t term = 0;
@@ -99,6 +101,10 @@
     /// the jobs.
     void onCommitted(std::int64_t number, Core::Instant provenAt, const TimePoint &now);
 
+    /// Commands may carry \p token from now on: it is lower than that of any claim after this
+    /// owner's. A worker's next process needs a higher one than its former process.
+    void offerToken(FencingToken token) { m_newestToken = std::max(m_newestToken, token); }
+
     // Workers.
     std::vector<RenewCommand> takeRenewals(const TimePoint &now);
     /// \p sentAt is when the renewal was sent that the report answers.
@@ -114,6 +120,9 @@
     void onStopAnswered(const StopCommand &command, const TimePoint &now);
     /// The throttle command may have taken effect, or may still do so.
     void onThrottleFailed(const ThrottleCommand &command);
+    /// The worker has rejected a command with \p token for its token. Returns true if it has seen
+    /// that of a newer owner, and false if it has seen a higher one of this owner.
+    bool isDeposedBy(const Core::VmId &worker, FencingToken token) const;
 
     /// Sets how late the calls of the owner's process to workers run. A process that falls behind
     /// requests reports less often and plans fewer starts at once, so that urgent work
@@ -231,9 +240,13 @@
     Core::Duration renewalWait(const WorkerState &worker) const;
     /// \p wasReconciled is false if the worker hadn't been reconciled before its last report.
     Core::Duration delayToNextRenewal(const WorkerState &worker, bool wasReconciled) const;
-    /// Upper bound of the remaining time of a lease, whichever owner granted it, with clock drift.
-    Core::Duration maxLeaseDuration() const;
+    /// Upper bound of the time that a lease of \p length takes on the owner's clock.
+    Core::Duration longestOf(Core::Duration length) const;
     void beginContact(WorkerState &worker, std::int64_t processStartUnixMs, const TimePoint &now);
+    /// Logs that another process of the worker has reported under its ID.
+    void noteRestart(const WorkerState &worker, const WorkerReport &report);
+    /// Requests reports from workers whose next process must answer with a higher token.
+    void renewWithHigherTokens(const TimePoint &now);
 
     // Starts.
     void beginDueOccurrences(OwnedJob &job, const TimePoint &now);
@@ -277,10 +290,11 @@
                        const TimePoint &now);
     void sendStart(OwnedJob &job, const TaskName &task, TaskRun &run, const TimePoint &now);
     /// Starts the planned runs of which all that must be durable is, unless their workers lack the
-    /// capacity by now.
+    /// capacity or have stopped answering by now.
     void startPlannedRuns(OwnedJob &job, const TimePoint &now);
     void startPlannedRuns(OwnedJob &job, int occurrence, int step, const TimePoint &now);
-    /// Drops a planned run whose worker, or that of another member of its gang, lacks the capacity.
+    /// Drops a planned run whose worker, or that of another member of its gang, lacks the capacity
+    /// or has stopped answering.
     void dropPlannedRun(OwnedJob &job, const TaskName &name, const TaskRun &run);
     void discardPlannedRuns(OwnedJob &job);
     std::int64_t nextRunNumber(const TaskState &task) const;
@@ -298,6 +312,9 @@
                    DoubtAfterRun doubt = DoubtAfterRun::Settled);
     void setPhase(TaskRun &run, RunPhase phase, const TimePoint &now);
     void stopAllRuns(OwnedJob &job, const TimePoint &now);
+    /// True if it can't be that the run, which a complete report of a renewal sent at \p sentAt
+    /// doesn't list, still begins or goes on.
+    static bool isGone(const WorkerState &worker, const TaskRun &run, Core::Instant sentAt);
     void requestStop(const TaskName &name, TaskRun &run, const TimePoint &now);
     /// \p unwatched is how long no renewal was open at the worker before the one that was answered
     /// with the end.
@@ -335,8 +352,10 @@
     };
     /// The runs on the worker whose start was sent.
     std::vector<StartedRun> startedRuns(const WorkerState &worker);
-    /// Those that a worker which has restarted meanwhile ran, or may have run, at \p time.
-    std::vector<StartedRun> runsStartedBefore(const WorkerState &worker, Core::Instant time);
+    /// Those that a worker which has restarted meanwhile ran, or may have run, at \p time, and that
+    /// its report doesn't list.
+    std::vector<StartedRun> runsLostBefore(const WorkerState &worker, Core::Instant time,
+                                           const WorkerReport &report);
     /// Those that may be the cause if the worker has crashed.
     static std::vector<StartedRun> suspectsAmong(const std::vector<StartedRun> &runs);
     static Suspicion suspicionOf(const WorkerState &worker, const std::vector<StartedRun> &runs);
@@ -425,6 +444,8 @@
 
     SchedulerSettings m_settings;
     Ownership m_ownership;
+    /// The highest token that commands may carry.
+    FencingToken m_newestToken;
     DecisionLog &m_log;
     Catalogue m_catalogue;
     /// The priority of the most urgent queues; none if all queues have the same.
--- a/include/LibJob/SchedulerSettings.h
+++ b/include/LibJob/SchedulerSettings.h
@@ -11,6 +11,9 @@
 {
     /// Duration of the lease that a renewal or start grants to a worker's tasks.
     Core::Duration lease = std::chrono::seconds(6);
+    /// The longest lease that a worker grants, whatever deadline a command names. A deadline on the
+    /// clock of a worker's former process means nothing on that of its next one.
+    Core::Duration maxLease = std::chrono::seconds(6);
     /// Maximum drift of a worker's clock from the owner's, as a fraction of the elapsed time.
     double clockDrift = 0.02;
     /// Error of clocks and timers beyond their drift.
@@ -20,6 +23,8 @@
     Core::Duration ownershipProofTimeout = std::chrono::seconds(4);
     /// How long a worker may delay its answer to a renewal until a run ends.
     Core::Duration renewalWait = std::chrono::milliseconds(1000);
+    /// How long after it was sent a start command may be delivered to a worker.
+    Core::Duration startDeliveryTime = std::chrono::milliseconds(1000);
     /// Minimum interval between two renewals of one worker.
     Core::Duration renewalInterval = std::chrono::milliseconds(110);
     /// Interval between renewals of a worker that doesn't answer.
--- a/include/LibJob/WorkerReport.h
+++ b/include/LibJob/WorkerReport.h
@@ -58,6 +58,9 @@
     /// Reading of the worker's own clock in milliseconds; lease deadlines refer to this clock.
     std::int64_t clockMs = 0;
     std::int64_t processStartUnixMs = 0;
+    /// Up to which number the process has been told to delete its records of ended runs with the
+    /// renewal that this report answers; 0 if it wasn't told any.
+    std::int64_t acknowledgedEnd = 0;
     std::vector<RunningEntry> running;
     std::vector<EndedEntry> ended;
 
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -59,9 +59,11 @@
 class WorkerState
 {
 public:
-    WorkerState(const WorkerInfo &info, const SchedulerSettings &settings)
+    /// \p token is used in commands to the worker until raiseToken().
+    WorkerState(const WorkerInfo &info, const SchedulerSettings &settings, FencingToken token)
         : m_info(info)
         , m_settings(settings)
+        , m_token(token)
     {
     }
 
@@ -153,10 +155,12 @@
     void markUnresponsive(Core::Instant now);
     /// When the first call failed after the last answer; the epoch if the worker answers.
     Core::Instant unresponsiveSince() const { return m_unresponsiveSince; }
-    /// True once the worker has answered a renewal with this owner's token and reported all ended
-    /// runs: no former owner can start tasks there.
+    /// True once the worker has answered a renewal with token() and reported all ended runs:
+    /// neither a former owner's commands nor those for a former process can start tasks there.
     bool isReconciled() const { return m_isReconciled; }
     void setReconciled(bool isReconciled);
+    /// True if the process that a start would reach is the one that answered last, as far as known.
+    bool isAnswering() const { return m_isReconciled && !m_isUnresponsive; }
     std::int64_t processStartUnixMs() const { return m_processStartUnixMs; }
     /// Notes contact with the worker. If it has restarted, discards the state of ended runs, the
     /// clock and the failures.
@@ -169,6 +173,19 @@
     Core::Instant replacedAt() const { return m_replacedAt; }
     /// When this owner made contact with this incarnation; moves on until the worker is reconciled.
     Core::Instant contactBeganAt() const { return m_contactBeganAt; }
+    /// When this owner received the first report of this incarnation.
+    Core::Instant firstReportAt() const { return m_firstReportAt; }
+
+    /// The fencing token of commands to the worker.
+    FencingToken token() const { return m_token; }
+    /// True if commands with token() may still be on their way to a former incarnation and reach
+    /// this one. The worker isn't reconciled until it has answered with a higher token.
+    bool needsHigherToken() const { return m_needsHigherToken; }
+    void raiseToken(FencingToken token, Core::Instant now);
+    /// True if this owner has had contact with a former incarnation of the worker.
+    bool hasRestarted() const { return m_needsHigherToken || m_tokenRaisedAt != Core::Instant(); }
+    /// When the token was raised last; the epoch if it never was.
+    Core::Instant tokenRaisedAt() const { return m_tokenRaisedAt; }
 
     /// Number of the last ended run that was processed.
     std::int64_t processedEnd() const { return m_processedEnd; }
@@ -178,6 +195,11 @@
     /// Number of the last ended run whose consequences are durable; the worker may delete its
     /// records up to this one.
     std::int64_t acknowledgedEnd() const { return m_acknowledgedEnd; }
+    /// What the next renewal is to acknowledge: acknowledgedEnd(), or 0 if the worker has heard it
+    /// or may not be the process that reported the ends.
+    std::int64_t acknowledgementToSend() const;
+    /// Notes that the worker has answered a renewal that acknowledged the ends up to \p number.
+    void noteAcknowledgementHeard(std::int64_t number);
     /// True while the consequences of processed ends aren't durable.
     bool hasUncommittedEnds() const { return !m_uncommittedEnds.empty(); }
     void noteCommitted(std::int64_t commit);
@@ -258,8 +280,13 @@
     std::int64_t m_processStartUnixMs = 0;
     Core::Instant m_replacedAt = {};
     Core::Instant m_contactBeganAt = {};
+    Core::Instant m_firstReportAt = {};
+    FencingToken m_token;
+    bool m_needsHigherToken = false;
+    Core::Instant m_tokenRaisedAt = {};
     std::int64_t m_processedEnd = 0;
     std::int64_t m_acknowledgedEnd = 0;
+    std::int64_t m_heardAcknowledgement = 0;
     /// By commit number, the last end whose consequences the commit makes durable.
     std::map<std::int64_t, std::int64_t> m_uncommittedEnds;
 
--- a/include/LibSite/FencedAppend.h
+++ b/include/LibSite/FencedAppend.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <cstdint>
 #include <exception>
 #include <functional>
 #include <memory>
@@ -24,10 +25,17 @@
     FencedAppend(KeyedLog &log, const boost::asio::any_io_executor &executor,
                  std::vector<Jobs::StoredRecord> records, FencedWriter writer);
 
-    /// Returns when the first call was sent, on the suspend-aware clock. A call that isn't answered
-    /// when this returns goes on without effect on this object's owner.
+    struct Receipt
+    {
+        /// When the first call was sent, on the suspend-aware clock.
+        Core::Instant sentAt;
+        /// The offset of the first record.
+        std::int64_t offset = 0;
+    };
+
+    /// A call that isn't answered when this returns goes on without effect on this object's owner.
     /// \throws Core::Error as KeyedLog::appendFenced() if no call succeeds before \p deadline.
-    boost::asio::awaitable<Core::Instant> send(Spawn spawn, Core::Instant deadline);
+    boost::asio::awaitable<Receipt> send(Spawn spawn, Core::Instant deadline);
 
 private:
     /// \p self lives on until the call has ended.
@@ -42,8 +50,9 @@
     FencedWriter m_writer;
     Supervision::Wakeup m_wakeup;
     int m_openCalls = 0;
-    /// When the call that succeeded first was sent.
     bool m_isAnswered = false;
+    /// The offset that the answer states.
+    std::int64_t m_offset = 0;
     std::exception_ptr m_failure;
     /// The store rejected the append itself, so that no other call can succeed.
     bool m_isRejected = false;
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -114,10 +114,13 @@
     boost::asio::awaitable<void> followWorkers();
     /// Passes the list of workers on to the scheduler.
     void applyWorkers();
-    /// Reports to the scheduler how late the work with workers runs.
+    /// Ends the session if the worker has rejected a command for the token of a newer owner.
+    void applyRejectedToken(const Core::VmId &worker, Jobs::FencingToken token,
+                            const FencedError &error);
     void applyOtherIncarnation(const Core::VmId &worker, const std::string &address);
     /// Measures how late ordinary work runs.
     boost::asio::awaitable<void> probeOrdinaryWork();
+    /// Reports to the scheduler how late the work with workers runs.
     boost::asio::awaitable<void> measureTimerLag();
     /// Runs \p work as a coroutine of its own. `run()` doesn't return before it has ended.
     void spawn(boost::asio::awaitable<void> work);
--- a/include/LibSite/SiteMetrics.h
+++ b/include/LibSite/SiteMetrics.h
@@ -43,6 +43,9 @@
     void setWorkerConnections(double open);
     /// Sets how many calls to workers have been refused a connection so far; never decreases.
     void setRefusedWorkerCalls(double total);
+    /// Counts a renewal that was sent without its acknowledgement of ended runs, since no
+    /// connection to the process that had reported them was free.
+    void countWithheldAcknowledgement();
     /// Sets how late the owner's work with workers ran at most in the last second; 0 on other
     /// nodes.
     void setOwnerLag(double seconds);
@@ -70,6 +73,7 @@
     prometheus::Gauge &m_tableAge;
     prometheus::Gauge &m_workerConnections;
     prometheus::Counter &m_refusedWorkerCalls;
+    prometheus::Counter &m_withheldAcknowledgements;
     prometheus::Gauge &m_ownerLag;
 };
 
--- a/include/LibSite/WorkerGateway.h
+++ b/include/LibSite/WorkerGateway.h
@@ -40,6 +40,8 @@
     virtual boost::asio::awaitable<void> throttle(Jobs::ThrottleCommand command,
                                                   Core::Instant deadline)
         = 0;
+    /// Passes RenewCommand::acknowledgedEnd on only to the process that the command names, and
+    /// otherwise requests the report without it; WorkerReport::acknowledgedEnd tells.
     /// \throws FencedError if the worker has seen a newer owner's token.
     /// \throws OtherIncarnationError if another incarnation answered.
     /// \throws Core::Error if no complete answer arrived.
