LibJob: Begin the times of a scheduled job as there is room for them

Cause: all due times of a job began at once. Change: times begin in the order in which they are due, 4 with waiting tasks and 1,024 in all at a time; ended ones are ranges (OccurrenceSet); untouched ones aren't recorded, and the next owner begins those that a report names. Due times saturate. A pass comes at most 1 s after the last.

--- a/Benchmarks/jobs/LoadedSite.cpp
+++ b/Benchmarks/jobs/LoadedSite.cpp
@@ -1,5 +1,8 @@
 #include "LoadedSite.h"
 
+#include <algorithm>
+#include <variant>
+
 using namespace Jobs;
 using std::chrono::milliseconds;
 
@@ -60,7 +63,7 @@
     submit(1'000'000 + i, step, step.isBestEffort ? 2 : 0);
 }
 
-void LoadedSite::submit(int number, const StepSpec &step, int priority)
+Submission LoadedSite::submission(int number, const StepSpec &step, int priority) const
 {
     Submission submission;
     submission.id = jobId(number);
@@ -71,10 +74,51 @@
     submission.queue.stretch = 1000;
     submission.spec.steps = { step };
     submission.submittedUnixMs = m_now.unixMs;
+    return submission;
+}
+
+void LoadedSite::submit(int number, const StepSpec &step, int priority)
+{
+    submit(submission(number, step, priority));
+}
+
+void LoadedSite::submit(const Submission &submission)
+{
     m_table.apply(submission);
     m_scheduler.addJob(*m_table.find(submission.id), m_now);
 }
 
+void LoadedSite::submitSchedule(std::int64_t times, std::int64_t milliCores)
+{
+    constexpr int number = 2'000'000;
+    StepSpec step;
+    step.need = { milliCores, 100, 0 };
+    step.estimateMs = 800;
+    Submission schedule = submission(number, step, 2);
+    schedule.spec.repeatCount = times;
+    submit(schedule);
+}
+
+int LoadedSite::passesUntilStart()
+{
+    constexpr int number = 3'000'000;
+    constexpr int maxPasses = 100;
+    StepSpec step;
+    step.need = { 100, 100, 0 };
+    step.estimateMs = 800;
+    const Submission ordinary = submission(number, step, 0);
+    submit(ordinary);
+    const auto isStarted = [&ordinary](const auto &running) {
+        return running.second.contains({ ordinary.id, 0, 0, 0 });
+    };
+    for (int passes = 1; passes <= maxPasses; ++passes) {
+        pass();
+        if (std::any_of(m_running.begin(), m_running.end(), isStarted))
+            return passes;
+    }
+    return -1;
+}
+
 void LoadedSite::settle()
 {
     constexpr int rounds = 40;
@@ -97,6 +141,11 @@
     if (!m_scheduler.needsCommit())
         return;
     const Commit commit = m_scheduler.takeCommit();
+    for (const JobRecord &record : commit.records) {
+        if (std::holds_alternative<ProgressRecord>(record))
+            m_largestProgressBytes
+                = std::max(m_largestProgressBytes, encodeRecord(record).front().value.size());
+    }
     m_scheduler.onCommitted(commit.number, m_now.instant, m_now);
 }
 
--- a/Benchmarks/jobs/LoadedSite.h
+++ b/Benchmarks/jobs/LoadedSite.h
@@ -2,6 +2,8 @@
 
 #include <LibJob/JobScheduler.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <string_view>
@@ -27,6 +29,11 @@
 public:
     explicit LoadedSite(const SiteLoad &load);
 
+    /// Submits a job of one task for each of \p times that are due since long.
+    void submitSchedule(std::int64_t times, std::int64_t milliCores);
+    /// Submits an ordinary job of one task, and returns after how many passes it is started; -1 if
+    /// it isn't after 100.
+    int passesUntilStart();
     /// Time passes until the next look at what waits is due, and takes it.
     std::size_t pass();
     /// A worker answers a renewal with all that runs there.
@@ -42,6 +49,8 @@
     const Jobs::JobScheduler &scheduler() const { return m_scheduler; }
     /// An answer as it is decoded.
     const Jobs::WorkerReport &lastReport() const { return m_lastReport; }
+    /// The size of the largest progress record that was committed, in bytes.
+    std::size_t largestProgressBytes() const { return m_largestProgressBytes; }
 
 private:
     class SilentLog final : public Jobs::DecisionLog
@@ -51,6 +60,8 @@
     };
 
     void submit(int number, const Jobs::StepSpec &step, int priority);
+    void submit(const Jobs::Submission &submission);
+    Jobs::Submission submission(int number, const Jobs::StepSpec &step, int priority) const;
     void submitWaiting();
     void answerRenewal();
     /// A task of the worker that reports next ends.
@@ -75,4 +86,5 @@
     int m_submitted = 0;
     std::deque<Jobs::Command> m_unanswered;
     std::size_t m_startedTasks = 0;
+    std::size_t m_largestProgressBytes = 0;
 };
--- a/Benchmarks/jobs/main.cpp
+++ b/Benchmarks/jobs/main.cpp
@@ -10,6 +10,10 @@
 #include <benchmark/benchmark.h>
 #include <json/value.h>
 
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <chrono>
 #include <string>
 
 /// Workers that are full of serving tasks, and jobs of 8 tasks that wait.
@@ -82,6 +86,35 @@
     state.counters["waiting"] = static_cast<double>(site.scheduler().waitingCount());
 }
 
+/// A job with many due times. Arguments: the times, the thousandths of a core of its task (64,000
+/// fit no worker).
+static void schedule(benchmark::State &state)
+{
+    constexpr int endsPerSecond = 100;
+    LoadedSite site({ .workers = 48, .waitingSteps = 10, .servingTasks = 2 });
+    site.submitSchedule(state.range(0), state.range(1));
+    double longestMs = 0;
+    const auto began = std::chrono::steady_clock::now();
+    const int passes = site.passesUntilStart();
+    const std::chrono::duration<double, std::milli> untilStart
+        = std::chrono::steady_clock::now() - began;
+    for (auto _ : state) {
+        const auto passBegan = std::chrono::steady_clock::now();
+        site.pass();
+        const std::chrono::duration<double, std::milli> took
+            = std::chrono::steady_clock::now() - passBegan;
+        longestMs = std::max(longestMs, took.count());
+        site.second(endsPerSecond);
+    }
+    rusage usage {};
+    getrusage(RUSAGE_SELF, &usage);
+    state.counters["longest_pass_ms"] = longestMs;
+    state.counters["passes_until_start"] = passes;
+    state.counters["start_ms"] = untilStart.count();
+    state.counters["record_bytes"] = static_cast<double>(site.largestProgressBytes());
+    state.counters["peak_kib"] = static_cast<double>(usage.ru_maxrss);
+}
+
 static std::string encoded(const Jobs::WorkerReport &report)
 {
     Json::Value value(Json::objectValue);
@@ -131,6 +164,10 @@
 BENCHMARK(second)
     ->ArgsProduct({ { 66, 660, 1100 }, { 100, 500, 2000 } })
     ->Unit(benchmark::kMillisecond);
+BENCHMARK(schedule)
+    ->ArgsProduct({ { 1, 1000, 100'000, 1'000'000'000 }, { 1000, 64'000 } })
+    ->Iterations(20)
+    ->Unit(benchmark::kMillisecond);
 BENCHMARK(decode);
 BENCHMARK(encode);
 BENCHMARK_MAIN();
--- a/Libraries/LibJob/JobProgress.cpp
+++ b/Libraries/LibJob/JobProgress.cpp
@@ -26,4 +26,10 @@
     return static_cast<int>(std::count(isDone.begin(), isDone.end(), true));
 }
 
+bool StepProgress::isUntouched() const
+{
+    return failedRuns.empty() && abandonedRuns.empty() && crashHistories.empty()
+        && doneCount() == 0;
+}
+
 } // namespace Jobs
--- a/Libraries/LibJob/JobRecord.cpp
+++ b/Libraries/LibJob/JobRecord.cpp
@@ -161,7 +161,7 @@
     }
     if (tasks > maxTasks)
         throw Core::FormatError("decode record", id.text(), "the job has too many tasks");
-    submission.spec.repeatCount = value["rc"].asInt64();
+    submission.spec.repeatCount = numberUpTo(value["rc"], JobSpec::maxRepeatCount, "rc");
     submission.spec.firstDueUnixMs = value["rf"].asInt64();
     submission.spec.intervalMs = value["ri"].asInt64();
     return submission;
@@ -270,6 +270,43 @@
     return step;
 }
 
+/// Up to this many ended occurrences are written one by one, as all were formerly; nodes of an
+/// earlier version read only these.
+static constexpr std::int64_t maxListedEnded = 64;
+
+static void encodeEnded(const OccurrenceSet &ended, Json::Value &value)
+{
+    const bool isListed = ended.count() <= maxListedEnded;
+    for (const auto &[first, last] : ended.ranges()) {
+        if (!isListed) {
+            value["er"].append(first);
+            value["er"].append(last);
+            continue;
+        }
+        for (int occurrence = first; occurrence <= last; ++occurrence)
+            value["eo"].append(occurrence);
+    }
+}
+
+static OccurrenceSet decodeEnded(const Json::Value &value)
+{
+    OccurrenceSet ended;
+    const auto number = [](const Json::Value &element) {
+        return static_cast<int>(numberUpTo(element, JobSpec::maxRepeatCount, "occurrence"));
+    };
+    for (const Json::Value &occurrence : value["eo"])
+        ended.insert(number(occurrence));
+    const Json::Value &ranges = value["er"];
+    for (Json::ArrayIndex i = 0; i + 1 < ranges.size(); i += 2) {
+        const int first = number(ranges[i]);
+        const int last = number(ranges[i + 1]);
+        if (last < first)
+            throw Core::FormatError("decode record", "er", "a range ends before it begins");
+        ended.insert(first, last);
+    }
+    return ended;
+}
+
 static StoredRecord encode(const ProgressRecord &record)
 {
     const JobProgress &progress = record.progress;
@@ -283,8 +320,7 @@
         for (const StepProgress &step : steps)
             list.append(encodeStepProgress(step));
     }
-    for (const int occurrence : progress.endedOccurrences)
-        value["eo"].append(occurrence);
+    encodeEnded(progress.endedOccurrences, value);
     for (const Core::VmId &worker : record.workers)
         value["w"].append(worker.text());
     return { "p/" + record.id.text(), Core::Json::write(value) };
@@ -324,8 +360,7 @@
         for (const Json::Value &step : occurrences[name])
             steps.push_back(decodeStepProgress(step));
     }
-    for (const Json::Value &occurrence : value["eo"])
-        progress.endedOccurrences.insert(occurrence.asInt());
+    progress.endedOccurrences = decodeEnded(value);
     for (const Json::Value &worker : value["w"])
         record.workers.insert(Core::VmId(worker.asString()));
     return record;
--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -59,9 +59,8 @@
 Core::Instant JobScheduler::dueAt(const OwnedJob &job, int occurrence, const TimePoint &now) const
 {
     const JobSpec &spec = job.submission().spec;
-    std::int64_t dueUnixMs = job.submission().submittedUnixMs;
-    if (spec.isScheduled())
-        dueUnixMs = spec.firstDueUnixMs + occurrence * spec.intervalMs;
+    const std::int64_t dueUnixMs
+        = spec.isScheduled() ? spec.dueUnixMs(occurrence) : job.submission().submittedUnixMs;
     return now.instant - milliseconds(now.unixMs - dueUnixMs);
 }
 
@@ -222,9 +221,9 @@
 {
     OwnedJob *job = findJob(id);
     endEarly(*job, JobState::Failed, now);
-    ProgressRecord record { id, job->progress() };
+    ProgressRecord record { id, job->recordedProgress() };
     record.progress.occurrences.clear();
-    record.progress.endedOccurrences.clear();
+    record.progress.endedOccurrences = {};
     return record;
 }
 
@@ -240,7 +239,7 @@
         committedWorkers = job.workers();
     }
     if (std::exchange(job.isDirty, false))
-        commit.records.emplace_back(ProgressRecord { job.id(), job.progress() });
+        commit.records.emplace_back(ProgressRecord { job.id(), job.recordedProgress() });
 }
 
 Commit JobScheduler::takeCommit()
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -199,7 +199,7 @@
     OwnedJob *job = findJob(entry.task.job);
     if (job)
         markBegun(*job);
-    TaskState *task = job ? job->findTask(entry.task) : nullptr;
+    TaskState *task = job ? findReportedTask(*job, entry.task, now) : nullptr;
     if (!task || job->isTaskDone(entry.task))
         return false;
     if (!task->run) {
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -261,7 +261,7 @@
     OwnedJob *job = findJob(end.task.job);
     if (job)
         markBegun(*job);
-    TaskState *task = job ? job->findTask(end.task) : nullptr;
+    TaskState *task = job ? findReportedTask(*job, end.task, now) : nullptr;
     if (!task || job->isTaskDone(end.task))
         return;
     const bool isCurrent
@@ -373,17 +373,22 @@
 }
 
 void JobScheduler::abandonUnknownRuns(OwnedJob &job)
+{
+    for (const auto &[occurrence, steps] : job.occurrences())
+        abandonUnknownRuns(job, occurrence);
+}
+
+void JobScheduler::abandonUnknownRuns(OwnedJob &job, int occurrence)
 {
     // The runs that this owner starts have higher numbers; see nextRunNumber().
     const std::int64_t lastFormerRun = m_ownership.term * runsPerTerm;
-    for (auto &[occurrence, steps] : job.occurrences()) {
-        for (std::size_t step = 0; step < steps.size(); ++step) {
-            for (std::size_t index = 0; index < steps[step].tasks.size(); ++index) {
-                const TaskName name { job.id(), occurrence, static_cast<int>(step),
-                                      static_cast<int>(index) };
-                if (steps[step].isReady && !steps[step].tasks[index].run && !job.isTaskDone(name))
-                    abandon(job, name, lastFormerRun);
-            }
+    std::vector<OwnedStep> &steps = job.occurrences().at(occurrence);
+    for (std::size_t step = 0; step < steps.size(); ++step) {
+        for (std::size_t index = 0; index < steps[step].tasks.size(); ++index) {
+            const TaskName name { job.id(), occurrence, static_cast<int>(step),
+                                  static_cast<int>(index) };
+            if (steps[step].isReady && !steps[step].tasks[index].run && !job.isTaskDone(name))
+                abandon(job, name, lastFormerRun);
         }
     }
 }
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -11,6 +11,7 @@
 /// Extra interval for each waiting step: every step makes a pass longer, and passes must not use
 /// the whole processor.
 static constexpr Core::Duration passIntervalPerStep = std::chrono::microseconds(100);
+static constexpr Core::Duration maxPassInterval = milliseconds(1000);
 /// A job is large if its work is at least this multiple of its queue's mean.
 static constexpr double largeJobRatio = 1.5;
 /// Number of large jobs that are started before the others of their priority, so that small jobs
@@ -75,7 +76,8 @@
     if (m_areStartsHeld)
         return;
     m_pass.steps = waitingSteps(now);
-    m_nextPassAt = now.instant + minPassInterval + m_pass.steps.size() * passIntervalPerStep;
+    m_nextPassAt = now.instant + minPassInterval
+        + std::min<Core::Duration>(m_pass.steps.size() * passIntervalPerStep, maxPassInterval);
     putLargeJobsFirst(m_pass.steps);
     putOverdueFirst(m_pass.steps, now);
     m_reservation.reset(m_listed.size());
@@ -94,8 +96,12 @@
         if (isStillWaiting(waiting))
             planWaitingStep(waiting, now);
         // A step that a bound has interrupted is continued by the next call.
-        if (!isPlanningWorkUsedUp() && !isStartWindowFull())
-            ++m_pass.next;
+        if (isPlanningWorkUsedUp() || isStartWindowFull())
+            break;
+        ++m_pass.next;
+        // The next time of a scheduled job may begin once tasks of the former ones have a place.
+        if (waiting.job)
+            beginDueOccurrences(*waiting.job, now);
     }
     if (!m_pass.isOver() && isStartWindowFull())
         m_overload.noteStartWindowFull();
@@ -230,23 +236,34 @@
 {
     if (job.isOver())
         return;
-    const JobSpec &spec = job.submission().spec;
-    if (!spec.isScheduled()) {
-        job.beginOccurrence(0);
-        noteReadySteps(job, 0, now);
-        return;
-    }
-    for (std::int64_t i = 0; i < spec.repeatCount; ++i) {
-        const auto occurrence = static_cast<int>(i);
-        if (dueAt(job, occurrence, now) - m_settings.earlyStart > now.instant)
+    const bool isScheduled = job.submission().spec.isScheduled();
+    while (job.mayBeginOccurrence()) {
+        const std::optional<int> next = job.nextOccurrence();
+        if (!next)
             return;
-        if (!job.occurrences().contains(occurrence))
-            m_needsPass = true;
-        job.beginOccurrence(occurrence);
-        noteReadySteps(job, occurrence, now);
+        if (isScheduled && dueAt(job, *next, now) - m_settings.earlyStart > now.instant)
+            return;
+        beginOccurrence(job, *next, now);
     }
 }
 
+void JobScheduler::beginOccurrence(OwnedJob &job, int occurrence, const TimePoint &now)
+{
+    job.beginOccurrence(occurrence);
+    m_needsPass = true;
+    // A former owner has begun nothing that is due after its last lease has ended.
+    if (job.hasUnknownFormerRuns && dueAt(job, occurrence, now) < m_ownership.formerLeasesEndAt)
+        abandonUnknownRuns(job, occurrence);
+    noteReadySteps(job, occurrence, now);
+}
+
+TaskState *JobScheduler::findReportedTask(OwnedJob &job, const TaskName &name, const TimePoint &now)
+{
+    if (!job.isOver() && job.isOccurrenceAhead(name.occurrence))
+        beginOccurrence(job, name.occurrence, now);
+    return job.findTask(name);
+}
+
 void JobScheduler::noteReadySteps(OwnedJob &job, int occurrence, const TimePoint &now)
 {
     const auto found = job.occurrences().find(occurrence);
@@ -281,7 +298,8 @@
     if (job.isOver())
         return;
     const Queue &queue = *queueOf(job);
-    for (const auto &[occurrence, steps] : job.occurrences()) {
+    for (const int occurrence : job.waitingOccurrences()) {
+        const std::vector<OwnedStep> &steps = job.occurrences().at(occurrence);
         for (std::size_t i = 0; i < steps.size(); ++i) {
             if (!steps[i].isReady || steps[i].waitingCount == 0)
                 continue;
@@ -308,6 +326,7 @@
         return false;
     if (now >= m_ownership.formerLeasesEndAt) {
         job.unreconciledWorkers.clear();
+        job.hasUnknownFormerRuns = true;
         abandonUnknownRuns(job);
         return false;
     }
--- a/Libraries/LibJob/OwnedJob.cpp
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -64,6 +64,63 @@
     return work;
 }
 
+std::size_t OwnedJob::recordBytesPerOccurrence() const
+{
+    // The number of the occurrence, each step's brackets, and a character for each task.
+    constexpr std::size_t numberBytes = 16;
+    constexpr std::size_t stepBytes = 12;
+    std::size_t bytes = numberBytes;
+    for (const StepSpec &step : m_submission.spec.steps)
+        bytes += stepBytes + static_cast<std::size_t>(step.taskCount);
+    return bytes;
+}
+
+bool OwnedJob::mayBeginOccurrence() const
+{
+    const std::size_t begun = m_occurrences.size();
+    const bool isRecordSmall = (begun + 1) * recordBytesPerOccurrence() <= maxRecordBytesOfBegun;
+    return m_waitingOccurrences.size() < maxWaitingOccurrences && begun < maxBegunOccurrences
+        && (begun == 0 || isRecordSmall);
+}
+
+std::optional<int> OwnedJob::nextOccurrence()
+{
+    int before = -1;
+    while (before != m_nextOccurrence) {
+        before = m_nextOccurrence;
+        m_nextOccurrence = m_progress.endedOccurrences.firstAbsentFrom(m_nextOccurrence);
+        while (m_occurrences.contains(m_nextOccurrence))
+            ++m_nextOccurrence;
+    }
+    if (m_nextOccurrence >= m_submission.spec.occurrenceCount())
+        return std::nullopt;
+    return m_nextOccurrence;
+}
+
+bool OwnedJob::isOccurrenceAhead(int occurrence) const
+{
+    return occurrence >= 0 && occurrence < m_submission.spec.occurrenceCount()
+        && !m_occurrences.contains(occurrence) && !m_progress.endedOccurrences.contains(occurrence);
+}
+
+JobProgress OwnedJob::recordedProgress() const
+{
+    if (!m_submission.spec.isScheduled())
+        return m_progress;
+    JobProgress recorded;
+    recorded.state = m_progress.state;
+    recorded.endedOccurrences = m_progress.endedOccurrences;
+    recorded.endedUnixMs = m_progress.endedUnixMs;
+    for (const auto &[occurrence, steps] : m_progress.occurrences) {
+        const bool isUntouched
+            = std::all_of(steps.begin(), steps.end(),
+                          [](const StepProgress &step) { return step.isUntouched(); });
+        if (!isUntouched)
+            recorded.occurrences.emplace(occurrence, steps);
+    }
+    return recorded;
+}
+
 void OwnedJob::beginOccurrence(int occurrence)
 {
     if (m_occurrences.contains(occurrence) || m_progress.endedOccurrences.contains(occurrence))
@@ -123,6 +180,7 @@
     if (found == m_occurrences.end())
         return;
     const std::vector<StepProgress> &progress = m_progress.occurrences[occurrence];
+    bool isWaiting = false;
     for (std::size_t i = 0; i < found->second.size(); ++i) {
         OwnedStep &step = found->second[i];
         const std::vector<int> &after = m_submission.spec.steps[i].after;
@@ -134,7 +192,12 @@
             if (!progress[i].isDone[task] && !step.tasks[task].run)
                 ++step.waitingCount;
         }
+        isWaiting |= step.isReady && step.waitingCount > 0;
     }
+    if (isWaiting)
+        m_waitingOccurrences.insert(occurrence);
+    else
+        m_waitingOccurrences.erase(occurrence);
 }
 
 bool OwnedJob::markTaskDone(const TaskName &name, std::int64_t unixMs)
@@ -148,9 +211,9 @@
     }
     m_progress.occurrences.erase(name.occurrence);
     m_occurrences.erase(name.occurrence);
+    m_waitingOccurrences.erase(name.occurrence);
     m_progress.endedOccurrences.insert(name.occurrence);
-    const auto ended = static_cast<std::int64_t>(m_progress.endedOccurrences.size());
-    if (ended < m_submission.spec.occurrenceCount())
+    if (m_progress.endedOccurrences.count() < m_submission.spec.occurrenceCount())
         return false;
     finish(JobState::Completed, unixMs);
     return true;
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -631,13 +631,21 @@
     checkBegun(*progress);
     if (progress->progress.state == JobState::Failed)
         checkCauseOfFailure(progress->id);
-    if (progress->progress.state != JobState::Completed)
-        return;
-    const JobEntry *entry = m_table.find(progress->id);
-    for (std::size_t step = 0; step < entry->submission.spec.steps.size(); ++step) {
-        for (int i = 0; i < entry->submission.spec.steps[step].taskCount; ++i) {
-            if (!m_history[{ progress->id, 0, static_cast<int>(step), i }].isDone)
-                fail("a job is completed before all its tasks: " + progress->id.text());
+    m_largestProgressBytes
+        = std::max(m_largestProgressBytes, encodeRecord(record).front().value.size());
+    if (progress->progress.state == JobState::Completed)
+        checkCompleted(progress->id);
+}
+
+void JobWorld::checkCompleted(const JobId &id)
+{
+    const JobSpec &spec = m_table.find(id)->submission.spec;
+    for (int occurrence = 0; occurrence < spec.occurrenceCount(); ++occurrence) {
+        for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+            for (int i = 0; i < spec.steps[step].taskCount; ++i) {
+                if (!m_history[{ id, occurrence, static_cast<int>(step), i }].isDone)
+                    fail("a job is completed before all its tasks: " + id.text());
+            }
         }
     }
 }
@@ -675,7 +683,9 @@
     node.scheduler->setStoreReachable(node.storePartitionedUntilMs <= m_nowMs);
     for (const RenewCommand &command : node.scheduler->takeRenewals(now()))
         send(index, command);
-    for (const Command &command : node.scheduler->takeCommands(now())) {
+    const std::vector<Command> commands = node.scheduler->takeCommands(now());
+    m_mostPlanningWork = std::max(m_mostPlanningWork, node.scheduler->planningWork());
+    for (const Command &command : commands) {
         if (const auto *start = std::get_if<StartCommand>(&command))
             send(index, *start);
         if (const auto *stop = std::get_if<StopCommand>(&command))
@@ -857,6 +867,21 @@
     return found == m_history.end() ? 0 : found->second.crashes;
 }
 
+std::int64_t JobWorld::firstStartOf(const TaskName &task) const
+{
+    const auto found = m_history.find(task);
+    return found == m_history.end() || found->second.startedAtMs.empty()
+        ? -1
+        : found->second.startedAtMs.front();
+}
+
+std::size_t JobWorld::waitingCount() const
+{
+    const auto owner = std::find_if(m_nodes.begin(), m_nodes.end(),
+                                    [](const auto &node) { return node->scheduler != nullptr; });
+    return (*owner)->scheduler->waitingCount();
+}
+
 std::size_t JobWorld::runningCount() const
 {
     std::size_t count = 0;
--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -122,6 +122,15 @@
     /// Starts that a worker rejected for lack of capacity.
     int rejectedForCapacity() const { return m_rejectedForCapacity; }
     int startsOf(const Jobs::TaskName &task) const;
+    /// When a run of the task was started first; -1 if none was.
+    std::int64_t firstStartOf(const Jobs::TaskName &task) const;
+    /// The size of the largest progress record that an owner has written, in bytes.
+    std::size_t largestProgressBytes() const { return m_largestProgressBytes; }
+    /// The most work that an owner has spent on planning in one call; see
+    /// Jobs::JobScheduler::planningWork().
+    std::int64_t mostPlanningWork() const { return m_mostPlanningWork; }
+    /// Waiting tasks at the present owner, which must exist.
+    std::size_t waitingCount() const;
     /// How many workers the task has crashed.
     int crashesOf(const Jobs::TaskName &task) const;
     std::size_t runningCount() const;
@@ -199,6 +208,8 @@
     /// Gives the list of workers to a node that hasn't read its latest version.
     void deliverList(Node &node);
     void checkRecords(const Jobs::JobRecord &record);
+    /// Checks that all tasks of a job that is recorded as completed have ended as done.
+    void checkCompleted(const Jobs::JobId &id);
     /// Checks that a job is recorded as begun only if a worker has started a task, and never
     /// as queued afterwards.
     void checkBegun(const Jobs::ProgressRecord &record);
@@ -235,6 +246,8 @@
     /// force.
     std::map<std::size_t, std::map<std::int64_t, std::int64_t>> m_capacities;
     int m_rejectedForCapacity = 0;
+    std::size_t m_largestProgressBytes = 0;
+    std::int64_t m_mostPlanningWork = 0;
     /// Counts the changes of the list of workers.
     std::int64_t m_listVersion = 0;
     int m_submitted = 0;
--- a/Tests/LibJob/TestRecords.cpp
+++ b/Tests/LibJob/TestRecords.cpp
@@ -60,7 +60,7 @@
     step.crashHistories.emplace(0, CrashHistory().withLostRun(1002));
     step.crashHistories.emplace(2, CrashHistory().withExcusedRun(1001));
     progress.occurrences[3] = { step, StepProgress { { false, false }, {}, {}, {} } };
-    progress.endedOccurrences = { 0, 1 };
+    progress.endedOccurrences.insert(0, 1);
     return progress;
 }
 
--- a/include/LibJob/JobProgress.h
+++ b/include/LibJob/JobProgress.h
@@ -3,6 +3,7 @@
 #include <LibCore/Identifier.h>
 #include <LibJob/CrashHistory.h>
 #include <LibJob/JobSpec.h>
+#include <LibJob/OccurrenceSet.h>
 
 #include <cstdint>
 #include <map>
@@ -41,6 +42,8 @@
     std::map<int, CrashHistory> crashHistories;
 
     int doneCount() const;
+    /// True if no task is done, has failed, was abandoned or has crashed a worker.
+    bool isUntouched() const;
 
     bool operator==(const StepProgress &) const = default;
 };
@@ -52,9 +55,9 @@
     /// Queued until a worker has shown that it started a task, then running until the job ends.
     JobState state = JobState::Queued;
     /// By occurrence number, the progress of each step; only occurrences that have begun and
-    /// haven't ended.
+    /// haven't ended. The record of a scheduled job omits those of which all steps are untouched.
     std::map<int, std::vector<StepProgress>> occurrences;
-    std::set<int> endedOccurrences;
+    OccurrenceSet endedOccurrences;
     /// When the job ended, in Unix milliseconds; 0 before that.
     std::int64_t endedUnixMs = 0;
 
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -249,7 +249,13 @@
     void renewWithHigherTokens(const TimePoint &now);
 
     // Starts.
+    /// Begins the occurrences that are due, in the order of their due times, while the job may have
+    /// further ones at a time.
     void beginDueOccurrences(OwnedJob &job, const TimePoint &now);
+    void beginOccurrence(OwnedJob &job, int occurrence, const TimePoint &now);
+    /// Returns the task that a worker's report names, or null if the job has no such task or has
+    /// ended. A run shows that a former owner has begun the occurrence, so it begins here too.
+    TaskState *findReportedTask(OwnedJob &job, const TaskName &name, const TimePoint &now);
     std::vector<WaitingStep> waitingSteps(const TimePoint &now) const;
     void addWaitingSteps(OwnedJob &job, const TimePoint &now,
                          std::vector<WaitingStep> &waiting) const;
@@ -338,6 +344,7 @@
     /// Records that the outcome of the task's runs up to \p run will never be known.
     void abandon(OwnedJob &job, const TaskName &name, std::int64_t run);
     void abandonUnknownRuns(OwnedJob &job);
+    void abandonUnknownRuns(OwnedJob &job, int occurrence);
     void checkProgress(const StepSpec &spec, TaskRun &run, const RunningEntry &entry,
                        const TimePoint &now);
     void resendStops(const TimePoint &now);
--- a/include/LibJob/JobSpec.h
+++ b/include/LibJob/JobSpec.h
@@ -61,7 +61,10 @@
     /// Passed to each task unchanged.
     std::string payload;
     std::vector<StepSpec> steps;
-    /// Number of scheduled occurrences; 0 for a job that runs once, immediately.
+    static constexpr std::int64_t maxRepeatCount = 1'000'000'000;
+
+    /// Number of scheduled occurrences, up to maxRepeatCount; 0 for a job that runs once,
+    /// immediately.
     std::int64_t repeatCount = 0;
     /// When the first occurrence is due, and the interval to each further one; unused for a job
     /// that runs once.
@@ -70,6 +73,9 @@
 
     bool isScheduled() const { return repeatCount > 0; }
     std::int64_t occurrenceCount() const { return repeatCount > 0 ? repeatCount : 1; }
+    /// When an occurrence of a scheduled job is due, in Unix milliseconds. Times that are too far
+    /// in the past or the future for a Core::Instant become the nearest ones that aren't.
+    std::int64_t dueUnixMs(int occurrence) const;
     bool isLongRunning() const;
 
     bool operator==(const JobSpec &) const = default;
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -8,7 +8,9 @@
 #include <LibJob/TaskName.h>
 #include <LibJob/TaskRun.h>
 
+#include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -40,10 +42,30 @@
     const StepSpec &spec(int step) const;
     bool isOver() const { return m_progress.isFinal(); }
 
+    /// Bound the occurrences of a job that have begun and haven't ended, and those of them with
+    /// waiting tasks. What a job costs its owner follows from these, however many of its times are
+    /// due.
+    static constexpr std::size_t maxBegunOccurrences = 1024;
+    static constexpr std::size_t maxWaitingOccurrences = 4;
+    /// Bounds the part of the progress record that these occurrences need, in bytes. One occurrence
+    /// may need more.
+    static constexpr std::size_t maxRecordBytesOfBegun = std::size_t(128) * 1024;
+
+    /// True if the occurrences that have begun leave room for another one.
+    bool mayBeginOccurrence() const;
+    /// The first occurrence that has neither begun nor ended, in the order of the due times;
+    /// nothing if there is none.
+    std::optional<int> nextOccurrence();
     /// Begins an occurrence, unless it has begun or ended already.
     void beginOccurrence(int occurrence);
+    /// True if the job has an occurrence with this number that has neither begun nor ended.
+    bool isOccurrenceAhead(int occurrence) const;
     std::map<int, std::vector<OwnedStep>> &occurrences() { return m_occurrences; }
     const std::map<int, std::vector<OwnedStep>> &occurrences() const { return m_occurrences; }
+    /// The occurrences that have a ready step with tasks that are neither done nor have a run.
+    const std::set<int> &waitingOccurrences() const { return m_waitingOccurrences; }
+    /// The progress as it is recorded; see JobProgress::occurrences.
+    JobProgress recordedProgress() const;
     /// Returns null if the occurrence hasn't begun, has ended, or has no such task.
     TaskState *findTask(const TaskName &name);
     bool isTaskDone(const TaskName &name) const;
@@ -105,9 +127,15 @@
     Core::Instant endKnownAt = {};
     /// A commit that records the end has become durable.
     bool isEndDurable = false;
+    /// A former owner may have begun runs of which this owner will never know. Each occurrence that
+    /// the former owner may have begun is abandoned up to its last run before it begins here.
+    bool hasUnknownFormerRuns = false;
 
 private:
     void computeWork();
+    /// About how many bytes an occurrence needs in the progress record while no run of it has
+    /// failed, was abandoned or has crashed a worker.
+    std::size_t recordBytesPerOccurrence() const;
     bool isStepDone(const std::vector<StepProgress> &steps, int step) const;
 
     Submission m_submission;
@@ -115,6 +143,9 @@
     std::set<Core::VmId> m_workers;
     std::set<Core::VmId> m_durableWorkers;
     std::map<int, std::vector<OwnedStep>> m_occurrences;
+    std::set<int> m_waitingOccurrences;
+    /// All lower occurrences have begun or ended.
+    int m_nextOccurrence = 0;
     std::vector<std::int64_t> m_criticalPathMsFrom;
     std::int64_t m_criticalPathMs = 0;
     double m_totalWork = 0;
