LibJob: Let times overlap whose tasks wait for workers of their own

Cause: begins the next time of a job only while fewer than 4 have waiting tasks. Where a step bounds its tasks per worker, each time has waiting tasks although the workers have room, so that at most 4 times ran beside each other. Ruled out: a larger bound (what fits nowhere would cost more in each pass). Change: only times of which nothing runs count against the bound.

--- a/Libraries/LibJob/OwnedJob.cpp
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -79,7 +79,7 @@
 {
     const std::size_t begun = m_occurrences.size();
     const bool isRecordSmall = (begun + 1) * recordBytesPerOccurrence() <= maxRecordBytesOfBegun;
-    return m_waitingOccurrences.size() < maxWaitingOccurrences && begun < maxBegunOccurrences
+    return m_idleOccurrences.size() < maxIdleOccurrences && begun < maxBegunOccurrences
         && (begun == 0 || isRecordSmall);
 }
 
@@ -181,6 +181,7 @@
         return;
     const std::vector<StepProgress> &progress = m_progress.occurrences[occurrence];
     bool isWaiting = false;
+    bool hasRun = false;
     for (std::size_t i = 0; i < found->second.size(); ++i) {
         OwnedStep &step = found->second[i];
         const std::vector<int> &after = m_submission.spec.steps[i].after;
@@ -189,15 +190,20 @@
         });
         step.waitingCount = 0;
         for (std::size_t task = 0; task < step.tasks.size(); ++task) {
+            hasRun |= step.tasks[task].run != nullptr;
             if (!progress[i].isDone[task] && !step.tasks[task].run)
                 ++step.waitingCount;
         }
         isWaiting |= step.isReady && step.waitingCount > 0;
     }
-    if (isWaiting)
-        m_waitingOccurrences.insert(occurrence);
-    else
-        m_waitingOccurrences.erase(occurrence);
+    const auto setIn = [occurrence](std::set<int> &occurrences, bool isIn) {
+        if (isIn)
+            occurrences.insert(occurrence);
+        else
+            occurrences.erase(occurrence);
+    };
+    setIn(m_waitingOccurrences, isWaiting);
+    setIn(m_idleOccurrences, isWaiting && !hasRun);
 }
 
 bool OwnedJob::markTaskDone(const TaskName &name, std::int64_t unixMs)
@@ -212,6 +218,7 @@
     m_progress.occurrences.erase(name.occurrence);
     m_occurrences.erase(name.occurrence);
     m_waitingOccurrences.erase(name.occurrence);
+    m_idleOccurrences.erase(name.occurrence);
     m_progress.endedOccurrences.insert(name.occurrence);
     if (m_progress.endedOccurrences.count() < m_submission.spec.occurrenceCount())
         return false;
--- a/Tests/LibJob/TestSchedules.cpp
+++ b/Tests/LibJob/TestSchedules.cpp
@@ -73,7 +73,7 @@
     world.run(1000);
     CHECK(completedAmong(world, ordinaryJobs) == ordinaryJobs);
     CHECK(world.violation().empty());
-    CHECK(world.waitingCount() <= OwnedJob::maxWaitingOccurrences);
+    CHECK(world.waitingCount() <= OwnedJob::maxIdleOccurrences);
     CHECK(world.mostPlanningWork() <= JobScheduler::maxPlanningWork);
     CHECK(world.largestProgressBytes() <= fewBytes);
 
@@ -107,7 +107,7 @@
     world.run(1000);
     CHECK(completedAmong(world, ordinaryJobs) == ordinaryJobs);
     CHECK(world.mostPlanningWork() <= JobScheduler::maxPlanningWork);
-    CHECK(world.waitingCount() <= 100 * OwnedJob::maxWaitingOccurrences);
+    CHECK(world.waitingCount() <= 100 * OwnedJob::maxIdleOccurrences);
 }
 
 TEST_CASE("All times of a job run once, in the order in which they are due")
@@ -162,6 +162,21 @@
     CHECK(world.state(id) == JobState::Completed);
 }
 
+TEST_CASE("Times of a job whose tasks need workers of their own run beside each other")
+{
+    JobWorld world(1, {}, DisabledGuard::None, equalTasks());
+    world.claim(0);
+    // Each time has four tasks at work, and each of the four workers has room for eight.
+    JobSpec spec = pastSchedule(20, 500, 8);
+    spec.steps.front().maxPerWorker = 1;
+    const JobId id = world.submit(spec);
+    world.run(600);
+    CHECK(world.runningCount() == 32);
+    world.run(20'000);
+    CHECK(world.state(id) == JobState::Completed);
+    CHECK(world.violation().empty());
+}
+
 TEST_CASE("A long-running job at several times runs all of them")
 {
     JobWorld world(1, {});
@@ -222,7 +237,7 @@
     world.run(20'000);
     CHECK(world.violation().empty());
     CHECK(world.runningCount() == 24);
-    CHECK(world.waitingCount() <= OwnedJob::maxWaitingOccurrences);
+    CHECK(world.waitingCount() <= OwnedJob::maxIdleOccurrences);
     CHECK(world.largestProgressBytes() <= fewBytes);
 }
 
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -42,11 +42,11 @@
     const StepSpec &spec(int step) const;
     bool isOver() const { return m_progress.isFinal(); }
 
-    /// Bound the occurrences of a job that have begun and haven't ended, and those of them with
-    /// waiting tasks. What a job costs its owner follows from these, however many of its times are
-    /// due.
+    /// Bound the occurrences of a job that have begun and haven't ended, and those of them of which
+    /// tasks wait and none has a run. What a job costs its owner follows from these, however many
+    /// of its times are due.
     static constexpr std::size_t maxBegunOccurrences = 1024;
-    static constexpr std::size_t maxWaitingOccurrences = 4;
+    static constexpr std::size_t maxIdleOccurrences = 4;
     /// Bounds the part of the progress record that these occurrences need, in bytes. One occurrence
     /// may need more.
     static constexpr std::size_t maxRecordBytesOfBegun = std::size_t(128) * 1024;
@@ -144,6 +144,8 @@
     std::set<Core::VmId> m_durableWorkers;
     std::map<int, std::vector<OwnedStep>> m_occurrences;
     std::set<int> m_waitingOccurrences;
+    /// Those of m_waitingOccurrences of which no task has a run.
+    std::set<int> m_idleOccurrences;
     /// All lower occurrences have begun or ended.
     int m_nextOccurrence = 0;
     std::vector<std::int64_t> m_criticalPathMsFrom;
