LibJob: Record abandoned runs as ranges of tasks

Cause: the next owner abandons the former runs of all waiting tasks, and the progress record named each of them (348,921 bytes for 30,000 tasks, of 262,144 at most). Ruled out: one number for a whole step (it would also void the results of runs that were adopted); fewer abandoned runs (each may exist). Change: ranges of tasks with the same last run; up to 64 are listed as before.

--- a/Libraries/LibJob/JobRecord.cpp
+++ b/Libraries/LibJob/JobRecord.cpp
@@ -5,6 +5,8 @@
 
 #include <json/value.h>
 
+#include <iterator>
+
 namespace Jobs {
 
 // Member names are short because each record is stored for as long as its job. Keys: `s/JOB`
@@ -228,6 +230,58 @@
     return { std::move(crashes), decodeRuns(value[1]), std::move(runInDoubt), decodeRuns(excused) };
 }
 
+/// Up to this many abandoned runs are written one by one, as all were formerly; nodes of an earlier
+/// version read only these.
+static constexpr std::size_t maxListedAbandoned = 64;
+
+/// Returns index and run number of each task, in turn.
+static Json::Value encodeAbandoned(const std::map<int, std::int64_t> &runs)
+{
+    Json::Value value(Json::arrayValue);
+    for (const auto &[index, run] : runs) {
+        value.append(index);
+        value.append(Json::Int64(run));
+    }
+    return value;
+}
+
+/// Returns first index, last index and run number of each range of tasks that are abandoned up to
+/// the same run, in turn. Where the fate of many runs is unknown, it is so for a whole step.
+static Json::Value encodeAbandonedRanges(const std::map<int, std::int64_t> &runs)
+{
+    Json::Value value(Json::arrayValue);
+    for (auto first = runs.begin(); first != runs.end();) {
+        auto last = first;
+        auto next = std::next(last);
+        while (next != runs.end() && next->first == last->first + 1
+               && next->second == first->second)
+            last = next++;
+        value.append(first->first);
+        value.append(last->first);
+        value.append(Json::Int64(first->second));
+        first = next;
+    }
+    return value;
+}
+
+static void decodeAbandoned(const Json::Value &list, const Json::Value &ranges, StepProgress &step)
+{
+    for (Json::ArrayIndex i = 0; i + 1 < list.size(); i += 2)
+        step.abandonedRuns[list[i].asInt()] = numberUpTo(list[i + 1], maxNumber, "run");
+    for (Json::ArrayIndex i = 0; i + 2 < ranges.size(); i += 3) {
+        const std::int64_t first = numberUpTo(ranges[i], maxTasks, "task");
+        const std::int64_t last = numberUpTo(ranges[i + 1], maxTasks, "task");
+        const std::int64_t run = numberUpTo(ranges[i + 2], maxNumber, "run");
+        for (std::int64_t index = first; index <= last; ++index)
+            step.abandonedRuns[static_cast<int>(index)] = run;
+    }
+}
+
+/// Positions of the elements of an encoded step.
+static constexpr Json::ArrayIndex abandonedElement = 2;
+static constexpr Json::ArrayIndex crashHistoriesElement = 3;
+static constexpr Json::ArrayIndex abandonedRangesElement = 4;
+
 static Json::Value encodeStepProgress(const StepProgress &step)
 {
     std::string bits;
@@ -243,14 +297,12 @@
         }
     }
     value.append(failures);
-    Json::Value abandoned(Json::arrayValue);
-    for (const auto &[index, run] : step.abandonedRuns) {
-        abandoned.append(index);
-        abandoned.append(Json::Int64(run));
-    }
-    value.append(abandoned);
+    const bool isListed = step.abandonedRuns.size() <= maxListedAbandoned;
+    value.append(isListed ? encodeAbandoned(step.abandonedRuns) : Json::Value(Json::arrayValue));
     for (const auto &[index, history] : step.crashHistories)
-        value[3].append(encodeCrashHistory(index, history));
+        value[crashHistoriesElement].append(encodeCrashHistory(index, history));
+    if (!isListed)
+        value[abandonedRangesElement] = encodeAbandonedRanges(step.abandonedRuns);
     return value;
 }
 
@@ -262,10 +314,8 @@
     const Json::Value &failures = value[1];
     for (Json::ArrayIndex i = 0; i + 1 < failures.size(); i += 2)
         step.failedRuns[failures[i].asInt()].insert(failures[i + 1].asInt64());
-    const Json::Value &abandoned = value[2];
-    for (Json::ArrayIndex i = 0; i + 1 < abandoned.size(); i += 2)
-        step.abandonedRuns[abandoned[i].asInt()] = numberUpTo(abandoned[i + 1], maxNumber, "run");
-    for (const Json::Value &history : value[3])
+    decodeAbandoned(value[abandonedElement], value[abandonedRangesElement], step);
+    for (const Json::Value &history : value[crashHistoriesElement])
         step.crashHistories.emplace(history[0].asInt(), decodeCrashHistory(history));
     return step;
 }
--- a/Tests/LibJob/TestRecords.cpp
+++ b/Tests/LibJob/TestRecords.cpp
@@ -71,6 +71,57 @@
 
 } // namespace
 
+// Guards against LOST: the record of a wide job outgrew the store's limit once a worker that had
+// left never answered the next owner, and the job was shown as failed.
+TEST_CASE("A record doesn't grow with the tasks whose former runs are abandoned together")
+{
+    constexpr int tasks = 30'000;
+    constexpr std::int64_t lastFormerRun = 1000;
+    StepProgress step;
+    step.isDone.assign(tasks, false);
+    for (int index = 0; index < tasks; ++index)
+        step.abandonedRuns[index] = lastFormerRun;
+
+    SECTION("nor with those that are abandoned by themselves among them")
+    {
+        step.abandonedRuns[17] = lastFormerRun + 5;
+        step.abandonedRuns.erase(20'000);
+        step.crashHistories.emplace(3, CrashHistory().withLostRun(2));
+    }
+    SECTION("nor if none has a crash history") { }
+    JobProgress progress;
+    progress.occurrences[0] = { step };
+    const ProgressRecord record { JobId("job"), progress };
+    const StoredRecord stored = encodeRecord(record).front();
+    constexpr std::size_t bytesBeside = 200;
+    CHECK(stored.value.size() <= tasks + bytesBeside);
+    CHECK(std::get<ProgressRecord>(decodeRecord(stored)) == record);
+}
+
+TEST_CASE("A record doesn't grow with the occurrences that have ended")
+{
+    JobProgress progress;
+    progress.endedOccurrences.insert(0, 999'999'000);
+    progress.endedOccurrences.insert(999'999'900);
+    const ProgressRecord record { JobId("job"), progress };
+    const StoredRecord stored = encodeRecord(record).front();
+    constexpr std::size_t fewBytes = 100;
+    CHECK(stored.value.size() <= fewBytes);
+    CHECK(std::get<ProgressRecord>(decodeRecord(stored)) == record);
+
+    SECTION("few of them are listed, as earlier versions read them")
+    {
+        progress.endedOccurrences = {};
+        progress.endedOccurrences.insert(0, 2);
+        const StoredRecord few = encodeRecord(ProgressRecord { JobId("job"), progress }).front();
+        CHECK(few.value == R"({"eo":[0,1,2],"s":0})");
+    }
+    SECTION("a range that ends before it begins is rejected")
+    {
+        CHECK_THROWS_AS(decodeRecord({ "p/job", R"({"er":[5,3],"s":0})" }), Core::FormatError);
+    }
+}
+
 TEST_CASE("Records survive encoding and decoding")
 {
     const Submission job = submission("5c0e");
