LibJob: Take the planning pass out of the job scheduler

Cause: JobScheduler is one class in five files; the order of a pass, who joins and leaves it, and what was rejected in it need nothing else of it. Ruled out: moving the choice of workers too (it needs runs, reservations and crash histories). Change: PlanningPass, WaitingStep and Demand in files of their own; a waiting step is made in one place instead of two. No decision changes: the demand is still determined anew after some tasks of a step were placed.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -286,7 +286,7 @@
         if (isFinished) {
             rememberEndedJob(id, job->progress().endedUnixMs);
             m_scheduled.erase(id);
-            leavePass(*job);
+            m_pass.leave(*job);
             m_jobs.erase(id);
         }
     }
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -14,17 +14,12 @@
 static constexpr Core::Duration maxPassInterval = milliseconds(1000);
 /// A job is large if its work is at least this multiple of its queue's mean.
 static constexpr double largeJobRatio = 1.5;
-/// Number of large jobs that are started before the others of their priority, so that small jobs
-/// can't starve them.
-static constexpr std::size_t maxLargeJobsFirst = 2;
 /// How long a job waits for workers where it violates no target.
 static constexpr Core::Duration maxWaitWithinTargets = milliseconds(1500);
 /// The reason why a step waits is logged once it has waited longer than `minExplainedWait`, and at
 /// most once per `explanationInterval`.
 static constexpr Core::Duration minExplainedWait = milliseconds(1000);
 static constexpr Core::Duration explanationInterval = milliseconds(5000);
-/// A long-running task that was interrupted and hasn't run for longer is started before all others.
-static constexpr Core::Duration maxInterruption = milliseconds(2500);
 /// Interval at which leases, stops and the retention of jobs are checked.
 static constexpr Core::Duration checkInterval = milliseconds(100);
 /// A pass that takes longer doesn't know of the steps that have become ready meanwhile.
@@ -75,11 +70,9 @@
         beginDueOccurrences(*m_jobs.at(id), now);
     if (m_areStartsHeld)
         return;
-    m_pass.steps = waitingSteps(now);
+    m_pass = PlanningPass(waitingSteps(now), now.instant);
     m_nextPassAt = now.instant + minPassInterval
-        + std::min<Core::Duration>(m_pass.steps.size() * passIntervalPerStep, maxPassInterval);
-    putLargeJobsFirst(m_pass.steps);
-    putOverdueFirst(m_pass.steps, now);
+        + std::min<Core::Duration>(m_pass.size() * passIntervalPerStep, maxPassInterval);
     m_reservation.reset(m_listed.size());
     m_isUnderused = isUnderused();
     countIsolatingWorkers();
@@ -91,14 +84,14 @@
     if (!isStartWindowFull())
         m_chooser.beginPass(m_listed);
     while (!m_pass.isOver() && !isPlanningWorkUsedUp() && !isStartWindowFull()) {
-        const WaitingStep waiting = m_pass.steps[m_pass.next];
+        const WaitingStep waiting = m_pass.next();
         m_planningWork += workPerStep;
-        if (isStillWaiting(waiting))
+        if (waiting.isStillWaiting())
             planWaitingStep(waiting, now);
         // A step that a bound has interrupted is continued by the next call.
         if (isPlanningWorkUsedUp() || isStartWindowFull())
             break;
-        ++m_pass.next;
+        m_pass.advance();
         // The next time of a scheduled job may begin once tasks of the former ones have a place.
         if (waiting.job)
             beginDueOccurrences(*waiting.job, now);
@@ -110,118 +103,32 @@
 void JobScheduler::planWaitingStep(const WaitingStep &waiting, const TimePoint &now)
 {
     const StepSpec &spec = waiting.job->spec(waiting.step);
-    const ServiceId &service = queueOf(*waiting.job)->service;
-    // The image affects placement only for best-effort tasks.
-    const ImageIndex image = spec.isBestEffort
-        ? waiting.job->images[static_cast<std::size_t>(waiting.step)]
-        : ImageIndex();
-    const bool cannotFit
-        = std::any_of(m_pass.rejected.begin(), m_pass.rejected.end(), [&](const auto &other) {
-              return other.isBestEffort == spec.isBestEffort && other.image == image
-                  && other.need.fitsIn(spec.need) && other.service == service
-                  && (other.mayExceedTargets || !mayExceedTargets(waiting, now));
-          });
     const bool mayReserve = waiting.isOverdue && !m_reservation.isFull();
-    if ((cannotFit && !mayReserve) || awaitsReconciliation(*waiting.job, now.instant))
+    const bool isHopeless = !mayReserve && m_pass.isRejected(demandOf(waiting, now));
+    if (isHopeless || awaitsReconciliation(*waiting.job, now.instant))
         return;
     const bool isPlaced = planStep(waiting, now);
     const bool isUnconstrained = spec.requiredLabel.empty() && spec.maxPerWorker == 0
         && !spec.isGang && m_isStoreReachable;
+    // The demand may have changed: some tasks of the step may have runs now.
     if (!isPlaced && isUnconstrained)
-        m_pass.rejected.push_back(
-            { service, spec.need, spec.isBestEffort, mayExceedTargets(waiting, now), image });
+        m_pass.reject(demandOf(waiting, now));
 }
 
-bool JobScheduler::isStillWaiting(const WaitingStep &waiting)
+Demand JobScheduler::demandOf(const WaitingStep &waiting, const TimePoint &now) const
 {
-    if (!waiting.job || waiting.job->isOver())
-        return false;
-    const auto &occurrences = waiting.job->occurrences();
-    const auto occurrence = occurrences.find(waiting.occurrence);
-    if (occurrence == occurrences.end())
-        return false;
-    const OwnedStep &step = occurrence->second[static_cast<std::size_t>(waiting.step)];
-    return step.isReady && step.waitingCount > 0;
-}
-
-void JobScheduler::joinPass(const WaitingStep &joining)
-{
-    const auto isPlace = [&joining](const WaitingStep &other) {
-        const bool mayOvertake = !other.isOverdue
-            && (!other.isPutFirst || joining.rank.priority < other.rank.priority);
-        return mayOvertake && other.job && isBefore(joining, other);
-    };
-    const auto rest = m_pass.steps.begin() + static_cast<std::ptrdiff_t>(m_pass.next);
-    m_pass.steps.insert(std::find_if(rest, m_pass.steps.end(), isPlace), joining);
-}
-
-void JobScheduler::leavePass(const OwnedJob &job)
-{
-    for (std::size_t i = m_pass.next; i < m_pass.steps.size(); ++i) {
-        if (m_pass.steps[i].job == &job)
-            m_pass.steps[i].job = nullptr;
-    }
+    const StepSpec &spec = waiting.job->spec(waiting.step);
+    Demand demand { queueOf(*waiting.job)->service, spec.need, spec.isBestEffort,
+                    mayExceedTargets(waiting, now) };
+    if (spec.isBestEffort)
+        demand.image = waiting.job->images[static_cast<std::size_t>(waiting.step)];
+    return demand;
 }
 
 bool JobScheduler::mayExceedTargets(const WaitingStep &waiting, const TimePoint &now) const
 {
-    return m_isUnderused && !waiting.job->hasRuns()
-        && now.instant > waiting.rank.dueAt + maxWaitWithinTargets;
-}
-
-void JobScheduler::putOverdueFirst(std::vector<WaitingStep> &steps, const TimePoint &now)
-{
-    const auto isOverdue = [&now](const WaitingStep &waiting) {
-        if (!waiting.job->spec(waiting.step).isLongRunning)
-            return false;
-        const OwnedStep &step = waiting.job->occurrences().at(
-            waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
-        return std::any_of(step.tasks.begin(), step.tasks.end(), [&](const TaskState &task) {
-            return !task.run && task.lastRunEndedAt != Core::Instant()
-                && now.instant > task.lastRunEndedAt + maxInterruption;
-        });
-    };
-    for (WaitingStep &waiting : steps) {
-        waiting.isOverdue = isOverdue(waiting);
-        waiting.isPutFirst |= waiting.isOverdue;
-    }
-    std::stable_partition(steps.begin(), steps.end(),
-                          [](const WaitingStep &waiting) { return waiting.isOverdue; });
-}
-
-void JobScheduler::putLargeJobsFirst(std::vector<WaitingStep> &steps) const
-{
-    const auto isLarge = [this](const WaitingStep &waiting) {
-        const StartRank &rank = waiting.rank;
-        return rank.timeliness != Timeliness::TooLate
-            && waiting.job->totalWork()
-            >= largeJobRatio * m_order.meanWork(queueOf(*waiting.job)->id);
-    };
-    std::vector<const WaitingStep *> large;
-    for (const WaitingStep &waiting : steps) {
-        if (isLarge(waiting))
-            large.push_back(&waiting);
-    }
-    std::sort(large.begin(), large.end(), [](const WaitingStep *left, const WaitingStep *right) {
-        return std::tie(left->rank.dueAt, left->job->id())
-            < std::tie(right->rank.dueAt, right->job->id());
-    });
-    std::map<int, std::set<JobId>> first;
-    for (const WaitingStep *waiting : large) {
-        std::set<JobId> &ofPriority = first[waiting->rank.priority];
-        if (ofPriority.size() < maxLargeJobsFirst)
-            ofPriority.insert(waiting->job->id());
-    }
-    for (WaitingStep &waiting : steps)
-        waiting.isPutFirst = first[waiting.rank.priority].contains(waiting.job->id());
-    std::stable_sort(steps.begin(), steps.end(),
-                     [](const WaitingStep &left, const WaitingStep &right) {
-                         const auto key = [](const WaitingStep &waiting) {
-                             return std::tuple(waiting.rank.isTooLate, waiting.rank.priority,
-                                               !waiting.isPutFirst);
-                         };
-                         return key(left) < key(right);
-                     });
+    return m_isUnderused && now.instant > waiting.rank.dueAt + maxWaitWithinTargets
+        && !waiting.job->hasRuns();
 }
 
 bool JobScheduler::isUnderused() const
@@ -278,45 +185,45 @@
         job.timing.noteReady(index, now.instant);
         if (m_pass.isOver() || step.waitingCount == 0)
             continue;
-        const Core::Instant due = dueAt(job, occurrence, now);
-        joinPass({ m_order.rank(job, occurrence, index, *queueOf(job), due, now.instant), &job,
-                   occurrence, index });
+        m_pass.join(waitingStep(job, occurrence, index, now));
     }
 }
 
-bool JobScheduler::isBefore(const WaitingStep &left, const WaitingStep &right)
-{
-    if (left.rank != right.rank)
-        return left.rank < right.rank;
-    return std::tie(left.job->id(), left.occurrence, left.step)
-        < std::tie(right.job->id(), right.occurrence, right.step);
-}
-
 void JobScheduler::addWaitingSteps(OwnedJob &job, const TimePoint &now,
                                    std::vector<WaitingStep> &waiting) const
 {
     if (job.isOver())
         return;
-    const Queue &queue = *queueOf(job);
     for (const int occurrence : job.waitingOccurrences()) {
         const std::vector<OwnedStep> &steps = job.occurrences().at(occurrence);
         for (std::size_t i = 0; i < steps.size(); ++i) {
             if (!steps[i].isReady || steps[i].waitingCount == 0)
                 continue;
-            const auto step = static_cast<int>(i);
-            const Core::Instant due = dueAt(job, occurrence, now);
-            waiting.push_back({ m_order.rank(job, occurrence, step, queue, due, now.instant), &job,
-                                occurrence, step });
+            waiting.push_back(waitingStep(job, occurrence, static_cast<int>(i), now));
         }
     }
 }
 
-std::vector<JobScheduler::WaitingStep> JobScheduler::waitingSteps(const TimePoint &now) const
+WaitingStep JobScheduler::waitingStep(OwnedJob &job, int occurrence, int step,
+                                      const TimePoint &now) const
+{
+    const Queue &queue = *queueOf(job);
+    const Core::Instant due = dueAt(job, occurrence, now);
+    WaitingStep waiting;
+    waiting.rank = m_order.rank(job, occurrence, step, queue, due, now.instant);
+    waiting.job = &job;
+    waiting.occurrence = occurrence;
+    waiting.step = step;
+    waiting.isLarge = waiting.rank.timeliness != Timeliness::TooLate
+        && job.totalWork() >= largeJobRatio * m_order.meanWork(queue.id);
+    return waiting;
+}
+
+std::vector<WaitingStep> JobScheduler::waitingSteps(const TimePoint &now) const
 {
     std::vector<WaitingStep> waiting;
     for (const auto &[id, job] : m_jobs)
         addWaitingSteps(*job, now, waiting);
-    std::sort(waiting.begin(), waiting.end(), isBefore);
     return waiting;
 }
 
--- /dev/null
+++ b/Libraries/LibJob/PlanningPass.cpp
@@ -0,0 +1,126 @@
+#include <LibJob/PlanningPass.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace Jobs {
+
+using std::chrono::milliseconds;
+
+/// Number of large jobs that are started before the others of their priority.
+static constexpr std::size_t maxLargeJobsFirst = 2;
+/// A long-running task that was interrupted and hasn't run for longer is started before all others.
+static constexpr Core::Duration maxInterruption = milliseconds(2500);
+
+static bool isBefore(const WaitingStep &left, const WaitingStep &right)
+{
+    if (left.rank != right.rank)
+        return left.rank < right.rank;
+    return std::tie(left.job->id(), left.occurrence, left.step)
+        < std::tie(right.job->id(), right.occurrence, right.step);
+}
+
+bool WaitingStep::isStillWaiting() const
+{
+    if (!job || job->isOver())
+        return false;
+    const auto &occurrences = job->occurrences();
+    const auto found = occurrences.find(occurrence);
+    if (found == occurrences.end())
+        return false;
+    const OwnedStep &owned = found->second[static_cast<std::size_t>(step)];
+    return owned.isReady && owned.waitingCount > 0;
+}
+
+bool Demand::isCoveredBy(const Demand &other) const
+{
+    return other.isBestEffort == isBestEffort && other.image == image && other.need.fitsIn(need)
+        && other.service == service && (other.mayExceedTargets || !mayExceedTargets);
+}
+
+PlanningPass::PlanningPass(std::vector<WaitingStep> steps, Core::Instant now)
+    : m_steps(std::move(steps))
+{
+    std::sort(m_steps.begin(), m_steps.end(), isBefore);
+    putLargeJobsFirst();
+    putOverdueFirst(now);
+}
+
+void PlanningPass::putLargeJobsFirst()
+{
+    std::vector<const WaitingStep *> large;
+    for (const WaitingStep &waiting : m_steps) {
+        if (waiting.isLarge)
+            large.push_back(&waiting);
+    }
+    std::sort(large.begin(), large.end(), [](const WaitingStep *left, const WaitingStep *right) {
+        return std::tie(left->rank.dueAt, left->job->id())
+            < std::tie(right->rank.dueAt, right->job->id());
+    });
+    std::map<int, std::set<JobId>> first;
+    for (const WaitingStep *waiting : large) {
+        std::set<JobId> &ofPriority = first[waiting->rank.priority];
+        if (ofPriority.size() < maxLargeJobsFirst)
+            ofPriority.insert(waiting->job->id());
+    }
+    for (WaitingStep &waiting : m_steps)
+        waiting.isPutFirst = first[waiting.rank.priority].contains(waiting.job->id());
+    std::stable_sort(m_steps.begin(), m_steps.end(),
+                     [](const WaitingStep &left, const WaitingStep &right) {
+                         const auto key = [](const WaitingStep &waiting) {
+                             return std::tuple(waiting.rank.isTooLate, waiting.rank.priority,
+                                               !waiting.isPutFirst);
+                         };
+                         return key(left) < key(right);
+                     });
+}
+
+void PlanningPass::putOverdueFirst(Core::Instant now)
+{
+    const auto isOverdue = [now](const WaitingStep &waiting) {
+        if (!waiting.job->spec(waiting.step).isLongRunning)
+            return false;
+        const OwnedStep &step = waiting.job->occurrences().at(
+            waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
+        return std::any_of(step.tasks.begin(), step.tasks.end(), [now](const TaskState &task) {
+            return !task.run && task.lastRunEndedAt != Core::Instant()
+                && now > task.lastRunEndedAt + maxInterruption;
+        });
+    };
+    for (WaitingStep &waiting : m_steps) {
+        waiting.isOverdue = isOverdue(waiting);
+        waiting.isPutFirst |= waiting.isOverdue;
+    }
+    std::stable_partition(m_steps.begin(), m_steps.end(),
+                          [](const WaitingStep &waiting) { return waiting.isOverdue; });
+}
+
+void PlanningPass::join(const WaitingStep &joining)
+{
+    const auto isPlace = [&joining](const WaitingStep &other) {
+        const bool mayOvertake = !other.isOverdue
+            && (!other.isPutFirst || joining.rank.priority < other.rank.priority);
+        return mayOvertake && other.job && isBefore(joining, other);
+    };
+    const auto rest = m_steps.begin() + static_cast<std::ptrdiff_t>(m_next);
+    m_steps.insert(std::find_if(rest, m_steps.end(), isPlace), joining);
+}
+
+void PlanningPass::leave(const OwnedJob &job)
+{
+    for (std::size_t i = m_next; i < m_steps.size(); ++i) {
+        if (m_steps[i].job == &job)
+            m_steps[i].job = nullptr;
+    }
+}
+
+bool PlanningPass::isRejected(const Demand &demand) const
+{
+    return std::any_of(m_rejected.begin(), m_rejected.end(),
+                       [&demand](const Demand &other) { return demand.isCoveredBy(other); });
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Tests/LibJob/TestPlanningPass.cpp
@@ -0,0 +1,123 @@
+#include <LibJob/PlanningPass.h>
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+
+using namespace Jobs;
+
+namespace {
+
+constexpr Core::Instant now { std::chrono::seconds(100) };
+
+/// Jobs of one task, and the order in which a pass comes to them.
+class Pass
+{
+public:
+    WaitingStep waiting(const std::string &id, int priority)
+    {
+        JobEntry entry;
+        entry.submission.id = JobId(id);
+        entry.submission.spec.steps.resize(1);
+        m_jobs.push_back(std::make_unique<OwnedJob>(entry));
+        m_jobs.back()->beginOccurrence(0);
+        WaitingStep step;
+        step.rank.priority = priority;
+        step.job = m_jobs.back().get();
+        return step;
+    }
+
+    static std::string rest(PlanningPass pass)
+    {
+        std::string ids;
+        for (; !pass.isOver(); pass.advance())
+            ids += pass.next().job ? pass.next().job->id().text() : "-";
+        return ids;
+    }
+
+private:
+    std::vector<std::unique_ptr<OwnedJob>> m_jobs;
+};
+
+} // namespace
+
+TEST_CASE("A pass comes to the waiting steps in the order of their ranks")
+{
+    Pass jobs;
+    PlanningPass pass({ jobs.waiting("b", 1), jobs.waiting("c", 2), jobs.waiting("a", 1) }, now);
+    CHECK(Pass::rest(pass) == "abc");
+
+    SECTION("with those that join behind those that were planned")
+    {
+        pass.advance();
+        pass.join(jobs.waiting("0", 0));
+        CHECK(Pass::rest(pass) == "0bc");
+    }
+    SECTION("without a job that is deleted")
+    {
+        const WaitingStep leaving = jobs.waiting("d", 3);
+        pass.join(leaving);
+        pass.leave(*leaving.job);
+        CHECK(Pass::rest(pass) == "abc-");
+    }
+}
+
+TEST_CASE("Two large jobs of each priority come before the others of it")
+{
+    Pass jobs;
+    std::vector<WaitingStep> steps { jobs.waiting("a", 1), jobs.waiting("b", 0) };
+    for (const char *id : { "x", "y", "z" }) {
+        steps.push_back(jobs.waiting(id, 1));
+        steps.back().isLarge = true;
+    }
+    const PlanningPass pass(std::move(steps), now);
+    CHECK(Pass::rest(pass) == "bxyaz");
+}
+
+TEST_CASE("A step that doesn't wait any more is told")
+{
+    Pass jobs;
+    const WaitingStep waiting = jobs.waiting("a", 0);
+    CHECK(waiting.isStillWaiting());
+    waiting.job->markTaskDone({ JobId("a"), 0, 0, 0 }, 1);
+    CHECK_FALSE(waiting.isStillWaiting());
+    CHECK_FALSE(WaitingStep().isStillWaiting());
+}
+
+TEST_CASE("A pass skips what needs at least as much as a task that found no worker")
+{
+    const Demand half { ServiceId("service"), { 500, 100, 0 }, false, false, 0 };
+    Demand other = half;
+    PlanningPass pass;
+    CHECK_FALSE(pass.isRejected(half));
+    pass.reject(half);
+    CHECK(pass.isRejected(half));
+
+    SECTION("more of anything")
+    {
+        other.need.mebibytes = 101;
+    }
+    CHECK(pass.isRejected(other));
+
+    SECTION("but not less")
+    {
+        other.need.milliCores = 499;
+        CHECK_FALSE(pass.isRejected(other));
+    }
+    SECTION("nor for another service")
+    {
+        other.service = ServiceId("other");
+        CHECK_FALSE(pass.isRejected(other));
+    }
+    SECTION("nor what may exceed the targets of others")
+    {
+        other.mayExceedTargets = true;
+        CHECK_FALSE(pass.isRejected(other));
+    }
+    SECTION("nor best-effort tasks, nor those of another image")
+    {
+        other.isBestEffort = true;
+        CHECK_FALSE(pass.isRejected(other));
+    }
+}
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -8,6 +8,7 @@
 #include <LibJob/JobTable.h>
 #include <LibJob/OverloadPolicy.h>
 #include <LibJob/OwnedJob.h>
+#include <LibJob/PlanningPass.h>
 #include <LibJob/RenewalQueue.h>
 #include <LibJob/SchedulerSettings.h>
 #include <LibJob/SilentWorkers.h>
@@ -170,40 +171,6 @@
     static constexpr std::int64_t workPerStep = 10;
 
     using JobPtr = std::unique_ptr<OwnedJob>;
-    struct WaitingStep
-    {
-        StartRank rank;
-        OwnedJob *job = nullptr;
-        int occurrence = 0;
-        int step = 0;
-        /// A long-running task of the step was interrupted and hasn't run for longer than allowed.
-        bool isOverdue = false;
-        /// The step comes before others of a lower rank; see beginPass().
-        bool isPutFirst = false;
-    };
-
-    /// A task for which no worker was found in this pass. Tasks with at least the same demand are
-    /// skipped.
-    struct RejectedDemand
-    {
-        ServiceId service;
-        Core::Resources need;
-        bool isBestEffort = false;
-        bool mayExceedTargets = false;
-        ImageIndex image = 0;
-    };
-
-    /// A pass over the waiting steps, which may take several calls of takeCommands().
-    struct PlanningPass
-    {
-        std::vector<WaitingStep> steps;
-        /// Index of the step that is planned next.
-        std::size_t next = 0;
-        std::vector<RejectedDemand> rejected;
-
-        bool isOver() const { return next >= steps.size(); }
-    };
-
     /// The running tasks on a worker, and the run and the step of each, by index.
     struct ColocatedRuns
     {
@@ -259,16 +226,9 @@
     std::vector<WaitingStep> waitingSteps(const TimePoint &now) const;
     void addWaitingSteps(OwnedJob &job, const TimePoint &now,
                          std::vector<WaitingStep> &waiting) const;
-    static bool isBefore(const WaitingStep &left, const WaitingStep &right);
-    static bool isStillWaiting(const WaitingStep &waiting);
-    /// Inserts a step that can start from now on into the pass that has begun, by its rank.
-    void joinPass(const WaitingStep &joining);
-    /// Removes a job that is about to be deleted from the pass that has begun.
-    void leavePass(const OwnedJob &job);
+    WaitingStep waitingStep(OwnedJob &job, int occurrence, int step, const TimePoint &now) const;
     bool awaitsReconciliation(OwnedJob &job, Core::Instant now);
-    /// Begins a pass that chooses workers for the waiting steps, in the order of their ranks,
-    /// except that overdue steps come first, and a few large jobs before the others of their
-    /// priority.
+    /// Begins a pass that chooses workers for the waiting steps.
     void beginPass(const TimePoint &now);
     /// Continues the pass until it is over or this call's planning work has reached its bound.
     void continuePass(const TimePoint &now);
@@ -279,8 +239,7 @@
     /// Drops a pass that waits for the start window and whose order is outdated; another one begins
     /// when it is due.
     void dropOutdatedPass(const TimePoint &now);
-    void putLargeJobsFirst(std::vector<WaitingStep> &steps) const;
-    void putOverdueFirst(std::vector<WaitingStep> &steps, const TimePoint &now);
+    Demand demandOf(const WaitingStep &waiting, const TimePoint &now) const;
     /// True if less than half of the site's processors are requested.
     bool isUnderused() const;
     /// True if the job may run best-effort tasks beside serving tasks whose targets they violate:
--- /dev/null
+++ b/include/LibJob/PlanningPass.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <LibCore/Resources.h>
+#include <LibCore/Time.h>
+#include <LibJob/ImageTable.h>
+#include <LibJob/OwnedJob.h>
+#include <LibJob/StartOrder.h>
+
+#include <cstddef>
+#include <vector>
+
+namespace Jobs {
+
+/// A ready step with tasks that wait for workers.
+struct WaitingStep
+{
+    StartRank rank;
+    /// Null once the job has been deleted.
+    OwnedJob *job = nullptr;
+    int occurrence = 0;
+    int step = 0;
+    /// The job has much more work than others of its queue, and still has a value.
+    bool isLarge = false;
+    /// A long-running task of the step was interrupted and hasn't run for longer than allowed.
+    bool isOverdue = false;
+    /// The step comes before others of a lower rank; see PlanningPass.
+    bool isPutFirst = false;
+
+    /// False once all tasks have a run or are done, and once the job is over or deleted.
+    bool isStillWaiting() const;
+};
+
+/// What a task needs of a worker.
+struct Demand
+{
+    ServiceId service;
+    Core::Resources need;
+    bool isBestEffort = false;
+    /// The task may run beside serving tasks whose targets it violates.
+    bool mayExceedTargets = false;
+    /// Affects the placement of best-effort tasks only; the default for others.
+    ImageIndex image = 0;
+
+    /// True if each worker that has no place for a task with this demand has none for one with
+    /// \p other either.
+    bool isCoveredBy(const Demand &other) const;
+};
+
+/// One pass over the waiting steps, which may take several calls of the scheduler.
+///
+/// Steps come in the order of their ranks, except that overdue ones come first, and a few large
+/// jobs before the others of their priority, so that small jobs can't starve them.
+class PlanningPass
+{
+public:
+    PlanningPass() = default;
+    PlanningPass(std::vector<WaitingStep> steps, Core::Instant now);
+
+    /// The number of steps, planned ones included.
+    std::size_t size() const { return m_steps.size(); }
+    bool isOver() const { return m_next >= m_steps.size(); }
+    /// The step to plan now; the pass must not be over.
+    const WaitingStep &next() const { return m_steps[m_next]; }
+    void advance() { ++m_next; }
+    /// Inserts a step that can start from now on, by its rank, behind those that were planned.
+    void join(const WaitingStep &joining);
+    /// Removes a job that is about to be deleted.
+    void leave(const OwnedJob &job);
+
+    /// No worker was found for a task with this demand.
+    void reject(const Demand &demand) { m_rejected.push_back(demand); }
+    /// True if no worker can have a place for a task with this demand, since none had one for
+    /// another.
+    bool isRejected(const Demand &demand) const;
+
+private:
+    void putLargeJobsFirst();
+    void putOverdueFirst(Core::Instant now);
+
+    std::vector<WaitingStep> m_steps;
+    std::size_t m_next = 0;
+    std::vector<Demand> m_rejected;
+};
+
+} // namespace Jobs
