LibSite: Take the log of decisions out of the owner's session

Ruled out: passing the session's state to the log at each call; the session closes it once instead. Change: OwnerDecisionLog in a file of its own. The lines, counters and the moment from which none is written are the same.

--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -69,7 +69,8 @@
     , m_executor(executor)
     , m_background(std::make_shared<BackgroundQueue>(executor))
     , m_ownership(ownership)
-    , m_scheduler(state.settings.scheduler, ownership, *this)
+    , m_decisionLog(state.metrics)
+    , m_scheduler(state.settings.scheduler, ownership, m_decisionLog)
     , m_workerFollower(log, decoder)
     , m_wakeup(executor)
     , m_workersWakeup(executor)
@@ -144,61 +145,12 @@
     m_wakeup.wake();
 }
 
-void OwnerSession::note(std::string_view subject, std::string_view event, std::string_view inputs)
-{
-    // After the session's end or a request for its release, decisions lead to no commands.
-    if (!isIssuingCommands())
-        return;
-    m_state.metrics.countDecision(std::string(event));
-    LOG4CXX_INFO(detailLogger, "event=" << event << " task=" << subject << ' ' << inputs);
-}
-
-void OwnerSession::noteJobGivenUp(const Jobs::TaskName &task, std::string_view event,
-                                  std::string_view inputs)
-{
-    noteEssential("task", task.text(), event, inputs);
-}
-
-void OwnerSession::noteWorker(std::string_view worker, std::string_view event,
-                              std::string_view inputs)
-{
-    noteEssential("worker", worker, event, inputs);
-}
-
-static double inSeconds(Core::Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-void OwnerSession::noteStarted(const Jobs::QueueId &queue, int step, Core::Duration waited)
-{
-    m_state.metrics.observeStart(queue.text(), step, inSeconds(waited));
-}
-
-void OwnerSession::noteEndKnown(const Jobs::QueueId &queue, int step, Core::Duration unwatched)
-{
-    m_state.metrics.observeEnd(queue.text(), step, inSeconds(unwatched));
-}
-
-void OwnerSession::noteEndDurable(Core::Duration after)
-{
-    m_state.metrics.observeDurableEnd(inSeconds(after));
-}
-
-void OwnerSession::noteEssential(std::string_view kind, std::string_view subject,
-                                 std::string_view event, std::string_view inputs)
-{
-    if (!isIssuingCommands())
-        return;
-    m_state.metrics.countDecision(std::string(event));
-    LOG4CXX_INFO(partLogger, "event=" << event << ' ' << kind << '=' << subject << ' ' << inputs);
-}
-
 void OwnerSession::depose(const std::string &reason)
 {
     if (m_isOver)
         return;
     m_isOver = true;
+    m_decisionLog.close();
     if (m_state.owner == this)
         m_state.owner = nullptr;
     LOG4CXX_WARN(partLogger,
@@ -211,6 +163,7 @@
 void OwnerSession::release()
 {
     m_isReleasing = true;
+    m_decisionLog.close();
     m_wakeup.wake();
 }
 
@@ -401,7 +354,7 @@
         return;
     m_nextMetricsAt = now + metricsInterval;
     const LoopSummary loop = m_loopMeter.takeSummary(now);
-    m_state.metrics.setOwnerLag(inSeconds(loop.timerLag));
+    m_state.metrics.setOwnerLag(std::chrono::duration<double>(loop.timerLag).count());
     logIfBehind(loop);
     const LoopMeter::Work work(m_loopMeter, "metrics");
     const std::size_t waiting = m_scheduler.waitingCount();
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <LibCore/SteadyClock.h>
-#include <LibJob/DecisionLog.h>
 #include <LibJob/JobScheduler.h>
 #include <LibSite/AppendBatches.h>
 #include <LibSite/BackgroundQueue.h>
 #include <LibSite/JobFollower.h>
 #include <LibSite/KeyedLog.h>
 #include <LibSite/LoopMeter.h>
+#include <LibSite/OwnerDecisionLog.h>
 #include <LibSite/SiteDecoder.h>
 #include <LibSite/SiteState.h>
 #include <LibSite/TurnPacer.h>
@@ -29,7 +29,7 @@
 /// Every command is sent only while the ownership is proven: the last append that succeeded was
 /// sent less than `SchedulerSettings::ownershipProofTimeout` ago, measured on the suspend-aware
 /// clock.
-class OwnerSession final : private SiteObserver, private Jobs::DecisionLog
+class OwnerSession final : private SiteObserver
 {
 public:
     /// \p provenAt is when the claim was sent to the store, on the suspend-aware clock.
@@ -50,18 +50,6 @@
     void onCancellation(const Jobs::JobId &id) override;
     void onClaim() override;
     void onOperatorChange() override;
-    void note(std::string_view subject, std::string_view event, std::string_view inputs) override;
-    void noteJobGivenUp(const Jobs::TaskName &task, std::string_view event,
-                        std::string_view inputs) override;
-    void noteWorker(std::string_view worker, std::string_view event,
-                    std::string_view inputs) override;
-    void noteStarted(const Jobs::QueueId &queue, int step, Core::Duration waited) override;
-    void noteEndKnown(const Jobs::QueueId &queue, int step, Core::Duration unwatched) override;
-    void noteEndDurable(Core::Duration after) override;
-
-    /// Logs a decision with a line that isn't left out. \p kind says what the subject is.
-    void noteEssential(std::string_view kind, std::string_view subject, std::string_view event,
-                       std::string_view inputs);
     Jobs::TimePoint now() const;
     bool isOwnershipProven() const;
     /// False once a release was requested or the session has ended: later decisions are up to the
@@ -147,6 +135,7 @@
     /// nor the process's callers.
     std::shared_ptr<BackgroundQueue> m_background;
     Jobs::Ownership m_ownership;
+    OwnerDecisionLog m_decisionLog;
     Jobs::JobScheduler m_scheduler;
     WorkerFollower m_workerFollower;
     Supervision::Wakeup m_wakeup;
