LibJob: Ask a restarted worker less often while no higher token can be had

Cause: a restarted worker isn't used before it has answered with a higher token, which needs an append; until then it was asked every 110 ms, during an outage of the store as long as that takes. Ruled out: not asking it at all (a report shows what runs there). Change: 400 ms, as for workers that don't answer; the next durable commit brings the renewal forward.

--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -155,6 +155,10 @@
 Core::Duration JobScheduler::delayToNextRenewal(const WorkerState &worker, bool wasReconciled) const
 {
     // A former owner granted the lease of what runs there; only the next renewal extends it.
+    // Nothing follows from another answer before a higher token can be had; then onCommitted()
+    // requests one.
+    if (worker.needsHigherToken())
+        return m_settings.unresponsiveRenewalInterval;
     const bool isFirstContact = !wasReconciled && worker.isReconciled();
     if (isFirstContact && !worker.runs().empty())
         return {};
