Tests: Show that a worker that restarts twice after a takeover can run a task twice

Cause: a start that the former owner has sent is delivered to the second process after the one that answered the next owner; that process has seen no token. Ruled out here: a wait of a second at each takeover before anything starts, which costs callers more than this sequence of four events; so it is listed.

--- a/Tests/LibJob/TestRestartedWorkers.cpp
+++ b/Tests/LibJob/TestRestartedWorkers.cpp
@@ -172,6 +172,31 @@
     }
 }
 
+// In KNOWN-RED.txt: a start of the former owner that is still on its way reaches the second process
+// after the one that has answered the next owner, which has started the task elsewhere.
+TEST_CASE("No task runs twice when a worker restarts twice right after a takeover",
+          "[known-red][!shouldfail]")
+{
+    int violations = 0;
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+        JobWorld world(seed, {}, DisabledGuard::None, quickRestarts());
+        world.claim(0);
+        world.run(500);
+        world.crashWorker(0);
+        world.submit(simulatedJob({ 8 }, JobWorld::longRunningPayload));
+        world.run(60);
+        world.claim(1);
+        world.restartWorker(0);
+        world.run(150);
+        world.crashWorker(0);
+        world.run(150);
+        world.restartWorker(0);
+        world.run(3000);
+        violations += world.violation().empty() ? 0 : 1;
+    }
+    CHECK(violations == 0);
+}
+
 TEST_CASE("A simulation with restarting workers for one seed, for manual tracing",
           "[.replay-restarts]")
 {
