Tests: Run the parts of TestLibJob beside each other

Ruled out: a longer time limit; fewer seeds; a hang (a run without the limit went on for 12 minutes, case after case; 170 s of these for "No task runs twice when a worker's processes follow one another" and 97 s for its guards, which are new). Change: lagoonford_test() takes tags whose cases become CTest tests of their own; the remaining ones exclude them. Five tags in LibJob: crashes, guards, ownership, restarts, schedules. The program, its cases and their checks are the same.

--- a/Meta/CMake/LagoonfordTargets.cmake
+++ b/Meta/CMake/LagoonfordTargets.cmake
@@ -60,12 +60,29 @@
     target_link_libraries(${name} PRIVATE ${ARGN})
 endfunction()
 
-# lagoonford_test(NAME dependencies...): one Catch2 program from the sources in the current folder,
-# run by CTest from the source root so that tests find their traces.
+# lagoonford_test(NAME dependencies... [GROUPS tags...]): one Catch2 program from the sources in the
+# current folder, run by CTest from the source root so that tests find their traces. The cases with
+# each of the tags are a CTest test of their own, NAME.TAG, and NAME itself runs all others, so that
+# parts of a long program run beside each other. No case may have two of the tags.
 function(lagoonford_test name)
+    cmake_parse_arguments(PARSE_ARGV 1 test "" "" "GROUPS")
     file(GLOB sources CONFIGURE_DEPENDS *.cpp)
     add_executable(${name} ${sources})
-    target_link_libraries(${name} PRIVATE TestMain ${ARGN})
-    add_test(NAME ${name} COMMAND ${name} WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
+    target_link_libraries(${name} PRIVATE TestMain ${test_UNPARSED_ARGUMENTS})
+    set(others)
+    foreach(tag ${test_GROUPS})
+        lagoonford_add_test(${name}.${tag} ${name} "[${tag}]")
+        string(APPEND others "~[${tag}]")
+    endforeach()
+    if(others)
+        # A filter that only excludes would run hidden cases, too.
+        string(APPEND others "~[.]")
+    endif()
+    lagoonford_add_test(${name} ${name} ${others})
+endfunction()
+
+# lagoonford_add_test(NAME PROGRAM [FILTER]): a CTest test that runs the program's cases that match.
+function(lagoonford_add_test name)
+    add_test(NAME ${name} COMMAND ${ARGN} WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
     set_tests_properties(${name} PROPERTIES TIMEOUT 600)
 endfunction()
--- a/Tests/LibJob/TestOwnership.cpp
+++ b/Tests/LibJob/TestOwnership.cpp
@@ -107,7 +107,7 @@
 
 } // namespace
 
-TEST_CASE("A site's jobs have one owner at a time")
+TEST_CASE("A site's jobs have one owner at a time", "[ownership]")
 {
     SECTION("without faults")
     {
@@ -198,7 +198,7 @@
     }
 }
 
-TEST_CASE("No task runs twice, whatever is cut, lost, late, frozen or reborn")
+TEST_CASE("No task runs twice, whatever is cut, lost, late, frozen or reborn", "[ownership]")
 {
     rc::prop("invariants hold under frequent faults, and all jobs end once the faults stop", [] {
         const auto seed = *rc::gen::arbitrary<std::uint32_t>();
@@ -213,7 +213,8 @@
     });
 }
 
-TEST_CASE("No task is started after its last attempt, whichever owner learns of the failed runs")
+TEST_CASE("No task is started after its last attempt, whichever owner learns of the failed runs",
+          "[ownership]")
 {
     for (std::uint32_t seed = 1; seed <= 200; ++seed) {
         JobWorld world(seed, frequentRunFailures());
@@ -228,7 +229,7 @@
     }
 }
 
-TEST_CASE("No job is recorded as begun before a worker has started a task of it")
+TEST_CASE("No job is recorded as begun before a worker has started a task of it", "[ownership]")
 {
     rc::prop(
         "even if most starts are rejected and owners change, and all jobs end once the faults stop",
@@ -254,7 +255,7 @@
     CHECK(world.violation().empty());
 }
 
-TEST_CASE("Each safety mechanism of the ownership is necessary")
+TEST_CASE("Each safety mechanism of the ownership is necessary", "[guards]")
 {
     SECTION("workers that execute commands of replaced owners")
     {
--- a/Tests/LibJob/TestRestartedWorkers.cpp
+++ b/Tests/LibJob/TestRestartedWorkers.cpp
@@ -134,7 +134,8 @@
 
 // Guards against TWICE: an acknowledgement, a start or a lease that was meant for a former process
 // of a worker takes effect in the next one, so that tasks that are done run again, or run twice.
-TEST_CASE("No task runs twice when a worker's processes follow one another under its ID")
+TEST_CASE("No task runs twice when a worker's processes follow one another under its ID",
+          "[restarts]")
 {
     SECTION("while calls to it are under way")
     {
@@ -159,7 +160,8 @@
     }
 }
 
-TEST_CASE("Each safety mechanism against commands for a worker's former process is necessary")
+TEST_CASE("Each safety mechanism against commands for a worker's former process is necessary",
+          "[guards]")
 {
     SECTION("acknowledgements that reach whichever process is there")
     {
@@ -175,7 +177,7 @@
 // In KNOWN-RED.txt: a start of the former owner that is still on its way reaches the second process
 // after the one that has answered the next owner, which has started the task elsewhere.
 TEST_CASE("No task runs twice when a worker restarts twice right after a takeover",
-          "[known-red][!shouldfail]")
+          "[restarts][known-red][!shouldfail]")
 {
     int violations = 0;
     for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
--- a/Tests/LibJob/TestSchedules.cpp
+++ b/Tests/LibJob/TestSchedules.cpp
@@ -60,7 +60,7 @@
 
 // Guards against LOST: a job with many due times made the owner begin all of them at once, so that
 // its passes, its memory and the job's record grew with them, and no other job started.
-TEST_CASE("A job keeps no other one waiting, however many of its times are due")
+TEST_CASE("A job keeps no other one waiting, however many of its times are due", "[schedules]")
 {
     constexpr int ordinaryJobs = 20;
     const std::int64_t count = GENERATE(1, 1000, 100'000, 525'600, 1'000'000'000);
@@ -96,7 +96,8 @@
     }
 }
 
-TEST_CASE("A hundred such jobs, some of which fit no worker, keep no other one waiting")
+TEST_CASE("A hundred such jobs, some of which fit no worker, keep no other one waiting",
+          "[schedules]")
 {
     constexpr int ordinaryJobs = 20;
     JobWorld world(1, {});
@@ -110,7 +111,7 @@
     CHECK(world.waitingCount() <= 100 * OwnedJob::maxIdleOccurrences);
 }
 
-TEST_CASE("All times of a job run once, in the order in which they are due")
+TEST_CASE("All times of a job run once, in the order in which they are due", "[schedules]")
 {
     constexpr int count = 600;
     constexpr std::size_t runningAtATime = 32;
@@ -133,7 +134,7 @@
     CHECK(world.violation().empty());
 }
 
-TEST_CASE("Times that aren't due wait until they are")
+TEST_CASE("Times that aren't due wait until they are", "[schedules]")
 {
     JobWorld world(1, {});
     world.claim(0);
@@ -151,7 +152,7 @@
     }
 }
 
-TEST_CASE("Times of a job that overlap run beside each other")
+TEST_CASE("Times of a job that overlap run beside each other", "[schedules]")
 {
     JobWorld world(1, {}, DisabledGuard::None, equalTasks());
     world.claim(0);
@@ -162,7 +163,8 @@
     CHECK(world.state(id) == JobState::Completed);
 }
 
-TEST_CASE("Times of a job whose tasks need workers of their own run beside each other")
+TEST_CASE("Times of a job whose tasks need workers of their own run beside each other",
+          "[schedules]")
 {
     JobWorld world(1, {}, DisabledGuard::None, equalTasks());
     world.claim(0);
@@ -177,7 +179,7 @@
     CHECK(world.violation().empty());
 }
 
-TEST_CASE("A long-running job at several times runs all of them")
+TEST_CASE("A long-running job at several times runs all of them", "[schedules]")
 {
     JobWorld world(1, {});
     world.claim(0);
@@ -197,7 +199,8 @@
 }
 
 // The next owner knows of the times that had begun only by their runs and by what is recorded.
-TEST_CASE("No time of a job runs twice, whoever owns it and whatever is cut, lost or late")
+TEST_CASE("No time of a job runs twice, whoever owns it and whatever is cut, lost or late",
+          "[schedules]")
 {
     FaultRates faults;
     faults.lostAnswer = 0.03;
@@ -224,7 +227,8 @@
     }
 }
 
-TEST_CASE("A new owner that can't reach a worker doesn't begin all due times at once either")
+TEST_CASE("A new owner that can't reach a worker doesn't begin all due times at once either",
+          "[schedules]")
 {
     JobWorld world(1, {}, DisabledGuard::None, equalTasks());
     world.claim(0);
@@ -241,7 +245,7 @@
     CHECK(world.largestProgressBytes() <= fewBytes);
 }
 
-TEST_CASE("Due times that can't be represented are bounded")
+TEST_CASE("Due times that can't be represented are bounded", "[schedules]")
 {
     constexpr std::int64_t highest = std::numeric_limits<std::int64_t>::max();
     JobSpec spec;
--- a/Tests/LibJob/TestSuccessiveOwners.cpp
+++ b/Tests/LibJob/TestSuccessiveOwners.cpp
@@ -164,7 +164,8 @@
 
 } // namespace
 
-TEST_CASE("Living owners that are slow after their takeover don't depose each other in turn")
+TEST_CASE("Living owners that are slow after their takeover don't depose each other in turn",
+          "[ownership]")
 {
     MonitoredSite site(siteNodes, slowTakeover);
     site.ownFor(40'000);
@@ -174,7 +175,8 @@
     CHECK(site.claims() == 2);
 }
 
-TEST_CASE("A dead owner is replaced within two seconds and a read unless it has just taken over")
+TEST_CASE("A dead owner is replaced within two seconds and a read unless it has just taken over",
+          "[ownership]")
 {
     MonitoredSite site(siteNodes, {});
     site.ownFor(60'000);
