--- a/Libraries/LibJob/OwnedJob.cpp
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -85,6 +85,7 @@
 
 std::optional<int> OwnedJob::nextOccurrence()
 {
+    // Ranges of ended occurrences and begun ones alternate.
     int before = -1;
     while (before != m_nextOccurrence) {
         before = m_nextOccurrence;
