LibJob: Look for a reported task before its occurrence

Cause: for each run that a report lists, the owner asked whether the occurrence had still to begin, and only then looked for the task; reports of all workers list thousands of runs a second. Change: the task first; only if there is none, whether its occurrence is still to begin.

--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -166,8 +166,10 @@
 
 TaskState *JobScheduler::findReportedTask(OwnedJob &job, const TaskName &name, const TimePoint &now)
 {
-    if (!job.isOver() && job.isOccurrenceAhead(name.occurrence))
-        beginOccurrence(job, name.occurrence, now);
+    TaskState *task = job.findTask(name);
+    if (task || job.isOver() || !job.isOccurrenceAhead(name.occurrence))
+        return task;
+    beginOccurrence(job, name.occurrence, now);
     return job.findTask(name);
 }
 
