LibSite: Say in the load line what a second of the owner did and cost

Change: starts= and reports= of the last second (also in event=behind), process_cpu_ms= and withheld_acknowledgements= since the process started.

--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <ctime>
 #include <iterator>
 
 namespace Site {
@@ -343,8 +344,15 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
     };
     return "lag_ms=" + inMs(loop.timerLag) + " longest_turn_ms=" + inMs(loop.longestWork)
-        + " longest_turn=" + std::string(loop.longestWorkName)
-        + " append_gap_ms=" + inMs(loop.appendGap);
+        + " longest_turn=" + std::string(loop.longestWorkName) + " append_gap_ms="
+        + inMs(loop.appendGap) + " starts=" + std::to_string(loop.starts)
+        + " reports=" + std::to_string(loop.reports);
+}
+
+/// The processor time of this process since it started.
+static std::int64_t processorMilliseconds()
+{
+    return static_cast<std::int64_t>(std::clock()) * 1000 / CLOCKS_PER_SEC;
 }
 
 void OwnerSession::updateMetrics()
@@ -363,7 +371,10 @@
     LOG4CXX_INFO(detailLogger,
                  "event=load running=" << m_scheduler.runningCount() << " waiting=" << waiting
                                        << " free_millicores=" << m_scheduler.freeMilliCores()
-                                       << " idle_millicores=" << m_scheduler.idleMilliCores() << ' '
+                                       << " idle_millicores=" << m_scheduler.idleMilliCores()
+                                       << " process_cpu_ms=" << processorMilliseconds()
+                                       << " withheld_acknowledgements="
+                                       << m_state.metrics.withheldAcknowledgements() << ' '
                                        << formatLoop(loop));
 }
 
@@ -516,7 +527,8 @@
     Jobs::StartOutcome outcome = Jobs::StartOutcome::Withheld;
     const Core::Instant began = Core::steadyNow();
     const bool isInTime = command.isOfGang || began < deadline - minStartTime;
-    if (isOwnershipProven() && !m_isOver && isInTime)
+    if (isOwnershipProven() && !m_isOver && isInTime) {
+        m_loopMeter.noteStart();
         outcome = co_await m_workers.start(command, deadline);
     const std::chrono::duration<double> took = Core::steadyNow() - began;
     m_state.metrics.countStart(Jobs::startOutcomeText(outcome), took.count());
@@ -584,6 +596,7 @@
                                Core::Instant sentAt)
 {
     const LoopMeter::Work work(m_loopMeter, "report");
+    m_loopMeter.noteReport();
     m_scheduler.onReport(worker, report, sentAt, now());
 }
 
--- a/Libraries/LibSite/SiteMetrics.cpp
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -152,6 +152,11 @@
     m_withheldAcknowledgements.Increment();
 }
 
+std::int64_t SiteMetrics::withheldAcknowledgements() const
+{
+    return static_cast<std::int64_t>(m_withheldAcknowledgements.Value());
+}
+
 void SiteMetrics::setOwnerLag(double seconds)
 {
     m_ownerLag.Set(seconds);
--- a/include/LibSite/LoopMeter.h
+++ b/include/LibSite/LoopMeter.h
@@ -17,6 +17,9 @@
     std::string_view longestWorkName = "none";
     /// The longest time without an answer to a successful append.
     Core::Duration appendGap = {};
+    /// Starts that have been sent and reports that have come.
+    int starts = 0;
+    int reports = 0;
 
     bool operator==(const LoopSummary &) const = default;
 };
@@ -48,6 +51,8 @@
     /// \p name must outlive the meter.
     void noteWork(std::string_view name, Core::Duration duration);
     void noteAppendAnswered(Core::Instant now);
+    void noteStart() { ++m_summary.starts; }
+    void noteReport() { ++m_summary.reports; }
     /// Returns the summary since the last call, and begins the next interval.
     LoopSummary takeSummary(Core::Instant now);
 
--- a/include/LibSite/SiteMetrics.h
+++ b/include/LibSite/SiteMetrics.h
@@ -9,6 +9,7 @@
 #include <prometheus/registry.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -46,6 +47,8 @@
     /// Counts a renewal that was sent without its acknowledgement of ended runs, since no
     /// connection to the process that had reported them was free.
     void countWithheldAcknowledgement();
+    /// How many have been counted.
+    std::int64_t withheldAcknowledgements() const;
     /// Sets how late the owner's work with workers ran at most in the last second; 0 on other
     /// nodes.
     void setOwnerLag(double seconds);
