LibHttp: Exchange requests without message objects and a timer for each step

A start took 43.2 allocations and 6.2 handlers, most of them in the transport: Beast's message with its container of fields, tcp_stream's timer for the writing and for each reading, and six coroutines above them.

Change: a connection sends at once what the system takes, writes its head into one string, parses with Beast's parser but keeps no fields, and all deadlines of a client share one timer (DeadlineWatch).

--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -47,17 +47,19 @@
 
 /// The unused connections of a client, and a count of all. Calls share it, so that it outlives
 /// those which are under way when the client is destroyed.
-class Client::Pool final : public std::enable_shared_from_this<Pool>, public IdleConnectionOwner
+class Client::Pool final : public IdleConnectionOwner
 {
 public:
     Pool(asio::any_io_executor executor, const Endpoint &endpoint,
-         std::shared_ptr<ConnectionBudget> budget);
+         std::shared_ptr<ConnectionBudget> budget, std::shared_ptr<DeadlineWatch> watch);
     ~Pool() override;
     Pool(const Pool &) = delete;
     Pool &operator=(const Pool &) = delete;
 
-    asio::awaitable<std::string> call(Request request, Core::Instant deadline);
-    asio::awaitable<Answer> exchange(Request request, Core::Instant deadline);
+    static asio::awaitable<std::string> call(std::shared_ptr<Pool> pool, Request request,
+                                             Core::Instant deadline);
+    static asio::awaitable<Answer> exchange(std::shared_ptr<Pool> pool, Request request,
+                                            Core::Instant deadline);
     void closeLongestIdle() override;
 
 private:
@@ -70,24 +72,25 @@
         ConnectionBudget::IdlePosition position;
     };
 
+    /// Counts a call as begun. \throws Core::NotDoneError if it may not begin.
+    CallUnderWay beginCall(const Request &request, Core::Instant deadline);
+    /// Returns the required connection, or else any that is idle; null if a new one is needed.
+    /// \throws Core::NotDoneError if the required connection isn't idle.
+    ConnectionPtr takeFor(const Request &request);
     ConnectionPtr takeIdle();
     /// Returns null if the connection isn't idle, or has been closed.
     ConnectionPtr takeIdle(ConnectionNumber number);
-    asio::awaitable<Answer> exchange(ConnectionPtr connection, const Request &request,
-                                     Core::Instant deadline);
     asio::awaitable<Answer> exchangeOnNew(const Request &request, Core::Instant deadline);
-    asio::awaitable<Answer> exchangeOnRequired(const Request &request, Core::Instant deadline);
-    /// Sets \p isInDoubt if a sending failed without a whole answer and another followed.
-    asio::awaitable<Answer> exchangeOnAny(const Request &request, Core::Instant deadline,
-                                          bool &isInDoubt);
     void giveBack(ConnectionPtr connection);
-    /// Closes the idle connections that haven't answered since \p began.
+    /// Closes the idle connections that haven't answered since \p began: whatever silenced or broke
+    /// another one may have done the same to them.
     void closeUnansweredSince(Core::Instant began);
 
     asio::any_io_executor m_executor;
     asio::ip::tcp::endpoint m_endpoint;
     std::string m_peer;
     std::shared_ptr<ConnectionBudget> m_budget;
+    std::shared_ptr<DeadlineWatch> m_watch;
     /// The one that answered longest ago first.
     std::vector<IdleConnection> m_idle;
     std::size_t m_callsUnderWay = 0;
@@ -109,11 +112,12 @@
 }
 
 Client::Pool::Pool(asio::any_io_executor executor, const Endpoint &endpoint,
-                   std::shared_ptr<ConnectionBudget> budget)
+                   std::shared_ptr<ConnectionBudget> budget, std::shared_ptr<DeadlineWatch> watch)
     : m_executor(std::move(executor))
     , m_endpoint(parseEndpoint(endpoint))
     , m_peer(endpoint.address + ":" + std::to_string(endpoint.port))
     , m_budget(std::move(budget))
+    , m_watch(std::move(watch))
 {
     m_budget->addPeer();
 }
@@ -125,7 +129,7 @@
     m_budget->removePeer();
 }
 
-asio::awaitable<Answer> Client::Pool::exchange(Request request, Core::Instant deadline)
+CallUnderWay Client::Pool::beginCall(const Request &request, Core::Instant deadline)
 {
     const Core::Instant now = Core::steadyNow();
     if (deadline <= now)
@@ -135,75 +139,69 @@
     m_budget->closeExpired(now, maxExpiredPerCall);
     if (!m_budget->tryBeginCall(request.connectionUse))
         throw Core::NotDoneError(request.step, m_peer, "the connection budget is exhausted");
-    const CallUnderWay callUnderWay(m_callsUnderWay, *m_budget, request.connectionUse);
+    return { m_callsUnderWay, *m_budget, request.connectionUse };
+}
 
+asio::awaitable<Answer> Client::Pool::exchange(std::shared_ptr<Pool> pool, Request request,
+                                               Core::Instant deadline)
+{
+    const CallUnderWay callUnderWay = pool->beginCall(request, deadline);
+    ConnectionPtr idle = pool->takeFor(request);
     bool isInDoubt = false;
+    if (idle) {
+        const Core::Instant began = Core::steadyNow();
+        try {
+            Answer answer = co_await idle->exchange(request, pool->m_peer, deadline);
+            if (answer.isReusable)
+                pool->giveBack(std::move(idle));
+            co_return answer;
+        } catch (const Core::NotDoneError &) {
+            // Nothing was sent: a new connection may do better.
+            pool->closeUnansweredSince(began);
+            if (request.requiredConnection)
+                throw;
+        } catch (const Core::OutcomeUnknownError &) {
+            pool->closeUnansweredSince(began);
+            const bool mayRepeat = request.isIdempotent && !request.requiredConnection;
+            if (!mayRepeat || Core::steadyNow() >= deadline)
+                throw;
+            isInDoubt = true;
+        }
+        // Before the budget is asked for another connection.
+        idle.reset();
+    }
     try {
-        Answer answer = co_await exchangeOnAny(request, deadline, isInDoubt);
+        Answer answer = co_await pool->exchangeOnNew(request, deadline);
         // The second sending was refused, but the first may have been carried out.
         if (isInDoubt && !answer.isSuccess())
-            throw Core::OutcomeUnknownError(request.step, m_peer, describe(answer));
+            throw Core::OutcomeUnknownError(request.step, pool->m_peer, describe(answer));
         co_return answer;
     } catch (const Core::NotDoneError &error) {
         if (isInDoubt)
-            throw Core::OutcomeUnknownError(request.step, m_peer, error.what());
+            throw Core::OutcomeUnknownError(request.step, pool->m_peer, error.what());
         throw;
     }
 }
 
-asio::awaitable<std::string> Client::Pool::call(Request request, Core::Instant deadline)
+asio::awaitable<std::string> Client::Pool::call(std::shared_ptr<Pool> pool, Request request,
+                                                Core::Instant deadline)
 {
     const std::string step = request.step;
-    Answer answer = co_await exchange(std::move(request), deadline);
+    Answer answer = co_await exchange(pool, std::move(request), deadline);
     if (answer.isSuccess())
         co_return std::move(answer.body);
     if (answer.status >= 400 && answer.status < 500)
-        throw Core::NotDoneError(step, m_peer, describe(answer));
-    throw Core::OutcomeUnknownError(step, m_peer, describe(answer));
-}
-
-asio::awaitable<Answer> Client::Pool::exchangeOnAny(const Request &request, Core::Instant deadline,
-                                                    bool &isInDoubt)
-{
-    if (request.requiredConnection)
-        co_return co_await exchangeOnRequired(request, deadline);
-    ConnectionPtr idle = takeIdle();
-    if (!idle)
-        co_return co_await exchangeOnNew(request, deadline);
-    try {
-        co_return co_await exchange(std::move(idle), request, deadline);
-    } catch (const Core::NotDoneError &) {
-        // Nothing was sent: a new connection may do better.
-    } catch (const Core::OutcomeUnknownError &) {
-        if (!request.isIdempotent || Core::steadyNow() >= deadline)
-            throw;
-        isInDoubt = true;
-    }
-    co_return co_await exchangeOnNew(request, deadline);
-}
-
-asio::awaitable<Answer> Client::Pool::exchangeOnRequired(const Request &request,
-                                                         Core::Instant deadline)
-{
-    ConnectionPtr required = takeIdle(*request.requiredConnection);
-    if (!required)
-        throw Core::NotDoneError(request.step, m_peer, "the required connection isn't idle");
-    co_return co_await exchange(std::move(required), request, deadline);
+        throw Core::NotDoneError(step, pool->m_peer, describe(answer));
+    throw Core::OutcomeUnknownError(step, pool->m_peer, describe(answer));
 }
 
 asio::awaitable<Answer> Client::Pool::exchangeOnNew(const Request &request, Core::Instant deadline)
 {
     if (!m_budget->tryOpen())
         throw Core::NotDoneError(request.step, m_peer, "the connection budget is exhausted");
-    auto connection
-        = std::make_unique<Connection>(m_executor, ConnectionSlot(m_budget), ++m_lastConnection);
+    auto connection = std::make_unique<Connection>(m_executor, m_watch, ConnectionSlot(m_budget),
+                                                   ++m_lastConnection);
     co_await connection->connect(m_endpoint, request, m_peer, deadline);
-    co_return co_await exchange(std::move(connection), request, deadline);
-}
-
-asio::awaitable<Answer> Client::Pool::exchange(ConnectionPtr connection, const Request &request,
-                                               Core::Instant deadline)
-{
     const Core::Instant began = Core::steadyNow();
     try {
         Answer answer = co_await connection->exchange(request, m_peer, deadline);
@@ -211,13 +209,21 @@
             giveBack(std::move(connection));
         co_return answer;
     } catch (const Core::Error &) {
-        // Whatever silenced or broke this connection may have done the same to the unused ones,
-        // but not to those that have answered meanwhile.
         closeUnansweredSince(began);
         throw;
     }
 }
 
+Client::Pool::ConnectionPtr Client::Pool::takeFor(const Request &request)
+{
+    if (!request.requiredConnection)
+        return takeIdle();
+    ConnectionPtr required = takeIdle(*request.requiredConnection);
+    if (!required)
+        throw Core::NotDoneError(request.step, m_peer, "the required connection isn't idle");
+    return required;
+}
+
 Client::Pool::ConnectionPtr Client::Pool::takeIdle()
 {
     while (!m_idle.empty()) {
@@ -266,13 +272,14 @@
 }
 
 Client::Client(const asio::any_io_executor &executor, const Endpoint &endpoint)
-    : Client(executor, endpoint, std::make_shared<ConnectionBudget>(maximumConnections))
+    : Client(executor, endpoint, std::make_shared<ConnectionBudget>(maximumConnections),
+             std::make_shared<DeadlineWatch>(executor))
 {
 }
 
 Client::Client(const asio::any_io_executor &executor, const Endpoint &endpoint,
-               std::shared_ptr<ConnectionBudget> budget)
-    : m_pool(std::make_shared<Pool>(executor, endpoint, std::move(budget)))
+               std::shared_ptr<ConnectionBudget> budget, std::shared_ptr<DeadlineWatch> watch)
+    : m_pool(std::make_shared<Pool>(executor, endpoint, std::move(budget), std::move(watch)))
 {
 }
 
@@ -280,14 +287,12 @@
 
 asio::awaitable<Answer> Client::exchange(Request request, Core::Instant deadline)
 {
-    const std::shared_ptr<Pool> pool = m_pool;
-    co_return co_await pool->exchange(std::move(request), deadline);
+    return Pool::exchange(m_pool, std::move(request), deadline);
 }
 
 asio::awaitable<std::string> Client::call(Request request, Core::Instant deadline)
 {
-    const std::shared_ptr<Pool> pool = m_pool;
-    co_return co_await pool->call(std::move(request), deadline);
+    return Pool::call(m_pool, std::move(request), deadline);
 }
 
 } // namespace Http
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -1,12 +1,16 @@
 #pragma once
 
+#include "AnswerParser.h"
 #include "ConnectionSlot.h"
 
 #include <LibHttp/Client.h>
+#include <LibHttp/Deadline.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
+
+#include <memory>
+#include <string>
 
 namespace Http {
 
@@ -14,8 +18,8 @@
 class Connection
 {
 public:
-    Connection(const boost::asio::any_io_executor &executor, ConnectionSlot slot,
-               ConnectionNumber number);
+    Connection(const boost::asio::any_io_executor &executor, std::shared_ptr<DeadlineWatch> watch,
+               ConnectionSlot slot, ConnectionNumber number);
     /// Closes immediately and discards what the system hasn't sent yet, so that an abandoned call
     /// isn't delivered much later.
     ~Connection();
@@ -40,15 +44,29 @@
     bool isQuiet();
 
 private:
-    boost::asio::awaitable<void> send(const Request &request, const std::string &peer);
-    boost::asio::awaitable<Answer> receive(const Request &request, const std::string &peer,
-                                           Core::Instant deadline);
+    using ErrorCode = boost::system::error_code;
+
+    /// Sets the deadline of what comes next.
+    void beginUntil(Core::Instant deadline);
+    /// The reason for which an operation failed.
+    std::string describe(const ErrorCode &error) const;
+    /// Sends what the system takes at once. Returns the number of bytes.
+    std::size_t sendNow(const std::string &head, const std::string &body, ErrorCode &error);
+    /// Sends the bytes after the first \p sentBytes.
+    boost::asio::awaitable<std::size_t> sendRest(const std::string &head, const std::string &body,
+                                                 std::size_t sentBytes, ErrorCode &error);
+    /// Parses what has been received. Returns true if the message isn't complete yet.
+    bool needsMore(AnswerParser &parser, ErrorCode &error);
+    void extendDeadline(Core::Instant deadline);
+    Answer takeAnswer(AnswerParser &parser) const;
 
     /// Destroyed after the socket.
     ConnectionSlot m_slot;
     ConnectionNumber m_number;
-    boost::beast::tcp_stream m_stream;
+    boost::asio::ip::tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
+    Deadline m_deadline;
+    bool m_isExpired = false;
 };
 
 } // namespace Http
--- a/Tests/LibHttp/TestClient.cpp
+++ b/Tests/LibHttp/TestClient.cpp
@@ -265,8 +265,10 @@
     const KeepAliveServer firstServer(context);
     const KeepAliveServer secondServer(context);
     const auto budget = std::make_shared<Http::ConnectionBudget>(1);
-    Http::Client first(context.get_executor(), { "127.0.0.1", firstServer.port() }, budget);
-    Http::Client second(context.get_executor(), { "127.0.0.1", secondServer.port() }, budget);
+    const auto watch = std::make_shared<Http::DeadlineWatch>(context.get_executor());
+    Http::Client first(context.get_executor(), { "127.0.0.1", firstServer.port() }, budget, watch);
+    Http::Client second(context.get_executor(), { "127.0.0.1", secondServer.port() }, budget,
+                        watch);
     int answers = 0;
     std::vector<std::string> refusals;
     const auto begin = [&](Http::Client &client, const std::string &target) {
@@ -321,9 +323,10 @@
     asio::io_context context;
     const KeepAliveServer server(context);
     const auto budget = std::make_shared<Http::ConnectionBudget>(4);
+    const auto watch = std::make_shared<Http::DeadlineWatch>(context.get_executor());
     bool isAnswered = false;
     {
-        Http::Client client(context.get_executor(), { "127.0.0.1", server.port() }, budget);
+        Http::Client client(context.get_executor(), { "127.0.0.1", server.port() }, budget, watch);
         Http::Request request;
         request.step = "read";
         request.target = "/";
--- a/include/LibHttp/Client.h
+++ b/include/LibHttp/Client.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibHttp/ConnectionBudget.h>
+#include <LibHttp/DeadlineWatch.h>
 #include <LibHttp/Endpoint.h>
 
 #include <utility>
@@ -15,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Http {
@@ -26,7 +28,8 @@
 
 struct HeaderField
 {
-    std::string name;
+    /// Refers to a constant.
+    std::string_view name;
     std::string value;
 
     bool operator==(const HeaderField &) const = default;
@@ -67,7 +70,8 @@
     bool isAnswerLong = false;
     /// Whether the call may use the connections that are reserved for essential calls.
     ConnectionBudget::Use connectionUse = ConnectionBudget::Use::Essential;
-    std::string contentType = "application/json";
+    /// Refers to a constant.
+    std::string_view contentType = "application/json";
     std::vector<HeaderField> fields = {};
 };
 
@@ -92,10 +96,10 @@
     /// A client with its own budget of maximumConnections.
     /// \throws Core::FormatError if the endpoint's address isn't an IP address.
     Client(const boost::asio::any_io_executor &executor, const Endpoint &endpoint);
-    /// A client that shares \p budget with others, for which it counts as one peer.
+    /// A client that shares \p budget with others, for which it counts as one peer, and \p watch.
     /// \throws Core::FormatError if the endpoint's address isn't an IP address.
     Client(const boost::asio::any_io_executor &executor, const Endpoint &endpoint,
-           std::shared_ptr<ConnectionBudget> budget);
+           std::shared_ptr<ConnectionBudget> budget, std::shared_ptr<DeadlineWatch> watch);
     ~Client();
     Client(const Client &) = delete;
     Client &operator=(const Client &) = delete;
