LibJob: Place tasks without a walk over all workers before

Change: the index of capacities already answers the question for the processors; a task that lacks memory or accelerators everywhere is rejected by the walk over the index's entries.

TestLibJob passes; TestWorkerChooser compares the choice with that of a walk over all workers.

--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -81,8 +81,6 @@
 
 void JobScheduler::continuePass(const TimePoint &now)
 {
-    if (!isStartWindowFull())
-        m_chooser.beginPass(m_listed);
     while (!m_pass.isOver() && !isPlanningWorkUsedUp() && !isStartWindowFull()) {
         const WaitingStep waiting = m_pass.next();
         m_planningWork += workPerStep;
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -87,7 +87,7 @@
         return request.step->isGang && name.job == request.task.job
             && name.occurrence == request.task.occurrence && name.step == request.task.step;
     };
-    const std::set<TaskName> &starting = worker.startingRuns();
+    const TaskNames &starting = worker.startingRuns();
     if (request.isSuspect)
         return std::all_of(starting.begin(), starting.end(), isOfGang);
     return !worker.hasIsolatedRun() && !worker.isKeptForSuspect(request.now);
@@ -183,34 +183,6 @@
         < std::pair(right.servingCount(), right.runs().size());
 }
 
-void WorkerChooser::beginPass(const std::vector<WorkerState *> &workers)
-{
-    m_maxFree.clear();
-    auto service = m_maxFree.end();
-    for (const WorkerState *worker : workers) {
-        // Most successive workers have the same service.
-        if (service == m_maxFree.end() || service->first != worker->info().service)
-            service = m_maxFree.try_emplace(worker->info().service).first;
-        MaxFree &maxFree = service->second;
-        const Core::Resources free = worker->freeResources();
-        maxFree.free.milliCores = std::max(maxFree.free.milliCores, free.milliCores);
-        maxFree.free.mebibytes = std::max(maxFree.free.mebibytes, free.mebibytes);
-        maxFree.free.accelerators = std::max(maxFree.free.accelerators, free.accelerators);
-        maxFree.idleMilliCores = std::max(maxFree.idleMilliCores, worker->idleMilliCores());
-    }
-}
-
-bool WorkerChooser::mayFitSomewhere(const PlacementRequest &request) const
-{
-    const auto maxFree = m_maxFree.find(request.service);
-    if (maxFree == m_maxFree.end())
-        return false;
-    Core::Resources available = maxFree->second.free;
-    if (request.step->isBestEffort)
-        available.milliCores = maxFree->second.idleMilliCores;
-    return request.step->need.fitsIn(available);
-}
-
 std::span<const CapacityIndex::Entry>
 WorkerChooser::withEnoughProcessors(const PlacementRequest &request) const
 {
@@ -256,8 +228,6 @@
 
 WorkerState *WorkerChooser::choose(const PlacementRequest &request) const
 {
-    if (!mayFitSomewhere(request))
-        return nullptr;
     if (request.isSuspect)
         return chooseForSuspect(request);
     const CapacityIndex::Entry *best = nullptr;
--- a/Tests/LibJob/TestWorkerChooser.cpp
+++ b/Tests/LibJob/TestWorkerChooser.cpp
@@ -87,11 +87,7 @@
         return request;
     }
 
-    WorkerState *choose(const PlacementRequest &request)
-    {
-        m_chooser.beginPass(listed());
-        return m_chooser.choose(request);
-    }
+    WorkerState *choose(const PlacementRequest &request) { return m_chooser.choose(request); }
 
     /// True if the index equals one that is made anew.
     bool isIndexCurrent() const
--- a/include/LibJob/WorkerChooser.h
+++ b/include/LibJob/WorkerChooser.h
@@ -10,7 +10,6 @@
 #include <LibJob/WorkerState.h>
 
 #include <cstdint>
-#include <map>
 #include <set>
 #include <span>
 #include <string>
@@ -56,9 +55,6 @@
     {
     }
 
-    /// Determines the maximum free capacity of any worker of each service, so that tasks that need
-    /// more are rejected without a search. Until the next call free capacity may only decrease.
-    void beginPass(const std::vector<WorkerState *> &workers);
     /// Returns the suitable worker with the least cost, the first in the list if several have it;
     /// null if no worker is suitable.
     WorkerState *choose(const PlacementRequest &request) const;
@@ -82,18 +78,10 @@
     std::int64_t looks() const { return m_looks; }
 
 private:
-    /// Maximum of each resource on any worker of a service.
-    struct MaxFree
-    {
-        Core::Resources free;
-        std::int64_t idleMilliCores = 0;
-    };
-
     /// Returns the workers of the service with the processors that the task needs, by base cost.
     std::span<const CapacityIndex::Entry>
     withEnoughProcessors(const PlacementRequest &request) const;
     WorkerState *chooseForSuspect(const PlacementRequest &request) const;
-    bool mayFitSomewhere(const PlacementRequest &request) const;
     /// Cost of a serving task beside serving tasks of other images.
     static double colocatedImagesCost(const WorkerState &worker, ImageIndex image);
     /// Returns the expected utilization of a serving task beside the best-effort tasks on the
@@ -108,7 +96,6 @@
     const SlowdownModel &m_slowdownModel;
     const CapacityReservation &m_reservation;
     const CapacityIndex &m_capacityIndex;
-    std::map<ServiceId, MaxFree> m_maxFree;
     mutable std::int64_t m_looks = 0;
 };
 
