--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -146,7 +146,7 @@
         }
         if (!startsDraining)
             continue;
-        for (const TaskName &name : std::set<TaskName>(state->runs())) {
+        for (const TaskName &name : TaskNames(state->runs())) {
             OwnedJob *job = findJob(name.job);
             TaskState *task = job ? job->findTask(name) : nullptr;
             if (task && task->run && job->spec(name.step).isLongRunning)
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -319,7 +319,7 @@
 
 void JobScheduler::expireRunsOf(WorkerState &worker, const TimePoint &now)
 {
-    for (const TaskName &name : std::set<TaskName>(worker.runs())) {
+    for (const TaskName &name : TaskNames(worker.runs())) {
         OwnedJob *job = findJob(name.job);
         TaskState *task = job ? job->findTask(name) : nullptr;
         if (!task || !task->run || task->run->phase == RunPhase::Planned)
@@ -345,7 +345,7 @@
 
 void JobScheduler::removeRunsOf(WorkerState &worker)
 {
-    for (const TaskName &name : std::set<TaskName>(worker.runs())) {
+    for (const TaskName &name : TaskNames(worker.runs())) {
         OwnedJob *job = findJob(name.job);
         TaskState *task = job ? job->findTask(name) : nullptr;
         if (!task || !task->run)
--- a/Libraries/LibJob/OwnedJob.cpp
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -12,7 +12,7 @@
         m_progress = *entry.progress;
     m_workers = entry.workers;
     m_durableWorkers = entry.workers;
-    unreconciledWorkers = entry.workers;
+    unreconciledWorkers.insert(entry.workers.begin(), entry.workers.end());
     computeWork();
     std::vector<int> begunOccurrences;
     for (const auto &[occurrence, steps] : m_progress.occurrences)
@@ -303,7 +303,7 @@
     return true;
 }
 
-void OwnedJob::setDurableWorkers(const std::set<Core::VmId> &workers)
+void OwnedJob::setDurableWorkers(const WorkerIds &workers)
 {
     m_durableWorkers = workers;
 }
--- a/Tests/LibJob/TestRecords.cpp
+++ b/Tests/LibJob/TestRecords.cpp
@@ -172,7 +172,7 @@
         table.apply(ProgressRecord { JobId("a"), progress(), { Core::VmId("w2") } });
         table.apply(ProgressRecord { JobId("a"), progress() });
         CHECK(table.find(JobId("a"))->workers
-              == std::set<Core::VmId> { Core::VmId("w1"), Core::VmId("w2") });
+              == Jobs::WorkerIds { Core::VmId("w1"), Core::VmId("w2") });
     }
 
     SECTION("a repeated submission is ignored, also after the job has ended")
--- a/include/LibJob/JobRecord.h
+++ b/include/LibJob/JobRecord.h
@@ -3,9 +3,9 @@
 #include <LibJob/Catalogue.h>
 #include <LibJob/JobProgress.h>
 #include <LibJob/JobSpec.h>
+#include <LibJob/WorkerIds.h>
 
 #include <cstdint>
-#include <set>
 #include <string>
 #include <variant>
 
@@ -38,7 +38,7 @@
     JobId id;
     JobProgress progress;
     /// Workers that a record of an earlier version names in place of a JobWorkers record.
-    std::set<Core::VmId> workers = {};
+    WorkerIds workers = {};
 
     bool operator==(const ProgressRecord &) const = default;
 };
@@ -49,7 +49,7 @@
 struct JobWorkers
 {
     JobId id;
-    std::set<Core::VmId> workers;
+    WorkerIds workers;
 
     bool operator==(const JobWorkers &) const = default;
 };
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -449,7 +449,7 @@
     std::int64_t m_lastCommit = 0;
     std::int64_t m_committed = 0;
     /// The jobs in the commit in progress, with their workers if it records these.
-    std::map<JobId, std::optional<std::set<Core::VmId>>> m_committing;
+    std::map<JobId, std::optional<WorkerIds>> m_committing;
     /// The workers with processed ends whose consequences aren't durable.
     std::set<Core::VmId> m_withUncommittedEnds;
     std::vector<Command> m_commands;
--- a/include/LibJob/JobTable.h
+++ b/include/LibJob/JobTable.h
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <unordered_map>
 
 namespace Jobs {
@@ -16,7 +15,7 @@
     std::optional<JobProgress> progress;
     /// The only workers that may have received a start command for a task of the job. Also known
     /// after the job has ended: runs that weren't stopped may remain on them.
-    std::set<Core::VmId> workers;
+    WorkerIds workers;
     bool isCancelled = false;
 
     /// The final state if it is recorded; otherwise Cancelled if a cancellation is recorded, even
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -7,6 +7,7 @@
 #include <LibJob/SlowdownModel.h>
 #include <LibJob/TaskName.h>
 #include <LibJob/TaskRun.h>
+#include <LibJob/WorkerIds.h>
 
 #include <cstddef>
 #include <map>
@@ -92,12 +93,12 @@
     }
     void addWorker(const Core::VmId &worker);
     /// The workers that may have received a start command, or will once they are durable.
-    const std::set<Core::VmId> &workers() const { return m_workers; }
+    const WorkerIds &workers() const { return m_workers; }
     /// Marks the job as begun: a worker has shown that it started a task. Returns true if the job
     /// was queued before.
     bool markBegun();
     /// Called when a commit of the job became durable; \p workers are those that it recorded.
-    void setDurableWorkers(const std::set<Core::VmId> &workers);
+    void setDurableWorkers(const WorkerIds &workers);
 
     /// Estimated length in milliseconds of the critical path from the start of \p step to the end
     /// of the occurrence.
@@ -140,8 +141,8 @@
 
     Submission m_submission;
     JobProgress m_progress;
-    std::set<Core::VmId> m_workers;
-    std::set<Core::VmId> m_durableWorkers;
+    WorkerIds m_workers;
+    WorkerIds m_durableWorkers;
     std::map<int, std::vector<OwnedStep>> m_occurrences;
     std::set<int> m_waitingOccurrences;
     /// Those of m_waitingOccurrences of which no task has a run.
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -5,6 +5,7 @@
 #include <LibJob/Commands.h>
 #include <LibJob/SchedulerSettings.h>
 #include <LibJob/SlowdownModel.h>
+#include <LibJob/TaskNames.h>
 #include <LibJob/WorkerInfo.h>
 #include <LibJob/WorkerObserver.h>
 #include <LibJob/WorkerReport.h>
@@ -80,7 +81,7 @@
                              Core::Instant now);
     /// Called when the throttle of a best-effort task changes.
     void noteThrottle(const StepSpec &step, int formerPercent, int percent);
-    const std::set<TaskName> &runs() const { return m_runs; }
+    const TaskNames &runs() const { return m_runs; }
     /// Replaces what the last report listed beside runs(): runs that aren't wanted there and are
     /// being stopped.
     void setUnwantedUse(const UnwantedUse &use);
@@ -88,7 +89,7 @@
 
     // Isolation of tasks that are suspected of crashing their workers.
     /// Runs that are planned, or that no report has shown to have survived their start.
-    const std::set<TaskName> &startingRuns() const { return m_startingRuns; }
+    const TaskNames &startingRuns() const { return m_startingRuns; }
     void noteSurvivedStart(const TaskName &task);
     /// Until the run has survived its start, the worker gets no other one.
     void isolate(const TaskName &task) { m_isolatedRuns.insert(task); }
@@ -246,9 +247,9 @@
 
     WorkerInfo m_info;
     SchedulerSettings m_settings;
-    std::set<TaskName> m_runs;
-    std::set<TaskName> m_startingRuns;
-    std::set<TaskName> m_isolatedRuns;
+    TaskNames m_runs;
+    TaskNames m_startingRuns;
+    TaskNames m_isolatedRuns;
     Core::Instant m_keptForSuspectUntil = {};
     bool m_isWitness = false;
     Core::Resources m_used;
