LibSite: Send a command with one coroutine less

Change: the lane spawns the coroutine that sends; urgent commands, for which both lanes are the same, are spawned at once.

--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -7,7 +7,6 @@
 #include <LibSite/FencedAppend.h>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <ctime>
@@ -216,7 +215,7 @@
     }
     m_state.metrics.setOwner(false);
     m_state.metrics.setOwnerLag(0);
-    while (m_activeCoroutines > 0)
+    while (m_activeCoroutines > 0 || m_waitingCommands > 0)
         co_await m_wakeup.sleepUntil(Core::steadyNow() + retryDelay);
 }
 
@@ -295,17 +294,29 @@
     return Priority::Ordinary;
 }
 
+template<typename Command>
+void OwnerSession::spawnSending(Command command, Core::Instant deadline)
+{
+    const Priority priority = priorityOf(command);
+    if (priority == Priority::Urgent) {
+        spawnInBackground(Priority::Urgent, send(std::move(command), deadline));
+        return;
+    }
+    ++m_waitingCommands;
+    m_background->execute(priority, [this, waiting = std::move(command), deadline]() mutable {
+        --m_waitingCommands;
+        spawnInBackground(Priority::Urgent, send(std::move(waiting), deadline));
+    });
+}
+
 void OwnerSession::spawnPlannedCommands()
 {
     const LoopMeter::Work work(m_loopMeter, "planning");
     const Core::Instant deadline = Core::steadyNow() + commandTimeout;
     for (Jobs::Command &command : m_scheduler.takeCommands(now())) {
-        std::visit(
-            [this, deadline](auto &typedCommand) {
-                const Priority priority = priorityOf(typedCommand);
-                spawnInBackground(priority, sendUrgently(std::move(typedCommand), deadline));
-            },
-            command);
+        std::visit([this, deadline](
+                       auto &typedCommand) { spawnSending(std::move(typedCommand), deadline); },
+                   command);
     }
 }
 
@@ -344,8 +355,8 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
     };
     return "lag_ms=" + inMs(loop.timerLag) + " longest_turn_ms=" + inMs(loop.longestWork)
-        + " longest_turn=" + std::string(loop.longestWorkName) + " append_gap_ms="
-        + inMs(loop.appendGap) + " starts=" + std::to_string(loop.starts)
+        + " longest_turn=" + std::string(loop.longestWorkName)
+        + " append_gap_ms=" + inMs(loop.appendGap) + " starts=" + std::to_string(loop.starts)
         + " reports=" + std::to_string(loop.reports);
 }
 
@@ -515,13 +526,6 @@
     LOG4CXX_INFO(partLogger, "event=release term=" << m_ownership.term << " written=" << isWritten);
 }
 
-template<typename Command>
-asio::awaitable<void> OwnerSession::sendUrgently(Command command, Core::Instant deadline)
-{
-    const BackgroundExecutor urgent(m_background, Priority::Urgent);
-    co_await asio::co_spawn(urgent, send(std::move(command), deadline), asio::use_awaitable);
-}
-
 asio::awaitable<void> OwnerSession::send(Jobs::StartCommand command, Core::Instant deadline)
 {
     Jobs::StartOutcome outcome = Jobs::StartOutcome::Withheld;
@@ -530,6 +534,7 @@
     if (isOwnershipProven() && !m_isOver && isInTime) {
         m_loopMeter.noteStart();
         outcome = co_await m_workers.start(command, deadline);
+    }
     const std::chrono::duration<double> took = Core::steadyNow() - began;
     m_state.metrics.countStart(Jobs::startOutcomeText(outcome), took.count());
     if (isIssuingCommands())
--- a/Tests/LibSite/TestLoopMeter.cpp
+++ b/Tests/LibSite/TestLoopMeter.cpp
@@ -27,8 +27,9 @@
     meter.noteStart();
     meter.noteStart();
     meter.noteReport();
-    CHECK(meter.takeSummary(at(1000))
-          == LoopSummary { milliseconds(30), milliseconds(9), "planning", milliseconds(700), 2, 1 });
+    CHECK(
+        meter.takeSummary(at(1000))
+        == LoopSummary { milliseconds(30), milliseconds(9), "planning", milliseconds(700), 2, 1 });
 
     SECTION("and the next one begins anew, except that an unanswered append goes on")
     {
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -87,10 +87,11 @@
     /// Returns false if the append failed or wasn't answered.
     boost::asio::awaitable<bool> appendOnce(const std::vector<Jobs::StoredRecord> &records);
     boost::asio::awaitable<void> writeRelease();
-    /// Sends a command. Once it has been sent, its answer waits for no ordinary work: in the
-    /// meantime its time limit might pass, although the answer is there.
+    /// Sends a command when work of its priority has its turn. Once it has been sent, its answer
+    /// waits for no ordinary work: in the meantime its time limit might pass, although the answer
+    /// is there.
     template<typename Command>
-    boost::asio::awaitable<void> sendUrgently(Command command, Core::Instant deadline);
+    void spawnSending(Command command, Core::Instant deadline);
     /// These send a command. \p deadline is on the steady clock.
     boost::asio::awaitable<void> send(Jobs::StartCommand command, Core::Instant deadline);
     boost::asio::awaitable<void> send(Jobs::StopCommand command, Core::Instant deadline);
@@ -162,6 +163,8 @@
     bool m_areStartsHeld = false;
     /// Coroutines of `spawn()` that haven't ended.
     std::size_t m_activeCoroutines = 0;
+    /// Commands of `spawnSending()` that no coroutine sends yet.
+    std::size_t m_waitingCommands = 0;
 };
 
 } // namespace Site
