--- a/Libraries/LibCore/Resources.cpp
+++ b/Libraries/LibCore/Resources.cpp
@@ -2,12 +2,6 @@
 
 namespace Core {
 
-bool Resources::fitsIn(const Resources &available) const
-{
-    return milliCores <= available.milliCores && mebibytes <= available.mebibytes
-        && accelerators <= available.accelerators;
-}
-
 std::string Resources::firstDimensionAbove(const Resources &available) const
 {
     if (milliCores > available.milliCores)
@@ -19,18 +13,6 @@
     return {};
 }
 
-Resources Resources::operator+(const Resources &other) const
-{
-    return { milliCores + other.milliCores, mebibytes + other.mebibytes,
-             accelerators + other.accelerators };
-}
-
-Resources Resources::operator-(const Resources &other) const
-{
-    return { milliCores - other.milliCores, mebibytes - other.mebibytes,
-             accelerators - other.accelerators };
-}
-
 std::ostream &operator<<(std::ostream &stream, const Resources &resources)
 {
     return stream << resources.milliCores << " millicores, " << resources.mebibytes << " MiB, "
--- a/Libraries/LibJob/OwnedJob.cpp
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -171,8 +171,8 @@
 
 bool OwnedJob::isStepDone(const std::vector<StepProgress> &steps, int step) const
 {
-    const StepProgress &progress = steps[static_cast<std::size_t>(step)];
-    return progress.doneCount() == static_cast<int>(progress.isDone.size());
+    const std::vector<bool> &isDone = steps[static_cast<std::size_t>(step)].isDone;
+    return std::find(isDone.begin(), isDone.end(), false) == isDone.end();
 }
 
 void OwnedJob::refresh(int occurrence)
--- a/Libraries/LibJob/SlowdownModel.cpp
+++ b/Libraries/LibJob/SlowdownModel.cpp
@@ -4,10 +4,8 @@
 
 namespace Jobs {
 
-static constexpr double initialMinTailRatio = 0.22;
 /// Readings up to this ratio don't lower the minimum.
 static constexpr double lowestMinTailRatio = 0.1;
-static constexpr double initialLoad = 0.45;
 /// Part of its distance to a reading by which the mean load moves.
 static constexpr double meanLoadSmoothing = 0.03;
 static constexpr double maxUtilization = 0.98;
@@ -26,16 +24,10 @@
 /// A nearly idle serving task reveals nothing about interference; its load is clamped to this.
 static constexpr double minOwnLoad = 0.1;
 
-const SlowdownModel::ServingImage &SlowdownModel::find(ImageIndex serving) const
-{
-    static const ServingImage unknown { initialMinTailRatio, initialLoad, {} };
-    return serving < m_servingImages.size() ? m_servingImages[serving] : unknown;
-}
-
 SlowdownModel::ServingImage &SlowdownModel::make(ImageIndex serving)
 {
     if (serving >= m_servingImages.size())
-        m_servingImages.resize(serving + 1, ServingImage { initialMinTailRatio, initialLoad, {} });
+        m_servingImages.resize(serving + 1);
     return m_servingImages[serving];
 }
 
@@ -57,13 +49,6 @@
     return find(serving).load;
 }
 
-double SlowdownModel::interference(ImageIndex serving, ImageIndex bestEffort) const
-{
-    const std::vector<Interference> &interferences = find(serving).interferences;
-    return bestEffort < interferences.size() ? interferences[bestEffort].value
-                                             : initialInterference;
-}
-
 namespace {
 
 /// Mean of a prior and of observed values, each of which has more weight the smaller its variance.
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -137,12 +137,6 @@
     return uses;
 }
 
-Core::Resources WorkerState::freeResources() const
-{
-    const Core::Resources free = m_info.capacity - m_used;
-    return m_unwantedUse.runs == 0 ? free : free - m_unwantedUse.requested;
-}
-
 bool WorkerState::hasRoomForCounted(const StepSpec &step) const
 {
     const Core::Resources free = freeResources();
@@ -159,13 +153,6 @@
     notifyCapacityObserver();
 }
 
-std::int64_t WorkerState::idleMilliCores() const
-{
-    const auto leftByServing = static_cast<std::int64_t>(static_cast<double>(m_servingMilliCores)
-                                                         * (1 - m_servingUtilization));
-    return freeResources().milliCores + leftByServing - m_bestEffortMilliCores;
-}
-
 int WorkerState::runsOfStep(const TaskName &task) const
 {
     TaskName first = task;
--- a/include/LibCore/Resources.h
+++ b/include/LibCore/Resources.h
@@ -17,13 +17,25 @@
     bool operator==(const Resources &) const = default;
 
     /// True if every dimension is at most that of \p available.
-    bool fitsIn(const Resources &available) const;
+    bool fitsIn(const Resources &available) const
+    {
+        return milliCores <= available.milliCores && mebibytes <= available.mebibytes
+            && accelerators <= available.accelerators;
+    }
 
     /// The name of the first dimension that exceeds \p available; empty if all fit.
     std::string firstDimensionAbove(const Resources &available) const;
 
-    Resources operator+(const Resources &other) const;
-    Resources operator-(const Resources &other) const;
+    Resources operator+(const Resources &other) const
+    {
+        return { milliCores + other.milliCores, mebibytes + other.mebibytes,
+                 accelerators + other.accelerators };
+    }
+    Resources operator-(const Resources &other) const
+    {
+        return { milliCores - other.milliCores, mebibytes - other.mebibytes,
+                 accelerators - other.accelerators };
+    }
 };
 
 std::ostream &operator<<(std::ostream &stream, const Resources &resources);
--- a/include/LibJob/SlowdownModel.h
+++ b/include/LibJob/SlowdownModel.h
@@ -60,7 +60,12 @@
     /// The factor by which \p bestEffortUses slow down a serving task; 1 for no slowdown.
     double slowdown(ImageIndex serving, const std::vector<BestEffortUse> &bestEffortUses) const;
     /// What a best-effort image adds to the slowdown if it uses the whole worker.
-    double interference(ImageIndex serving, ImageIndex bestEffort) const;
+    double interference(ImageIndex serving, ImageIndex bestEffort) const
+    {
+        const std::vector<Interference> &interferences = find(serving).interferences;
+        return bestEffort < interferences.size() ? interferences[bestEffort].value
+                                                 : initialInterference;
+    }
     /// Predicts the interference of unobserved pairs from the observed ones: an image that
     /// interferes with one serving image, or tolerates one best-effort image, is assumed to do so
     /// with others.
@@ -69,6 +74,9 @@
     double meanLoad(ImageIndex serving) const;
 
 private:
+    static constexpr double initialMinTailRatio = 0.22;
+    static constexpr double initialLoad = 0.45;
+
     struct Interference
     {
         double value = initialInterference;
@@ -78,19 +86,24 @@
     struct ServingImage
     {
         /// The lowest observed ratio of tail latency to target: that of an idle task.
-        double minTailRatio = 0;
-        double load = 0;
+        double minTailRatio = initialMinTailRatio;
+        double load = initialLoad;
         /// Indexed by best-effort image.
         std::vector<Interference> interferences;
     };
 
     double varianceOfSlowdown(ImageIndex serving,
                               const std::vector<BestEffortUse> &bestEffortUses) const;
-    const ServingImage &find(ImageIndex serving) const;
+    const ServingImage &find(ImageIndex serving) const
+    {
+        return serving < m_servingImages.size() ? m_servingImages[serving] : m_unknownImage;
+    }
     ServingImage &make(ImageIndex serving);
 
     /// Indexed by serving image.
     std::vector<ServingImage> m_servingImages;
+    /// Stands for each image that hasn't been observed.
+    ServingImage m_unknownImage;
 };
 
 } // namespace Jobs
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -106,7 +106,11 @@
     int servingCount() const { return m_servingCount; }
     /// Capacity that isn't requested; negative where the capacity has shrunk below what is.
     /// Best-effort tasks count with memory and accelerators but not with processors.
-    Core::Resources freeResources() const;
+    Core::Resources freeResources() const
+    {
+        const Core::Resources free = m_info.capacity - m_used;
+        return m_unwantedUse.runs == 0 ? free : free - m_unwantedUse.requested;
+    }
     /// True if a run of the step that counts already has room beside the others.
     bool hasRoomForCounted(const StepSpec &step) const;
     /// Free capacity if all tasks except long-running ones had ended.
@@ -116,7 +120,13 @@
     }
     /// Estimate of the unused processors in thousandths of a core. Serving tasks leave part of what
     /// they request. Negative if best-effort tasks compete with each other.
-    std::int64_t idleMilliCores() const;
+    std::int64_t idleMilliCores() const
+    {
+        const double servingIdle = 1 - m_servingUtilization;
+        const auto leftByServing
+            = static_cast<std::int64_t>(static_cast<double>(m_servingMilliCores) * servingIdle);
+        return freeResources().milliCores + leftByServing - m_bestEffortMilliCores;
+    }
     /// Sets the fraction of their requested processors that the serving tasks are expected to use,
     /// from 0 to 1.
     void setServingUtilization(double fraction);
