Tests: Fail when a run of a task gets dearer for its owner

Nothing failed when a run got dearer: TestCallCosts counted a part, and the reserve was computed with costs of an earlier code.

The bounds of TestCallCosts follow.

Measured: start 59,291, renewal 86,413, decisions 66,966: fails.

--- a/Meta/setup.sh
+++ b/Meta/setup.sh
@@ -6,7 +6,7 @@
     build-essential ca-certificates ccache clang-format clang-tidy cmake curl git ninja-build pkg-config
     libbenchmark-dev libboost-dev libboost-system-dev libcurl4-openssl-dev libinih-dev libjsoncpp-dev
     libjsonrpccpp-dev liblog4cxx-dev libmimalloc-dev librapidcheck-dev libtclap-dev libtrompeloeil-cpp-dev libxxhash-dev
-    prometheus-cpp-dev rapidjson-dev catch2 zlib1g-dev
+    prometheus-cpp-dev rapidjson-dev catch2 valgrind zlib1g-dev
 )
 
 missing=()
--- a/Tests/OwnerLoad/TestOwnerLoad.cpp
+++ b/Tests/OwnerLoad/TestOwnerLoad.cpp
@@ -13,9 +13,8 @@
 class LoadedOwner : public OwnerLoadSimulation
 {
 public:
-    explicit LoadedOwner(double factor)
-        : OwnerLoadSimulation(550, load(),
-                              LoopCosts().withCallsScaledBy(1 / share).scaledBy(factor))
+    explicit LoadedOwner(double factor, const LoopCosts &costs = LoopCosts())
+        : OwnerLoadSimulation(550, load(), costs.withCallsScaledBy(1 / share).scaledBy(factor))
     {
         run(seconds(5));
         beginCounting();
@@ -35,6 +34,20 @@
     }
 };
 
+/// The costs of today's code. LoopCosts belong to 59, 86 and 67 thousand instructions of a start, a
+/// renewal and the decisions of a run; now these are 23, 50 and 58, which Meta/run-costs.sh guards.
+LoopCosts currentCosts()
+{
+    LoopCosts costs;
+    costs.start = std::chrono::microseconds(47);
+    costs.startAnswer = std::chrono::microseconds(51);
+    costs.renewal = std::chrono::microseconds(46);
+    costs.report = std::chrono::microseconds(60);
+    costs.turn = std::chrono::microseconds(261);
+    costs.commit = std::chrono::microseconds(1305);
+    return costs;
+}
+
 } // namespace
 
 TEST_CASE("An owner that bears what comes in serves all queues on time")
@@ -48,9 +61,9 @@
     CHECK(site.utilization() <= 0.9);
 }
 
-TEST_CASE("An owner bears twice what comes in", "[!shouldfail]")
+TEST_CASE("An owner bears twice what comes in")
 {
-    LoadedOwner site(2.0);
+    LoadedOwner site(2.0, currentCosts());
     site.run(seconds(40));
     CHECK(site.result("ordinary").onTimeShare() >= 0.95);
 }
--- a/Tests/platform/LoopbackWorkers.cpp
+++ b/Tests/platform/LoopbackWorkers.cpp
@@ -22,10 +22,11 @@
 /// The address of the first worker; the others follow it.
 static constexpr std::uint32_t firstAddress = 0x7F'01'00'01;
 static constexpr int backlog = 16'384;
-static const std::string emptyReport = R"({"clockMs":1,"born":1,"running":[],"ended":[]})";
+static constexpr const char *emptyReport = R"({"clockMs":1,"born":1,"running":[],"ended":[]})";
 
 LoopbackWorkers::LoopbackWorkers(asio::io_context &context)
     : m_acceptor(context)
+    , m_body(emptyReport)
 {
     const tcp::endpoint anyAddress(asio::ip::address_v4::any(), 0);
     m_acceptor.open(anyAddress.protocol());
@@ -87,7 +88,7 @@
         if (m_status != 0)
             response.result(m_status);
         else
-            response.body() = emptyReport;
+            response.body() = m_body;
         response.prepare_payload();
         co_await http::async_write(socket, response,
                                    asio::redirect_error(asio::use_awaitable, error));
--- a/Tests/platform/LoopbackWorkers.h
+++ b/Tests/platform/LoopbackWorkers.h
@@ -22,6 +22,8 @@
     /// Each worker whose index is a multiple of \p interval gets no answer from now on; 0 for none.
     void silenceEach(std::size_t interval) { m_silentInterval = interval; }
 
+    /// All workers answer every call with this body.
+    void answerWith(std::string body) { m_body = std::move(body); }
     /// All workers answer every call with this status and an empty body.
     void answerWithStatus(unsigned status) { m_status = status; }
 
@@ -36,4 +38,5 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::size_t m_silentInterval = 0;
     unsigned m_status = 0;
+    std::string m_body;
 };
--- a/Tests/platform/TestCallCosts.cpp
+++ b/Tests/platform/TestCallCosts.cpp
@@ -143,7 +143,7 @@
 TEST_CASE("The start of a task costs the owner's loop no more than a tenth above what its reserve "
           "was measured with")
 {
-    constexpr CallCosts measured { 43.2, 6.4 };
+    constexpr CallCosts measured { 23.1, 2.4 };
     CountedClient client;
     const CallCosts costs = client.costsOfStarts();
     REQUIRE(client.started() == 210);
