--- a/Benchmarks/run-costs/main.cpp
+++ b/Benchmarks/run-costs/main.cpp
@@ -51,13 +51,15 @@
 int main(int argumentCount, char **arguments)
 {
     const std::string part = argumentCount == 2 ? arguments[1] : "";
-    if (part == "start")
+    if (part == "start") {
         countCalls(&CountedCalls::start);
-    else if (part == "renewal")
+    } else if (part == "renewal") {
         countCalls(&CountedCalls::renew);
-    else if (part == "decisions")
+    } else if (part == "decisions") {
         countDecisions();
-    else
+    } else {
         std::cerr << "usage: run-costs start|renewal|decisions\n";
-    return part.empty() ? 2 : 0;
+        return 2;
+    }
+    return 0;
 }
