Tests: Allow a start the handler for an answer that isn't there yet

Cause: set the bound of handlers from one run (2.4, so 2.64). The bound was wrong, not the code.

Ruled out: a change of the code between the runs (there was none), and the allocations, which are 23.1 in each run.

Change: three handlers, as many as a start can need, with the tenth that the test has always allowed.

--- a/Tests/platform/TestCallCosts.cpp
+++ b/Tests/platform/TestCallCosts.cpp
@@ -143,7 +143,8 @@
 TEST_CASE("The start of a task costs the owner's loop no more than a tenth above what its reserve "
           "was measured with")
 {
-    constexpr CallCosts measured { 23.1, 2.4 };
+    // The third handler is only needed if the answer isn't there yet at the first reading.
+    constexpr CallCosts measured { 23.1, 3.0 };
     CountedClient client;
     const CallCosts costs = client.costsOfStarts();
     REQUIRE(client.started() == 210);
