LibSite: Take the line of load and the age of copies out of the owner's session

Ruled out: moving the commits as well, whose state the rest of the session reads and writes at each step.

Change: OwnerLoadLog writes the load and behind lines and sets their metrics; areCopiesTooOldForStarts decides when starts are held, without a clock, and has a test of its limits. The lines and limits are the same.

--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -5,11 +5,11 @@
 #include <LibLog/Logging.h>
 #include <LibSite/BackgroundExecutor.h>
 #include <LibSite/FencedAppend.h>
+#include <LibSite/StartHold.h>
 
 #include <boost/asio/co_spawn.hpp>
 
 #include <algorithm>
-#include <ctime>
 #include <iterator>
 
 namespace Site {
@@ -34,24 +34,6 @@
 static constexpr std::int64_t workersReadWaitMs = 500;
 static constexpr Core::Duration workersReadPause = std::chrono::milliseconds(50);
 static constexpr Core::Duration retryDelay = std::chrono::milliseconds(250);
-static constexpr Core::Duration metricsInterval = std::chrono::seconds(1);
-/// A loop whose timers are later, or whose appends are further apart, is logged as behind.
-static constexpr Core::Duration loggedTimerLag = std::chrono::milliseconds(300);
-static constexpr Core::Duration loggedAppendGap = std::chrono::milliseconds(1000);
-/// A failure domain that was taken out of service must get no more starts after 5 s at the latest.
-/// While the store answers the owner, the owner's copy of the operators' records may be this much
-/// older than its last append. While the store answers no node, no domain can be taken out of
-/// service, and starts continue.
-static constexpr Core::Duration maxCatalogueLag = std::chrono::seconds(3);
-/// The corresponding limit for the job records: a cancelled job must get no more starts after 3 s.
-static constexpr Core::Duration maxJobTableLag = std::chrono::seconds(2);
-/// The corresponding limit for the workers' records is the drain time less this margin, which
-/// covers the age of the last append while the store answers (`heartbeatInterval` and the time of
-/// an append) and the transit time of a start command.
-static constexpr Core::Duration startMarginOnDrainingWorker = std::chrono::milliseconds(800);
-/// Lower bound of that limit: even without faults, reads of the workers' records may be this far
-/// apart (`workersReadWaitMs`, `workersReadPause` and the time of the call).
-static constexpr Core::Duration minWorkerLagLimit = std::chrono::milliseconds(700);
 using Priority = BackgroundQueue::Priority;
 
 static const auto partLogger = Log::essentialLogger("owner");
@@ -77,7 +59,7 @@
     , m_turnPause(executor)
     , m_provenAt(provenAt)
     , m_nextHeartbeatAt(provenAt + heartbeatInterval)
-    , m_loopMeter(Core::steadyNow())
+    , m_loadLog(state.metrics, Core::steadyNow())
 {
     loadState();
     m_state.owner = this;
@@ -109,7 +91,7 @@
 
 void OwnerSession::loadState()
 {
-    const LoopMeter::Work work(m_loopMeter, "load-state");
+    const LoopMeter::Work work(m_loadLog.loop(), "load-state");
     onOperatorChange();
     const Jobs::TimePoint moment = now();
     for (const auto &[id, entry] : m_state.table.jobs())
@@ -155,7 +137,7 @@
         m_state.owner = nullptr;
     LOG4CXX_WARN(partLogger,
                  "event=deposed term=" << m_ownership.term << " reason=\"" << reason << '"');
-    logIfBehind(m_loopMeter.takeSummary(Core::steadyNow()));
+    m_loadLog.close(Core::steadyNow());
     m_wakeup.wake();
     m_workersWakeup.wake();
 }
@@ -256,7 +238,7 @@
     if (isIssuingCommands())
         spawnCommands();
     spawnCommit();
-    updateMetrics();
+    m_loadLog.writeIfDue(m_scheduler, Core::steadyNow());
     m_turnPacer.noteTurn(beganAt, Core::steadyNow());
 }
 
@@ -271,7 +253,7 @@
 
 void OwnerSession::spawnRenewals()
 {
-    const LoopMeter::Work work(m_loopMeter, "renewals");
+    const LoopMeter::Work work(m_loadLog.loop(), "renewals");
     for (Jobs::RenewCommand &command : m_scheduler.takeRenewals(now()))
         spawnInBackground(Priority::Urgent, renew(std::move(command)));
 }
@@ -311,7 +293,7 @@
 
 void OwnerSession::spawnPlannedCommands()
 {
-    const LoopMeter::Work work(m_loopMeter, "planning");
+    const LoopMeter::Work work(m_loadLog.loop(), "planning");
     const Core::Instant deadline = Core::steadyNow() + commandTimeout;
     for (Jobs::Command &command : m_scheduler.takeCommands(now())) {
         std::visit([this, deadline](
@@ -320,82 +302,24 @@
     }
 }
 
-bool OwnerSession::isCopyTooOldForStarts() const
-{
-    const auto isOld = [this](std::optional<Core::Instant> asOf, Core::Duration maxLag) {
-        return !asOf || m_provenAt - *asOf > maxLag;
-    };
-    const Core::Duration maxWorkerLag
-        = std::max(m_state.settings.drainTime - startMarginOnDrainingWorker, minWorkerLagLimit);
-    return isOld(m_state.catalogueFreshness.completeAsOf(), maxCatalogueLag)
-        || isOld(m_state.tableFreshness.completeAsOf(), maxJobTableLag)
-        || isOld(m_workerFollower.completeAsOf(), maxWorkerLag);
-}
-
 void OwnerSession::updateStartHold()
 {
-    const bool areHeld = isCopyTooOldForStarts();
+    const CopyTimes copies { m_state.catalogueFreshness.completeAsOf(),
+                             m_state.tableFreshness.completeAsOf(),
+                             m_workerFollower.completeAsOf() };
+    const bool areHeld = areCopiesTooOldForStarts(copies, m_provenAt, m_state.settings.drainTime);
     if (areHeld != m_areStartsHeld) {
         const Core::Instant now = Core::suspendAwareNow();
-        LOG4CXX_WARN(
-            partLogger,
-            "event=" << (areHeld ? "starts-held" : "starts-resumed") << " catalogue_age_ms="
-                     << formatAgeMs(m_state.catalogueFreshness.completeAsOf(), now)
-                     << " table_age_ms=" << formatAgeMs(m_state.tableFreshness.completeAsOf(), now)
-                     << " workers_age_ms=" << formatAgeMs(m_workerFollower.completeAsOf(), now));
+        LOG4CXX_WARN(partLogger,
+                     "event=" << (areHeld ? "starts-held" : "starts-resumed")
+                              << " catalogue_age_ms=" << formatAgeMs(copies.operators, now)
+                              << " table_age_ms=" << formatAgeMs(copies.jobs, now)
+                              << " workers_age_ms=" << formatAgeMs(copies.workers, now));
     }
     m_areStartsHeld = areHeld;
     m_scheduler.setStartsHeld(areHeld);
 }
 
-static std::string formatLoop(const LoopSummary &loop)
-{
-    const auto inMs = [](Core::Duration duration) {
-        return std::to_string(
-            std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-    };
-    return "lag_ms=" + inMs(loop.timerLag) + " longest_turn_ms=" + inMs(loop.longestWork)
-        + " longest_turn=" + std::string(loop.longestWorkName)
-        + " append_gap_ms=" + inMs(loop.appendGap) + " starts=" + std::to_string(loop.starts)
-        + " reports=" + std::to_string(loop.reports);
-}
-
-/// The processor time of this process since it started.
-static std::int64_t processorMilliseconds()
-{
-    return static_cast<std::int64_t>(std::clock()) * 1000 / CLOCKS_PER_SEC;
-}
-
-void OwnerSession::updateMetrics()
-{
-    const Core::Instant now = Core::steadyNow();
-    if (now < m_nextMetricsAt)
-        return;
-    m_nextMetricsAt = now + metricsInterval;
-    const LoopSummary loop = m_loopMeter.takeSummary(now);
-    m_state.metrics.setOwnerLag(std::chrono::duration<double>(loop.timerLag).count());
-    logIfBehind(loop);
-    const LoopMeter::Work work(m_loopMeter, "metrics");
-    const std::size_t waiting = m_scheduler.waitingCount();
-    m_state.metrics.setTasks(static_cast<double>(m_scheduler.runningCount()),
-                             static_cast<double>(waiting));
-    LOG4CXX_INFO(detailLogger,
-                 "event=load running=" << m_scheduler.runningCount() << " waiting=" << waiting
-                                       << " free_millicores=" << m_scheduler.freeMilliCores()
-                                       << " idle_millicores=" << m_scheduler.idleMilliCores()
-                                       << " process_cpu_ms=" << processorMilliseconds()
-                                       << " withheld_acknowledgements="
-                                       << m_state.metrics.withheldAcknowledgements() << ' '
-                                       << formatLoop(loop));
-}
-
-void OwnerSession::logIfBehind(const LoopSummary &loop)
-{
-    const bool isBehind = loop.timerLag >= loggedTimerLag || loop.appendGap >= loggedAppendGap;
-    if (isBehind)
-        LOG4CXX_INFO(partLogger, "event=behind " << formatLoop(loop));
-}
-
 void OwnerSession::spawnCommit()
 {
     const bool isDue = m_scheduler.needsCommit() || Core::suspendAwareNow() >= m_nextHeartbeatAt;
@@ -429,7 +353,7 @@
 
 AppendBatches OwnerSession::encodeCommit(std::vector<Jobs::JobRecord> records)
 {
-    const LoopMeter::Work work(m_loopMeter, "commit");
+    const LoopMeter::Work work(m_loadLog.loop(), "commit");
     AppendBatches batches;
     for (Jobs::JobRecord &record : records) {
         if (auto *progress = std::get_if<Jobs::ProgressRecord>(&record))
@@ -462,7 +386,7 @@
 
 void OwnerSession::confirm(std::int64_t commitNumber)
 {
-    const LoopMeter::Work work(m_loopMeter, "committed");
+    const LoopMeter::Work work(m_loadLog.loop(), "committed");
     m_scheduler.onCommitted(commitNumber, m_provenAt, now());
     m_wakeup.wake();
 }
@@ -500,7 +424,7 @@
         // A claim takes the offset of its own record, and so a higher token than these records'.
         m_scheduler.offerToken(receipt.offset + 1);
         ++m_nextSequence;
-        m_loopMeter.noteAppendAnswered(Core::steadyNow());
+        m_loadLog.loop().noteAppendAnswered(Core::steadyNow());
         if (m_state.health.noteSuccess(Core::steadyNow()))
             LOG4CXX_INFO(partLogger, "event=regained dependency=store");
         co_return true;
@@ -532,7 +456,7 @@
     const Core::Instant began = Core::steadyNow();
     const bool isInTime = command.isOfGang || began < deadline - minStartTime;
     if (isOwnershipProven() && !m_isOver && isInTime) {
-        m_loopMeter.noteStart();
+        m_loadLog.loop().noteStart();
         outcome = co_await m_workers.start(command, deadline);
     }
     const std::chrono::duration<double> took = Core::steadyNow() - began;
@@ -600,8 +524,8 @@
 void OwnerSession::applyReport(const Core::VmId &worker, const Jobs::WorkerReport &report,
                                Core::Instant sentAt)
 {
-    const LoopMeter::Work work(m_loopMeter, "report");
-    m_loopMeter.noteReport();
+    const LoopMeter::Work work(m_loadLog.loop(), "report");
+    m_loadLog.loop().noteReport();
     m_scheduler.onReport(worker, report, sentAt, now());
 }
 
@@ -643,13 +567,13 @@
         const Core::Duration lag
             = std::max({ now - due, now - m_ordinaryProbeDueAt, m_ordinaryLag });
         m_scheduler.setLag(lag);
-        m_loopMeter.noteTimerLag(lag);
+        m_loadLog.loop().noteTimerLag(lag);
     }
 }
 
 void OwnerSession::applyWorkers()
 {
-    const LoopMeter::Work work(m_loopMeter, "workers");
+    const LoopMeter::Work work(m_loadLog.loop(), "workers");
     m_scheduler.setWorkers(m_workerFollower.workers(), now());
     m_wakeup.wake();
 }
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -6,8 +6,8 @@
 #include <LibSite/BackgroundQueue.h>
 #include <LibSite/JobFollower.h>
 #include <LibSite/KeyedLog.h>
-#include <LibSite/LoopMeter.h>
 #include <LibSite/OwnerDecisionLog.h>
+#include <LibSite/OwnerLoadLog.h>
 #include <LibSite/SiteDecoder.h>
 #include <LibSite/SiteState.h>
 #include <LibSite/TurnPacer.h>
@@ -118,14 +118,9 @@
     void spawnOn(const boost::asio::any_io_executor &executor, boost::asio::awaitable<void> work);
     /// Ends the session. \p reason is for the log.
     void depose(const std::string &reason);
-    void updateMetrics();
-    /// Logs a loop that falls so far behind that other nodes may soon consider the owner dead.
-    /// Unlike the line of load, this one is essential.
-    static void logIfBehind(const LoopSummary &loop);
     /// Holds starts while the copy of the job, operator or worker records is too old though the
     /// store answers.
     void updateStartHold();
-    bool isCopyTooOldForStarts() const;
 
     SiteState &m_state;
     KeyedLog &m_log;
@@ -149,8 +144,7 @@
     Core::Instant m_provenAt;
     /// When the next append is due although there is nothing to write, on the suspend-aware clock.
     Core::Instant m_nextHeartbeatAt;
-    Core::Instant m_nextMetricsAt = {};
-    LoopMeter m_loopMeter;
+    OwnerLoadLog m_loadLog;
     /// When the probe of ordinary work was or is due, on the steady clock.
     Core::Instant m_ordinaryProbeDueAt = Core::steadyNow();
     /// The lesser of the last two delays of that probe; see Jobs::OverloadPolicy. It stays until
