LibJob: Count an interruption from the last sign of the run, over all owners

Cause: an interrupted long-running task comes before all others once it has been away for 2.5 s, counted from TaskState::lastRunEndedAt. Only the owner that saw the end had that time, so after a takeover the task was never overdue. And it was the time at which the end became known: of a run that was lost with its worker, 6.3 s after the run.

Ruled out: that an interrupted step comes back too slowly since its tasks reserve workers one by one, that a suspect starves on a full site, and that a reservation on a worker which the step's bound excludes keeps a task away: a full site of 64 (and 4) simulated workers brings all of them back within 6 s.

Change: TaskState::awaySince is the last sign of the last run; of a task that may have run under a former owner it is when the job was due. Overdue steps come in the order of that time. A start that was refused is no sign of a run any more.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -193,6 +193,9 @@
         m_scheduled.insert(id);
     m_order.noteJob(entry.submission.queue.id, job->totalWork());
     beginDueOccurrences(*job, now);
+    // No task starts before the first progress is recorded.
+    if (entry.progress)
+        job->noteFormerRuns(std::min(now.instant, dueAt(*job, 0, now)));
     m_needsPass = true;
     if (entry.isCancelled)
         cancelJob(id, now);
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -72,6 +72,9 @@
     if (spec.isBestEffort && task->run->phase == RunPhase::Running)
         task->run->worker->noteBestEffortEnded(spec, image, task->run->throttlePercent, m_now);
     setThrottle(*task->run, spec, fullPercent);
+    // The end of a run may become known only long after it.
+    if (task->run->lastSignAt() != Core::Instant())
+        task->awaySince = task->run->lastSignAt();
     task->run->worker->removeRun(name, spec, image);
     m_pendingStarts -= task->run->isStartPending() ? 1 : 0;
     task->run->worker->urgentRuns -= task->run->isUrgent ? 1 : 0;
--- a/Libraries/LibJob/OwnedJob.cpp
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -175,6 +175,16 @@
     return std::find(isDone.begin(), isDone.end(), false) == isDone.end();
 }
 
+void OwnedJob::noteFormerRuns(Core::Instant since)
+{
+    for (auto &[occurrence, steps] : m_occurrences) {
+        for (OwnedStep &step : steps) {
+            for (TaskState &task : step.tasks)
+                task.awaySince = since;
+        }
+    }
+}
+
 void OwnedJob::refresh(int occurrence)
 {
     const auto found = m_occurrences.find(occurrence);
--- a/Libraries/LibJob/PlanningPass.cpp
+++ b/Libraries/LibJob/PlanningPass.cpp
@@ -78,24 +78,39 @@
                      });
 }
 
-void PlanningPass::putOverdueFirst(Core::Instant now)
+bool isOverdue(const TaskState &task, Core::Instant now)
 {
-    const auto isOverdue = [now](const WaitingStep &waiting) {
-        if (!waiting.job->spec(waiting.step).isLongRunning)
-            return false;
-        const OwnedStep &step = waiting.job->occurrences().at(
-            waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
-        return std::any_of(step.tasks.begin(), step.tasks.end(), [now](const TaskState &task) {
-            return !task.run && task.lastRunEndedAt != Core::Instant()
-                && now > task.lastRunEndedAt + maxInterruption;
-        });
-    };
-    for (WaitingStep &waiting : m_steps) {
-        waiting.isOverdue = isOverdue(waiting);
-        waiting.isPutFirst |= waiting.isOverdue;
+    return !task.run && task.awaySince != Core::Instant() && now > task.awaySince + maxInterruption;
+}
+
+/// Notes whether a task of the step is overdue, and since when it has been away.
+static void noteOverdue(WaitingStep &waiting, Core::Instant now)
+{
+    if (!waiting.job->spec(waiting.step).isLongRunning)
+        return;
+    const OwnedStep &step = waiting.job->occurrences().at(
+        waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
+    for (const TaskState &task : step.tasks) {
+        if (!isOverdue(task, now))
+            continue;
+        const bool isFirst = !waiting.isOverdue || task.awaySince < waiting.awaySince;
+        waiting.awaySince = isFirst ? task.awaySince : waiting.awaySince;
+        waiting.isOverdue = true;
+        waiting.isPutFirst = true;
     }
-    std::stable_partition(m_steps.begin(), m_steps.end(),
-                          [](const WaitingStep &waiting) { return waiting.isOverdue; });
+}
+
+void PlanningPass::putOverdueFirst(Core::Instant now)
+{
+    for (WaitingStep &waiting : m_steps)
+        noteOverdue(waiting, now);
+    const auto others = std::stable_partition(
+        m_steps.begin(), m_steps.end(),
+        [](const WaitingStep &waiting) { return waiting.isOverdue; });
+    std::stable_sort(m_steps.begin(), others,
+                     [](const WaitingStep &left, const WaitingStep &right) {
+                         return left.awaySince < right.awaySince;
+                     });
 }
 
 void PlanningPass::join(const WaitingStep &joining)
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <iostream>
+#include <utility>
 
 using namespace Jobs;
 using std::chrono::milliseconds;
@@ -31,7 +32,6 @@
             std::cerr << nowMs << " node" << node << ' ' << subject << ' ' << event << ' ' << inputs
                       << '\n';
     }
-
     std::int64_t nowMs = 0;
     std::size_t node = 0;
 };
@@ -98,6 +98,11 @@
     std::map<std::int64_t, std::int64_t> doneAtMs;
     /// When the first run ended as done whose end was acknowledged in time; -1 if none was.
     std::int64_t acknowledgedDoneAtMs = -1;
+    /// When a run of the task was last seen on a worker that is up; for one that never ran, when
+    /// its job was submitted.
+    std::int64_t lastRanAtMs = 0;
+    /// Since when two workers have had room for the task all the time; -1 while they don't.
+    std::int64_t roomSinceMs = -1;
 };
 
 JobWorld::JobWorld(std::uint32_t seed, const FaultRates &faults, DisabledGuard disabledGuard,
@@ -166,6 +171,10 @@
     submission.spec = spec;
     submission.submittedUnixMs = m_nowMs;
     m_table.apply(submission);
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        for (int task = 0; task < spec.steps[i].taskCount; ++task)
+            m_history[{ submission.id, 0, static_cast<int>(i), task }].lastRanAtMs = m_nowMs;
+    }
     for (const auto &node : m_nodes) {
         if (node->scheduler)
             node->scheduler->addJob(*m_table.find(submission.id), now());
@@ -185,16 +194,18 @@
 std::vector<WorkerInfo> JobWorld::listedWorkers() const
 {
     std::vector<WorkerInfo> list;
-    for (const auto &worker : m_workers)
-        list.push_back(worker->info());
+    for (std::size_t i = 0; i < m_workers.size(); ++i) {
+        if (!m_removed.contains(i))
+            list.push_back(m_workers[i]->info());
+    }
     return list;
 }
 
-void JobWorld::claim(std::size_t index)
+bool JobWorld::claim(std::size_t index)
 {
     Node &node = *m_nodes[index];
     if (node.storePartitionedUntilMs > m_nowMs || node.frozenUntilMs > m_nowMs)
-        return;
+        return false;
     m_logEnd += randomBetween(1, 40);
     m_epoch = m_logEnd;
     ++m_term;
@@ -206,9 +217,10 @@
     const auto unproven
         = std::chrono::duration_cast<milliseconds>(m_settings.ownershipProofTimeout).count();
     const auto slack = std::chrono::duration_cast<milliseconds>(m_settings.clockSlack).count();
+    const std::int64_t unprovenMs = std::exchange(m_isReleased, false) ? 0 : unproven;
     if (m_term > 0 && m_disabledGuard != DisabledGuard::FormerLeases)
-        ownership.formerLeasesEndAt = Core::Instant(
-            milliseconds(m_lastOwnerWriteMs + unproven + static_cast<std::int64_t>(lease) + slack));
+        ownership.formerLeasesEndAt = Core::Instant(milliseconds(
+            m_lastOwnerWriteMs + unprovenMs + static_cast<std::int64_t>(lease) + slack));
     node.log.note("site", "CLAIM", std::to_string(m_epoch));
     node.scheduler = std::make_unique<JobScheduler>(m_settings, ownership, node.log);
     node.token = m_epoch;
@@ -221,15 +233,32 @@
     for (const auto &[id, entry] : m_table.jobs())
         node.scheduler->addJob(entry, now());
     node.scheduler->setWorkers(listedWorkers(), now());
+    return true;
 }
 
 void JobWorld::kill(std::size_t node)
+{
+    m_disturbedUntilMs = m_nowMs;
+    depose(node);
+}
+
+void JobWorld::depose(std::size_t node)
 {
     m_nodes[node]->log.note("site", "DEPOSED", "");
     m_nodes[node]->scheduler.reset();
     ++m_nodes[node]->generation;
 }
 
+void JobWorld::release(std::size_t index)
+{
+    Node &node = *m_nodes[index];
+    if (!node.scheduler || node.token < m_epoch)
+        return;
+    m_lastOwnerWriteMs = m_nowMs;
+    m_isReleased = true;
+    kill(index);
+}
+
 void JobWorld::partitionStore(std::size_t node, std::int64_t forMs)
 {
     m_nodes[node]->log.note("store", "PARTITIONED", std::to_string(forMs));
@@ -251,6 +280,7 @@
 void JobWorld::crashWorker(std::size_t index)
 {
     m_nodes.front()->log.note(m_workers[index]->info().id.text(), "CRASHES", "");
+    m_disturbedUntilMs = m_nowMs;
     for (const auto &[task, run] : m_workers[index]->running())
         ++m_history[task].crashesAround;
     // The owner can't tell a run that ended unreported from one that was lost.
@@ -259,10 +289,26 @@
     m_workers[index]->crash();
 }
 
-void JobWorld::restartWorker(std::size_t index)
+void JobWorld::drainWorker(std::size_t index)
+{
+    m_nodes.front()->log.note(m_workers[index]->info().id.text(), "DRAINS", "");
+    m_workers[index]->setDraining();
+    ++m_listVersion;
+}
+
+void JobWorld::removeWorker(std::size_t index)
 {
     if (m_workers[index]->isUp())
+        crashWorker(index);
+    m_removed.insert(index);
+    ++m_listVersion;
+}
+
+void JobWorld::restartWorker(std::size_t index)
+{
+    if (m_workers[index]->isUp() || m_removed.contains(index))
         return;
+    m_disturbedUntilMs = m_nowMs;
     m_workers[index]->restart(m_nowMs);
     if (m_life.returnsUnderNewId)
         m_workers[index]->setId(
@@ -607,7 +653,7 @@
         return;
     }
     if (owner.token < m_epoch) {
-        kill(pending.node);
+        depose(pending.node);
         return;
     }
     for (const JobRecord &record : pending.commit.records) {
@@ -667,7 +713,7 @@
     if (!node.scheduler || node.frozenUntilMs > m_nowMs)
         return;
     if (node.scheduler->isDeposed()) {
-        kill(index);
+        depose(index);
         return;
     }
     const auto unproven
@@ -793,6 +839,81 @@
     }
 }
 
+int JobWorld::workersWithRoom(const TaskName &task, const StepSpec &step) const
+{
+    int count = 0;
+    for (std::size_t i = 0; i < m_workers.size(); ++i) {
+        const SimulatedWorker &worker = *m_workers[i];
+        if (!worker.isUp() || worker.info().isDraining || m_removed.contains(i))
+            continue;
+        const auto ofStep
+            = std::count_if(worker.running().begin(), worker.running().end(), [&](const auto &run) {
+                  return run.first.job == task.job && run.first.step == task.step;
+              });
+        const bool mayTake = step.maxPerWorker == 0 || ofStep < step.maxPerWorker;
+        const bool hasRoom
+            = requestedMilliCores(i) + step.need.milliCores <= worker.info().capacity.milliCores;
+        count += mayTake && hasRoom ? 1 : 0;
+    }
+    return count;
+}
+
+bool JobWorld::isDisturbed() const
+{
+    const bool areMessagesDisturbed = m_faults.lostAnswer > 0 || m_faults.delayedCommand > 0
+        || m_faults.delayedRenewal > 0 || m_faults.refusedStart > 0;
+    return areMessagesDisturbed
+        || std::any_of(m_nodes.begin(), m_nodes.end(), [this](const auto &node) {
+               const bool isCutOff = std::any_of(
+                   node->workerPartitionedUntilMs.begin(), node->workerPartitionedUntilMs.end(),
+                   [this](const auto &partition) { return partition.second > m_nowMs; });
+               return isCutOff || node->frozenUntilMs > m_nowMs
+                   || node->storePartitionedUntilMs > m_nowMs;
+           });
+}
+
+void JobWorld::checkIsBack(const TaskName &task, const StepSpec &step)
+{
+    constexpr std::int64_t allowedMs = 6000;
+    constexpr std::int64_t roomMs = 3000;
+    constexpr std::int64_t calmMs = 4000 + roomMs;
+    TaskHistory &history = m_history[task];
+    if (awayMs(task) == 0 || workersWithRoom(task, step) < 2) {
+        history.roomSinceMs = -1;
+        return;
+    }
+    if (history.roomSinceMs < 0)
+        history.roomSinceMs = m_nowMs;
+    const bool isTooLong = awayMs(task) > allowedMs + roomMs;
+    const bool hadRoom = m_nowMs - history.roomSinceMs > roomMs;
+    if (isTooLong && hadRoom && m_nowMs - m_disturbedUntilMs > calmMs)
+        fail("a long-running task is away though there is room: " + task.text() + " for "
+             + std::to_string(awayMs(task)) + " ms");
+}
+
+void JobWorld::checkLongRunningTasks()
+{
+    if (isDisturbed())
+        m_disturbedUntilMs = m_nowMs;
+    for (const auto &worker : m_workers) {
+        for (const auto &[task, run] : worker->running())
+            m_history[task].lastRanAtMs = m_nowMs;
+    }
+    for (const auto &[id, entry] : m_table.jobs()) {
+        const std::vector<StepSpec> &steps = entry.submission.spec.steps;
+        if (entry.isOver() || steps.empty() || !steps.front().isLongRunning)
+            continue;
+        for (int i = 0; i < steps.front().taskCount; ++i)
+            checkIsBack({ id, 0, 0, i }, steps.front());
+    }
+}
+
+std::int64_t JobWorld::awayMs(const TaskName &task) const
+{
+    const auto found = m_history.find(task);
+    return found == m_history.end() ? 0 : m_nowMs - found->second.lastRanAtMs;
+}
+
 void JobWorld::step()
 {
     m_nowMs += stepMs;
@@ -822,6 +943,7 @@
     for (std::size_t i = 0; i < nodeCount; ++i)
         runOwner(i);
     checkRuns();
+    checkLongRunningTasks();
 }
 
 void JobWorld::run(std::int64_t duration)
--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -98,12 +98,14 @@
     void setStretch(double stretch) { m_stretch = stretch; }
     void cancel(const Jobs::JobId &id);
     void run(std::int64_t milliseconds);
+    /// Sets the faults that are injected from now on; those in progress go on.
+    void setFaults(const FaultRates &faults) { m_faults = faults; }
     /// Stops injecting faults and ends those in progress.
     void stopFaults();
 
-    /// Makes a node the owner, whether or not there is another one. Has no effect while the node is
-    /// frozen or can't reach the store.
-    void claim(std::size_t node);
+    /// Makes a node the owner, whether or not there is another one. Has no effect, and returns
+    /// false, while the node is frozen or can't reach the store.
+    bool claim(std::size_t node);
     void kill(std::size_t node);
     void partitionStore(std::size_t node, std::int64_t forMs);
     void partitionWorker(std::size_t node, std::size_t worker, std::int64_t forMs);
@@ -111,6 +113,12 @@
     SimulatedWorker &worker(std::size_t index) { return *m_workers[index]; }
     void crashWorker(std::size_t index);
     void restartWorker(std::size_t index);
+    /// The worker announces that it will leave; it leaves with removeWorker().
+    void drainWorker(std::size_t index);
+    /// The worker leaves for good, with all that runs on it, and the list no longer names it.
+    void removeWorker(std::size_t index);
+    /// Gives up the jobs of the owner in good order, as when its VM is taken away.
+    void release(std::size_t node);
     /// Crashes each worker with the given probability; they return after
     /// WorkerLife::returnsAfterMs.
     void crashWorkers(double share);
@@ -134,6 +142,9 @@
     /// How many workers the task has crashed.
     int crashesOf(const Jobs::TaskName &task) const;
     std::size_t runningCount() const;
+    /// How long the task hasn't run: since its last run, or since its submission if it never ran; 0
+    /// while it runs.
+    std::int64_t awayMs(const Jobs::TaskName &task) const;
     std::int64_t nowMs() const { return m_nowMs; }
     /// The first violated invariant; empty if there is none.
     const std::string &violation() const { return m_violation; }
@@ -198,6 +209,16 @@
     void checkDone(const Jobs::TaskName &task);
     void noteAcknowledged(const Jobs::EndedEntry &end);
     void checkRuns();
+    /// Ends the node's ownership.
+    void depose(std::size_t node);
+    /// Checks that no long-running task has been away from 6 s after its last run on for 3 s in
+    /// which two workers had room for it all the time, and before which nothing was disturbed for
+    /// 4 s.
+    void checkLongRunningTasks();
+    /// Checks one task; see checkLongRunningTasks().
+    void checkIsBack(const Jobs::TaskName &task, const Jobs::StepSpec &step);
+    int workersWithRoom(const Jobs::TaskName &task, const Jobs::StepSpec &step) const;
+    bool isDisturbed() const;
     /// Checks that the runs on a worker, with those that are being stopped, don't request more than
     /// the capacity that it has or had shortly before.
     void checkCapacity(std::size_t worker, const Jobs::TaskName &started);
@@ -232,6 +253,8 @@
     std::int64_t m_nowMs = 1'000'000;
     std::multimap<std::int64_t, Action> m_events;
     std::vector<std::unique_ptr<SimulatedWorker>> m_workers;
+    /// Workers that have left for good.
+    std::set<std::size_t> m_removed;
     std::vector<std::unique_ptr<Node>> m_nodes;
     Jobs::JobTable m_table;
     /// The offset of the next record in the log.
@@ -239,7 +262,10 @@
     Jobs::FencingToken m_epoch = 0;
     std::int64_t m_term = -1;
     std::int64_t m_lastOwnerWriteMs = 0;
+    bool m_isReleased = false;
     std::map<Jobs::TaskName, TaskHistory> m_history;
+    /// Until when something was disturbed last.
+    std::int64_t m_disturbedUntilMs = 0;
     /// Jobs of which a worker has started a task.
     std::set<Jobs::JobId> m_begun;
     /// By worker, the capacities in thousandths of a core by the time at which they came into
--- a/Tests/LibJob/SimulatedWorker.h
+++ b/Tests/LibJob/SimulatedWorker.h
@@ -54,6 +54,7 @@
     /// Sets the processors that the worker publishes for tasks.
     void setCapacity(std::int64_t milliCores) { m_info.capacity.milliCores = milliCores; }
     void setId(const Core::VmId &id) { m_info.id = id; }
+    void setDraining() { m_info.isDraining = true; }
 
     /// Disables the fencing, to show that the tests detect its absence.
     bool ignoresTokens = false;
--- a/Tests/LibJob/TestPlanningPass.cpp
+++ b/Tests/LibJob/TestPlanningPass.cpp
@@ -4,6 +4,8 @@
 
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace Jobs;
 
@@ -28,6 +30,23 @@
         return step;
     }
 
+    /// A long-running step of low priority whose task was last known to run at \p awaySince.
+    WaitingStep interrupted(const std::string &id, Core::Instant awaySince)
+    {
+        constexpr int lowPriority = 9;
+        JobEntry entry;
+        entry.submission.id = JobId(id);
+        entry.submission.spec.steps.resize(1);
+        entry.submission.spec.steps.front().isLongRunning = true;
+        m_jobs.push_back(std::make_unique<OwnedJob>(entry));
+        m_jobs.back()->beginOccurrence(0);
+        m_jobs.back()->findTask({ JobId(id), 0, 0, 0 })->awaySince = awaySince;
+        WaitingStep step;
+        step.rank.priority = lowPriority;
+        step.job = m_jobs.back().get();
+        return step;
+    }
+
     static std::string rest(PlanningPass pass)
     {
         std::string ids;
@@ -75,6 +94,21 @@
     CHECK(Pass::rest(pass) == "bxyaz");
 }
 
+TEST_CASE(
+    "Interrupted long-running steps come first, those that are away for the longest time before "
+    "others")
+{
+    Pass jobs;
+    std::vector<WaitingStep> steps { jobs.waiting("a", 0) };
+    const std::vector<std::pair<const char *, int>> awayMs {
+        { "b", 3000 }, { "c", 9000 }, { "d", 2000 }, { "e", 6000 }
+    };
+    for (const auto &[id, ms] : awayMs)
+        steps.push_back(jobs.interrupted(id, now - std::chrono::milliseconds(ms)));
+    const PlanningPass pass(std::move(steps), now);
+    CHECK(Pass::rest(pass) == "cebad");
+}
+
 TEST_CASE("A step that doesn't wait any more is told")
 {
     Pass jobs;
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -71,6 +71,9 @@
     TaskState *findTask(const TaskName &name);
     bool isTaskDone(const TaskName &name) const;
 
+    /// Notes that a former owner may have run all tasks that have no run here, and that they may
+    /// have been interrupted at any time from \p since on.
+    void noteFormerRuns(Core::Instant since);
     /// Recomputes which steps are ready and how many of their tasks wait.
     void refresh(int occurrence);
     /// Marks the task as done. Returns true if that completed the job.
--- a/include/LibJob/PlanningPass.h
+++ b/include/LibJob/PlanningPass.h
@@ -23,6 +23,9 @@
     bool isLarge = false;
     /// A long-running task of the step was interrupted and hasn't run for longer than allowed.
     bool isOverdue = false;
+    /// Since when the task of the step that has been interrupted for the longest time is away;
+    /// meaningless unless `isOverdue`.
+    Core::Instant awaySince = {};
     /// The step comes before others of a lower rank; see PlanningPass.
     bool isPutFirst = false;
 
@@ -46,10 +49,14 @@
     bool isCoveredBy(const Demand &other) const;
 };
 
+/// True if a long-running task without a run was interrupted so long ago that it comes before all
+/// others.
+bool isOverdue(const TaskState &task, Core::Instant now);
+
 /// One pass over the waiting steps, which may take several calls of the scheduler.
 ///
-/// Steps come in the order of their ranks, except that overdue ones come first, and a few large
-/// jobs before the others of their priority, so that small jobs can't starve them.
+/// Steps come in the order of their ranks, except that overdue ones come first, those that have
+/// been interrupted for the longest time before others, and a few large jobs before the others of their priority, so that small jobs can't starve them.
 class PlanningPass
 {
 public:
--- a/include/LibJob/TaskRun.h
+++ b/include/LibJob/TaskRun.h
@@ -3,6 +3,7 @@
 #include <LibCore/Identifier.h>
 #include <LibCore/Time.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -61,6 +62,12 @@
     bool isThrottleKnown = true;
     Core::Instant throttledAt = {};
 
+    /// When the run was last known to exist on its worker; the epoch if it never was.
+    Core::Instant lastSignAt() const
+    {
+        return std::max(seenAt, phase == RunPhase::Running ? phaseBeganAt : Core::Instant());
+    }
+
     /// True until the start command is answered.
     bool isStartPending() const
     {
@@ -95,6 +102,9 @@
     /// When the last run for which this owner sent a start command, or which it adopted, became
     /// known to be gone; the epoch if there was none.
     Core::Instant lastRunEndedAt = {};
+    /// Since when the task may not have run: the last sign of its last run, or, of a task that may
+    /// have run under a former owner, when its job was due. The epoch if it certainly never ran.
+    Core::Instant awaySince = {};
 };
 
 } // namespace Jobs
