LibJob: Don't wait after a takeover for workers that have left

Cause: the record of a job's workers only grew, and a new owner starts nothing of a job until each worker in the record has answered or all former leases have ended, 10.3 s after the former owner's last write. A worker that has left never answers, so each takeover kept the whole job waiting, also tasks that the new owner had itself seen running.

Ruled out: the capacity of the site (at most half used in the tests), reservations and suspects (lines of the simulations name only former runs).

Change: an owner takes a worker out of the jobs' lists once nothing of the job can run there: when the worker has left and has no runs, and when the former leases have ended. Jobs with long-running steps write the shorter list at once, others with their next new worker; until it is durable, a removed worker counts as not recorded. The newest list replaces the former one in the job table. A task of which the new owner has adopted a run waits for no other worker. An adopted run on a draining worker is stopped like any other there.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -160,8 +160,10 @@
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         const bool isForgotten
             = !it->second->isListed() && it->second->runs().empty() && !it->second->isRenewing();
-        if (isForgotten)
+        if (isForgotten) {
             m_reservation.forget(*it->second);
+            forgetWorker(it->first);
+        }
         it = isForgotten ? m_workers.erase(it) : std::next(it);
     }
 }
@@ -238,6 +240,7 @@
         job.isDirty = true;
     auto &committedWorkers = m_committing[job.id()];
     if (std::exchange(job.hasNewWorkers, false)) {
+        job.beginRecordingWorkers();
         commit.records.emplace_back(JobWorkers { job.id(), job.workers() });
         committedWorkers = job.workers();
     }
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -246,6 +246,9 @@
         task.checkpoint = entry.checkpoint;
     job.addWorker(worker.info().id);
     markDirty(job);
+    // The former owner may not have known that the worker drains.
+    if (worker.info().isDraining && job.spec(entry.task.step).isLongRunning)
+        requestStop(entry.task, *task.run, now);
 }
 
 void JobScheduler::stopUnwantedRun(WorkerState &worker, const RunningEntry &entry, UnwantedUse &use)
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -26,6 +26,7 @@
     m_pendingStarts += task.run->isStartPending() ? 1 : 0;
     task.run->sentAt = now.instant;
     task.lastRun = std::max(task.lastRun, number);
+    task.areFormerRunsKnown = true;
     worker.addRun(name, spec, job.images[static_cast<std::size_t>(name.step)]);
     job.refresh(name.occurrence);
     ++m_runs;
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -1,6 +1,7 @@
 #include <LibJob/JobScheduler.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Jobs {
 
@@ -33,6 +34,7 @@
     if (now.instant >= m_nextCheckAt) {
         m_nextCheckAt = now.instant + checkInterval;
         expireLeases(now);
+        settleFormerLeases(now);
         resendStops(now);
         deleteOldJobs(now);
     }
@@ -52,6 +54,15 @@
     return std::exchange(m_commands, {});
 }
 
+void JobScheduler::settleFormerLeases(const TimePoint &now)
+{
+    if (m_areFormerLeasesSettled || now.instant < m_ownership.formerLeasesEndAt)
+        return;
+    m_areFormerLeasesSettled = true;
+    for (const auto &[id, job] : m_jobs)
+        awaitsReconciliation(*job, now.instant);
+}
+
 void JobScheduler::dropOutdatedPass(const TimePoint &now)
 {
     if (m_pass.isOver() || !isStartWindowFull() || now.instant < m_passBeganAt + maxPassAge)
@@ -103,7 +114,7 @@
     const StepSpec &spec = waiting.job->spec(waiting.step);
     const bool mayReserve = waiting.isOverdue && !m_reservation.isFull();
     const bool isHopeless = !mayReserve && m_pass.isRejected(demandOf(waiting, now));
-    if (isHopeless || awaitsReconciliation(*waiting.job, now.instant))
+    if (isHopeless)
         return;
     const bool isPlaced = planStep(waiting, now);
     const bool isUnconstrained = spec.requiredLabel.empty() && spec.maxPerWorker == 0
@@ -232,7 +243,7 @@
     if (job.unreconciledWorkers.empty())
         return false;
     if (now >= m_ownership.formerLeasesEndAt) {
-        job.unreconciledWorkers.clear();
+        forgetUnknownWorkers(job);
         job.hasUnknownFormerRuns = true;
         abandonUnknownRuns(job);
         return false;
@@ -244,6 +255,25 @@
     return !job.unreconciledWorkers.empty();
 }
 
+void JobScheduler::forgetUnknownWorkers(OwnedJob &job)
+{
+    for (const Core::VmId &id : std::exchange(job.unreconciledWorkers, {})) {
+        if (!findWorkerState(id))
+            job.removeWorker(id);
+    }
+    markDirty(job);
+}
+
+void JobScheduler::forgetWorker(const Core::VmId &id)
+{
+    for (const auto &[jobId, job] : m_jobs) {
+        if (job->unreconciledWorkers.contains(id))
+            continue;
+        job->removeWorker(id);
+        markDirty(*job);
+    }
+}
+
 std::int64_t JobScheduler::nextRunNumber(const TaskState &task) const
 {
     return std::max(task.lastRun + 1, m_ownership.term * runsPerTerm + 1);
@@ -252,8 +282,9 @@
 bool JobScheduler::planStep(const WaitingStep &waiting, const TimePoint &now)
 {
     OwnedJob &job = *waiting.job;
+    const bool awaitsReports = awaitsReconciliation(job, now.instant);
     if (job.spec(waiting.step).isGang)
-        return planGang(waiting, now);
+        return !awaitsReports && planGang(waiting, now);
     OwnedStep &step
         = job.occurrences().at(waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
@@ -261,6 +292,8 @@
         const TaskName name { job.id(), waiting.occurrence, waiting.step, index };
         if (step.tasks[i].run || job.isTaskDone(name) || step.tasks[i].neededCommit > m_committed)
             continue;
+        if (awaitsReports && !step.tasks[i].areFormerRunsKnown)
+            continue;
         if (isPlanningWorkUsedUp() || isStartWindowFull())
             return true;
         // Whether a suspect finds a worker says nothing about other tasks.
--- a/Libraries/LibJob/JobTable.cpp
+++ b/Libraries/LibJob/JobTable.cpp
@@ -49,7 +49,7 @@
     else if (const auto *progress = std::get_if<ProgressRecord>(&record))
         applyProgress(*progress, entryOf(progress->id));
     else if (const auto *workers = std::get_if<JobWorkers>(&record))
-        entryOf(workers->id).workers.insert(workers->workers.begin(), workers->workers.end());
+        entryOf(workers->id).workers = workers->workers;
     else if (const auto *deletion = std::get_if<JobDeletion>(&record)) {
         m_jobs.erase(deletion->id);
         m_withoutSubmission.erase(deletion->id);
--- a/Libraries/LibJob/OwnedJob.cpp
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -1,6 +1,7 @@
 #include <LibJob/OwnedJob.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace Jobs {
 
@@ -305,6 +306,22 @@
     hasNewWorkers |= m_workers.insert(worker).second;
 }
 
+void OwnedJob::removeWorker(const Core::VmId &worker)
+{
+    m_durableWorkers.erase(worker);
+    const bool isRemoved = m_workers.erase(worker) > 0;
+    const std::vector<StepSpec> &steps = m_submission.spec.steps;
+    const bool hasLongRunning = std::any_of(
+        steps.begin(), steps.end(), [](const StepSpec &step) { return step.isLongRunning; });
+    hasNewWorkers |= isRemoved && hasLongRunning;
+}
+
+void OwnedJob::beginRecordingWorkers()
+{
+    for (auto it = m_durableWorkers.begin(); it != m_durableWorkers.end();)
+        it = m_workers.contains(*it) ? std::next(it) : m_durableWorkers.erase(it);
+}
+
 bool OwnedJob::markBegun()
 {
     if (m_progress.state != JobState::Queued)
--- a/Tests/LibJob/TestLongRunningTasks.cpp
+++ b/Tests/LibJob/TestLongRunningTasks.cpp
@@ -174,3 +174,39 @@
         CHECK(site.world().violation() == std::string());
     }
 }
+
+TEST_CASE("A worker that has left doesn't keep the tasks of its jobs waiting after a takeover",
+          "[long-running]")
+{
+    const auto seed = GENERATE(range(1U, 4U));
+    CAPTURE(seed);
+    WorkerLife life;
+    life.workerCount = 8;
+    JobWorld world(seed, {}, DisabledGuard::None, life);
+    world.claim(0);
+    const JobId job = world.submit(longRunningTasks(8, 500, 1));
+    world.run(3000);
+    REQUIRE(world.runningCount() == 8);
+    world.drainWorker(0);
+    world.run(3000);
+    world.removeWorker(0);
+    world.run(10'000);
+
+    SECTION("when the owner has released the jobs")
+    {
+        world.release(0);
+        world.run(300);
+    }
+    SECTION("when the owner has died")
+    {
+        world.kill(0);
+        world.run(takeoverMs);
+    }
+    world.claim(1);
+    world.run(500);
+    world.crashWorker(1);
+    world.restartWorker(1);
+    world.run(2000);
+    CHECK(world.runningCount() == 7);
+    CHECK(world.violation() == std::string());
+}
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -95,6 +95,12 @@
         return m_durableWorkers.contains(worker);
     }
     void addWorker(const Core::VmId &worker);
+    /// Nothing of the job can run on the worker any more. Only for a job with long-running tasks the
+    /// shorter list is worth a record of its own; others write it with their next new worker.
+    void removeWorker(const Core::VmId &worker);
+    /// Called when a commit records workers(): until it is durable, none that the list omits counts
+    /// as durable.
+    void beginRecordingWorkers();
     /// The workers that may have received a start command, or will once they are durable.
     const WorkerIds &workers() const { return m_workers; }
     /// Marks the job as begun: a worker has shown that it started a task. Returns true if the job
@@ -121,7 +127,7 @@
     bool isDirty = false;
     /// A commit has written the progress, by this owner or a former one.
     bool isProgressRecorded = false;
-    /// The workers must be written with a commit.
+    /// The list of workers has changed and must be written with a commit.
     bool hasNewWorkers = false;
     /// Workers on which a former owner may have started tasks and which haven't been reconciled
     /// or replaced yet.
