LibJob: Log why a long-running task doesn't run, whatever it waits for

Cause: only a wait that reached the choice of a worker had a line, once in five seconds for a whole step.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -193,6 +193,8 @@
     m_doubts.insert(doubts.begin(), doubts.end());
     if (entry.submission.spec.isScheduled())
         m_scheduled.insert(id);
+    if (job->hasLongRunningSteps())
+        m_longRunning.insert(id);
     m_order.noteJob(entry.submission.queue.id, job->totalWork());
     beginDueOccurrences(*job, now);
     // No task starts before the first progress is recorded.
@@ -292,6 +294,7 @@
         if (isFinished) {
             rememberEndedJob(id, job->progress().endedUnixMs);
             m_scheduled.erase(id);
+            m_longRunning.erase(id);
             m_pass.leave(*job);
             m_jobs.erase(id);
         }
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -37,6 +37,7 @@
         settleFormerLeases(now);
         resendStops(now);
         deleteOldJobs(now);
+        logInterruptions(now);
     }
     if (!m_isDeposed)
         updateAllThrottles(now);
--- a/Libraries/LibJob/OwnedJob.cpp
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -27,6 +27,13 @@
     return m_submission.spec.steps[static_cast<std::size_t>(step)];
 }
 
+bool OwnedJob::hasLongRunningSteps() const
+{
+    const std::vector<StepSpec> &steps = m_submission.spec.steps;
+    return std::any_of(steps.begin(), steps.end(),
+                       [](const StepSpec &step) { return step.isLongRunning; });
+}
+
 void OwnedJob::computeWork()
 {
     const std::vector<StepSpec> &steps = m_submission.spec.steps;
@@ -310,10 +317,7 @@
 {
     m_durableWorkers.erase(worker);
     const bool isRemoved = m_workers.erase(worker) > 0;
-    const std::vector<StepSpec> &steps = m_submission.spec.steps;
-    const bool hasLongRunning = std::any_of(
-        steps.begin(), steps.end(), [](const StepSpec &step) { return step.isLongRunning; });
-    hasNewWorkers |= isRemoved && hasLongRunning;
+    hasNewWorkers |= isRemoved && hasLongRunningSteps();
 }
 
 void OwnedJob::beginRecordingWorkers()
--- a/Libraries/LibJob/PlanningPass.cpp
+++ b/Libraries/LibJob/PlanningPass.cpp
@@ -78,7 +78,9 @@
                      });
 }
 
-bool isOverdue(const TaskState &task, Core::Instant now)
+/// True if a long-running task without a run was interrupted so long ago that it comes before all
+/// others.
+static bool isOverdue(const TaskState &task, Core::Instant now)
 {
     return !task.run && task.awaySince != Core::Instant() && now > task.awaySince + maxInterruption;
 }
@@ -88,8 +90,8 @@
 {
     if (!waiting.job->spec(waiting.step).isLongRunning)
         return;
-    const OwnedStep &step = waiting.job->occurrences().at(
-        waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
+    const OwnedStep &step
+        = waiting.job->occurrences().at(waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
     for (const TaskState &task : step.tasks) {
         if (!isOverdue(task, now))
             continue;
@@ -104,9 +106,9 @@
 {
     for (WaitingStep &waiting : m_steps)
         noteOverdue(waiting, now);
-    const auto others = std::stable_partition(
-        m_steps.begin(), m_steps.end(),
-        [](const WaitingStep &waiting) { return waiting.isOverdue; });
+    const auto others
+        = std::stable_partition(m_steps.begin(), m_steps.end(),
+                                [](const WaitingStep &waiting) { return waiting.isOverdue; });
     std::stable_sort(m_steps.begin(), others,
                      [](const WaitingStep &left, const WaitingStep &right) {
                          return left.awaySince < right.awaySince;
--- a/Libraries/LibSite/OwnerDecisionLog.cpp
+++ b/Libraries/LibSite/OwnerDecisionLog.cpp
@@ -30,6 +30,11 @@
     noteEssential("task", task.text(), event, inputs);
 }
 
+void OwnerDecisionLog::noteInterruption(const Jobs::TaskName &task, std::string_view inputs)
+{
+    noteEssential("task", task.text(), "interrupted", inputs);
+}
+
 void OwnerDecisionLog::noteWorker(std::string_view worker, std::string_view event,
                                   std::string_view inputs)
 {
--- a/Libraries/LibSite/OwnerElection.cpp
+++ b/Libraries/LibSite/OwnerElection.cpp
@@ -85,13 +85,11 @@
     const Core::Duration sinceFormerOwnerSeen = Core::steadyNow() - formerOwnerSeenAt;
     // The former owner may have renewed leases until its ownership was no longer proven, but not
     // after it has released the jobs.
-    const Core::Duration unproven
-        = isReleased ? Core::Duration() : settings.ownershipProofTimeout;
+    const Core::Duration unproven = isReleased ? Core::Duration() : settings.ownershipProofTimeout;
     const std::chrono::duration<double, std::micro> driftedLease
         = std::chrono::duration<double, std::micro>(settings.lease) * (1 + settings.clockDrift);
-    ownership.formerLeasesEndAt = Core::suspendAwareNow() - sinceFormerOwnerSeen
-        + unproven + std::chrono::duration_cast<Core::Duration>(driftedLease)
-        + settings.clockSlack;
+    ownership.formerLeasesEndAt = Core::suspendAwareNow() - sinceFormerOwnerSeen + unproven
+        + std::chrono::duration_cast<Core::Duration>(driftedLease) + settings.clockSlack;
     return ownership;
 }
 
@@ -133,9 +131,9 @@
     const bool isComplete = co_await m_follower.refresh(Core::steadyNow() + refreshTimeout);
     if (!isComplete || m_state.ownerMonitor.claimOffset() + 1 != epoch || m_state.isLeaving)
         co_return false;
-    m_session = std::make_unique<OwnerSession>(m_state, m_log, m_workers, m_decoder, m_follower,
-                                               m_executor, makeOwnership(formerOwnerSeenAt, isReleased, term),
-                                               provenAt);
+    m_session = std::make_unique<OwnerSession>(
+        m_state, m_log, m_workers, m_decoder, m_follower, m_executor,
+        makeOwnership(formerOwnerSeenAt, isReleased, term), provenAt);
     co_return true;
 }
 
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -32,6 +32,14 @@
             std::cerr << nowMs << " node" << node << ' ' << subject << ' ' << event << ' ' << inputs
                       << '\n';
     }
+    void noteInterruption(const TaskName &task, std::string_view inputs) override
+    {
+        DecisionLog::noteInterruption(task, inputs);
+        interruptionsLoggedAtMs[{ task.job, task.step }] = nowMs;
+    }
+
+    /// When a line last said why long-running tasks of a step don't run.
+    std::map<std::pair<JobId, int>, std::int64_t> interruptionsLoggedAtMs;
     std::int64_t nowMs = 0;
     std::size_t node = 0;
 };
@@ -228,6 +236,7 @@
     node.isCommitting = false;
     ++node.generation;
     m_lastOwnerWriteMs = m_nowMs;
+    m_claimedAtMs = m_nowMs;
     Catalogue catalogue;
     node.scheduler->setCatalogue(catalogue);
     for (const auto &[id, entry] : m_table.jobs())
@@ -878,6 +887,8 @@
     constexpr std::int64_t roomMs = 3000;
     constexpr std::int64_t calmMs = 4000 + roomMs;
     TaskHistory &history = m_history[task];
+    if (!isExplained(task))
+        fail("no line says why a long-running task is away: " + task.text());
     if (awayMs(task) == 0 || workersWithRoom(task, step) < 2) {
         history.roomSinceMs = -1;
         return;
@@ -891,6 +902,24 @@
              + std::to_string(awayMs(task)) + " ms");
 }
 
+bool JobWorld::isExplained(const TaskName &task) const
+{
+    // The owner may notice only after some time that a worker is gone, and repeats the line.
+    constexpr std::int64_t unexplainedMs = 8000;
+    constexpr std::int64_t repetitionMs = 5000;
+    const auto owner = std::find_if(m_nodes.begin(), m_nodes.end(), [this](const auto &node) {
+        return node->scheduler && node->token == m_epoch;
+    });
+    const bool mayBeUnexplained = awayMs(task) < unexplainedMs || startsOf(task) == 0
+        || owner == m_nodes.end() || m_nowMs - m_disturbedUntilMs < unexplainedMs
+        || m_nowMs - m_claimedAtMs < unexplainedMs;
+    if (mayBeUnexplained)
+        return true;
+    const auto line = (*owner)->log.interruptionsLoggedAtMs.find({ task.job, task.step });
+    return line != (*owner)->log.interruptionsLoggedAtMs.end()
+        && m_nowMs - line->second <= repetitionMs;
+}
+
 void JobWorld::checkLongRunningTasks()
 {
     if (isDisturbed())
--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -217,6 +217,8 @@
     void checkLongRunningTasks();
     /// Checks one task; see checkLongRunningTasks().
     void checkIsBack(const Jobs::TaskName &task, const Jobs::StepSpec &step);
+    /// False if the owner should have logged by now why the task is away, and hasn't.
+    bool isExplained(const Jobs::TaskName &task) const;
     int workersWithRoom(const Jobs::TaskName &task, const Jobs::StepSpec &step) const;
     bool isDisturbed() const;
     /// Checks that the runs on a worker, with those that are being stopped, don't request more than
@@ -262,6 +264,7 @@
     Jobs::FencingToken m_epoch = 0;
     std::int64_t m_term = -1;
     std::int64_t m_lastOwnerWriteMs = 0;
+    std::int64_t m_claimedAtMs = 0;
     bool m_isReleased = false;
     std::map<Jobs::TaskName, TaskHistory> m_history;
     /// Until when something was disturbed last.
--- a/include/LibJob/DecisionLog.h
+++ b/include/LibJob/DecisionLog.h
@@ -31,6 +31,14 @@
         note(task.text(), event, inputs);
     }
 
+    /// A long-running task has been away for a long time, for a reason that \p inputs names. These
+    /// lines are bounded, and tell what no other line does, so they should be kept when other lines
+    /// are left out.
+    virtual void noteInterruption(const TaskName &task, std::string_view inputs)
+    {
+        note(task.text(), "interrupted", inputs);
+    }
+
     /// An event in the life of a worker. These are rare and explain many decisions on tasks, so
     /// they should be kept when other lines are left out.
     virtual void noteWorker(std::string_view worker, std::string_view event,
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -14,6 +14,7 @@
 #include <LibJob/SilentWorkers.h>
 #include <LibJob/StartOrder.h>
 #include <LibJob/ThrottleController.h>
+#include <LibJob/WaitReason.h>
 #include <LibJob/WorkerChooser.h>
 #include <LibJob/WorkerReport.h>
 #include <LibJob/WorkerState.h>
@@ -24,6 +25,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -262,6 +264,19 @@
     /// Logs why no worker accepts a task that has waited a long time.
     void logWaitReason(const WaitingStep &waiting, const PlacementRequest &request,
                        const TimePoint &now);
+
+    // Interruptions of long-running tasks.
+    /// Logs why long-running tasks don't run that have been away for a long time, whatever they
+    /// wait for: one line for each step, about the task that has been away for the longest time.
+    void logInterruptions(const TimePoint &now);
+    /// Returns false if no task of the step has been away for long, or if that was logged recently.
+    bool logInterruption(OwnedJob &job, int occurrence, int step, const TimePoint &now);
+    WaitReason waitReason(OwnedJob &job, const TaskName &name, const TaskState &task,
+                          const TimePoint &now);
+    /// The reason and what it is based on, as `key=value` pairs.
+    std::string explainWait(const WaitingStep &waiting, const TaskState &task, int index,
+                            const TimePoint &now);
+
     void sendStart(OwnedJob &job, const TaskName &task, TaskRun &run, const TimePoint &now);
     /// Starts the planned runs of which all that must be durable is, unless their workers lack the
     /// capacity or have stopped answering by now.
@@ -443,6 +458,8 @@
     std::unordered_map<JobId, JobPtr> m_jobs;
     /// The jobs of m_jobs with scheduled occurrences.
     std::set<JobId> m_scheduled;
+    /// The jobs with long-running steps.
+    std::set<JobId> m_longRunning;
     /// Ended jobs by the Unix milliseconds of their end.
     std::multimap<std::int64_t, JobId> m_endedByTime;
     /// The IDs of the jobs in m_endedByTime: a repeated submission may be read before the record of
@@ -492,6 +509,7 @@
     std::int64_t m_looksBefore = 0;
     Core::Instant m_nextPassAt = {};
     Core::Instant m_nextCheckAt = {};
+    Core::Instant m_nextInterruptionCheckAt = {};
     Core::Instant m_nextThrottleUpdateAt = {};
     /// Position in m_listed of the worker whose throttles are reviewed next; behind the last one
     /// between two reviews of all.
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -29,6 +29,9 @@
     int waitingCount = 0;
     /// When the log last said why the step waits; the epoch if it never did.
     Core::Instant explainedAt = {};
+    /// When the log last said why long-running tasks of the step don't run; the epoch if it never
+    /// did.
+    Core::Instant interruptionLoggedAt = {};
 };
 
 /// A job on its owner: the durable progress and the current runs of its tasks.
@@ -42,6 +45,7 @@
     const JobProgress &progress() const { return m_progress; }
     const StepSpec &spec(int step) const;
     bool isOver() const { return m_progress.isFinal(); }
+    bool hasLongRunningSteps() const;
 
     /// Bound the occurrences of a job that have begun and haven't ended, and those of them of which
     /// tasks wait and none has a run. What a job costs its owner follows from these, however many
@@ -95,8 +99,8 @@
         return m_durableWorkers.contains(worker);
     }
     void addWorker(const Core::VmId &worker);
-    /// Nothing of the job can run on the worker any more. Only for a job with long-running tasks the
-    /// shorter list is worth a record of its own; others write it with their next new worker.
+    /// Nothing of the job can run on the worker any more. Only for a job with long-running tasks
+    /// the shorter list is worth a record of its own; others write it with their next new worker.
     void removeWorker(const Core::VmId &worker);
     /// Called when a commit records workers(): until it is durable, none that the list omits counts
     /// as durable.
--- a/include/LibJob/PlanningPass.h
+++ b/include/LibJob/PlanningPass.h
@@ -49,14 +49,11 @@
     bool isCoveredBy(const Demand &other) const;
 };
 
-/// True if a long-running task without a run was interrupted so long ago that it comes before all
-/// others.
-bool isOverdue(const TaskState &task, Core::Instant now);
-
 /// One pass over the waiting steps, which may take several calls of the scheduler.
 ///
 /// Steps come in the order of their ranks, except that overdue ones come first, those that have
-/// been interrupted for the longest time before others, and a few large jobs before the others of their priority, so that small jobs can't starve them.
+/// been interrupted for the longest time before others, and a few large jobs before the others of
+/// their priority, so that small jobs can't starve them.
 class PlanningPass
 {
 public:
--- a/include/LibSite/OwnerDecisionLog.h
+++ b/include/LibSite/OwnerDecisionLog.h
@@ -20,6 +20,7 @@
     void note(std::string_view subject, std::string_view event, std::string_view inputs) override;
     void noteJobGivenUp(const Jobs::TaskName &task, std::string_view event,
                         std::string_view inputs) override;
+    void noteInterruption(const Jobs::TaskName &task, std::string_view inputs) override;
     void noteWorker(std::string_view worker, std::string_view event,
                     std::string_view inputs) override;
     void noteStarted(const Jobs::QueueId &queue, int step, Core::Duration waited) override;
