--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -113,12 +113,12 @@
         return Unsuitability::NotRecorded;
     if (worker.avoidedUntil() > request.now)
         return Unsuitability::Avoided;
+    if (step.maxPerWorker > 0 && worker.runsOfStep(request.task) >= step.maxPerWorker)
+        return Unsuitability::TooManyOfStep;
     if (!fits(worker, step))
         return Unsuitability::NoRoom;
     if (m_reservation.isReservedForOther(request.task, worker))
         return Unsuitability::Reserved;
-    if (step.maxPerWorker > 0 && worker.runsOfStep(request.task) >= step.maxPerWorker)
-        return Unsuitability::TooManyOfStep;
     if (!isIsolated(worker, request))
         return Unsuitability::NotIsolated;
     if (step.isBestEffort && !request.mayExceedTargets && wouldExceedTarget(worker, request))
--- a/Tests/LibJob/TestWorkerChooser.cpp
+++ b/Tests/LibJob/TestWorkerChooser.cpp
@@ -211,3 +211,36 @@
         }
     });
 }
+
+TEST_CASE(
+    "A full worker that runs as many tasks of a step as it may isn't reserved for another one")
+{
+    const SlowdownModel slowdownModel;
+    const CapacityReservation reservation;
+    const CapacityIndex index;
+    const WorkerChooser chooser(slowdownModel, reservation, index);
+    WorkerInfo info;
+    info.id = Core::VmId("worker");
+    info.service = ServiceId("service");
+    info.capacity = { 4000, 8000, 0 };
+    WorkerState worker(info, SchedulerSettings(), 0);
+    worker.setReconciled(true);
+    worker.readClock(1, now);
+    StepSpec step;
+    step.need = { 2500, 100, 0 };
+    step.isLongRunning = true;
+    step.maxPerWorker = 1;
+    worker.addRun({ JobId("job"), 0, 0, 0 }, step, 0);
+    const OwnedJob job { JobEntry() };
+    const std::set<Core::FailureDomainId> outOfService;
+    PlacementRequest request;
+    request.job = &job;
+    request.step = &step;
+    request.task = { JobId("job"), 0, 0, 1 };
+    request.service = info.service;
+    request.outOfService = &outOfService;
+    request.now = now;
+    request.provenAt = now;
+
+    CHECK(chooser.unsuitableFor(Unsuitability::NoRoom, { &worker }, request).empty());
+}
--- a/include/LibJob/Unsuitability.h
+++ b/include/LibJob/Unsuitability.h
@@ -18,12 +18,12 @@
     NotRecorded,
     /// The worker recently failed a task, or rejected or didn't answer a start.
     Avoided,
-    /// The worker lacks the free capacity.
+    /// The worker runs the maximum number of the step's tasks.
+    TooManyOfStep,
+    /// The worker lacks the free capacity. All reasons before this one would remain if it had it.
     NoRoom,
     /// The worker's capacity is reserved for another task; see CapacityReservation.
     Reserved,
-    /// The worker runs the maximum number of the step's tasks.
-    TooManyOfStep,
     /// Another run on the worker could be the cause if the task crashed it, or the other way round.
     NotIsolated,
     /// The task would push a serving task on the worker above its target.
