LibJob: Ask an idle worker before a long-running task starts there

Cause: a worker without runs isn't renewed, so nobody notices that it has crashed. The start that it didn't answer kept the task away for another second, and then for the lease that it might have been granted: 7.3 s, after the 4.6 s that the loss of its former worker had taken.

Ruled out: reservations, suspects, the former owner (the line says run-in-doubt, and the worker had been silent for 26 s).

Change: a long-running task prefers workers that were heard from within 2 s. If there is none, the chosen one is asked for a report first, and the task starts with the answer; without one, another worker is chosen.

Three tests with workers that answer only when told let them answer before the task is submitted; what they check is unchanged.

--- a/Libraries/LibJob/JobSchedulerCrashes.cpp
+++ b/Libraries/LibJob/JobSchedulerCrashes.cpp
@@ -413,6 +413,8 @@
         logWaitReason(waiting, request, now);
         return;
     }
+    if (askIfUnheard(request, *worker))
+        return;
     m_planningWork += workPerTask;
     addRun(job, request.task, *worker, run, RunPhase::Planned, now);
     isolateRun(job, request.task);
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -109,9 +109,11 @@
     const Core::Duration unwatched = worker->lastAnswerAt() == Core::Instant()
         ? Core::Duration()
         : std::max(Core::Duration(), sentAt - worker->lastAnswerAt());
+    const bool wasAsked = worker->isAsked();
     worker->noteAnswer(now.instant);
     const bool isComplete = report.ended.size() < WorkerReport::maxEnds;
     const bool wasReconciled = worker->isReconciled() && !hasRestarted;
+    m_needsPass |= wasAsked;
     if (isComplete && !wasReconciled)
         m_needsPass = true;
     // If the report is full, runs that a former owner started may be among the ended runs of the
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -302,8 +302,9 @@
             planSuspect(waiting, index, nextRunNumber(step.tasks[i]), now);
             continue;
         }
-        if (!planTask(waiting, index, nextRunNumber(step.tasks[i]), now))
-            return false;
+        const TaskPlan plan = planTask(waiting, index, nextRunNumber(step.tasks[i]), now);
+        if (plan != TaskPlan::Planned)
+            return plan == TaskPlan::WorkerAsked;
     }
     return true;
 }
@@ -334,7 +335,7 @@
     for (TaskState &task : step.tasks)
         task.checkpoint = checkpoint;
     for (int index = 0; index < size; ++index) {
-        if (planTask(waiting, index, run, now))
+        if (planTask(waiting, index, run, now) == TaskPlan::Planned)
             continue;
         for (int planned = 0; planned < index; ++planned)
             removeRun(job, { job.id(), waiting.occurrence, waiting.step, planned });
@@ -371,8 +372,16 @@
     return request;
 }
 
-bool JobScheduler::planTask(const WaitingStep &waiting, int index, std::int64_t run,
-                            const TimePoint &now)
+bool JobScheduler::askIfUnheard(const PlacementRequest &request, WorkerState &worker)
+{
+    if (!WorkerChooser::isUnheard(worker, request))
+        return false;
+    worker.ask(request.now);
+    return true;
+}
+
+JobScheduler::TaskPlan JobScheduler::planTask(const WaitingStep &waiting, int index,
+                                              std::int64_t run, const TimePoint &now)
 {
     OwnedJob &job = *waiting.job;
     const TaskName name { job.id(), waiting.occurrence, waiting.step, index };
@@ -384,18 +393,20 @@
                 name, request.step->need,
                 m_chooser.unsuitableFor(Unsuitability::NoRoom, m_listed, request));
         logWaitReason(waiting, request, now);
-        return false;
+        return TaskPlan::NoWorker;
     }
+    if (askIfUnheard(request, *worker))
+        return TaskPlan::WorkerAsked;
     m_planningWork += workPerTask;
     addRun(job, name, *worker, run, RunPhase::Planned, now);
     // Workers of a gang are recorded by planGang() once all members are placed.
     if (request.step->isGang)
-        return true;
+        return TaskPlan::Planned;
     job.addWorker(worker->info().id);
     markDirty(job);
     if (job.isDurableWorker(worker->info().id))
         sendStart(job, name, *job.findTask(name)->run, now);
-    return true;
+    return TaskPlan::Planned;
 }
 
 void JobScheduler::logWaitReason(const WaitingStep &waiting, const PlacementRequest &request,
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -22,6 +22,9 @@
 /// A worker that has come only just, or come back, may crash for a reason of its own.
 static constexpr Core::Duration newWorkerTime = std::chrono::seconds(10);
 static constexpr double previousFailureCost = 10'000'000;
+static constexpr double unheardCost = 20'000'000;
+/// Longer than the interval between reports of a worker that runs tasks.
+static constexpr Core::Duration maxUnheard = std::chrono::milliseconds(2000);
 
 const ServingForecast &WorkerChooser::forecast(WorkerState &worker) const
 {
@@ -133,6 +136,12 @@
     return isAlone ? 0 : otherImagesCost;
 }
 
+bool WorkerChooser::isUnheard(const WorkerState &worker, const PlacementRequest &request)
+{
+    return request.step->isLongRunning && !request.step->isGang
+        && request.now > worker.lastAnswerAt() + maxUnheard;
+}
+
 double WorkerChooser::cost(WorkerState &worker, const PlacementRequest &request) const
 {
     const StepSpec &step = *request.step;
@@ -148,6 +157,8 @@
         cost += interferenceCost;
     if (worker.info().id == request.failedOn)
         cost += previousFailureCost;
+    if (isUnheard(worker, request))
+        cost += unheardCost;
     return cost;
 }
 
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -57,6 +57,12 @@
     notifyRenewalObserver();
 }
 
+void WorkerState::ask(Core::Instant now)
+{
+    m_isAsked = true;
+    renewBy(now);
+}
+
 void WorkerState::noteSurvivedStart(const TaskName &task)
 {
     m_startingRuns.erase(task);
@@ -192,6 +198,7 @@
 void WorkerState::noteAnswer(Core::Instant now)
 {
     m_lastAnswerAt = now;
+    m_isAsked = false;
     m_isUnresponsive = false;
     m_unresponsiveSince = {};
     m_replacedAt = {};
@@ -252,7 +259,7 @@
     // An unresponsive worker without runs is asked until it answers; otherwise it would never be
     // given a task again.
     return !m_runs.empty() || m_unwantedUse.runs > 0
-        || (m_isListed && (!m_isReconciled || m_isUnresponsive || m_isWitness));
+        || (m_isListed && (!m_isReconciled || m_isUnresponsive || m_isWitness || m_isAsked));
 }
 
 void WorkerState::notifyCapacityObserver()
--- a/Tests/LibJob/TestBestEffort.cpp
+++ b/Tests/LibJob/TestBestEffort.cpp
@@ -211,6 +211,8 @@
     servingStep.isLongRunning = true;
     servingStep.image = "serving";
     servingStep.tailTargetMs = 20;
+    site.report(SchedulerFixture::first, {});
+    site.report(SchedulerFixture::second, {});
     site.submit(servingStep, "serving");
     site.runForTwoSeconds();
     site.reportAll(5);
--- a/Tests/LibJob/TestWaiting.cpp
+++ b/Tests/LibJob/TestWaiting.cpp
@@ -73,6 +73,8 @@
     serving.maxPerWorker = 1;
     serving.tailTargetMs = 20;
     serving.image = "serving";
+    site.report(SchedulerFixture::first, {});
+    site.report(SchedulerFixture::second, {});
     site.submit(serving, "serving");
     REQUIRE(site.runForTwoSeconds().size() == 2);
     site.reportAll(5);
@@ -103,6 +105,8 @@
     site.runForTwoSeconds();
     StepSpec step = SchedulerFixture::step(2, 3000);
     step.isLongRunning = true;
+    site.report(SchedulerFixture::first, {});
+    site.report(SchedulerFixture::second, {});
     site.submit(step);
     REQUIRE(site.runForTwoSeconds().size() == 2);
 
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -259,7 +259,17 @@
     /// Returns false if a task of the step could not be placed, or if a gang isn't ready to start.
     bool planStep(const WaitingStep &waiting, const TimePoint &now);
     bool planGang(const WaitingStep &waiting, const TimePoint &now);
-    bool planTask(const WaitingStep &waiting, int index, std::int64_t run, const TimePoint &now);
+    enum class TaskPlan {
+        Planned,
+        /// No worker accepts the task now.
+        NoWorker,
+        /// The worker that would take the task is asked first whether it is still there.
+        WorkerAsked,
+    };
+    TaskPlan planTask(const WaitingStep &waiting, int index, std::int64_t run,
+                      const TimePoint &now);
+    /// Asks the worker for a report, and returns true, if WorkerChooser::isUnheard().
+    static bool askIfUnheard(const PlacementRequest &request, WorkerState &worker);
     PlacementRequest placementRequest(const WaitingStep &waiting, int index, const TimePoint &now);
     /// Logs why no worker accepts a task that has waited a long time.
     void logWaitReason(const WaitingStep &waiting, const PlacementRequest &request,
--- a/include/LibJob/WorkerChooser.h
+++ b/include/LibJob/WorkerChooser.h
@@ -59,6 +59,10 @@
     /// null if no worker is suitable.
     WorkerState *choose(const PlacementRequest &request) const;
     Unsuitability unsuitability(WorkerState &worker, const PlacementRequest &request) const;
+    /// True if nothing has been heard from the worker for so long that it must be asked before a
+    /// long-running task starts there: an unanswered start keeps the task away until the lease has
+    /// ended that the start would have been granted.
+    static bool isUnheard(const WorkerState &worker, const PlacementRequest &request);
     /// Cost of the task on a suitable worker: the base cost by which CapacityIndex orders the
     /// workers, and additions that aren't negative.
     double cost(WorkerState &worker, const PlacementRequest &request) const;
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -102,6 +102,10 @@
     /// isolated run, that run isn't the cause.
     void setWitness(bool isWitness);
     bool isWitness() const { return m_isWitness; }
+    /// Requests a report, although the worker may have no runs: an idle worker that has crashed
+    /// wouldn't be noticed otherwise before a start that it doesn't answer.
+    void ask(Core::Instant now);
+    bool isAsked() const { return m_isAsked; }
     int bestEffortCount() const { return m_bestEffortCount; }
     int servingCount() const { return m_servingCount; }
     /// Capacity that isn't requested; negative where the capacity has shrunk below what is.
@@ -262,6 +266,8 @@
     TaskNames m_isolatedRuns;
     Core::Instant m_keptForSuspectUntil = {};
     bool m_isWitness = false;
+    /// Set by ask() until the worker has answered.
+    bool m_isAsked = false;
     Core::Resources m_used;
     /// The part of m_used that long-running tasks request.
     Core::Resources m_usedByLongRunning;
