LibSite: Answer look-ups from the records that a node has read so far

Cause: a node applied the newest records only once it had read all of them, and a look-up without an entry waited for the whole log, though the progress of a job, which tells its state, is among the first pages: keys come as c/, p/, s/, w/.

Ruled out: that the answer could change: the state of a job that has ended is final; a cancellation alone says nothing, since the job may have ended before.

Change: a node that has no complete copy to keep applies each page as it arrives, and a look-up, a repeated submission or a cancellation waits only until the records tell of the job. That there is no such job, and counts, still need the whole log, and so do the claim of ownership and readiness for it.

--- a/Libraries/LibJob/JobTable.cpp
+++ b/Libraries/LibJob/JobTable.cpp
@@ -62,6 +62,16 @@
     return found == m_jobs.end() ? nullptr : &found->second;
 }
 
+std::optional<JobState> JobTable::findState(const JobId &id) const
+{
+    const JobEntry *entry = find(id);
+    if (entry)
+        return entry->state();
+    const auto found = m_withoutSubmission.find(id);
+    const bool isKnown = found != m_withoutSubmission.end() && found->second.progress;
+    return isKnown ? std::optional(found->second.state()) : std::nullopt;
+}
+
 std::int64_t JobTable::waitingCount(const QueueId &queue) const
 {
     std::int64_t count = 0;
--- a/Libraries/LibSite/JobFollower.cpp
+++ b/Libraries/LibSite/JobFollower.cpp
@@ -41,6 +41,9 @@
         onReadAnswered();
         if (isAtEnd)
             onReadToEnd(sentAt);
+        // The page may tell the state that a caller waits for.
+        else if (!m_state.tableFreshness.wasEverComplete())
+            wakeWaiters();
         co_return isAtEnd ? ReadResult::AtEnd : ReadResult::Behind;
     } catch (const HistoryLostError &error) {
         LOG4CXX_INFO(partLogger, "event=history-lost reason=\"" << error.what() << '"');
@@ -159,20 +162,37 @@
     asio::co_spawn(m_executor, readDuringPoll(), asio::detached);
 }
 
-asio::awaitable<bool> JobFollower::refresh(Core::Instant deadline)
+asio::awaitable<void> JobFollower::readUntil(std::function<bool()> isEnough, Core::Instant deadline)
 {
     const Core::Instant arrived = Core::steadyNow();
-    const Core::Instant wanted = Core::suspendAwareNow();
     Supervision::Wakeup wakeup(m_executor);
     m_waiters.insert(&wakeup);
-    while (!isCompleteAsOf(wanted) && m_lastReadBeganAt < arrived && Core::steadyNow() < deadline) {
+    while (!isEnough() && m_lastReadBeganAt < arrived && Core::steadyNow() < deadline) {
         requestRead();
         co_await wakeup.sleepUntil(deadline);
     }
     m_waiters.erase(&wakeup);
+}
+
+asio::awaitable<bool> JobFollower::refresh(Core::Instant deadline)
+{
+    const Core::Instant wanted = Core::suspendAwareNow();
+    std::function<bool()> isEnough = [this, wanted] { return isCompleteAsOf(wanted); };
+    co_await readUntil(std::move(isEnough), deadline);
     co_return isCompleteAsOf(wanted);
 }
 
+asio::awaitable<bool> JobFollower::awaitState(const Jobs::JobId &job, Core::Instant deadline)
+{
+    const Core::Instant wanted = Core::suspendAwareNow();
+    const auto isTold = [this, job, wanted] {
+        return m_state.table.findState(job).has_value() || isCompleteAsOf(wanted);
+    };
+    std::function<bool()> isEnough = isTold;
+    co_await readUntil(std::move(isEnough), deadline);
+    co_return isTold();
+}
+
 void JobFollower::beginSnapshot()
 {
     m_isInSnapshot = true;
--- a/Libraries/LibSite/JobRequestService.cpp
+++ b/Libraries/LibSite/JobRequestService.cpp
@@ -52,7 +52,7 @@
                                                          Core::Instant deadline)
 {
     const Jobs::JobId id = submission.id;
-    if (m_state.table.find(id)) {
+    if (isKnown(id)) {
         LOG4CXX_INFO(partLogger, "event=submit job=" << id << " outcome=known");
         co_return SubmitOutcome::Accepted;
     }
@@ -82,10 +82,10 @@
 
 asio::awaitable<CancelOutcome> JobRequestService::cancel(Jobs::JobId id, Core::Instant deadline)
 {
-    if (!m_state.table.find(id)) {
-        const bool isFresh = co_await m_follower.refresh(readDeadline(deadline));
-        if (!m_state.table.find(id))
-            co_return isFresh ? CancelOutcome::NoSuchJob : CancelOutcome::Refused;
+    if (!isKnown(id)) {
+        const bool isRead = co_await m_follower.awaitState(id, readDeadline(deadline));
+        if (!isKnown(id))
+            co_return isRead ? CancelOutcome::NoSuchJob : CancelOutcome::Refused;
     }
     const Jobs::Cancellation cancellation { id };
     Jobs::StoredRecord record = Jobs::encodeRecord(cancellation).front();
@@ -99,27 +99,24 @@
 
 asio::awaitable<JobLookup> JobRequestService::find(Jobs::JobId id, Core::Instant deadline)
 {
-    JobLookup lookup;
-    const Jobs::JobEntry *entry = m_state.table.find(id);
-    // The owner's table is the most recent one, and the state of a finished job is final.
+    std::optional<Jobs::JobState> state = m_state.table.findState(id);
+    // The owner's table is the most recent one.
     const bool isOwnerAndCurrent
         = m_state.owner && m_state.tableFreshness.isCurrent(Core::suspendAwareNow());
-    const bool isAuthoritative = entry && (entry->isOver() || isOwnerAndCurrent);
+    const bool isAuthoritative = state && (Jobs::isFinal(*state) || isOwnerAndCurrent);
     bool isFresh = true;
-    if (!isAuthoritative) {
-        isFresh = co_await m_follower.refresh(entry ? refreshDeadline(deadline)
-                                                    : readDeadline(deadline));
-        entry = m_state.table.find(id);
-    }
-    if (entry)
-        lookup = { FindOutcome::Found, entry->state() };
-    if (entry)
-        co_return lookup;
+    if (!isAuthoritative && state)
+        isFresh = co_await m_follower.refresh(refreshDeadline(deadline));
+    else if (!isAuthoritative)
+        isFresh = co_await m_follower.awaitState(id, readDeadline(deadline));
+    state = m_state.table.findState(id);
+    if (state)
+        co_return JobLookup { FindOutcome::Found, *state };
     LOG4CXX_INFO(partLogger,
                  "event=find job=" << id
                                    << " outcome=" << (isFresh ? "no-such-job" : "unavailable"));
-    lookup.outcome = isFresh ? FindOutcome::NoSuchJob : FindOutcome::Unavailable;
-    co_return lookup;
+    co_return JobLookup { isFresh ? FindOutcome::NoSuchJob : FindOutcome::Unavailable,
+                          Jobs::JobState::Queued };
 }
 
 asio::awaitable<WaitingCount> JobRequestService::countWaiting(Jobs::QueueId queue,
--- a/Libraries/LibSite/LogFollower.cpp
+++ b/Libraries/LibSite/LogFollower.cpp
@@ -4,6 +4,7 @@
 #include <LibLog/Logging.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Site {
@@ -28,25 +29,44 @@
 {
     NewestRecordsPage page
         = co_await m_log.readNewest(m_topic, m_afterKey, Core::steadyNow() + answerTimeout);
-    // Records that are appended while the pages are read are read again, from the end of the log as
-    // of the first page.
     if (m_endAtSnapshotStart < 0)
-        m_endAtSnapshotStart = page.end;
+        beginSnapshot(page.end);
     const bool isLast = !page.hasMore || (page.records.empty() && page.skippedKey.empty());
     if (!page.skippedKey.empty())
         m_afterKey = page.skippedKey;
     else if (!page.records.empty())
         m_afterKey = page.records.back().record.key;
-    for (LoggedRecord &record : page.records)
-        m_snapshot.push_back(std::move(record));
-    m_snapshotSize = m_snapshot.size();
+    takeSnapshotRecords(std::move(page.records));
     if (isLast)
-        applySnapshot();
+        endSnapshot();
+}
+
+void LogFollower::beginSnapshot(std::int64_t end)
+{
+    // Records that are appended while the pages are read are read again, from the end of the log as
+    // of the first page.
+    m_endAtSnapshotStart = end;
+    m_snapshotSize = 0;
+    m_appliesPages = !m_sink.mustKeepFormerCopy();
+    if (m_appliesPages)
+        m_sink.beginSnapshot();
+}
+
+void LogFollower::takeSnapshotRecords(std::vector<LoggedRecord> records)
+{
+    m_snapshotSize += records.size();
+    if (!m_appliesPages) {
+        std::move(records.begin(), records.end(), std::back_inserter(m_snapshot));
+        return;
+    }
+    for (const LoggedRecord &record : records)
+        m_sink.apply(record);
 }
 
-void LogFollower::applySnapshot()
+void LogFollower::endSnapshot()
 {
-    m_sink.beginSnapshot();
+    if (!m_appliesPages)
+        m_sink.beginSnapshot();
     for (const LoggedRecord &record : m_snapshot)
         m_sink.apply(record);
     m_sink.endSnapshot();
--- a/Tests/LibSite/TestSlowReads.cpp
+++ b/Tests/LibSite/TestSlowReads.cpp
@@ -148,3 +148,50 @@
           == CancelOutcome::Refused);
     CHECK(Core::steadyNow() - began < milliseconds(1000));
 }
+
+TEST_CASE("A restarted node answers look-ups from the records that it has read so far")
+{
+    SiteFixture site;
+    TestNode &node = site.addNode("one#1");
+    site.run(50);
+    acceptJobs(site, node, 30);
+    Jobs::ProgressRecord progress;
+    progress.id = Jobs::JobId("j5");
+    progress.progress.state = Jobs::JobState::Completed;
+    progress.progress.endedUnixMs = 1;
+    site.log.put(Topic::Jobs, Jobs::encodeRecord(progress).front());
+    site.log.put(Topic::Jobs, Jobs::encodeRecord(Jobs::Cancellation { Jobs::JobId("j5") }).front());
+    site.log.put(Topic::Jobs, Jobs::encodeRecord(Jobs::Cancellation { Jobs::JobId("j6") }).front());
+    // All records take longer than a caller waits.
+    site.log.pageMs = 200;
+    TestNode &restarted = site.addNode("two#2");
+    const auto find = [&](const char *id) {
+        return site.await(restarted.jobRequests.find(Jobs::JobId(id), site.deadlineIn(1500)));
+    };
+
+    SECTION("that a job has ended, though its submission comes last")
+    {
+        CHECK(find("j5") == JobLookup { FindOutcome::Found, Jobs::JobState::Completed });
+        CHECK_FALSE(restarted.state.tableFreshness.wasEverComplete());
+    }
+    SECTION("that a job waits")
+    {
+        CHECK(find("j0") == JobLookup { FindOutcome::Found, Jobs::JobState::Queued });
+        CHECK_FALSE(restarted.state.tableFreshness.wasEverComplete());
+    }
+    SECTION("but not that a job was cancelled while it may have ended before")
+    {
+        site.run(500);
+        CHECK_FALSE(restarted.state.table.findState(Jobs::JobId("j6")));
+    }
+    SECTION("but not that there is no such job")
+    {
+        CHECK(find("unknown").outcome == FindOutcome::Unavailable);
+    }
+    SECTION("and counts no jobs")
+    {
+        site.run(1500);
+        CHECK(site.countWaiting(restarted).outcome == CountOutcome::Unavailable);
+    }
+    site.context.stop();
+}
--- a/include/LibJob/JobProgress.h
+++ b/include/LibJob/JobProgress.h
@@ -21,6 +21,12 @@
     Cancelled,
 };
 
+/// True if the job has ended, so that its state won't change any more.
+constexpr bool isFinal(JobState state)
+{
+    return state != JobState::Queued && state != JobState::Running;
+}
+
 /// Returns `queued`, `running`, `completed`, `failed` or `cancelled`.
 const char *jobStateText(JobState state);
 
@@ -61,7 +67,7 @@
     /// When the job ended, in Unix milliseconds; 0 before that.
     std::int64_t endedUnixMs = 0;
 
-    bool isFinal() const { return state != JobState::Running && state != JobState::Queued; }
+    bool isFinal() const { return Jobs::isFinal(state); }
 
     bool operator==(const JobProgress &) const = default;
 };
--- a/include/LibJob/JobTable.h
+++ b/include/LibJob/JobTable.h
@@ -37,6 +37,10 @@
     /// Returns null if no submission of the job has been read. The pointer is valid until the job
     /// is deleted or the table is cleared.
     const JobEntry *find(const JobId &id) const;
+    /// The state according to the records that have been read. Needs the submission or progress of
+    /// the job: a cancellation alone doesn't tell whether the job had ended before. Returns nothing
+    /// if neither has been read.
+    std::optional<JobState> findState(const JobId &id) const;
     const std::unordered_map<JobId, JobEntry> &jobs() const { return m_jobs; }
     /// Returns how many jobs of \p queue are still queued. Scheduled jobs don't count.
     std::int64_t waitingCount(const QueueId &queue) const;
--- a/include/LibSite/JobFollower.h
+++ b/include/LibSite/JobFollower.h
@@ -9,6 +9,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <utility>
 
@@ -28,6 +29,10 @@
     /// Reads up to the end that the log has when this is called. Concurrent calls share reads.
     /// Returns false if the read failed or didn't end by \p deadline (steady clock).
     boost::asio::awaitable<bool> refresh(Core::Instant deadline);
+    /// Reads until the records tell the state of the job, or up to the end that the log has when
+    /// this is called. Returns false if neither was reached by \p deadline (steady clock), or if
+    /// the read failed.
+    boost::asio::awaitable<bool> awaitState(const Jobs::JobId &job, Core::Instant deadline);
     std::int64_t nextOffset() const { return m_follower.nextOffset(); }
     /// Makes `run()` skip its pause before the next read. The minimum interval between reads still
     /// applies, and after a failed read the retry delay.
@@ -41,6 +46,7 @@
     void forgetSent() { m_sentProgress.clear(); }
 
 private:
+    bool mustKeepFormerCopy() const override { return m_state.tableFreshness.wasEverComplete(); }
     void beginSnapshot() override;
     void endSnapshot() override;
     void apply(const LoggedRecord &record) override;
@@ -58,6 +64,9 @@
     void onReadToEnd(Core::Instant sentAt);
     void requestRead();
     bool isCompleteAsOf(Core::Instant instant) const;
+    /// Reads until \p isEnough returns true, a read that begins from now on has ended, or the
+    /// deadline has passed.
+    boost::asio::awaitable<void> readUntil(std::function<bool()> isEnough, Core::Instant deadline);
     void wakeWaiters();
     boost::asio::awaitable<void> readDuringPoll();
     void onReadAnswered();
--- a/include/LibSite/JobRequestService.h
+++ b/include/LibSite/JobRequestService.h
@@ -66,8 +66,8 @@
 public:
     JobRequestService(SiteState &state, JobFollower &follower, RecordWriter &writer);
 
-    /// True if this node's copy of the job records contains the job.
-    bool isKnown(const Jobs::JobId &id) const { return m_state.table.find(id) != nullptr; }
+    /// True if this node's copy of the job records, which may be incomplete, tells of the job.
+    bool isKnown(const Jobs::JobId &id) const { return m_state.table.findState(id).has_value(); }
     boost::asio::awaitable<SubmitOutcome> submit(Jobs::Submission submission,
                                                  Core::Instant deadline);
     boost::asio::awaitable<CancelOutcome> cancel(Jobs::JobId id, Core::Instant deadline);
--- a/include/LibSite/LogFollower.h
+++ b/include/LibSite/LogFollower.h
@@ -18,8 +18,11 @@
     RecordSink &operator=(const RecordSink &) = delete;
     virtual ~RecordSink() = default;
 
+    /// True if what the sink holds must stay until a new snapshot is complete. Otherwise it gets
+    /// the records of a snapshot page by page, as they arrive.
+    virtual bool mustKeepFormerCopy() const { return true; }
     /// The newest record of every key follows, up to `endSnapshot()`. Keys that aren't among them
-    /// no longer exist.
+    /// no longer exist. Called again without `endSnapshot()` if a snapshot had to be given up.
     virtual void beginSnapshot() = 0;
     virtual void endSnapshot() = 0;
     virtual void apply(const LoggedRecord &record) = 0;
@@ -49,8 +52,11 @@
 
 private:
     boost::asio::awaitable<void> readSnapshotPage();
+    void beginSnapshot(std::int64_t end);
+    /// Applies the records, or keeps them until the snapshot is complete.
+    void takeSnapshotRecords(std::vector<LoggedRecord> records);
     boost::asio::awaitable<LogPage> readPage(std::int64_t waitMs);
-    void applySnapshot();
+    void endSnapshot();
     void applyPage(const LogPage &page);
     void discardSnapshot();
     /// Logs, at most once a second, a read that took long or ended before the end of the log.
@@ -61,8 +67,11 @@
     RecordSink &m_sink;
     std::int64_t m_nextOffset = 0;
     bool m_hasSnapshot = false;
-    /// Records of the unfinished snapshot, up to the key `m_afterKey`.
+    /// The records of the unfinished snapshot are applied as they arrive.
+    bool m_appliesPages = false;
+    /// Records of the unfinished snapshot that haven't been applied.
     std::vector<LoggedRecord> m_snapshot;
+    /// The last key of the unfinished snapshot that was read.
     std::string m_afterKey;
     /// The log's end offset as of the snapshot's first page; -1 before that page.
     std::int64_t m_endAtSnapshotStart = -1;
