--- a/Libraries/LibSite/LogFollower.cpp
+++ b/Libraries/LibSite/LogFollower.cpp
@@ -13,6 +13,10 @@
 
 /// Time within which an answer must begin, on top of the time that the store may wait for a record.
 static constexpr Core::Duration answerTimeout = std::chrono::milliseconds(900);
+/// For a page of a snapshot it doubles with each attempt without an answer, up to this often: many
+/// nodes may read their snapshots at the same time, and pages that are given up and sent again are
+/// what a slow store is busy with.
+static constexpr int maxDoublings = 3;
 /// A read is logged as slow if it takes longer, on top of the time that the store may wait.
 static constexpr Core::Duration slowReadTime = std::chrono::milliseconds(300);
 static constexpr Core::Duration slowReadLogInterval = std::chrono::seconds(1);
@@ -25,10 +29,23 @@
 {
 }
 
+asio::awaitable<NewestRecordsPage> LogFollower::readNewestPage()
+{
+    const int doublings = std::min(m_unansweredPages, maxDoublings);
+    const Core::Instant deadline = Core::steadyNow() + answerTimeout * (1 << doublings);
+    try {
+        NewestRecordsPage page = co_await m_log.readNewest(m_topic, m_afterKey, deadline);
+        m_unansweredPages = 0;
+        co_return page;
+    } catch (const Core::OutcomeUnknownError &) {
+        ++m_unansweredPages;
+        throw;
+    }
+}
+
 asio::awaitable<void> LogFollower::readSnapshotPage()
 {
-    NewestRecordsPage page
-        = co_await m_log.readNewest(m_topic, m_afterKey, Core::steadyNow() + answerTimeout);
+    NewestRecordsPage page = co_await readNewestPage();
     if (m_endAtSnapshotStart < 0)
         beginSnapshot(page.end);
     const bool isLast = !page.hasMore || (page.records.empty() && page.skippedKey.empty());
--- a/Tests/LibSite/TestSlowReads.cpp
+++ b/Tests/LibSite/TestSlowReads.cpp
@@ -195,3 +195,17 @@
     }
     site.context.stop();
 }
+
+TEST_CASE("A node catches up though the store takes longer for a page than a node waits at first")
+{
+    SiteFixture site;
+    TestNode &node = site.addNode("one#1");
+    site.run(50);
+    acceptJobs(site, node, 2);
+    site.log.pageMs = 1200;
+    TestNode &restarted = site.addNode("two#2");
+    site.run(3500);
+
+    CHECK(restarted.state.tableFreshness.wasEverComplete());
+    site.context.stop();
+}
--- a/include/LibSite/LogFollower.h
+++ b/include/LibSite/LogFollower.h
@@ -51,6 +51,7 @@
     std::int64_t nextOffset() const { return m_nextOffset; }
 
 private:
+    boost::asio::awaitable<NewestRecordsPage> readNewestPage();
     boost::asio::awaitable<void> readSnapshotPage();
     void beginSnapshot(std::int64_t end);
     /// Applies the records, or keeps them until the snapshot is complete.
@@ -76,6 +77,8 @@
     /// The log's end offset as of the snapshot's first page; -1 before that page.
     std::int64_t m_endAtSnapshotStart = -1;
     std::size_t m_snapshotSize = 0;
+    /// Attempts in a row to read a page of the snapshot to which no answer began in time.
+    int m_unansweredPages = 0;
     Core::Instant m_nextSlowReadLogAt = {};
     /// Slow reads since the last line about one.
     int m_unloggedSlowReads = 0;
