Tests: Let run-costs and TestCallCosts share their counted calls

Change: CountedCalls in Tests/platform serves both and counts the calls that succeeded; run-costs fails if one hasn't.

--- a/Benchmarks/run-costs/main.cpp
+++ b/Benchmarks/run-costs/main.cpp
@@ -6,27 +6,25 @@
 
 #include <valgrind/callgrind.h>
 
-#include <functional>
 #include <iostream>
+#include <stdexcept>
 #include <string>
 
-static void count(std::size_t times, const std::function<void(std::size_t)> &part)
-{
-    CALLGRIND_START_INSTRUMENTATION;
-    for (std::size_t i = 0; i < times; ++i)
-        part(i);
-    CALLGRIND_STOP_INSTRUMENTATION;
-    std::cout << times << '\n';
-}
-
-static void countCalls(void (CountedCalls::*call)(std::size_t))
+static void countCalls(std::size_t (CountedCalls::*call)(std::size_t))
 {
     constexpr std::size_t calls = 400;
-    CountedCalls site;
     // The first calls open the connections, and learn which process answers on them.
-    for (std::size_t i = 0; i < 2 * CountedCalls::workers; ++i)
+    constexpr std::size_t callsBefore = 2 * CountedCalls::workers;
+    CountedCalls site;
+    for (std::size_t i = 0; i < callsBefore; ++i)
         (site.*call)(i % CountedCalls::workers);
-    count(calls, [&site, call](std::size_t i) { (site.*call)(i % CountedCalls::workers); });
+    CALLGRIND_START_INSTRUMENTATION;
+    for (std::size_t i = 0; i < calls; ++i)
+        (site.*call)(i % CountedCalls::workers);
+    CALLGRIND_STOP_INSTRUMENTATION;
+    if (site.succeeded() != callsBefore + calls)
+        throw std::runtime_error("a call has failed");
+    std::cout << calls << '\n';
 }
 
 /// What comes in on a large site, in virtual time: all decisions on its runs, from the submissions
--- a/Benchmarks/run-costs/CountedCalls.cpp
+++ b/Tests/platform/CountedCalls.cpp
@@ -36,43 +36,45 @@
     m_workersThread.join();
 }
 
-void CountedCalls::finishCall()
+std::size_t CountedCalls::finishCall()
 {
+    m_isDone = false;
+    std::size_t handlers = 0;
     while (!m_isDone)
-        m_context.run_one();
-    m_context.poll();
+        handlers += m_context.run_one();
+    return handlers + m_context.poll();
+}
+
+void CountedCalls::noteAnswer(bool isExpected)
+{
+    m_succeeded += isExpected ? 1 : 0;
+    m_isDone = true;
 }
 
-void CountedCalls::start(std::size_t worker)
+std::size_t CountedCalls::start(std::size_t worker)
 {
     Jobs::StartCommand command;
     command.worker = Core::VmId("i-0123456789");
     command.address = m_workers.address(worker);
     command.task = { Jobs::JobId("0123456789abcdef"), 0, 0, 17 };
     command.payload = std::string(64, 'a');
-    m_isDone = false;
     asio::co_spawn(m_context, m_client.start(std::move(command), Core::steadyNow() + callTime),
                    [this](const std::exception_ptr &failure, Jobs::StartOutcome outcome) {
-                       if (failure || outcome != Jobs::StartOutcome::Started)
-                           std::terminate();
-                       m_isDone = true;
+                       noteAnswer(!failure && outcome == Jobs::StartOutcome::Started);
                    });
-    finishCall();
+    return finishCall();
 }
 
-void CountedCalls::renew(std::size_t worker)
+std::size_t CountedCalls::renew(std::size_t worker)
 {
     Jobs::RenewCommand command;
     command.worker = Core::VmId("i-0123456789");
     command.address = m_workers.address(worker);
     command.processStartUnixMs = 1;
     command.acknowledgedEnd = 1;
-    m_isDone = false;
     asio::co_spawn(m_context, m_client.renew(std::move(command), Core::steadyNow() + callTime),
                    [this](const std::exception_ptr &failure, const Jobs::WorkerReport &report) {
-                       if (failure || report.ended.empty())
-                           std::terminate();
-                       m_isDone = true;
+                       noteAnswer(!failure && report.ended.size() == 1);
                    });
-    finishCall();
+    return finishCall();
 }
--- a/include/LibSite/LoopMeter.h
+++ b/include/LibSite/LoopMeter.h
@@ -6,7 +6,7 @@
 
 namespace Site {
 
-/// What delayed the owner's event loop during some interval.
+/// What the owner's event loop did during some interval, and what delayed it.
 struct LoopSummary
 {
     /// The longest time by which a timer fired late.
@@ -17,7 +17,7 @@
     std::string_view longestWorkName = "none";
     /// The longest time without an answer to a successful append.
     Core::Duration appendGap = {};
-    /// Starts that have been sent and reports that have come.
+    /// Start commands that were sent to workers, and reports that came from them.
     int starts = 0;
     int reports = 0;
 
