--- a/Libraries/LibSite/JobRequestService.cpp
+++ b/Libraries/LibSite/JobRequestService.cpp
@@ -105,8 +105,12 @@
         = m_state.owner && m_state.tableFreshness.isCurrent(Core::suspendAwareNow());
     const bool isAuthoritative = state && (Jobs::isFinal(*state) || isOwnerAndCurrent);
     bool isFresh = true;
+    // The state of a job that hasn't ended may be old in a copy that was never complete.
+    const Core::Instant freshBy = m_state.tableFreshness.wasEverComplete()
+        ? refreshDeadline(deadline)
+        : readDeadline(deadline);
     if (!isAuthoritative && state)
-        isFresh = co_await m_follower.refresh(refreshDeadline(deadline));
+        isFresh = co_await m_follower.refresh(freshBy);
     else if (!isAuthoritative)
         isFresh = co_await m_follower.awaitState(id, readDeadline(deadline));
     state = m_state.table.findState(id);
--- a/Libraries/LibSite/LogFollower.cpp
+++ b/Libraries/LibSite/LogFollower.cpp
@@ -16,7 +16,7 @@
 /// For a page of a snapshot it doubles with each attempt without an answer, up to this often: many
 /// nodes may read their snapshots at the same time, and pages that are given up and sent again are
 /// what a slow store is busy with.
-static constexpr int maxDoublings = 3;
+static constexpr int maxDoublings = 2;
 /// A read is logged as slow if it takes longer, on top of the time that the store may wait.
 static constexpr Core::Duration slowReadTime = std::chrono::milliseconds(300);
 static constexpr Core::Duration slowReadLogInterval = std::chrono::seconds(1);
@@ -31,14 +31,15 @@
 
 asio::awaitable<NewestRecordsPage> LogFollower::readNewestPage()
 {
-    const int doublings = std::min(m_unansweredPages, maxDoublings);
+    // The other topics are small, and what they hold is waited for.
+    const int doublings = m_topic == Topic::Jobs ? std::min(m_unansweredPages, maxDoublings) : 0;
     const Core::Instant deadline = Core::steadyNow() + answerTimeout * (1 << doublings);
     try {
         NewestRecordsPage page = co_await m_log.readNewest(m_topic, m_afterKey, deadline);
         m_unansweredPages = 0;
         co_return page;
     } catch (const Core::OutcomeUnknownError &) {
-        ++m_unansweredPages;
+        m_unansweredPages += Core::steadyNow() >= deadline ? 1 : 0;
         throw;
     }
 }
