LibJob: Take back what could let a task run twice after a takeover

A worker that had answered and left kept its place among those that haven't answered. Change: the wait after a release is the former one again, and a task waits for its job's other workers again though its run was adopted. forgetWorker takes a worker that has answered off that list. A run whose end is reported counts as away from the report on, as before; only a lost one from its last sign. A step goes on to its next task while a worker is asked.

--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -162,7 +162,7 @@
             = !it->second->isListed() && it->second->runs().empty() && !it->second->isRenewing();
         if (isForgotten) {
             m_reservation.forget(*it->second);
-            forgetWorker(it->first);
+            forgetWorker(*it->second);
         }
         it = isForgotten ? m_workers.erase(it) : std::next(it);
     }
--- a/Libraries/LibJob/JobSchedulerInterruptions.cpp
+++ b/Libraries/LibJob/JobSchedulerInterruptions.cpp
@@ -79,7 +79,7 @@
         return WaitReason::RunInDoubt;
     if (m_areStartsHeld)
         return WaitReason::StartsHeld;
-    if (!task.areFormerRunsKnown && awaitsReconciliation(job, now.instant))
+    if (awaitsReconciliation(job, now.instant))
         return WaitReason::FormerRun;
     if (task.neededCommit > m_committed)
         return WaitReason::Commit;
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -26,7 +26,6 @@
     m_pendingStarts += task.run->isStartPending() ? 1 : 0;
     task.run->sentAt = now.instant;
     task.lastRun = std::max(task.lastRun, number);
-    task.areFormerRunsKnown = true;
     worker.addRun(name, spec, job.images[static_cast<std::size_t>(name.step)]);
     job.refresh(name.occurrence);
     ++m_runs;
@@ -73,7 +72,7 @@
     if (spec.isBestEffort && task->run->phase == RunPhase::Running)
         task->run->worker->noteBestEffortEnded(spec, image, task->run->throttlePercent, m_now);
     setThrottle(*task->run, spec, fullPercent);
-    // The end of a run may become known only long after it.
+    // The loss of a run may become known only long after it.
     if (task->run->lastSignAt() != Core::Instant())
         task->awaySince = task->run->lastSignAt();
     task->run->worker->removeRun(name, spec, image);
@@ -294,8 +293,11 @@
         task->checkpoint = end.checkpoint;
     if (end.kind == EndKind::Failed)
         task->failedOn = worker.info().id;
-    if (isCurrent)
+    if (isCurrent) {
         removeRun(*job, end.task);
+        // A worker reports an end at once.
+        task->awaySince = now.instant;
+    }
     m_needsPass = true;
     if (job->isOver())
         return;
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -115,7 +115,7 @@
     const StepSpec &spec = waiting.job->spec(waiting.step);
     const bool mayReserve = waiting.isOverdue && !m_reservation.isFull();
     const bool isHopeless = !mayReserve && m_pass.isRejected(demandOf(waiting, now));
-    if (isHopeless)
+    if (isHopeless || awaitsReconciliation(*waiting.job, now.instant))
         return;
     const bool isPlaced = planStep(waiting, now);
     const bool isUnconstrained = spec.requiredLabel.empty() && spec.maxPerWorker == 0
@@ -265,9 +265,12 @@
     markDirty(job);
 }
 
-void JobScheduler::forgetWorker(const Core::VmId &id)
+void JobScheduler::forgetWorker(const WorkerState &worker)
 {
+    const Core::VmId &id = worker.info().id;
     for (const auto &[jobId, job] : m_jobs) {
+        if (worker.isReconciled())
+            job->unreconciledWorkers.erase(id);
         if (job->unreconciledWorkers.contains(id))
             continue;
         job->removeWorker(id);
@@ -283,9 +286,8 @@
 bool JobScheduler::planStep(const WaitingStep &waiting, const TimePoint &now)
 {
     OwnedJob &job = *waiting.job;
-    const bool awaitsReports = awaitsReconciliation(job, now.instant);
     if (job.spec(waiting.step).isGang)
-        return !awaitsReports && planGang(waiting, now);
+        return planGang(waiting, now);
     OwnedStep &step
         = job.occurrences().at(waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
@@ -293,8 +295,6 @@
         const TaskName name { job.id(), waiting.occurrence, waiting.step, index };
         if (step.tasks[i].run || job.isTaskDone(name) || step.tasks[i].neededCommit > m_committed)
             continue;
-        if (awaitsReports && !step.tasks[i].areFormerRunsKnown)
-            continue;
         if (isPlanningWorkUsedUp() || isStartWindowFull())
             return true;
         // Whether a suspect finds a worker says nothing about other tasks.
@@ -302,9 +302,8 @@
             planSuspect(waiting, index, nextRunNumber(step.tasks[i]), now);
             continue;
         }
-        const TaskPlan plan = planTask(waiting, index, nextRunNumber(step.tasks[i]), now);
-        if (plan != TaskPlan::Planned)
-            return plan == TaskPlan::WorkerAsked;
+        if (planTask(waiting, index, nextRunNumber(step.tasks[i]), now) == TaskPlan::NoWorker)
+            return false;
     }
     return true;
 }
--- a/Libraries/LibSite/OwnerElection.cpp
+++ b/Libraries/LibSite/OwnerElection.cpp
@@ -72,7 +72,7 @@
     }
 }
 
-Jobs::Ownership OwnerElection::makeOwnership(Core::Instant formerOwnerSeenAt, bool isReleased,
+Jobs::Ownership OwnerElection::makeOwnership(Core::Instant formerOwnerSeenAt,
                                              std::int64_t term) const
 {
     const Jobs::SchedulerSettings &settings = m_state.settings.scheduler;
@@ -83,13 +83,12 @@
     if (term == 0)
         return ownership;
     const Core::Duration sinceFormerOwnerSeen = Core::steadyNow() - formerOwnerSeenAt;
-    // The former owner may have renewed leases until its ownership was no longer proven, but not
-    // after it has released the jobs.
-    const Core::Duration unproven = isReleased ? Core::Duration() : settings.ownershipProofTimeout;
+    // The former owner may have renewed leases until its ownership was no longer proven.
     const std::chrono::duration<double, std::micro> driftedLease
         = std::chrono::duration<double, std::micro>(settings.lease) * (1 + settings.clockDrift);
-    ownership.formerLeasesEndAt = Core::suspendAwareNow() - sinceFormerOwnerSeen + unproven
-        + std::chrono::duration_cast<Core::Duration>(driftedLease) + settings.clockSlack;
+    ownership.formerLeasesEndAt = Core::suspendAwareNow() - sinceFormerOwnerSeen
+        + settings.ownershipProofTimeout + std::chrono::duration_cast<Core::Duration>(driftedLease)
+        + settings.clockSlack;
     return ownership;
 }
 
@@ -102,7 +101,6 @@
     const std::optional<Jobs::OwnerClaim> former = m_state.ownerMonitor.claim();
     const Core::Instant formerOwnerSeenAt = m_state.ownerMonitor.lastOwnerWriteAt();
     const std::int64_t term = former ? former->term + 1 : 0;
-    const bool isReleased = former && former->isReleased;
     const Core::Instant provenAt = Core::suspendAwareNow();
     const Jobs::OwnerClaim claim { m_state.settings.nodeName, term, false };
     std::vector<Jobs::StoredRecord> records = Jobs::encodeRecord(claim);
@@ -131,9 +129,9 @@
     const bool isComplete = co_await m_follower.refresh(Core::steadyNow() + refreshTimeout);
     if (!isComplete || m_state.ownerMonitor.claimOffset() + 1 != epoch || m_state.isLeaving)
         co_return false;
-    m_session = std::make_unique<OwnerSession>(
-        m_state, m_log, m_workers, m_decoder, m_follower, m_executor,
-        makeOwnership(formerOwnerSeenAt, isReleased, term), provenAt);
+    m_session = std::make_unique<OwnerSession>(m_state, m_log, m_workers, m_decoder, m_follower,
+                                               m_executor, makeOwnership(formerOwnerSeenAt, term),
+                                               provenAt);
     co_return true;
 }
 
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -225,10 +225,9 @@
     const auto unproven
         = std::chrono::duration_cast<milliseconds>(m_settings.ownershipProofTimeout).count();
     const auto slack = std::chrono::duration_cast<milliseconds>(m_settings.clockSlack).count();
-    const std::int64_t unprovenMs = std::exchange(m_isReleased, false) ? 0 : unproven;
     if (m_term > 0 && m_disabledGuard != DisabledGuard::FormerLeases)
-        ownership.formerLeasesEndAt = Core::Instant(milliseconds(
-            m_lastOwnerWriteMs + unprovenMs + static_cast<std::int64_t>(lease) + slack));
+        ownership.formerLeasesEndAt = Core::Instant(
+            milliseconds(m_lastOwnerWriteMs + unproven + static_cast<std::int64_t>(lease) + slack));
     node.log.note("site", "CLAIM", std::to_string(m_epoch));
     node.scheduler = std::make_unique<JobScheduler>(m_settings, ownership, node.log);
     node.token = m_epoch;
@@ -264,7 +263,6 @@
     if (!node.scheduler || node.token < m_epoch)
         return;
     m_lastOwnerWriteMs = m_nowMs;
-    m_isReleased = true;
     kill(index);
 }
 
--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -265,7 +265,6 @@
     std::int64_t m_term = -1;
     std::int64_t m_lastOwnerWriteMs = 0;
     std::int64_t m_claimedAtMs = 0;
-    bool m_isReleased = false;
     std::map<Jobs::TaskName, TaskHistory> m_history;
     /// Until when something was disturbed last.
     std::int64_t m_disturbedUntilMs = 0;
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -229,8 +229,7 @@
     void addWaitingSteps(OwnedJob &job, const TimePoint &now,
                          std::vector<WaitingStep> &waiting) const;
     WaitingStep waitingStep(OwnedJob &job, int occurrence, int step, const TimePoint &now) const;
-    /// True while a former owner's run of a task that this owner hasn't seen may exist on a worker
-    /// that hasn't answered yet.
+    /// True while a run that a former owner started may exist on a worker that hasn't answered yet.
     bool awaitsReconciliation(OwnedJob &job, Core::Instant now);
     /// Once the leases of the former owner have ended, its jobs wait for no worker any more.
     void settleFormerLeases(const TimePoint &now);
@@ -238,7 +237,7 @@
     void forgetUnknownWorkers(OwnedJob &job);
     /// Nothing runs any more on a worker that has left, so no job's record needs to name it: a job
     /// waits after each takeover for the workers that its record names.
-    void forgetWorker(const Core::VmId &id);
+    void forgetWorker(const WorkerState &worker);
     /// Begins a pass that chooses workers for the waiting steps.
     void beginPass(const TimePoint &now);
     /// Continues the pass until it is over or this call's planning work has reached its bound.
--- a/include/LibJob/TaskRun.h
+++ b/include/LibJob/TaskRun.h
@@ -94,9 +94,6 @@
     /// Null while no run of the task can exist.
     std::unique_ptr<TaskRun> run;
     std::int64_t lastRun = 0;
-    /// This owner has started or adopted a run of the task. A former owner can't have another one
-    /// elsewhere, since it started each only when the one before was gone.
-    bool areFormerRunsKnown = false;
     /// The task may be started again only once the commit with this number is durable.
     std::int64_t neededCommit = 0;
     std::string checkpoint;
--- a/include/LibSite/OwnerElection.h
+++ b/include/LibSite/OwnerElection.h
@@ -41,9 +41,7 @@
     /// \p formerOwnerSeenAt is when this node last read a record of the former owner, or made its
     /// first read after a gap between reads if that is later, on the steady clock. \p term is the
     /// new term; 0 means that there was no former owner.
-    /// \p isReleased is true if the former owner has released the jobs.
-    Jobs::Ownership makeOwnership(Core::Instant formerOwnerSeenAt, bool isReleased,
-                                  std::int64_t term) const;
+    Jobs::Ownership makeOwnership(Core::Instant formerOwnerSeenAt, std::int64_t term) const;
 
     SiteState &m_state;
     KeyedLog &m_log;
