LibJob: Let an unanswered question outweigh no interference

Change: no preference. A worker that was asked and hasn't answered yet costs a little, so that the next task asks another one.

--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -22,7 +22,8 @@
 /// A worker that has come only just, or come back, may crash for a reason of its own.
 static constexpr Core::Duration newWorkerTime = std::chrono::seconds(10);
 static constexpr double previousFailureCost = 10'000'000;
-static constexpr double unheardCost = 20'000'000;
+/// Lets several tasks ask several workers at the same time, and outweighs no interference.
+static constexpr double askedCost = 100'000;
 /// Longer than the interval between reports of a worker that runs tasks.
 static constexpr Core::Duration maxUnheard = std::chrono::milliseconds(2000);
 
@@ -157,8 +158,8 @@
         cost += interferenceCost;
     if (worker.info().id == request.failedOn)
         cost += previousFailureCost;
-    if (isUnheard(worker, request))
-        cost += unheardCost;
+    if (worker.isAsked() && isUnheard(worker, request))
+        cost += askedCost;
     return cost;
 }
 
