Tests: Let a page without an answer take all of the caller's time

Cause: the stand-in of the log cut the time that was left to whole milliseconds and failed up to a millisecond before the deadline, which the follower of the jobs takes for a reset rather than for silence. Change: the stand-in rounds up.

--- a/Tests/LibSite/MemoryLog.cpp
+++ b/Tests/LibSite/MemoryLog.cpp
@@ -206,7 +206,8 @@
     const Core::Instant now = Core::steadyNow();
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count();
     if (left < pageMs) {
-        co_await delay(std::max<std::int64_t>(left, 0));
+        // Rounded up: the caller's time is over when it gets no answer.
+        co_await delay(std::max<std::int64_t>(left + 1, 0));
         throw Core::OutcomeUnknownError("newest", "memory", "the deadline has passed");
     }
     co_await delay(pageMs);
