--- a/Libraries/LibJob/JobSchedulerInterruptions.cpp
+++ b/Libraries/LibJob/JobSchedulerInterruptions.cpp
@@ -94,7 +94,7 @@
     OwnedJob &job = *waiting.job;
     const TaskName name { job.id(), waiting.occurrence, waiting.step, index };
     const WaitReason reason = waitReason(job, name, task, now);
-    const std::string text = std::string("reason=") + waitReasonText(reason);
+    std::string text = std::string("reason=") + waitReasonText(reason);
     if (reason == WaitReason::RunInDoubt)
         return text + " worker=" + task.run->worker->info().id.text()
             + " run=" + std::to_string(task.run->number);
