--- a/Tests/LibJob/TestLongRunningTasks.cpp
+++ b/Tests/LibJob/TestLongRunningTasks.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+/// No invariant is violated.
+const std::string none;
 /// A long-running task that is interrupted for longer after its last run, although there is
 /// capacity for it, counts as lost.
 constexpr std::int64_t maxInterruptionMs = 6000;
@@ -279,7 +281,7 @@
         site.world().claim(1);
         site.run(maxInterruptionMs - takeoverMs - laterMs);
         CHECK(site.world().startsOf(task) == 2);
-        CHECK(site.world().violation() == std::string());
+        CHECK(site.world().violation() == none);
     }
     SECTION("with all others of its step that ran on the same workers")
     {
@@ -297,7 +299,7 @@
         site.run(maxInterruptionMs);
         for (int i = 0; i < tasks; ++i)
             CHECK(site.world().awayMs({ job, 0, 0, i }) == 0);
-        CHECK(site.world().violation() == std::string());
+        CHECK(site.world().violation() == none);
     }
     SECTION("though the workers with the most room run as many of its step as they may")
     {
@@ -313,7 +315,7 @@
         site.world().restartWorker(worker);
         site.run(maxInterruptionMs);
         CHECK(site.world().awayMs(task) == 0);
-        CHECK(site.world().violation() == std::string());
+        CHECK(site.world().violation() == none);
     }
     SECTION("though it is suspected of having crashed its worker")
     {
@@ -329,7 +331,7 @@
         site.world().restartWorker(worker);
         site.run(maxInterruptionMs);
         CHECK(site.world().awayMs(task) == 0);
-        CHECK(site.world().violation() == std::string());
+        CHECK(site.world().violation() == none);
     }
     SECTION("though its worker was lost without a trace, so that its lease had to expire")
     {
@@ -343,7 +345,7 @@
         site.world().crashWorker(site.workerOf(task));
         site.run(leaseMs + shortTaskMs + 500);
         CHECK(site.world().awayMs(task) == 0);
-        CHECK(site.world().violation() == std::string());
+        CHECK(site.world().violation() == none);
     }
 }
 
@@ -380,7 +382,7 @@
     world.restartWorker(1);
     world.run(2000);
     CHECK(world.runningCount() == 7);
-    CHECK(world.violation() == std::string());
+    CHECK(world.violation() == none);
 }
 
 TEST_CASE(
@@ -408,7 +410,7 @@
     world.restartWorker(host);
     world.run(4000);
     CHECK(world.awayMs(task) == 0);
-    CHECK(world.violation() == std::string());
+    CHECK(world.violation() == none);
 }
 
 /// Checks that no invariant is violated in the simulations with these seeds.
@@ -417,7 +419,7 @@
     for (std::uint32_t seed = firstSeed; seed <= lastSeed; ++seed) {
         const std::string violation = TroubledSite(seed, trouble).run();
         INFO("seed " << seed << ": " << violation);
-        CHECK(violation == std::string());
+        CHECK(violation == none);
     }
 }
 
