--- a/Tests/LibJob/TestOwnerMonitor.cpp
+++ b/Tests/LibJob/TestOwnerMonitor.cpp
@@ -110,3 +110,29 @@
         CHECK(*slow.claimAt() >= at(1000));
     }
 }
+
+TEST_CASE("A new owner's wait for former leases counts from the last record of the former owner")
+{
+    OwnerMonitor monitor("node#2", {});
+    monitor.noteRead(true, at(0));
+    monitor.noteClaim(5, { "node#1", 0, false }, at(0));
+    monitor.noteOwnerWrite(at(2000));
+
+    SECTION("not from the new owner's own claim")
+    {
+        monitor.noteClaim(9, { "node#2", 1, false }, at(3800));
+        CHECK(monitor.formerOwnerSeenAt() == at(2000));
+    }
+    SECTION("also if that record follows the claim, before the former owner is fenced off")
+    {
+        monitor.noteClaim(9, { "node#2", 1, false }, at(3800));
+        monitor.noteOwnerWrite(at(3850));
+        CHECK(monitor.formerOwnerSeenAt() == at(3850));
+    }
+    SECTION("which may be the claim of an owner that wrote nothing else")
+    {
+        monitor.noteClaim(9, { "node#3", 1, false }, at(3800));
+        monitor.noteClaim(12, { "node#2", 2, false }, at(7000));
+        CHECK(monitor.formerOwnerSeenAt() == at(3800));
+    }
+}
