LibJob: Let a recorded silence end with the leases on the worker, not with its newest start

Ruled out: the claim, the detection of the silence (4 ms after the loss), room. Change: the end of the worker's last lease is recorded, as the owner itself reckons for runs that a report has shown.

--- a/Libraries/LibJob/JobSchedulerTakeovers.cpp
+++ b/Libraries/LibJob/JobSchedulerTakeovers.cpp
@@ -29,15 +29,8 @@
         return formerLeaseEnd(id);
     // The first answer has shown that the worker rejects the commands of former owners.
     const bool isFenced = worker->firstReportAt() != Core::Instant();
-    Core::Instant end = isFenced ? Core::Instant() : formerLeaseEnd(id);
-    end = std::max(end, worker->latestLeaseEnd());
-    for (const TaskName &name : worker->runs()) {
-        const auto job = m_jobs.find(name.job);
-        const TaskState *task = job == m_jobs.end() ? nullptr : job->second->findTask(name);
-        if (task && task->run)
-            end = std::max(end, task->run->longestLeaseEnd);
-    }
-    return end;
+    const Core::Instant formerEnd = isFenced ? Core::Instant() : formerLeaseEnd(id);
+    return std::max(formerEnd, worker->latestLeaseEnd());
 }
 
 void JobScheduler::suspendLeases(WorkerState &worker, const TimePoint &now)
--- a/Tests/LibJob/TestTakeovers.cpp
+++ b/Tests/LibJob/TestTakeovers.cpp
@@ -115,18 +115,23 @@
     const auto laterMs = GENERATE(-2000, -1000, -300, 0, 100, 400, 800, 1200, 1600, 2000, 3000,
                                   4000, 5000, 6000, 7000);
     const auto isRefused = GENERATE(true, false);
+    const auto maxLeaseMs = GENERATE(6000, 10'000);
     const auto seed = GENERATE(range(1U, 4U));
-    CAPTURE(seed, laterMs, isRefused);
+    CAPTURE(seed, laterMs, isRefused, maxLeaseMs);
     WorkerLife life;
     life.workerCount = 12;
     life.refusesCallsWhileDown = isRefused;
+    life.maxLeaseMs = maxLeaseMs;
     JobWorld world(seed, {}, DisabledGuard::None, life);
     world.claim(0);
     const TaskName task { world.submit(longRunningTasks(8, 1)), 0, 0, 0 };
     world.run(3000 + 170 * seed);
     const std::size_t worker = workerOf(world, task);
-    const std::int64_t ownerLostAtMs = world.nowMs() + std::max(0, laterMs);
-    const std::int64_t workerLostAtMs = world.nowMs() + std::max(0, -laterMs);
+    const std::int64_t ownerLostAtMs = world.nowMs() + 50 + std::max(0, laterMs);
+    const std::int64_t workerLostAtMs = world.nowMs() + 50 + std::max(0, -laterMs);
+    // Tasks whose start no report has shown yet.
+    world.submit(simulatedJob({ 24 }));
+    world.run(50);
     while (world.nowMs() < workerLostAtMs + allowedMs) {
         if (world.nowMs() == workerLostAtMs)
             world.crashWorker(worker);
