--- a/Libraries/LibJob/JobSchedulerInterruptions.cpp
+++ b/Libraries/LibJob/JobSchedulerInterruptions.cpp
@@ -88,6 +88,36 @@
     return isStartWindowFull() ? WaitReason::StartWindow : WaitReason::NoWorker;
 }
 
+Core::Resources JobScheduler::pendingUse(const WorkerState &worker)
+{
+    Core::Resources use;
+    for (const TaskName &name : worker.startingRuns()) {
+        OwnedJob *job = findJob(name.job);
+        const TaskState *task = job ? job->findTask(name) : nullptr;
+        const bool isPending = task && task->run && task->run->isStartPending();
+        if (isPending && !job->spec(name.step).isBestEffort)
+            use = use + job->spec(name.step).need;
+    }
+    return use;
+}
+
+std::string JobScheduler::explainRoom(const PlacementRequest &request)
+{
+    const Core::Resources &need = request.step->need;
+    int avoidedWithRoom = 0;
+    int roomAwaitsStart = 0;
+    for (WorkerState *worker : m_listed) {
+        const Core::Resources free = worker->freeResources();
+        const Unsuitability reason = m_chooser.unsuitability(*worker, request);
+        const bool isAvoided = reason == Unsuitability::Avoided;
+        avoidedWithRoom += isAvoided && need.fitsIn(free) ? 1 : 0;
+        const bool lacksRoom = reason == Unsuitability::NoRoom;
+        roomAwaitsStart += lacksRoom && need.fitsIn(free + pendingUse(*worker)) ? 1 : 0;
+    }
+    return " avoided_with_room=" + std::to_string(avoidedWithRoom)
+        + " room_awaits_start=" + std::to_string(roomAwaitsStart);
+}
+
 std::string JobScheduler::explainWait(const WaitingStep &waiting, const TaskState &task, int index,
                                       const TimePoint &now)
 {
@@ -108,8 +138,9 @@
     const PlacementRequest request = placementRequest(waiting, index, now);
     if (m_chooser.choose(request))
         return std::string("reason=") + waitReasonText(WaitReason::NextPass);
-    return text + " milli_cores=" + std::to_string(request.step->need.milliCores) + " mebibytes="
-        + std::to_string(request.step->need.mebibytes) + ' ' + m_chooser.explain(m_listed, request);
+    return text + " milli_cores=" + std::to_string(request.step->need.milliCores)
+        + " mebibytes=" + std::to_string(request.step->need.mebibytes) + ' '
+        + m_chooser.explain(m_listed, request) + explainRoom(request);
 }
 
 } // namespace Jobs
--- a/Libraries/LibSite/JobFollower.cpp
+++ b/Libraries/LibSite/JobFollower.cpp
@@ -67,14 +67,26 @@
 {
     m_state.ownerMonitor.noteRead(true, Core::steadyNow());
     if (!m_state.tableFreshness.wasEverComplete())
-        LOG4CXX_INFO(partLogger,
-                     "event=caught-up jobs=" << m_state.table.jobs().size()
-                                             << " offset=" << m_follower.nextOffset()
-                                             << " snapshot_records=" << m_follower.snapshotSize());
+        logCaughtUp();
     m_state.tableFreshness.markCompleteAsOf(sentAt);
     wakeWaiters();
 }
 
+void JobFollower::logCaughtUp() const
+{
+    const auto &jobs = m_state.table.jobs();
+    const auto ended = std::count_if(jobs.begin(), jobs.end(),
+                                     [](const auto &entry) { return entry.second.isOver(); });
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(Core::steadyNow()
+                                                                               - m_snapshotBeganAt);
+    LOG4CXX_INFO(partLogger,
+                 "event=caught-up jobs=" << jobs.size() << " ended_with_submission=" << ended
+                                         << " offset=" << m_follower.nextOffset()
+                                         << " snapshot_records=" << m_follower.snapshotSize() << ' '
+                                         << m_snapshotBytes
+                                         << " since_first_page_ms=" << elapsed.count());
+}
+
 void JobFollower::onReadAnswered()
 {
     if (m_state.health.noteSuccess(Core::steadyNow()))
@@ -196,6 +208,8 @@
 void JobFollower::beginSnapshot()
 {
     m_isInSnapshot = true;
+    m_snapshotBytes = {};
+    m_snapshotBeganAt = Core::steadyNow();
     m_state.table.clear();
     m_state.leaseSuspensions.clear();
 }
@@ -215,6 +229,8 @@
 
 void JobFollower::apply(const LoggedRecord &logged)
 {
+    if (m_isInSnapshot)
+        m_snapshotBytes.add(logged.record);
     try {
         applyJobRecord(logged, decode(logged.record));
     } catch (const Core::FormatError &error) {
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -322,6 +322,11 @@
     /// The reason and what it is based on, as `key=value` pairs.
     std::string explainWait(const WaitingStep &waiting, const TaskState &task, int index,
                             const TimePoint &now);
+    /// How many workers have room that the task doesn't get: because they are avoided, or because
+    /// starts there haven't been answered yet.
+    std::string explainRoom(const PlacementRequest &request);
+    /// What the runs on the worker request whose start is planned or hasn't been answered yet.
+    Core::Resources pendingUse(const WorkerState &worker);
 
     void sendStart(OwnedJob &job, const TaskName &task, TaskRun &run, const TimePoint &now);
     /// Starts the planned runs of which all that must be durable is, unless their workers lack the
--- a/include/LibSite/JobFollower.h
+++ b/include/LibSite/JobFollower.h
@@ -3,6 +3,7 @@
 #include <LibSite/LogFollower.h>
 #include <LibSite/SentProgressCache.h>
 #include <LibSite/SiteState.h>
+#include <LibSite/SnapshotBytes.h>
 #include <LibSupervision/Part.h>
 #include <LibSupervision/Wakeup.h>
 
@@ -62,6 +63,7 @@
     boost::asio::awaitable<ReadResult> readOnce(std::int64_t waitMs);
     boost::asio::awaitable<bool> readToEnd();
     void onReadToEnd(Core::Instant sentAt);
+    void logCaughtUp() const;
     void requestRead();
     bool isCompleteAsOf(Core::Instant instant) const;
     /// Reads until \p isEnough returns true, a read that begins from now on has ended, or the
@@ -83,6 +85,10 @@
     std::set<Supervision::Wakeup *> m_waiters;
     bool m_isStopping = false;
     bool m_isInSnapshot = false;
+    /// Of the current snapshot, or of the last one.
+    SnapshotBytes m_snapshotBytes;
+    /// When the first page of the current or last snapshot was applied; the epoch before.
+    Core::Instant m_snapshotBeganAt = {};
     /// The owner's long poll is in flight: the store answers it once a new record is appended, or
     /// after the wait time.
     bool m_isPolling = false;
