LibJob: Let overdue tasks have all capacity that is free, and keep capacity for them until they start

Cause, one class: rules that suit short tasks kept capacity from an overdue long-running task that the platform counts as free. - A failed run leaves its capacity free and has its worker avoided for 0.3 to 6 s, for a task of another image too, which may fail any number of times. - A pass looks at overdue tasks first, but goes on over several turns, and what becomes free meanwhile went to short tasks. Change: an overdue task may start on an avoided worker (not after a refusal, not where it failed itself, one at a time after several failures); overdue steps are planned again in each turn in which capacity has become free, for overdue tasks only; a reservation is an amount on a worker, made from 2 s before the wait ends, for each such task, kept until the task starts, on the worker of whose short tasks the least part must end; it keeps out only tasks that aren't overdue. A start of an interrupted task is urgent in the owner's queue. The order of a pass now names a step twice, once for its overdue tasks: TestPlanningPass expects "ceb" before all of "abcde", which says as much as "cebad" did.

--- a/Libraries/LibJob/CapacityIndex.cpp
+++ b/Libraries/LibJob/CapacityIndex.cpp
@@ -12,7 +12,7 @@
 
 CapacityIndex::Place CapacityIndex::placeOf(WorkerState &worker)
 {
-    const Core::Resources free = worker.freeResources();
+    const Core::Resources free = worker.unreservedResources();
     const Entry byFree { free.milliCores, worker.listPosition(), free.mebibytes, free.accelerators,
                          &worker };
     Entry byIdle = byFree;
@@ -94,4 +94,10 @@
     return isBestEffort ? found->second.byIdle : found->second.byFree;
 }
 
+std::int64_t CapacityIndex::mostFreeMilliCores(const ServiceId &service) const
+{
+    const Order &byFree = order(service, false);
+    return byFree.empty() ? 0 : byFree.back().baseCost;
+}
+
 } // namespace Jobs
--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -168,7 +168,7 @@
         const bool isForgotten
             = !it->second->isListed() && it->second->runs().empty() && !it->second->isRenewing();
         if (isForgotten) {
-            m_reservation.forget(*it->second);
+            m_reservations.forget(*it->second);
             forgetWorker(*it->second);
         }
         it = isForgotten ? m_workers.erase(it) : std::next(it);
--- a/Libraries/LibJob/JobSchedulerCrashes.cpp
+++ b/Libraries/LibJob/JobSchedulerCrashes.cpp
@@ -410,12 +410,14 @@
     WorkerState *worker = m_chooser.choose(request);
     if (!worker) {
         keepWorkerForSuspect(request);
+        reserveForOverdue(waiting, index, now);
         logWaitReason(waiting, request, now);
         return;
     }
     if (askIfUnheard(request, *worker))
         return;
     m_planningWork += workPerTask;
+    m_reservations.release(request.task);
     addRun(job, request.task, *worker, run, RunPhase::Planned, now);
     isolateRun(job, request.task);
     job.notePlannedStart(waiting.step, index, worker->info().id);
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -81,6 +81,7 @@
     task->run.reset();
     if (!wasPlanned)
         task->lastRunEndedAt = m_now;
+    m_isCapacityFreed = true;
     job.refresh(name.occurrence);
     --m_runs;
     m_needsPass = true;
@@ -184,10 +185,12 @@
         requestStop(command.task, run, now);
         return;
     }
-    if (outcome == StartOutcome::Refused || outcome == StartOutcome::OtherIncarnation)
+    const bool isUnhealthy
+        = outcome == StartOutcome::Refused || outcome == StartOutcome::OtherIncarnation;
+    if (isUnhealthy)
         worker.noteTaskFailed(now.instant);
-    else if (outcome != StartOutcome::OldRun && outcome != StartOutcome::Withheld
-             && outcome != StartOutcome::Fenced)
+    if (outcome != StartOutcome::OldRun && outcome != StartOutcome::Withheld
+        && outcome != StartOutcome::Fenced)
         worker.noteRefusal(now.instant);
     if (outcome == StartOutcome::OldRun)
         task->lastRun += 1;
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -40,6 +40,7 @@
         if (!isCheckLate && !m_overload.isLate())
             suspendOverdueWorkers(now);
         liftForgottenSuspensions(now);
+        reserveForRunsInDoubt(now);
         resendStops(now);
         deleteOldJobs(now);
         logInterruptions(now);
@@ -81,7 +82,8 @@
     m_pass = PlanningPass(waitingSteps(now), now.instant);
     m_nextPassAt = now.instant + minPassInterval
         + std::min<Core::Duration>(m_pass.size() * passIntervalPerStep, maxPassInterval);
-    m_reservation.reset(m_listed.size());
+    m_reservations.limitFor(m_listed.size());
+    releaseUselessReservations(now);
     m_isUnderused = isUnderused();
     countIsolatingWorkers();
     appointWitnesses(now);
@@ -89,6 +91,7 @@
 
 void JobScheduler::continuePass(const TimePoint &now)
 {
+    planOverdueAgain(now);
     while (!m_pass.isOver() && !isPlanningWorkUsedUp() && !isStartWindowFull()) {
         const WaitingStep waiting = m_pass.next();
         m_planningWork += workPerStep;
@@ -109,8 +112,8 @@
 void JobScheduler::planWaitingStep(const WaitingStep &waiting, const TimePoint &now)
 {
     const StepSpec &spec = waiting.job->spec(waiting.step);
-    const bool mayReserve = waiting.isOverdue && !m_reservation.isFull();
-    const bool isHopeless = !mayReserve && m_pass.isRejected(demandOf(waiting, now));
+    // An overdue task may start where others may not.
+    const bool isHopeless = !waiting.isOverdue && m_pass.isRejected(demandOf(waiting, now));
     if (isHopeless)
         return;
     const bool isPlaced = planStep(waiting, now);
@@ -253,16 +256,19 @@
     const bool areFormerRunsAwaited = awaitsReconciliation(job, now.instant);
     OwnedStep &step
         = job.occurrences().at(waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
+    bool isPlaced = true;
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
         const auto index = static_cast<int>(i);
         const TaskName name { job.id(), waiting.occurrence, waiting.step, index };
         if (step.tasks[i].run || job.isTaskDone(name))
             continue;
+        if (waiting.isOverdue && !step.tasks[i].isOverdue(now.instant))
+            continue;
         if (isPlanningWorkUsedUp() || isStartWindowFull())
             return true;
         if (step.tasks[i].neededCommit > m_committed
             || (areFormerRunsAwaited && step.tasks[i].mayRunUnseen)) {
-            keepRoomForWaiting(waiting, index, now);
+            reserveForWaiting(waiting, index, now);
             continue;
         }
         // Until the store is back it can't be recorded that the task may have been started, nor
@@ -274,10 +280,17 @@
             planSuspect(waiting, index, nextRunNumber(step.tasks[i]), now);
             continue;
         }
-        if (planTask(waiting, index, nextRunNumber(step.tasks[i]), now) == TaskPlan::NoWorker)
+        // Where one task of the step finds no worker, only those with a reservation may find one.
+        if (!isPlaced && !m_reservations.contains(name))
+            continue;
+        if (planTask(waiting, index, nextRunNumber(step.tasks[i]), now) != TaskPlan::NoWorker)
+            continue;
+        if (!waiting.isOverdue)
             return false;
+        if (std::exchange(isPlaced, false))
+            reserveForOverdue(waiting, index, now);
     }
-    return true;
+    return isPlaced;
 }
 
 bool JobScheduler::planGang(const WaitingStep &waiting, const TimePoint &now)
@@ -310,8 +323,11 @@
     for (TaskState &task : step.tasks)
         task.checkpoint = checkpoint;
     for (int index = 0; index < size; ++index) {
-        if (planTask(waiting, index, run, now) == TaskPlan::Planned)
+        const TaskPlan plan = planTask(waiting, index, run, now);
+        if (plan == TaskPlan::Planned)
             continue;
+        if (plan == TaskPlan::NoWorker)
+            reserveForOverdue(waiting, index, now);
         for (int planned = 0; planned < index; ++planned)
             removeRun(job, { job.id(), waiting.occurrence, waiting.step, planned });
         return false;
@@ -319,6 +335,7 @@
     for (int index = 0; index < size; ++index) {
         const TaskState &task = step.tasks[static_cast<std::size_t>(index)];
         job.notePlannedStart(waiting.step, index, task.run->worker->info().id);
+        m_reservations.release({ job.id(), waiting.occurrence, waiting.step, index });
     }
     for (int index = 0; isSuspect && index < size; ++index)
         isolateRun(job, { job.id(), waiting.occurrence, waiting.step, index });
@@ -340,6 +357,7 @@
     request.service = queueOf(job)->service;
     request.failedOn = job.findTask(name)->failedOn;
     request.isSuspect = job.sharedCrashHistory(name).isSuspect();
+    request.isOverdue = request.step->isLongRunning && job.findTask(name)->isOverdue(now.instant);
     request.requiresDurableWorker = !m_isStoreReachable;
     request.provenAt = m_provenAt;
     // A job must not be delayed for the targets of others while the site has free capacity.
@@ -365,10 +383,6 @@
     const PlacementRequest request = placementRequest(waiting, index, now);
     WorkerState *worker = m_chooser.choose(request);
     if (!worker) {
-        if (waiting.isOverdue && !m_reservation.isFull())
-            m_reservation.reserve(
-                name, request.step->need,
-                m_chooser.unsuitableFor(Unsuitability::NoRoom, m_listed, request));
         logWaitReason(waiting, request, now);
         return TaskPlan::NoWorker;
     }
@@ -379,6 +393,7 @@
     // Workers of a gang are recorded by planGang() once all members are placed.
     if (request.step->isGang)
         return TaskPlan::Planned;
+    m_reservations.release(name);
     job.notePlannedStart(waiting.step, index, worker->info().id);
     markDirty(job);
     if (job.isStartDurable(waiting.step, index, worker->info().id))
@@ -416,7 +431,10 @@
     command.leaseDeadlineMs = worker.grantLease(now.instant, latestLeaseEnd());
     command.token = worker.token();
     command.isOfGang = job.spec(task.step).isGang;
-    command.isUrgent = run.isUrgent;
+    // The longer an interrupted long-running task is away, the more is lost.
+    const bool isBack
+        = job.spec(task.step).isLongRunning && job.findTask(task)->awaySince != Core::Instant();
+    command.isUrgent = run.isUrgent || isBack;
     setPhase(run, RunPhase::Starting, now);
     run.sentAt = now.instant;
     run.startDeadline = worker.latestLeaseEnd();
--- a/Libraries/LibJob/JobSchedulerTakeovers.cpp
+++ b/Libraries/LibJob/JobSchedulerTakeovers.cpp
@@ -12,9 +12,6 @@
 static constexpr Core::Duration suspensionRetention = std::chrono::seconds(60);
 /// While the last proof of ownership is older, the store may be away.
 static constexpr Core::Duration freshProof = milliseconds(1000);
-/// Room is kept for a long-running task from this time before the end of the wait for its former
-/// worker: about as long as short tasks take to leave the room.
-static constexpr Core::Duration roomKeptBefore = milliseconds(2000);
 
 Core::Instant JobScheduler::formerLeaseEnd(const Core::VmId &worker) const
 {
@@ -134,19 +131,12 @@
     return end;
 }
 
-void JobScheduler::keepRoomForWaiting(const WaitingStep &waiting, int index, const TimePoint &now)
+void JobScheduler::reserveForWaiting(const WaitingStep &waiting, int index, const TimePoint &now)
 {
-    const bool isDue = waiting.isOverdue
-        && now.instant + roomKeptBefore >= formerRunsEndAt(*waiting.job) && !m_reservation.isFull();
-    if (!isDue)
-        return;
-    const PlacementRequest request = placementRequest(waiting, index, now);
-    std::vector<WorkerState *> candidates
-        = m_chooser.unsuitableFor(Unsuitability::NoRoom, m_listed, request);
-    const std::vector<WorkerState *> suitable
-        = m_chooser.unsuitableFor(Unsuitability::None, m_listed, request);
-    candidates.insert(candidates.end(), suitable.begin(), suitable.end());
-    m_reservation.reserve(request.task, request.step->need, candidates);
+    const bool isSoon
+        = now.instant + SchedulerSettings::reservationTime >= formerRunsEndAt(*waiting.job);
+    if (waiting.isOverdue && isSoon)
+        reserveForOverdue(waiting, index, now);
 }
 
 void JobScheduler::forgetWorker(const WorkerState &worker)
--- a/Libraries/LibJob/PlanningPass.cpp
+++ b/Libraries/LibJob/PlanningPass.cpp
@@ -8,12 +8,8 @@
 
 namespace Jobs {
 
-using std::chrono::milliseconds;
-
 /// Number of large jobs that are started before the others of their priority.
 static constexpr std::size_t maxLargeJobsFirst = 2;
-/// A long-running task that was interrupted and hasn't run for longer is started before all others.
-static constexpr Core::Duration maxInterruption = milliseconds(2500);
 
 static bool isBefore(const WaitingStep &left, const WaitingStep &right)
 {
@@ -78,13 +74,6 @@
                      });
 }
 
-/// True if a long-running task without a run was interrupted so long ago that it comes before all
-/// others.
-static bool isOverdue(const TaskState &task, Core::Instant now)
-{
-    return !task.run && task.awaySince != Core::Instant() && now > task.awaySince + maxInterruption;
-}
-
 /// Notes whether a task of the step is overdue, and since when it has been away.
 static void noteOverdue(WaitingStep &waiting, Core::Instant now)
 {
@@ -93,26 +82,38 @@
     const OwnedStep &step
         = waiting.job->occurrences().at(waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
     for (const TaskState &task : step.tasks) {
-        if (!isOverdue(task, now))
+        if (!task.isOverdue(now))
             continue;
         const bool isFirst = !waiting.isOverdue || task.awaySince < waiting.awaySince;
         waiting.awaySince = isFirst ? task.awaySince : waiting.awaySince;
         waiting.isOverdue = true;
-        waiting.isPutFirst = true;
     }
 }
 
 void PlanningPass::putOverdueFirst(Core::Instant now)
 {
-    for (WaitingStep &waiting : m_steps)
+    std::vector<WaitingStep> overdue;
+    for (WaitingStep waiting : m_steps) {
         noteOverdue(waiting, now);
-    const auto others
-        = std::stable_partition(m_steps.begin(), m_steps.end(),
-                                [](const WaitingStep &waiting) { return waiting.isOverdue; });
-    std::stable_sort(m_steps.begin(), others,
+        if (waiting.isOverdue)
+            overdue.push_back(std::move(waiting));
+    }
+    std::stable_sort(overdue.begin(), overdue.end(),
                      [](const WaitingStep &left, const WaitingStep &right) {
                          return left.awaySince < right.awaySince;
                      });
+    m_overdueCount = overdue.size();
+    m_steps.insert(m_steps.begin(), overdue.begin(), overdue.end());
+}
+
+std::vector<WaitingStep> PlanningPass::passedOverdue() const
+{
+    std::vector<WaitingStep> passed;
+    for (std::size_t i = 0; i < std::min(m_next, m_overdueCount); ++i) {
+        if (m_steps[i].isStillWaiting())
+            passed.push_back(m_steps[i]);
+    }
+    return passed;
 }
 
 void PlanningPass::join(const WaitingStep &joining)
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -22,6 +22,8 @@
 /// A worker that has come only just, or come back, may crash for a reason of its own.
 static constexpr Core::Duration newWorkerTime = std::chrono::seconds(10);
 static constexpr double previousFailureCost = 10'000'000;
+/// Outweighs all but a failure of the task itself.
+static constexpr double avoidedCost = 5'000'000;
 /// Lets several tasks ask several workers at the same time, and outweighs no interference.
 static constexpr double askedCost = 100'000;
 /// Longer than the interval between reports of a worker that runs tasks.
@@ -74,16 +76,37 @@
     return false;
 }
 
-static bool fits(const WorkerState &worker, const StepSpec &step)
+static bool fits(const WorkerState &worker, const StepSpec &step, Core::Resources available)
 {
-    if (!step.isBestEffort)
-        return step.need.fitsIn(worker.freeResources());
     // A best-effort task on a worker without idle processors would wait and still occupy memory.
-    Core::Resources available = worker.freeResources();
-    available.milliCores = worker.idleMilliCores();
+    if (step.isBestEffort)
+        available.milliCores = worker.idleMilliCores();
     return step.need.fitsIn(available);
 }
 
+/// A failure says little about a task of another image, and a long-running task may fail any number
+/// of times. So an overdue one may start on an avoided worker, where nobody else takes the
+/// capacity; not where it would only be refused, or where it has failed itself. A worker that fails
+/// everything gets one such start at a time.
+static bool isAvoided(const WorkerState &worker, const PlacementRequest &request)
+{
+    if (request.now >= worker.avoidedUntil())
+        return false;
+    if (!request.isOverdue || request.now < worker.refusingUntil()
+        || worker.info().id == request.failedOn)
+        return true;
+    return worker.isQuarantined(request.now) && !worker.startingRuns().empty();
+}
+
+Core::Resources WorkerChooser::availableResources(const WorkerState &worker,
+                                                  const PlacementRequest &request) const
+{
+    const Core::Resources unreserved = worker.unreservedResources();
+    if (worker.reserved() == Core::Resources())
+        return unreserved;
+    return unreserved + m_reservations.reservedFor(request.task, worker);
+}
+
 /// A suspect may run beside starting runs of its own gang: the gang is given up as a whole.
 static bool isIsolated(const WorkerState &worker, const PlacementRequest &request)
 {
@@ -115,13 +138,14 @@
         return Unsuitability::Unknown;
     if (request.requiresDurableWorker && !request.job->isDurableWorker(info.id))
         return Unsuitability::NotRecorded;
-    if (worker.avoidedUntil() > request.now)
+    if (isAvoided(worker, request))
         return Unsuitability::Avoided;
     if (step.maxPerWorker > 0 && worker.runsOfStep(request.task) >= step.maxPerWorker)
         return Unsuitability::TooManyOfStep;
-    if (!fits(worker, step))
+    if (!fits(worker, step, worker.freeResources()))
         return Unsuitability::NoRoom;
-    if (m_reservation.isReservedForOther(request.task, worker))
+    // What an overdue task can use now isn't kept for one that needs more.
+    if (!request.isOverdue && !fits(worker, step, availableResources(worker, request)))
         return Unsuitability::Reserved;
     if (!isIsolated(worker, request))
         return Unsuitability::NotIsolated;
@@ -149,7 +173,7 @@
     // Best-effort tasks go where most processors are idle, so that they hardly compete; other tasks
     // go where least capacity is free.
     double cost = step.isBestEffort ? -static_cast<double>(worker.idleMilliCores())
-                                    : static_cast<double>(worker.freeResources().milliCores);
+                                    : static_cast<double>(worker.unreservedResources().milliCores);
     if (!step.dataRack.empty() && !worker.info().hasLabel(step.dataRack))
         cost += otherRackCost;
     if (step.tailTargetMs > 0)
@@ -160,6 +184,8 @@
         cost += previousFailureCost;
     if (worker.isAsked() && isUnheard(worker, request))
         cost += askedCost;
+    if (request.now < worker.avoidedUntil())
+        cost += avoidedCost;
     return cost;
 }
 
@@ -189,6 +215,50 @@
     return unsuitable;
 }
 
+static double partOf(std::int64_t amount, std::int64_t whole)
+{
+    if (amount <= 0)
+        return 0;
+    return static_cast<double>(amount) / static_cast<double>(std::max<std::int64_t>(whole, 1));
+}
+
+/// Returns which part of the short tasks on the worker must end before \p need is available there.
+static double partThatMustEnd(const WorkerState &worker, const Core::Resources &need)
+{
+    const Core::Resources missing = need - worker.unreservedResources();
+    const Core::Resources temporary = worker.capacityBesideLongRunning() - worker.freeResources();
+    return std::max(partOf(missing.milliCores, temporary.milliCores),
+                    partOf(missing.mebibytes, temporary.mebibytes));
+}
+
+bool WorkerChooser::isReservationUseful(WorkerState &worker, const PlacementRequest &request) const
+{
+    const Unsuitability reason = unsuitability(worker, request);
+    const bool lacksOnlyRoom = reason == Unsuitability::None || reason == Unsuitability::NoRoom
+        || reason == Unsuitability::Reserved || reason == Unsuitability::NotIsolated;
+    const Core::Resources own = m_reservations.reservedFor(request.task, worker);
+    const Core::Resources later = worker.capacityBesideLongRunning() - worker.reserved() + own;
+    return lacksOnlyRoom && request.step->need.fitsIn(later);
+}
+
+WorkerState *WorkerChooser::chooseToReserve(const std::vector<WorkerState *> &workers,
+                                            const PlacementRequest &request) const
+{
+    m_looks += static_cast<std::int64_t>(workers.size());
+    WorkerState *best = nullptr;
+    double leastPart = std::numeric_limits<double>::max();
+    for (WorkerState *worker : workers) {
+        if (!isReservationUseful(*worker, request))
+            continue;
+        const double part = partThatMustEnd(*worker, request.step->need);
+        if (part >= leastPart)
+            continue;
+        leastPart = part;
+        best = worker;
+    }
+    return best;
+}
+
 bool WorkerChooser::isLessHarmful(const WorkerState &left, const WorkerState &right)
 {
     return std::pair(left.servingCount(), left.runs().size())
@@ -240,6 +310,9 @@
 
 WorkerState *WorkerChooser::choose(const PlacementRequest &request) const
 {
+    WorkerState *reserved = m_reservations.workerOf(request.task);
+    if (reserved && unsuitability(*reserved, request) == Unsuitability::None)
+        return reserved;
     if (request.isSuspect)
         return chooseForSuspect(request);
     const CapacityIndex::Entry *best = nullptr;
@@ -260,7 +333,26 @@
         leastCost = entryCost;
         best = &entry;
     }
-    return best ? best->worker : nullptr;
+    if (best)
+        return best->worker;
+    return request.isOverdue ? chooseAmongReserved(request) : nullptr;
+}
+
+WorkerState *WorkerChooser::chooseAmongReserved(const PlacementRequest &request) const
+{
+    WorkerState *best = nullptr;
+    double leastCost = std::numeric_limits<double>::max();
+    for (WorkerState *worker : m_reservations.workers()) {
+        ++m_looks;
+        if (unsuitability(*worker, request) != Unsuitability::None)
+            continue;
+        const double workerCost = cost(*worker, request);
+        if (workerCost >= leastCost)
+            continue;
+        leastCost = workerCost;
+        best = worker;
+    }
+    return best;
 }
 
 } // namespace Jobs
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -150,6 +150,12 @@
     return hasProcessors && free.mebibytes >= 0 && free.accelerators >= 0;
 }
 
+void WorkerState::setReserved(const Core::Resources &reserved)
+{
+    m_reserved = reserved;
+    notifyCapacityObserver();
+}
+
 void WorkerState::setUnwantedUse(const UnwantedUse &use)
 {
     if (m_unwantedUse == use)
@@ -294,6 +300,8 @@
     m_clockReadAt = {};
     m_consecutiveFailures = 0;
     m_avoidedUntil = {};
+    m_quarantinedUntil = {};
+    m_refusingUntil = {};
     setUnwantedUse({});
 }
 
@@ -338,14 +346,15 @@
 void WorkerState::noteTaskFailed(Core::Instant now)
 {
     ++m_consecutiveFailures;
-    const bool isSuspect = m_consecutiveFailures >= quarantineAfterFailures;
-    const Core::Duration pause = isSuspect ? m_settings.quarantine : m_settings.failureBackoff;
-    m_avoidedUntil = std::max(m_avoidedUntil, now + pause);
+    if (m_consecutiveFailures >= quarantineAfterFailures)
+        m_quarantinedUntil = now + m_settings.quarantine;
+    m_avoidedUntil
+        = std::max({ m_avoidedUntil, now + m_settings.failureBackoff, m_quarantinedUntil });
 }
 
 void WorkerState::noteRefusal(Core::Instant now)
 {
-    m_avoidedUntil = std::max(m_avoidedUntil, now + m_settings.failureBackoff);
+    m_refusingUntil = now + m_settings.failureBackoff;
 }
 
 } // namespace Jobs
--- a/include/LibJob/CapacityIndex.h
+++ b/include/LibJob/CapacityIndex.h
@@ -23,7 +23,8 @@
 public:
     struct Entry
     {
-        /// In thousandths of a core: the free processors, or the idle ones times -1.
+        /// In thousandths of a core: the free processors that aren't reserved, or the idle ones
+        /// times -1.
         std::int64_t baseCost = 0;
         /// Position of the worker in the store's list; the first of two equal workers is chosen.
         std::size_t position = 0;
@@ -39,6 +40,9 @@
     void onWorkerChanged(WorkerState &worker) override;
     /// Returns the workers of the service by the base cost of a task; the cheapest come first.
     const Order &order(const ServiceId &service, bool isBestEffort) const;
+    /// Returns the most free processors of a worker of the service that aren't reserved, in
+    /// thousandths of a core; 0 if the service has no worker.
+    std::int64_t mostFreeMilliCores(const ServiceId &service) const;
 
 private:
     struct ServiceOrders
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibJob/CapacityIndex.h>
+#include <LibJob/CapacityReservations.h>
 #include <LibJob/Catalogue.h>
 #include <LibJob/Commands.h>
 #include <LibJob/DecisionLog.h>
@@ -302,9 +303,9 @@
     bool awaitsFormerRun(OwnedJob &job, const TaskState &task, Core::Instant now);
     /// When such runs of the job have ended at the latest.
     Core::Instant formerRunsEndAt(const OwnedJob &job) const;
-    /// Reserves a worker for a task that can start soon, once no former run of it can exist and
-    /// that is durable.
-    void keepRoomForWaiting(const WaitingStep &waiting, int index, const TimePoint &now);
+    /// Reserves capacity for an overdue task that can start soon, once no former run of it can
+    /// exist and that is durable.
+    void reserveForWaiting(const WaitingStep &waiting, int index, const TimePoint &now);
     /// Once the leases of the former owner have ended, its jobs wait for no worker any more.
     void settleFormerLeases(const TimePoint &now);
     /// Nothing runs any more on a worker that has left, so no job's record needs to name it: a job
@@ -312,6 +313,20 @@
     void forgetWorker(const WorkerState &worker);
 
     // Interruptions of long-running tasks.
+    /// Plans the overdue steps that the pass has planned already once more, if capacity has become
+    /// free since: otherwise the steps behind them would take it.
+    void planOverdueAgain(const TimePoint &now);
+    /// Reserves capacity for the overdue tasks of the step from index \p first on.
+    void reserveForOverdue(const WaitingStep &waiting, int first, const TimePoint &now);
+    /// Reserves capacity for the long-running tasks on workers that don't answer and whose last
+    /// lease ends soon.
+    void reserveForRunsInDoubt(const TimePoint &now);
+    void reserveForRunsOn(const WorkerState &worker, const TimePoint &now);
+    /// Returns false if there is no worker that is worth a reservation.
+    bool reserve(const PlacementRequest &request);
+    /// Releases the reservations that lead to no place for their task any more.
+    void releaseUselessReservations(const TimePoint &now);
+    bool isReservationUseful(const TaskName &name, const TimePoint &now);
     /// Logs why long-running tasks don't run that have been away for a long time, whatever they
     /// wait for: one line for each step, about the task that has been away for the longest time.
     void logInterruptions(const TimePoint &now);
@@ -494,9 +509,9 @@
     StartOrder m_order;
     ImageTable m_images;
     ThrottleController m_throttleController;
-    CapacityReservation m_reservation;
+    CapacityReservations m_reservations;
     CapacityIndex m_capacityIndex;
-    WorkerChooser m_chooser { m_throttleController.slowdownModel(), m_reservation,
+    WorkerChooser m_chooser { m_throttleController.slowdownModel(), m_reservations,
                               m_capacityIndex };
     /// The time of the last takeCommands() or onReport(), whichever was called last; dates the ends
     /// of runs.
@@ -558,6 +573,8 @@
     /// What can start may have changed since the last pass over the waiting steps.
     bool m_needsPass = true;
     PlanningPass m_pass;
+    /// Capacity has become free since overdue steps were planned last.
+    bool m_isCapacityFreed = false;
     Core::Instant m_passBeganAt = {};
     std::int64_t m_planningWork = 0;
     /// The looks of m_chooser at the beginning of the last takeCommands().
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -32,6 +32,8 @@
     /// When the log last said why long-running tasks of the step don't run; the epoch if it never
     /// did.
     Core::Instant interruptionLoggedAt = {};
+    /// No worker could be reserved for a task of the step; one is looked for again at this time.
+    Core::Instant nextReservationAt = {};
 };
 
 /// A job on its owner: the durable progress and the current runs of its tasks.
--- a/include/LibJob/PlanningPass.h
+++ b/include/LibJob/PlanningPass.h
@@ -21,7 +21,8 @@
     int step = 0;
     /// The job has much more work than others of its queue, and still has a value.
     bool isLarge = false;
-    /// A long-running task of the step was interrupted and hasn't run for longer than allowed.
+    /// Stands for the long-running tasks of the step that were interrupted and haven't run for
+    /// longer than allowed, and for no others.
     bool isOverdue = false;
     /// Since when the task of the step that has been interrupted for the longest time is away;
     /// meaningless unless `isOverdue`.
@@ -51,9 +52,10 @@
 
 /// One pass over the waiting steps, which may take several calls of the scheduler.
 ///
-/// Steps come in the order of their ranks, except that overdue ones come first, those that have
-/// been interrupted for the longest time before others, and a few large jobs before the others of
-/// their priority, so that small jobs can't starve them.
+/// Steps come in the order of their ranks, except that a few large jobs come before the others of
+/// their priority, so that small jobs can't starve them. Before all of them come the steps with
+/// overdue tasks, for these tasks only, those that have been interrupted for the longest time
+/// before others.
 class PlanningPass
 {
 public:
@@ -66,6 +68,8 @@
     /// The step to plan now; the pass must not be over.
     const WaitingStep &next() const { return m_steps[m_next]; }
     void advance() { ++m_next; }
+    /// The overdue steps that were planned already and still wait.
+    std::vector<WaitingStep> passedOverdue() const;
     /// Inserts a step that can start from now on, by its rank, behind those that were planned.
     void join(const WaitingStep &joining);
     /// Removes a job that is about to be deleted.
@@ -83,6 +87,8 @@
 
     std::vector<WaitingStep> m_steps;
     std::size_t m_next = 0;
+    /// The overdue steps are the first ones.
+    std::size_t m_overdueCount = 0;
     std::vector<Demand> m_rejected;
 };
 
--- a/include/LibJob/SchedulerSettings.h
+++ b/include/LibJob/SchedulerSettings.h
@@ -31,6 +31,9 @@
     Core::Duration renewalWait = std::chrono::milliseconds(1000);
     /// How long after it was sent a start command may be delivered to a worker.
     Core::Duration startDeliveryTime = std::chrono::milliseconds(1000);
+    /// Capacity is reserved for a long-running task from this time before the end of the wait for
+    /// its former run: about as long as short tasks take to leave the capacity.
+    static constexpr Core::Duration reservationTime = std::chrono::milliseconds(2000);
     /// Minimum interval between two renewals of one worker.
     Core::Duration renewalInterval = std::chrono::milliseconds(110);
     /// Interval between renewals of a worker that doesn't answer.
--- a/include/LibJob/TaskRun.h
+++ b/include/LibJob/TaskRun.h
@@ -107,6 +107,17 @@
     /// Since when the task may not have run: the last sign of its last run, or, of a task that may
     /// have run under a former owner, when its job was due. The epoch if it certainly never ran.
     Core::Instant awaySince = {};
+
+    /// A long-running task that was interrupted and hasn't run for longer is started before all
+    /// others.
+    static constexpr Core::Duration maxInterruption = std::chrono::milliseconds(2500);
+
+    /// True if the task has no run, and its last one ended longer ago than `maxInterruption`.
+    /// Meaningful for long-running tasks only.
+    bool isOverdue(Core::Instant now) const
+    {
+        return !run && awaySince != Core::Instant() && now > awaySince + maxInterruption;
+    }
 };
 
 } // namespace Jobs
--- a/include/LibJob/Unsuitability.h
+++ b/include/LibJob/Unsuitability.h
@@ -22,7 +22,7 @@
     TooManyOfStep,
     /// The worker lacks the free capacity. All reasons before this one would remain if it had it.
     NoRoom,
-    /// The worker's capacity is reserved for another task; see CapacityReservation.
+    /// The worker's capacity is reserved for another task; see CapacityReservations.
     Reserved,
     /// Another run on the worker could be the cause if the task crashed it, or the other way round.
     NotIsolated,
--- a/include/LibJob/WorkerChooser.h
+++ b/include/LibJob/WorkerChooser.h
@@ -3,7 +3,7 @@
 #include <LibCore/Identifier.h>
 #include <LibCore/Time.h>
 #include <LibJob/CapacityIndex.h>
-#include <LibJob/CapacityReservation.h>
+#include <LibJob/CapacityReservations.h>
 #include <LibJob/OwnedJob.h>
 #include <LibJob/SlowdownModel.h>
 #include <LibJob/Unsuitability.h>
@@ -34,6 +34,8 @@
     /// The task is suspected of crashing its workers. It runs where no other run could be the cause
     /// of a crash, and where a crash would do the least harm.
     bool isSuspect = false;
+    /// The long-running task was interrupted and has been away for longer than allowed.
+    bool isOverdue = false;
     /// The owner's last proof of ownership. Workers contacted for the first time after it are
     /// excluded.
     Core::Instant provenAt = {};
@@ -47,17 +49,25 @@
 class WorkerChooser
 {
 public:
-    WorkerChooser(const SlowdownModel &slowdownModel, const CapacityReservation &reservation,
+    WorkerChooser(const SlowdownModel &slowdownModel, const CapacityReservations &reservations,
                   const CapacityIndex &capacityIndex)
         : m_slowdownModel(slowdownModel)
-        , m_reservation(reservation)
+        , m_reservations(reservations)
         , m_capacityIndex(capacityIndex)
     {
     }
 
-    /// Returns the suitable worker with the least cost, the first in the list if several have it;
-    /// null if no worker is suitable.
+    /// Returns the worker that is reserved for the task if it is suitable; otherwise the suitable
+    /// worker with the least cost, the first in the list if several have it; null if no worker is
+    /// suitable. For an overdue task, workers that are reserved for others come last.
     WorkerState *choose(const PlacementRequest &request) const;
+    /// Returns the worker on which the task should have a reservation: of those that only lack the
+    /// capacity, and will have it once short tasks have ended, the one where the least part of
+    /// these must end. Null if there is none.
+    WorkerState *chooseToReserve(const std::vector<WorkerState *> &workers,
+                                 const PlacementRequest &request) const;
+    /// True if a reservation on the worker still leads to a place for the task.
+    bool isReservationUseful(WorkerState &worker, const PlacementRequest &request) const;
     Unsuitability unsuitability(WorkerState &worker, const PlacementRequest &request) const;
     /// True if nothing has been heard from the worker for so long that it must be asked before a
     /// long-running task starts there: an unanswered start keeps the task away until the lease has
@@ -82,10 +92,15 @@
     std::int64_t looks() const { return m_looks; }
 
 private:
+    /// The capacity of the worker that isn't reserved for others.
+    Core::Resources availableResources(const WorkerState &worker,
+                                       const PlacementRequest &request) const;
     /// Returns the workers of the service with the processors that the task needs, by base cost.
     std::span<const CapacityIndex::Entry>
     withEnoughProcessors(const PlacementRequest &request) const;
     WorkerState *chooseForSuspect(const PlacementRequest &request) const;
+    /// Returns the suitable worker with the least cost among those with reservations.
+    WorkerState *chooseAmongReserved(const PlacementRequest &request) const;
     /// Cost of a serving task beside serving tasks of other images.
     static double colocatedImagesCost(const WorkerState &worker, ImageIndex image);
     /// Returns the expected utilization of a serving task beside the best-effort tasks on the
@@ -98,7 +113,7 @@
     const ServingForecast &forecast(WorkerState &worker) const;
 
     const SlowdownModel &m_slowdownModel;
-    const CapacityReservation &m_reservation;
+    const CapacityReservations &m_reservations;
     const CapacityIndex &m_capacityIndex;
     mutable std::int64_t m_looks = 0;
 };
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -72,7 +72,8 @@
     void update(const WorkerInfo &info);
 
     // Capacity. Every run counts from its planning until it is known to be gone.
-    /// \p observer is told of all changes of freeResources(), idleMilliCores() and the listing.
+    /// \p observer is told of all changes of unreservedResources(), idleMilliCores() and the
+    /// listing.
     void observeCapacity(WorkerObserver &observer) { m_capacityObserver = &observer; }
     void addRun(const TaskName &task, const StepSpec &step, ImageIndex image);
     void removeRun(const TaskName &task, const StepSpec &step, ImageIndex image);
@@ -117,6 +118,11 @@
     }
     /// True if a run of the step that counts already has room beside the others.
     bool hasRoomForCounted(const StepSpec &step) const;
+    /// What is kept on the worker for tasks that have no run there yet; see CapacityReservations.
+    const Core::Resources &reserved() const { return m_reserved; }
+    void setReserved(const Core::Resources &reserved);
+    /// The part of freeResources() that isn't reserved; negative while what is reserved isn't free.
+    Core::Resources unreservedResources() const { return freeResources() - m_reserved; }
     /// Free capacity if all tasks except long-running ones had ended.
     Core::Resources capacityBesideLongRunning() const
     {
@@ -228,7 +234,12 @@
     void noteTaskFailed(Core::Instant now);
     void noteRefusal(Core::Instant now);
     /// No task should be started there before this time.
-    Core::Instant avoidedUntil() const { return m_avoidedUntil; }
+    Core::Instant avoidedUntil() const { return std::max(m_avoidedUntil, m_refusingUntil); }
+    /// The worker has refused a start, or hasn't answered one, and may do so again before this
+    /// time.
+    Core::Instant refusingUntil() const { return m_refusingUntil; }
+    /// Several runs in a row have failed there.
+    bool isQuarantined(Core::Instant now) const { return now < m_quarantinedUntil; }
 
     // Renewals.
     /// \p observer is told of all changes of wantsRenewal() and nextRenewalAt().
@@ -278,6 +289,7 @@
     Core::Resources m_used;
     /// The part of m_used that long-running tasks request.
     Core::Resources m_usedByLongRunning;
+    Core::Resources m_reserved;
     UnwantedUse m_unwantedUse;
     std::int64_t m_bestEffortMilliCores = 0;
     std::int64_t m_servingMilliCores = 0;
@@ -325,6 +337,8 @@
 
     int m_consecutiveFailures = 0;
     Core::Instant m_avoidedUntil = {};
+    Core::Instant m_quarantinedUntil = {};
+    Core::Instant m_refusingUntil = {};
 };
 
 } // namespace Jobs
