--- a/Libraries/LibJob/JobSchedulerInterruptions.cpp
+++ b/Libraries/LibJob/JobSchedulerInterruptions.cpp
@@ -35,8 +35,10 @@
         return;
     const std::int64_t mostFreeOfReserved = m_reservations.mostFreeMilliCores();
     for (const WaitingStep &waiting : m_pass.passedOverdue()) {
-        if (isPlanningWorkUsedUp() || isStartWindowFull())
+        if (isReservationWorkUsedUp() || isStartWindowFull()) {
+            m_isCapacityFreed = true;
             return;
+        }
         const OwnedJob &job = *waiting.job;
         const std::int64_t mostFree = std::max(
             m_capacityIndex.mostFreeMilliCores(queueOf(job)->service), mostFreeOfReserved);
@@ -65,10 +67,12 @@
     OwnedJob &job = *waiting.job;
     OwnedStep &step
         = job.occurrences().at(waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
-    if (!job.spec(waiting.step).isLongRunning || now.instant < step.nextReservationAt)
+    // The processors that a best-effort task takes aren't counted.
+    const StepSpec &spec = job.spec(waiting.step);
+    if (!spec.isLongRunning || spec.isBestEffort || now.instant < step.nextReservationAt)
         return;
     for (int index = first; index < static_cast<int>(step.tasks.size()); ++index) {
-        if (m_reservations.isFull())
+        if (m_reservations.isFull() || isReservationWorkUsedUp())
             return;
         if (!step.tasks[static_cast<std::size_t>(index)].isOverdue(now.instant))
             continue;
@@ -93,8 +97,11 @@
 {
     for (const TaskName &name : worker.runs()) {
         OwnedJob *job = findJob(name.job);
-        const bool isLongRunning = job && !job->isOver() && job->spec(name.step).isLongRunning;
-        if (!isLongRunning || m_reservations.isFull() || m_reservations.contains(name))
+        const bool isLongRunning = job && !job->isOver() && job->spec(name.step).isLongRunning
+            && !job->spec(name.step).isBestEffort;
+        if (m_reservations.isFull() || isReservationWorkUsedUp())
+            return;
+        if (!isLongRunning || m_reservations.contains(name))
             continue;
         OwnedStep &step
             = job->occurrences().at(name.occurrence)[static_cast<std::size_t>(name.step)];
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -75,6 +75,8 @@
     // The loss of a run may become known only long after it.
     if (task->run->lastSignAt() != Core::Instant())
         task->awaySince = task->run->lastSignAt();
+    else if (task->run->phase == RunPhase::Uncertain && task->awaySince == Core::Instant())
+        task->awaySince = task->run->sentAt;
     task->run->worker->removeRun(name, spec, image);
     m_pendingStarts -= task->run->isStartPending() ? 1 : 0;
     task->run->worker->urgentRuns -= task->run->isUrgent ? 1 : 0;
@@ -185,12 +187,10 @@
         requestStop(command.task, run, now);
         return;
     }
-    const bool isUnhealthy
-        = outcome == StartOutcome::Refused || outcome == StartOutcome::OtherIncarnation;
-    if (isUnhealthy)
-        worker.noteTaskFailed(now.instant);
-    if (outcome != StartOutcome::OldRun && outcome != StartOutcome::Withheld
-        && outcome != StartOutcome::Fenced)
+    if (outcome == StartOutcome::Refused || outcome == StartOutcome::OtherIncarnation)
+        worker.noteUnhealthy(now.instant);
+    else if (outcome != StartOutcome::OldRun && outcome != StartOutcome::Withheld
+             && outcome != StartOutcome::Fenced)
         worker.noteRefusal(now.instant);
     if (outcome == StartOutcome::OldRun)
         task->lastRun += 1;
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -256,6 +256,8 @@
     const bool areFormerRunsAwaited = awaitsReconciliation(job, now.instant);
     OwnedStep &step
         = job.occurrences().at(waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
+    WaitingStep withReservations = waiting;
+    withReservations.mayOnlyUseReservations = true;
     bool isPlaced = true;
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
         const auto index = static_cast<int>(i);
@@ -283,7 +285,9 @@
         // Where one task of the step finds no worker, only those with a reservation may find one.
         if (!isPlaced && !m_reservations.contains(name))
             continue;
-        if (planTask(waiting, index, nextRunNumber(step.tasks[i]), now) != TaskPlan::NoWorker)
+        const TaskPlan plan = planTask(isPlaced ? waiting : withReservations, index,
+                                       nextRunNumber(step.tasks[i]), now);
+        if (plan != TaskPlan::NoWorker)
             continue;
         if (!waiting.isOverdue)
             return false;
@@ -349,15 +353,19 @@
 {
     OwnedJob &job = *waiting.job;
     const TaskName name { job.id(), waiting.occurrence, waiting.step, index };
+    const TaskState &task = *job.findTask(name);
     PlacementRequest request;
     request.job = &job;
     request.step = &job.spec(waiting.step);
     request.image = job.images[static_cast<std::size_t>(waiting.step)];
     request.task = name;
     request.service = queueOf(job)->service;
-    request.failedOn = job.findTask(name)->failedOn;
+    request.failedOn = task.failedOn;
     request.isSuspect = job.sharedCrashHistory(name).isSuspect();
-    request.isOverdue = request.step->isLongRunning && job.findTask(name)->isOverdue(now.instant);
+    // A run in doubt will have been away for long once that is known.
+    const bool isInDoubt = task.run && task.run->worker->isUnresponsive();
+    request.isOverdue = request.step->isLongRunning && (isInDoubt || task.isOverdue(now.instant));
+    request.mayOnlyUseReservation = waiting.mayOnlyUseReservations;
     request.requiresDurableWorker = !m_isStoreReachable;
     request.provenAt = m_provenAt;
     // A job must not be delayed for the targets of others while the site has free capacity.
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -236,9 +236,12 @@
     const Unsuitability reason = unsuitability(worker, request);
     const bool lacksOnlyRoom = reason == Unsuitability::None || reason == Unsuitability::NoRoom
         || reason == Unsuitability::Reserved || reason == Unsuitability::NotIsolated;
+    const int ofStep
+        = worker.runsOfStep(request.task) + m_reservations.countOthersOfStep(request.task, worker);
+    const bool isStepFull = request.step->maxPerWorker > 0 && ofStep >= request.step->maxPerWorker;
     const Core::Resources own = m_reservations.reservedFor(request.task, worker);
     const Core::Resources later = worker.capacityBesideLongRunning() - worker.reserved() + own;
-    return lacksOnlyRoom && request.step->need.fitsIn(later);
+    return lacksOnlyRoom && !isStepFull && request.step->need.fitsIn(later);
 }
 
 WorkerState *WorkerChooser::chooseToReserve(const std::vector<WorkerState *> &workers,
@@ -300,8 +303,13 @@
         const auto isNew = [&request](const WorkerState &worker) {
             return worker.contactBeganAt() + newWorkerTime > request.now;
         };
-        const bool isBetter = !best || (isNew(*best) && !isNew(*entry.worker))
-            || (isNew(*best) == isNew(*entry.worker) && isLessHarmful(*entry.worker, *best));
+        // One that is avoided is as likely to crash for a reason of its own.
+        const auto isDoubtful = [&](const WorkerState &worker) {
+            return isNew(worker) || request.now < worker.avoidedUntil();
+        };
+        const bool isBetter = !best || (isDoubtful(*best) && !isDoubtful(*entry.worker))
+            || (isDoubtful(*best) == isDoubtful(*entry.worker)
+                && isLessHarmful(*entry.worker, *best));
         if (isBetter)
             best = entry.worker;
     }
@@ -311,10 +319,17 @@
 WorkerState *WorkerChooser::choose(const PlacementRequest &request) const
 {
     WorkerState *reserved = m_reservations.workerOf(request.task);
-    if (reserved && unsuitability(*reserved, request) == Unsuitability::None)
+    if (reserved && reserved->isListed()
+        && unsuitability(*reserved, request) == Unsuitability::None)
         return reserved;
-    if (request.isSuspect)
-        return chooseForSuspect(request);
+    if (request.mayOnlyUseReservation)
+        return nullptr;
+    WorkerState *worker = request.isSuspect ? chooseForSuspect(request) : chooseByCost(request);
+    return worker || !request.isOverdue ? worker : chooseAmongReserved(request);
+}
+
+WorkerState *WorkerChooser::chooseByCost(const PlacementRequest &request) const
+{
     const CapacityIndex::Entry *best = nullptr;
     double leastCost = std::numeric_limits<double>::max();
     for (const CapacityIndex::Entry &entry : withEnoughProcessors(request)) {
@@ -333,16 +348,17 @@
         leastCost = entryCost;
         best = &entry;
     }
-    if (best)
-        return best->worker;
-    return request.isOverdue ? chooseAmongReserved(request) : nullptr;
+    return best ? best->worker : nullptr;
 }
 
 WorkerState *WorkerChooser::chooseAmongReserved(const PlacementRequest &request) const
 {
     WorkerState *best = nullptr;
     double leastCost = std::numeric_limits<double>::max();
-    for (WorkerState *worker : m_reservations.workers()) {
+    for (const auto &[id, reserved] : m_reservations.workers()) {
+        WorkerState *worker = reserved.worker;
+        if (!worker->isListed() || !fits(*worker, *request.step, worker->freeResources()))
+            continue;
         ++m_looks;
         if (unsuitability(*worker, request) != Unsuitability::None)
             continue;
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -354,7 +354,13 @@
 
 void WorkerState::noteRefusal(Core::Instant now)
 {
-    m_refusingUntil = now + m_settings.failureBackoff;
+    m_refusingUntil = std::max(m_refusingUntil, now + m_settings.failureBackoff);
+}
+
+void WorkerState::noteUnhealthy(Core::Instant now)
+{
+    noteTaskFailed(now);
+    m_refusingUntil = std::max(m_refusingUntil, m_avoidedUntil);
 }
 
 } // namespace Jobs
--- a/include/LibJob/CapacityReservations.h
+++ b/include/LibJob/CapacityReservations.h
@@ -20,7 +20,7 @@
 class CapacityReservations
 {
 public:
-    /// Limits the number of reservations to a part of \p workerCount, but allows at least one.
+    /// Limits the number of reservations to that of the workers, but allows at least one.
     void limitFor(std::size_t workerCount);
     bool isFull() const { return m_reservations.size() >= m_maxReservations; }
     bool contains(const TaskName &task) const { return m_reservations.contains(task); }
@@ -36,13 +36,20 @@
     WorkerState *workerOf(const TaskName &task) const;
     /// What is reserved for the task on the worker.
     Core::Resources reservedFor(const TaskName &task, const WorkerState &worker) const;
-    /// The workers with reservations, each once.
-    std::vector<WorkerState *> workers() const;
+    /// The workers with reservations and the number of these, by the workers' IDs.
+    struct ReservedWorker
+    {
+        WorkerState *worker = nullptr;
+        int reservations = 0;
+    };
+    const std::map<Core::VmId, ReservedWorker> &workers() const { return m_workers; }
     /// The most free processors of a worker with reservations, in thousandths of a core; 0 if there
     /// is none.
     std::int64_t mostFreeMilliCores() const;
     /// The tasks with a reservation.
     std::vector<TaskName> tasks() const;
+    /// How many other tasks of the same step have a reservation on the worker.
+    int countOthersOfStep(const TaskName &task, const WorkerState &worker) const;
 
 private:
     struct Reservation
@@ -53,6 +60,7 @@
 
     std::size_t m_maxReservations = 0;
     std::map<TaskName, Reservation> m_reservations;
+    std::map<Core::VmId, ReservedWorker> m_workers;
 };
 
 } // namespace Jobs
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -204,6 +204,8 @@
     bool isUrgent(const OwnedJob &job) const;
     /// Adds the records of \p job that must be written.
     void addToCommit(OwnedJob &job, Commit &commit);
+    /// Adds what is left of the records of \p job, which has ended.
+    void addEndToCommit(OwnedJob &job, Commit &commit);
     void markDirty(OwnedJob &job);
     /// Ends the job in \p state, unless it has ended.
     void endEarly(OwnedJob &job, JobState state, const TimePoint &now);
@@ -322,8 +324,12 @@
     /// lease ends soon.
     void reserveForRunsInDoubt(const TimePoint &now);
     void reserveForRunsOn(const WorkerState &worker, const TimePoint &now);
-    /// Returns false if there is no worker that is worth a reservation.
+    /// Returns false if there is no worker that is worth a reservation. Does nothing if the task
+    /// has a reservation, or if there may be no further one.
     bool reserve(const PlacementRequest &request);
+    /// Reservations, and overdue tasks in a pass that has planned them already, may use half of the
+    /// work of a call, so that each call also advances the pass.
+    bool isReservationWorkUsedUp() const { return planningWork() >= maxPlanningWork / 2; }
     /// Releases the reservations that lead to no place for their task any more.
     void releaseUselessReservations(const TimePoint &now);
     bool isReservationUseful(const TaskName &name, const TimePoint &now);
@@ -573,7 +579,7 @@
     /// What can start may have changed since the last pass over the waiting steps.
     bool m_needsPass = true;
     PlanningPass m_pass;
-    /// Capacity has become free since overdue steps were planned last.
+    /// Capacity may have become free since all overdue steps were planned last.
     bool m_isCapacityFreed = false;
     Core::Instant m_passBeganAt = {};
     std::int64_t m_planningWork = 0;
--- a/include/LibJob/PlanningPass.h
+++ b/include/LibJob/PlanningPass.h
@@ -29,6 +29,8 @@
     Core::Instant awaySince = {};
     /// The step comes before others of a lower rank; see PlanningPass.
     bool isPutFirst = false;
+    /// Its tasks start only on workers on which they have a reservation.
+    bool mayOnlyUseReservations = false;
 
     /// False once all tasks have a run or are done, and once the job is over or deleted.
     bool isStillWaiting() const;
--- a/include/LibJob/WorkerChooser.h
+++ b/include/LibJob/WorkerChooser.h
@@ -36,6 +36,8 @@
     bool isSuspect = false;
     /// The long-running task was interrupted and has been away for longer than allowed.
     bool isOverdue = false;
+    /// Only the worker on which the task has a reservation comes into question.
+    bool mayOnlyUseReservation = false;
     /// The owner's last proof of ownership. Workers contacted for the first time after it are
     /// excluded.
     Core::Instant provenAt = {};
@@ -99,6 +101,7 @@
     std::span<const CapacityIndex::Entry>
     withEnoughProcessors(const PlacementRequest &request) const;
     WorkerState *chooseForSuspect(const PlacementRequest &request) const;
+    WorkerState *chooseByCost(const PlacementRequest &request) const;
     /// Returns the suitable worker with the least cost among those with reservations.
     WorkerState *chooseAmongReserved(const PlacementRequest &request) const;
     /// Cost of a serving task beside serving tasks of other images.
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -233,7 +233,9 @@
     void noteTaskDone();
     void noteTaskFailed(Core::Instant now);
     void noteRefusal(Core::Instant now);
-    /// No task should be started there before this time.
+    /// The worker has refused a start because of its own state; as if it had failed the task.
+    void noteUnhealthy(Core::Instant now);
+    /// No task should be started there before this time, unless it is overdue.
     Core::Instant avoidedUntil() const { return std::max(m_avoidedUntil, m_refusingUntil); }
     /// The worker has refused a start, or hasn't answered one, and may do so again before this
     /// time.
