LibJob, LibSite: Read the states of jobs before their submissions, and keep only the state of ended ones

Cause: a VM reads every record before it serves. Class: readiness that grows with what only the owner needs. Ruled out as a first step: compression (submissions are the callers' own text), questions to peers (a second protocol). Change: a submission is written together with a small record (`q/`: queue, scheduled or not), in one append. A VM that starts reads the keys before `s/`, then the log, then serves; it reads `s/` and `w/` in turns with the log, and only then claims the ownership or denies a job. Once a job is over and nothing of it runs, one append drops all but its final state; the table keeps no more of it, whatever the store still has, so a late duplicate changes nothing. Owners of the former version take the removals for a deletion, and the final state that follows in the same append restores it. Mended: a lost history counted as having read the submissions; a job that ends before the last page is read; an acceptance without its submission, which an owner of the former version leaves behind. Tests: TestSlowReads "A node serves from the states of the jobs before it has read their submissions", TestRecordBytes "A node that starts reads of an ended job only its final state", TestRecords.

--- a/Libraries/LibJob/JobRecord.cpp
+++ b/Libraries/LibJob/JobRecord.cpp
@@ -10,9 +10,9 @@
 
 namespace Jobs {
 
-// Member names are short because each record is stored for as long as its job. Keys: `s/JOB`
-// (submission), `c/JOB` (cancellation), `p/JOB` (progress), `w/JOB` (workers), `l/WORKER`
-// (suspension of leases), `owner` and `beat` (heartbeat).
+// Member names are short because each record is stored for as long as its job. Keys: `c/JOB`
+// (cancellation), `p/JOB` (progress), `q/JOB` (acceptance), `s/JOB` (submission), `w/JOB`
+// (workers), `l/WORKER` (suspension of leases), `owner` and `beat` (heartbeat).
 
 static constexpr const char *ownerKey = "owner";
 static constexpr const char *heartbeatKey = "beat";
@@ -171,6 +171,20 @@
     return submission;
 }
 
+static StoredRecord encode(const AcceptedJob &accepted)
+{
+    Json::Value value(Json::objectValue);
+    value["q"] = accepted.queue.text();
+    if (accepted.isScheduled)
+        value["r"] = true;
+    return { "q/" + accepted.id.text(), Core::Json::write(value) };
+}
+
+static AcceptedJob decodeAcceptedJob(const JobId &id, const Json::Value &value)
+{
+    return { id, QueueId(Core::Json::stringMember(value, "q")), value["r"].asBool() };
+}
+
 static Json::Value encodeRuns(const std::set<std::int64_t> &runs)
 {
     Json::Value value(Json::arrayValue);
@@ -487,10 +501,31 @@
     return suspension;
 }
 
+/// The progress comes last: a node of an earlier version takes an empty value under any key of a
+/// job for the deletion of the job, and then learns of its end.
+static std::vector<StoredRecord> encode(const EndedJob &ended)
+{
+    const std::string &id = ended.id.text();
+    ProgressRecord final { ended.id, {} };
+    final.progress.state = ended.state;
+    final.progress.endedUnixMs = ended.endedUnixMs;
+    std::vector<StoredRecord> records { { "q/" + id, "" }, { "s/" + id, "" }, { "w/" + id, "" } };
+    if (ended.state == JobState::Cancelled)
+        records.push_back({ "c/" + id, "" });
+    records.push_back(encode(final));
+    return records;
+}
+
 std::vector<StoredRecord> encodeRecord(const JobRecord &record)
 {
+    if (const auto *ended = std::get_if<EndedJob>(&record))
+        return encode(*ended);
     if (const auto *submission = std::get_if<Submission>(&record))
-        return { encode(*submission) };
+        return { encode(*submission),
+                 encode(AcceptedJob { submission->id, submission->queue.id,
+                                      submission->spec.isScheduled() }) };
+    if (const auto *accepted = std::get_if<AcceptedJob>(&record))
+        return { encode(*accepted) };
     if (const auto *cancellation = std::get_if<Cancellation>(&record))
         return { { "c/" + cancellation->id.text(), "{}" } };
     if (const auto *progress = std::get_if<ProgressRecord>(&record))
@@ -504,7 +539,11 @@
     if (const auto *heartbeat = std::get_if<Heartbeat>(&record))
         return { { heartbeatKey, "{\"t\":" + std::to_string(heartbeat->term) + '}' } };
     const std::string &id = std::get<JobDeletion>(record).id.text();
-    return { { "c/" + id, "" }, { "p/" + id, "" }, { "s/" + id, "" }, { "w/" + id, "" } };
+    return { { "c/" + id, "" },
+             { "p/" + id, "" },
+             { "q/" + id, "" },
+             { "s/" + id, "" },
+             { "w/" + id, "" } };
 }
 
 JobRecord decodeRecord(const StoredRecord &record)
@@ -515,6 +554,8 @@
             return decodeSuspension(record);
         const bool isJobKey = key.size() > 2 && key[1] == '/';
         const JobId id(isJobKey ? key.substr(2) : std::string());
+        if (isJobKey && record.value.empty() && key[0] != 'p')
+            return RecordRemoval { id };
         if (isJobKey && record.value.empty())
             return JobDeletion { id };
         const Json::Value value = Core::Json::parse(record.value, key);
@@ -525,6 +566,8 @@
                                 requiredNumberUpTo(value, "t", maxTerm),
                                 Core::Json::booleanMember(value, "r"),
                                 numberUpTo(value["l"], maxAmount, "l") };
+        if (isJobKey && key[0] == 'q')
+            return decodeAcceptedJob(id, value);
         if (isJobKey && key[0] == 's')
             return decodeSubmission(id, value);
         if (isJobKey && key[0] == 'c')
@@ -542,4 +585,9 @@
     throw Core::FormatError("decode record", key, "the key is unknown");
 }
 
+bool isSchedulingDetail(const std::string &key)
+{
+    return key >= "s/";
+}
+
 } // namespace Jobs
--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -246,6 +246,10 @@
 
 void JobScheduler::addToCommit(OwnedJob &job, Commit &commit)
 {
+    if (job.isOver() && !job.hasRuns()) {
+        addEndToCommit(job, commit);
+        return;
+    }
     // The first progress goes with the first workers, so that a job whose progress is too large for
     // a record fails before any task of it starts.
     if (!std::exchange(job.isProgressRecorded, true))
@@ -260,6 +264,16 @@
         commit.records.emplace_back(ProgressRecord { job.id(), job.recordedProgress() });
 }
 
+void JobScheduler::addEndToCommit(OwnedJob &job, Commit &commit)
+{
+    job.isProgressRecorded = true;
+    job.isDirty = false;
+    job.hasNewWorkers = false;
+    m_committing[job.id()];
+    commit.records.emplace_back(
+        EndedJob { job.id(), job.progress().state, job.progress().endedUnixMs });
+}
+
 Commit JobScheduler::takeCommit()
 {
     Commit commit;
--- a/Libraries/LibJob/JobTable.cpp
+++ b/Libraries/LibJob/JobTable.cpp
@@ -1,5 +1,7 @@
 #include <LibJob/JobTable.h>
 
+#include <algorithm>
+
 namespace Jobs {
 
 JobState JobEntry::state() const
@@ -27,31 +29,72 @@
     if (!pending.empty())
         entry = pending.mapped();
     entry.submission = submission;
+    entry.isAccepted = true;
     m_jobs.emplace(submission.id, std::move(entry));
 }
 
-static void applyProgress(const ProgressRecord &record, JobEntry &entry)
+void JobTable::applyAccepted(const AcceptedJob &accepted)
+{
+    if (m_jobs.contains(accepted.id))
+        return;
+    JobEntry &entry = m_withoutSubmission[accepted.id];
+    entry.isAccepted = true;
+    entry.submission.id = accepted.id;
+    entry.submission.queue.id = accepted.queue;
+    entry.submission.spec.repeatCount = accepted.isScheduled ? 1 : 0;
+}
+
+JobEntry *JobTable::openEntry(const JobId &id)
 {
-    entry.progress = record.progress;
-    entry.workers.insert(record.workers.begin(), record.workers.end());
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end())
+        return &m_withoutSubmission[id];
+    JobEntry &entry = found->second;
+    return entry.progress && entry.progress->isFinal() ? nullptr : &entry;
+}
+
+void JobTable::applyEnd(const JobId &id, JobState state, std::int64_t endedUnixMs)
+{
+    m_withoutSubmission.erase(id);
+    JobEntry &entry = m_jobs[id];
+    entry = {};
+    entry.submission.id = id;
+    entry.progress.emplace();
+    entry.progress->state = state;
+    entry.progress->endedUnixMs = endedUnixMs;
+}
+
+void JobTable::applyProgress(const ProgressRecord &record)
+{
+    if (record.progress.isFinal()) {
+        applyEnd(record.id, record.progress.state, record.progress.endedUnixMs);
+        return;
+    }
+    JobEntry *entry = openEntry(record.id);
+    if (!entry)
+        return;
+    entry->progress = record.progress;
+    entry->workers.insert(record.workers.begin(), record.workers.end());
 }
 
 void JobTable::apply(const JobRecord &record)
 {
-    const auto entryOf = [this](const JobId &id) -> JobEntry & {
-        const auto found = m_jobs.find(id);
-        return found == m_jobs.end() ? m_withoutSubmission[id] : found->second;
-    };
-    if (const auto *submission = std::get_if<Submission>(&record))
+    if (const auto *submission = std::get_if<Submission>(&record)) {
         applySubmission(*submission);
-    else if (const auto *cancellation = std::get_if<Cancellation>(&record))
-        entryOf(cancellation->id).isCancelled = true;
-    else if (const auto *progress = std::get_if<ProgressRecord>(&record))
-        applyProgress(*progress, entryOf(progress->id));
-    else if (const auto *workers = std::get_if<JobWorkers>(&record)) {
-        JobEntry &entry = entryOf(workers->id);
-        entry.workers = workers->workers;
-        entry.startedTasks = workers->startedTasks;
+    } else if (const auto *accepted = std::get_if<AcceptedJob>(&record)) {
+        applyAccepted(*accepted);
+    } else if (const auto *cancellation = std::get_if<Cancellation>(&record)) {
+        if (JobEntry *entry = openEntry(cancellation->id))
+            entry->isCancelled = true;
+    } else if (const auto *progress = std::get_if<ProgressRecord>(&record)) {
+        applyProgress(*progress);
+    } else if (const auto *ended = std::get_if<EndedJob>(&record)) {
+        applyEnd(ended->id, ended->state, ended->endedUnixMs);
+    } else if (const auto *workers = std::get_if<JobWorkers>(&record)) {
+        if (JobEntry *entry = openEntry(workers->id)) {
+            entry->workers = workers->workers;
+            entry->startedTasks = workers->startedTasks;
+        }
     } else if (const auto *deletion = std::get_if<JobDeletion>(&record)) {
         m_jobs.erase(deletion->id);
         m_withoutSubmission.erase(deletion->id);
@@ -70,19 +113,25 @@
     if (entry)
         return entry->state();
     const auto found = m_withoutSubmission.find(id);
-    const bool isKnown = found != m_withoutSubmission.end() && found->second.progress;
+    const bool isKnown = found != m_withoutSubmission.end()
+        && (found->second.isAccepted || found->second.progress);
     return isKnown ? std::optional(found->second.state()) : std::nullopt;
 }
 
 std::int64_t JobTable::waitingCount(const QueueId &queue) const
 {
-    std::int64_t count = 0;
-    for (const auto &[id, entry] : m_jobs) {
-        const bool isOfQueue = entry.submission.queue.id == queue;
-        if (isOfQueue && !entry.submission.spec.isScheduled() && entry.state() == JobState::Queued)
-            ++count;
-    }
-    return count;
+    const auto isWaiting = [&queue](const auto &job) {
+        const JobEntry &entry = job.second;
+        return entry.isAccepted && entry.submission.queue.id == queue
+            && !entry.submission.spec.isScheduled() && entry.state() == JobState::Queued;
+    };
+    return std::count_if(m_jobs.begin(), m_jobs.end(), isWaiting)
+        + std::count_if(m_withoutSubmission.begin(), m_withoutSubmission.end(), isWaiting);
+}
+
+void JobTable::dropAcceptedWithoutSubmission()
+{
+    std::erase_if(m_withoutSubmission, [](const auto &job) { return job.second.isAccepted; });
 }
 
 void JobTable::clear()
--- a/Libraries/LibJob/OwnedJob.cpp
+++ b/Libraries/LibJob/OwnedJob.cpp
@@ -128,12 +128,15 @@
 
 JobProgress OwnedJob::recordedProgress() const
 {
-    if (!m_submission.spec.isScheduled())
-        return m_progress;
     JobProgress recorded;
     recorded.state = m_progress.state;
-    recorded.endedOccurrences = m_progress.endedOccurrences;
     recorded.endedUnixMs = m_progress.endedUnixMs;
+    // What the tasks have done doesn't matter any more.
+    if (isOver())
+        return recorded;
+    if (!m_submission.spec.isScheduled())
+        return m_progress;
+    recorded.endedOccurrences = m_progress.endedOccurrences;
     for (const auto &[occurrence, steps] : m_progress.occurrences) {
         const bool isUntouched
             = std::all_of(steps.begin(), steps.end(),
--- a/Libraries/LibSite/JobFollower.cpp
+++ b/Libraries/LibSite/JobFollower.cpp
@@ -63,12 +63,39 @@
     co_return result == ReadResult::AtEnd;
 }
 
+asio::awaitable<bool> JobFollower::readDetails(Core::Instant until)
+{
+    bool isRead = true;
+    if (!m_follower.needsDetails())
+        co_return isRead;
+    try {
+        while (m_follower.needsDetails() && !m_isStopping && Core::steadyNow() < until)
+            co_await m_follower.readDetails();
+        onReadAnswered();
+    } catch (const Core::Error &error) {
+        onReadFailed(error.what());
+        isRead = false;
+    }
+    if (m_follower.hasDetails())
+        LOG4CXX_INFO(partLogger,
+                     "event=detailed snapshot_records=" << m_follower.snapshotSize() << ' '
+                                                        << m_snapshotBytes);
+    // A page may tell the state that a caller waits for.
+    wakeWaiters();
+    co_return isRead;
+}
+
 void JobFollower::onReadToEnd(Core::Instant sentAt)
 {
     m_state.ownerMonitor.noteRead(true, Core::steadyNow());
     if (!m_state.tableFreshness.wasEverComplete())
         logCaughtUp();
     m_state.tableFreshness.markCompleteAsOf(sentAt);
+    // What has ended before the last page of details was read is known only now.
+    if (!m_isDetailed && m_follower.hasDetails()) {
+        m_isDetailed = true;
+        m_state.table.dropAcceptedWithoutSubmission();
+    }
     wakeWaiters();
 }
 
@@ -121,9 +148,13 @@
         const bool isRead = co_await readToEnd();
         m_lastReadBeganAt = std::max(m_lastReadBeganAt, began);
         wakeWaiters();
+        const bool areDetailsRead
+            = isRead && co_await readDetails(Core::steadyNow() + nonOwnerReadPause);
         Core::Duration pause = retryDelay;
-        if (isRead)
+        if (areDetailsRead)
             pause = m_state.owner ? ownerReadPause : nonOwnerReadPause;
+        if (areDetailsRead && m_follower.needsDetails())
+            pause = {};
         const Core::Instant earliest = isRead ? began + minReadInterval : began + retryDelay;
         co_await m_wakeup.sleepUntil(Core::steadyNow() + pause);
         co_await m_pacingTimer.sleepUntil(earliest);
@@ -198,7 +229,7 @@
 {
     const Core::Instant wanted = Core::suspendAwareNow();
     const auto isTold = [this, job, wanted] {
-        return m_state.table.findState(job).has_value() || isCompleteAsOf(wanted);
+        return m_state.table.findState(job).has_value() || (isDetailed() && isCompleteAsOf(wanted));
     };
     std::function<bool()> isEnough = isTold;
     co_await readUntil(std::move(isEnough), deadline);
@@ -214,6 +245,13 @@
     m_state.leaseSuspensions.clear();
 }
 
+void JobFollower::applyDetail(const LoggedRecord &record)
+{
+    m_isInSnapshot = true;
+    apply(record);
+    m_isInSnapshot = false;
+}
+
 void JobFollower::endSnapshot()
 {
     m_isInSnapshot = false;
@@ -258,6 +296,7 @@
         || std::holds_alternative<Jobs::JobWorkers>(record)
         || std::holds_alternative<Jobs::Heartbeat>(record)
         || std::holds_alternative<Jobs::LeaseSuspension>(record)
+        || std::holds_alternative<Jobs::RecordRemoval>(record)
         || std::holds_alternative<Jobs::JobDeletion>(record);
     if (isFromOwner && !m_isInSnapshot)
         m_state.ownerMonitor.noteOwnerWrite(now);
--- a/Libraries/LibSite/JobRequestService.cpp
+++ b/Libraries/LibSite/JobRequestService.cpp
@@ -61,9 +61,9 @@
         co_return SubmitOutcome::Refused;
     }
     const Core::Instant startedAt = Core::steadyNow();
-    Jobs::StoredRecord record = Jobs::encodeRecord(submission).front();
+    std::vector<Jobs::StoredRecord> records = Jobs::encodeRecord(submission);
     const Core::Instant writeBy = writeDeadline(deadline);
-    const WriteOutcome outcome = co_await m_writer.write(std::move(record), writeBy);
+    const WriteOutcome outcome = co_await m_writer.write(std::move(records), writeBy);
     const auto elapsedMs
         = std::chrono::duration_cast<std::chrono::milliseconds>(Core::steadyNow() - startedAt);
     LOG4CXX_INFO(partLogger,
@@ -88,9 +88,9 @@
             co_return isRead ? CancelOutcome::NoSuchJob : CancelOutcome::Refused;
     }
     const Jobs::Cancellation cancellation { id };
-    Jobs::StoredRecord record = Jobs::encodeRecord(cancellation).front();
+    std::vector<Jobs::StoredRecord> records = Jobs::encodeRecord(cancellation);
     const WriteOutcome outcome
-        = co_await m_writer.write(std::move(record), deadline - responseMargin);
+        = co_await m_writer.write(std::move(records), deadline - responseMargin);
     LOG4CXX_INFO(partLogger, "event=cancel job=" << id << " outcome=" << outcomeText(outcome));
     if (outcome == WriteOutcome::Written)
         co_return CancelOutcome::Cancelled;
--- a/Libraries/LibSite/LogFollower.cpp
+++ b/Libraries/LibSite/LogFollower.cpp
@@ -49,14 +49,30 @@
     NewestRecordsPage page = co_await readNewestPage();
     if (m_endAtSnapshotStart < 0)
         beginSnapshot(page.end);
-    const bool isLast = !page.hasMore || (page.records.empty() && page.skippedKey.empty());
+    const bool isLast = advance(page);
+    takeSnapshotRecords(std::move(page.records));
+    m_areDetailsMissing = !isLast && m_appliesPages && m_sink.isDetail(m_afterKey);
+    if (isLast || m_areDetailsMissing)
+        endSnapshot();
+}
+
+bool LogFollower::advance(const NewestRecordsPage &page)
+{
     if (!page.skippedKey.empty())
         m_afterKey = page.skippedKey;
     else if (!page.records.empty())
         m_afterKey = page.records.back().record.key;
-    takeSnapshotRecords(std::move(page.records));
-    if (isLast)
-        endSnapshot();
+    return !page.hasMore || (page.records.empty() && page.skippedKey.empty());
+}
+
+asio::awaitable<void> LogFollower::readDetails()
+{
+    const NewestRecordsPage page = co_await readNewestPage();
+    m_areDetailsMissing = !advance(page);
+    m_snapshotSize += page.records.size();
+    for (const LoggedRecord &record : page.records)
+        m_sink.applyDetail(record);
+    m_hasDetails = !m_areDetailsMissing;
 }
 
 void LogFollower::beginSnapshot(std::int64_t end)
@@ -89,13 +105,18 @@
         m_sink.apply(record);
     m_sink.endSnapshot();
     m_nextOffset = m_endAtSnapshotStart;
-    discardSnapshot();
+    m_snapshot = {};
+    m_endAtSnapshotStart = -1;
+    if (!m_areDetailsMissing)
+        m_afterKey.clear();
+    m_hasDetails = !m_areDetailsMissing;
     m_hasSnapshot = true;
 }
 
 void LogFollower::discardSnapshot()
 {
     m_hasSnapshot = false;
+    m_areDetailsMissing = false;
     m_snapshot = {};
     m_afterKey.clear();
     m_endAtSnapshotStart = -1;
--- a/Libraries/LibSite/OwnerElection.cpp
+++ b/Libraries/LibSite/OwnerElection.cpp
@@ -59,7 +59,7 @@
 bool OwnerElection::isClaimable() const
 {
     const std::optional<Core::Instant> claimAt = m_state.ownerMonitor.claimAt();
-    return m_state.tableFreshness.wasEverComplete() && !m_state.isLeaving && claimAt
+    return m_follower.isDetailed() && !m_state.isLeaving && claimAt
         && *claimAt <= Core::steadyNow();
 }
 
--- a/Libraries/LibSite/RecordWriter.cpp
+++ b/Libraries/LibSite/RecordWriter.cpp
@@ -25,16 +25,24 @@
 {
 }
 
-asio::awaitable<WriteOutcome> RecordWriter::write(Jobs::StoredRecord record, Core::Instant deadline)
+bool RecordWriter::isAnyTooLarge(const std::vector<Jobs::StoredRecord> &records)
 {
-    if (isTooLarge(record)) {
-        LOG4CXX_WARN(partLogger,
-                     "event=record-too-large key=" << record.key
-                                                   << " bytes=" << sizeInBytes(record));
+    const auto tooLarge = std::find_if(records.begin(), records.end(), isTooLarge);
+    if (tooLarge == records.end())
+        return false;
+    LOG4CXX_WARN(partLogger,
+                 "event=record-too-large key=" << tooLarge->key
+                                               << " bytes=" << sizeInBytes(*tooLarge));
+    return true;
+}
+
+asio::awaitable<WriteOutcome> RecordWriter::write(std::vector<Jobs::StoredRecord> records,
+                                                  Core::Instant deadline)
+{
+    if (isAnyTooLarge(records))
         co_return WriteOutcome::NotWritten;
-    }
     const auto pending = std::make_shared<PendingWrite>(
-        PendingWrite { std::move(record), deadline, Supervision::Wakeup(m_executor) });
+        PendingWrite { std::move(records), deadline, Supervision::Wakeup(m_executor) });
     m_pending.push_back(pending);
     if (!m_isWriting) {
         m_isWriting = true;
@@ -56,9 +64,13 @@
 {
     Batch batch;
     std::size_t bytes = 0;
-    while (!m_pending.empty() && batch.size() < maxRecordsPerAppend) {
-        bytes += sizeInBytes(m_pending.front()->record);
-        if (bytes > maxBytesPerAppend && !batch.empty())
+    std::size_t count = 0;
+    while (!m_pending.empty()) {
+        for (const Jobs::StoredRecord &record : m_pending.front()->records)
+            bytes += sizeInBytes(record);
+        count += m_pending.front()->records.size();
+        const bool isFull = bytes > maxBytesPerAppend || count > maxRecordsPerAppend;
+        if (isFull && !batch.empty())
             break;
         batch.splice(batch.end(), m_pending, m_pending.begin());
     }
@@ -70,7 +82,7 @@
     std::vector<Jobs::StoredRecord> records;
     Core::Instant latestDeadline = {};
     for (const auto &pending : batch) {
-        records.push_back(pending->record);
+        records.insert(records.end(), pending->records.begin(), pending->records.end());
         latestDeadline = std::max(latestDeadline, pending->deadline);
     }
     const Core::Instant began = Core::steadyNow();
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <utility>
 
 using namespace Jobs;
@@ -179,6 +180,7 @@
     submission.spec = spec;
     submission.submittedUnixMs = m_nowMs;
     m_table.apply(submission);
+    m_submissions.emplace(submission.id, submission);
     for (std::size_t i = 0; i < spec.steps.size(); ++i) {
         for (int task = 0; task < spec.steps[i].taskCount; ++task)
             m_history[{ submission.id, 0, static_cast<int>(i), task }].lastRanAtMs = m_nowMs;
@@ -377,7 +379,8 @@
     const JobEntry *entry = m_table.find(task.job);
     if (history.isDone && entry->progress && entry->progress->isFinal())
         fail("a task of an ended job is started: " + task.text());
-    const auto attemptLimit = static_cast<std::size_t>(entry->submission.queue.attemptLimit);
+    const auto attemptLimit
+        = static_cast<std::size_t>(m_submissions.at(task.job).queue.attemptLimit);
     if (history.failedAtMs.size() >= attemptLimit)
         fail("a task is started after its last attempt: " + task.text());
     checkAttempts(task);
@@ -399,8 +402,7 @@
 {
     constexpr int crashesThatAllowGivingUp = 2;
     constexpr int crashesThatAllowGivingUpInnocent = 5;
-    const auto attemptLimit
-        = static_cast<std::size_t>(m_table.find(id)->submission.queue.attemptLimit);
+    const auto attemptLimit = static_cast<std::size_t>(m_submissions.at(id).queue.attemptLimit);
     for (const auto &[task, history] : m_history) {
         if (task.job != id)
             continue;
@@ -415,7 +417,7 @@
 {
     const TaskHistory &history = m_history[task];
     const auto attemptLimit
-        = static_cast<std::size_t>(m_table.find(task.job)->submission.queue.attemptLimit);
+        = static_cast<std::size_t>(m_submissions.at(task.job).queue.attemptLimit);
     std::vector<std::int64_t> failedAtMs;
     for (const std::int64_t run : history.attempts)
         failedAtMs.push_back(history.failedAtMs.at(run));
@@ -685,23 +687,37 @@
     owner.scheduler->onCommitted(pending.commit.number, provenAt, now());
 }
 
+/// The progress that the record tells; nothing if it tells none.
+static std::optional<ProgressRecord> progressIn(const JobRecord &record)
+{
+    if (const auto *progress = std::get_if<ProgressRecord>(&record))
+        return *progress;
+    const auto *ended = std::get_if<EndedJob>(&record);
+    if (!ended)
+        return std::nullopt;
+    ProgressRecord final { ended->id, {} };
+    final.progress.state = ended->state;
+    final.progress.endedUnixMs = ended->endedUnixMs;
+    return final;
+}
+
 void JobWorld::checkRecords(const JobRecord &record)
 {
-    const auto *progress = std::get_if<ProgressRecord>(&record);
+    const std::optional<ProgressRecord> progress = progressIn(record);
     if (!progress)
         return;
     checkBegun(*progress);
     if (progress->progress.state == JobState::Failed)
         checkCauseOfFailure(progress->id);
     m_largestProgressBytes
-        = std::max(m_largestProgressBytes, encodeRecord(record).front().value.size());
+        = std::max(m_largestProgressBytes, encodeRecord(*progress).front().value.size());
     if (progress->progress.state == JobState::Completed)
         checkCompleted(progress->id);
 }
 
 void JobWorld::checkCompleted(const JobId &id)
 {
-    const JobSpec &spec = m_table.find(id)->submission.spec;
+    const JobSpec &spec = m_submissions.at(id).spec;
     for (int occurrence = 0; occurrence < spec.occurrenceCount(); ++occurrence) {
         for (std::size_t step = 0; step < spec.steps.size(); ++step) {
             for (int i = 0; i < spec.steps[step].taskCount; ++i) {
@@ -811,9 +827,8 @@
 
 std::int64_t JobWorld::needOf(const TaskName &task) const
 {
-    return m_table.find(task.job)
-        ->submission.spec.steps[static_cast<std::size_t>(task.step)]
-        .need.milliCores;
+    const std::vector<StepSpec> &steps = m_submissions.at(task.job).spec.steps;
+    return steps[static_cast<std::size_t>(task.step)].need.milliCores;
 }
 
 std::int64_t JobWorld::requestedMilliCores(std::size_t index) const
--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -284,6 +284,8 @@
     /// Counts the changes of the list of workers.
     std::int64_t m_listVersion = 0;
     int m_submitted = 0;
+    /// The store keeps no submission of a job that has ended.
+    std::map<Jobs::JobId, Jobs::Submission> m_submissions;
     double m_stretch = Jobs::Queue().stretch;
     std::string m_violation;
 };
--- a/Tests/LibJob/SchedulerFixture.cpp
+++ b/Tests/LibJob/SchedulerFixture.cpp
@@ -35,7 +35,7 @@
 }
 
 Submission SchedulerFixture::submission(const std::string &id, const StepSpec &step,
-                                        int attemptLimit) const
+                                        int attemptLimit)
 {
     Submission submission;
     submission.id = JobId(id);
@@ -45,6 +45,7 @@
     submission.queue.stretch = unreachableStretch;
     submission.spec.steps = { step };
     submission.submittedUnixMs = m_now.unixMs;
+    m_steps.insert_or_assign(submission.id, step);
     return submission;
 }
 
@@ -150,7 +151,7 @@
     for (auto &[worker, workerRuns] : m_workerRuns) {
         std::vector<RunningEntry> running;
         for (const auto &[task, run] : workerRuns.runs) {
-            const StepSpec &step = m_table.find(task.job)->submission.spec.steps.front();
+            const StepSpec &step = m_steps.at(task.job);
             const bool isServing = step.tailTargetMs > 0;
             running.push_back(
                 { task, run, "", isServing ? 100 : 50, isServing ? tailMs : usedMilliCores });
--- a/Tests/LibJob/SchedulerFixture.h
+++ b/Tests/LibJob/SchedulerFixture.h
@@ -102,7 +102,7 @@
     };
 
     Jobs::Submission submission(const std::string &id, const Jobs::StepSpec &step,
-                                int attemptLimit) const;
+                                int attemptLimit);
     void advance(std::int64_t forMs);
     void collectRenewals();
     void deliver(const Core::VmId &worker, Jobs::WorkerReport report);
@@ -114,6 +114,8 @@
     Jobs::TimePoint m_now { Core::Instant(std::chrono::seconds(10)), 10'000 };
     Jobs::JobScheduler m_scheduler;
     Jobs::JobTable m_table;
+    /// The step of each job; the records of an ended job don't tell it.
+    std::map<Jobs::JobId, Jobs::StepSpec> m_steps;
     bool m_isStoreReachable = true;
     /// One more than the offset of the last append.
     Jobs::FencingToken m_newestToken;
--- a/Tests/LibJob/TestRecordBytes.cpp
+++ b/Tests/LibJob/TestRecordBytes.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <string>
 
 using namespace Jobs;
 using std::chrono::milliseconds;
@@ -58,6 +59,15 @@
         return m_bytes;
     }
 
+    /// The bytes of the newest records of all keys, which a node that starts reads.
+    std::size_t snapshotBytes() const
+    {
+        std::size_t bytes = 0;
+        for (const auto &[key, value] : m_newest)
+            bytes += key.size() + value.size();
+        return bytes;
+    }
+
     JobState state() const { return m_table.find(JobId("5c0e7a21d94b36f8"))->state(); }
 
 private:
@@ -75,7 +85,7 @@
         step.estimateMs = 2200;
         submission.spec.steps = { step };
         submission.submittedUnixMs = m_now.unixMs;
-        m_table.apply(submission);
+        write(submission);
         m_scheduler.addJob(*m_table.find(submission.id), m_now);
     }
 
@@ -106,15 +116,23 @@
     {
         advance();
         const Commit commit = m_scheduler.takeCommit();
-        for (const JobRecord &record : commit.records) {
-            for (const StoredRecord &stored : encodeRecord(record)) {
-                m_bytes += stored.key.size() + stored.value.size();
-                m_table.apply(decodeRecord(stored));
-            }
-        }
+        for (const JobRecord &record : commit.records)
+            write(record);
         m_scheduler.onCommitted(commit.number, m_now.instant, m_now);
     }
 
+    void write(const JobRecord &record)
+    {
+        for (const StoredRecord &stored : encodeRecord(record)) {
+            m_bytes += stored.key.size() + stored.value.size();
+            m_table.apply(decodeRecord(stored));
+            if (stored.value.empty())
+                m_newest.erase(stored.key);
+            else
+                m_newest[stored.key] = stored.value;
+        }
+    }
+
     void report(const Core::VmId &worker, const std::vector<EndedEntry> &ended)
     {
         m_scheduler.takeRenewals(m_now);
@@ -137,6 +155,7 @@
     JobTable m_table;
     std::map<TaskName, StartCommand> m_starts;
     std::size_t m_bytes = 0;
+    std::map<std::string, std::string> m_newest;
 };
 
 } // namespace
@@ -148,3 +167,13 @@
     CHECK(job.state() == JobState::Completed);
     CHECK(bytes / tasks <= maxBytesPerTask);
 }
+
+TEST_CASE("A node that starts reads of an ended job only its final state")
+{
+    constexpr std::size_t keyBytes = 18;
+    constexpr std::size_t finalStateBytes = 32;
+    WideJob job;
+    job.run();
+    REQUIRE(job.state() == JobState::Completed);
+    CHECK(job.snapshotBytes() <= keyBytes + finalStateBytes);
+}
--- a/Tests/LibSite/RandomSite.cpp
+++ b/Tests/LibSite/RandomSite.cpp
@@ -138,8 +138,9 @@
 bool RandomSite::isReadToEnd()
 {
     const auto end = static_cast<std::int64_t>(m_site.log.history(Topic::Jobs).size());
-    return std::all_of(m_site.nodes.begin(), m_site.nodes.end(),
-                       [end](const auto &node) { return node->jobs.nextOffset() == end; });
+    return std::all_of(m_site.nodes.begin(), m_site.nodes.end(), [end](const auto &node) {
+        return node->jobs.nextOffset() == end && node->jobs.isDetailed();
+    });
 }
 
 std::string RandomSite::differences()
--- a/Tests/LibSite/TestSlowReads.cpp
+++ b/Tests/LibSite/TestSlowReads.cpp
@@ -201,7 +201,8 @@
     SiteFixture site;
     TestNode &node = site.addNode("one#1");
     site.run(50);
-    acceptJobs(site, node, 2);
+    // Its two records are one page.
+    acceptJobs(site, node, 1);
     site.log.pageMs = 1200;
     TestNode &restarted = site.addNode("two#2");
     site.run(3500);
@@ -209,3 +210,67 @@
     CHECK(restarted.state.tableFreshness.wasEverComplete());
     site.context.stop();
 }
+
+TEST_CASE("A node serves from the states of the jobs before it has read their submissions")
+{
+    constexpr int jobs = 12;
+    SiteFixture site;
+    TestNode &node = site.addNode("one#1");
+    site.run(50);
+    acceptJobs(site, node, jobs);
+    // The states are six pages of the snapshot, the submissions six more.
+    site.log.pageMs = 200;
+    TestNode &restarted = site.addNode("two#2");
+    site.startElection(restarted);
+    REQUIRE(site.runUntil([&] { return restarted.state.tableFreshness.wasEverComplete(); }));
+    REQUIRE_FALSE(restarted.jobs.isDetailed());
+    const auto find = [&](const char *id) {
+        return site.await(restarted.jobRequests.find(Jobs::JobId(id), site.deadlineIn(1000)));
+    };
+
+    SECTION("it counts and finds them")
+    {
+        CHECK(site.countWaiting(restarted) == WaitingCount { CountOutcome::Counted, jobs });
+        CHECK(find("j11").outcome == FindOutcome::Found);
+        CHECK(restarted.state.table.jobs().size() < jobs);
+    }
+    SECTION("it denies no job and doesn't claim them")
+    {
+        CHECK(find("unknown").outcome == FindOutcome::Unavailable);
+        CHECK_FALSE(restarted.state.owner);
+        CHECK_FALSE(restarted.state.ownerMonitor.claim());
+
+        SECTION("until it has read the submissions, too")
+        {
+            REQUIRE(site.runUntil([&] { return restarted.jobs.isDetailed(); }));
+            CHECK(restarted.state.table.jobs().size() == jobs);
+            site.log.pageMs = 0;
+            CHECK(find("unknown").outcome == FindOutcome::NoSuchJob);
+            CHECK(site.runUntil([&] { return restarted.state.owner != nullptr; }));
+        }
+    }
+    SECTION("what ends while it reads them has ended")
+    {
+        for (const char *id : { "j3", "j10" }) {
+            for (const Jobs::StoredRecord &record : Jobs::encodeRecord(
+                     Jobs::EndedJob { Jobs::JobId(id), Jobs::JobState::Completed, 1 }))
+                site.log.put(Topic::Jobs, record);
+        }
+        for (const Jobs::StoredRecord &record :
+             Jobs::encodeRecord(Jobs::JobDeletion { Jobs::JobId("j4") }))
+            site.log.put(Topic::Jobs, record);
+        REQUIRE(site.runUntil([&] { return restarted.jobs.isDetailed(); }));
+        CHECK(restarted.state.table == site.tableOfLog());
+        CHECK(find("j10").state == Jobs::JobState::Completed);
+    }
+    SECTION("a lost history makes it read all again before it counts as having read them")
+    {
+        site.log.put(Topic::Jobs, Jobs::encodeRecord(job("a")).front());
+        site.log.compact(Topic::Jobs);
+        site.run(300);
+        CHECK_FALSE(restarted.jobs.isDetailed());
+        REQUIRE(site.runUntil([&] { return restarted.jobs.isDetailed(); }));
+        CHECK(restarted.state.table == site.tableOfLog());
+    }
+    site.context.stop();
+}
--- a/include/LibJob/JobRecord.h
+++ b/include/LibJob/JobRecord.h
@@ -25,6 +25,18 @@
     bool operator==(const Submission &) const = default;
 };
 
+/// What a submission tells to a node that doesn't schedule the job: enough to tell its state and to
+/// count it while it waits. Written in one append with the submission, which is many times larger.
+struct AcceptedJob
+{
+    JobId id;
+    QueueId queue;
+    /// See JobSpec::isScheduled().
+    bool isScheduled = false;
+
+    bool operator==(const AcceptedJob &) const = default;
+};
+
 /// A caller cancelled the job. Written by any node.
 struct Cancellation
 {
@@ -96,6 +108,28 @@
     bool operator==(const LeaseSuspension &) const = default;
 };
 
+/// A job has ended and nothing of it runs any more. What is left of its records is its final state;
+/// the rest is deleted. Written by the owner.
+struct EndedJob
+{
+    JobId id;
+    JobState state = JobState::Completed;
+    /// When the job ended, in Unix milliseconds.
+    std::int64_t endedUnixMs = 0;
+
+    bool operator==(const EndedJob &) const = default;
+};
+
+/// A record of a job was deleted that nothing follows from once the job has ended: that of its
+/// acceptance, its submission, its cancellation or the list of its workers. Part of an EndedJob or
+/// of a JobDeletion.
+struct RecordRemoval
+{
+    JobId id;
+
+    bool operator==(const RecordRemoval &) const = default;
+};
+
 /// Deletes all records of a job.
 struct JobDeletion
 {
@@ -104,8 +138,9 @@
     bool operator==(const JobDeletion &) const = default;
 };
 
-using JobRecord = std::variant<Submission, Cancellation, ProgressRecord, JobWorkers, OwnerClaim,
-                               Heartbeat, LeaseSuspension, JobDeletion>;
+using JobRecord
+    = std::variant<Submission, AcceptedJob, Cancellation, ProgressRecord, JobWorkers, OwnerClaim,
+                   Heartbeat, LeaseSuspension, EndedJob, RecordRemoval, JobDeletion>;
 
 /// A record as the store keeps it. The log is compacted: the newest value of each key is retained,
 /// and an empty value deletes the key.
@@ -117,13 +152,19 @@
     bool operator==(const StoredRecord &) const = default;
 };
 
-/// Encodes a record for the store. JobDeletion becomes four stored records, one for each key of a
-/// job; all others become one.
+/// Encodes a record for the store. The stored records belong into one append: a Submission becomes
+/// two, the second of which is its AcceptedJob; EndedJob and JobDeletion become one for each key
+/// that the job may have; all others become one. A RecordRemoval can't be encoded by itself.
 std::vector<StoredRecord> encodeRecord(const JobRecord &record);
 
-/// Decodes a record of the store. An empty value under the key of a job becomes a JobDeletion, one
-/// under the key of a suspension a LeaseSuspension that is lifted.
+/// Decodes a record of the store. An empty value under the key of a job's progress becomes a
+/// JobDeletion, one under another key of a job a RecordRemoval, and one under the key of a
+/// suspension a LeaseSuspension that is lifted.
 /// \throws Core::FormatError if the key is unknown or the value is malformed.
 JobRecord decodeRecord(const StoredRecord &record);
 
+/// True if the record with this key is needed only by a node that schedules the jobs. In the order
+/// of keys, all such records come after the others.
+bool isSchedulingDetail(const std::string &key);
+
 } // namespace Jobs
--- a/include/LibSite/JobFollower.h
+++ b/include/LibSite/JobFollower.h
@@ -31,10 +31,13 @@
     /// Returns false if the read failed or didn't end by \p deadline (steady clock).
     boost::asio::awaitable<bool> refresh(Core::Instant deadline);
     /// Reads until the records tell the state of the job, or up to the end that the log has when
-    /// this is called. Returns false if neither was reached by \p deadline (steady clock), or if
-    /// the read failed.
+    /// this is called. Returns false if neither was reached by \p deadline (steady clock), if the
+    /// read failed, or if the table isn't detailed and so can't show that there is no such job.
     boost::asio::awaitable<bool> awaitState(const Jobs::JobId &job, Core::Instant deadline);
     std::int64_t nextOffset() const { return m_follower.nextOffset(); }
+    /// True if the table has all that a node needs which schedules the jobs, and that shows that a
+    /// job doesn't exist. False at first, while the table already tells the states of the jobs.
+    bool isDetailed() const { return m_isDetailed; }
     /// Makes `run()` skip its pause before the next read. The minimum interval between reads still
     /// applies, and after a failed read the retry delay.
     void wake() { m_wakeup.wake(); }
@@ -48,6 +51,8 @@
 
 private:
     bool mustKeepFormerCopy() const override { return m_state.tableFreshness.wasEverComplete(); }
+    bool isDetail(const std::string &key) const override { return Jobs::isSchedulingDetail(key); }
+    void applyDetail(const LoggedRecord &record) override;
     void beginSnapshot() override;
     void endSnapshot() override;
     void apply(const LoggedRecord &record) override;
@@ -62,6 +67,9 @@
 
     boost::asio::awaitable<ReadResult> readOnce(std::int64_t waitMs);
     boost::asio::awaitable<bool> readToEnd();
+    /// Reads pages of details, if any are missing, until \p until (steady clock). Returns false if
+    /// the read failed.
+    boost::asio::awaitable<bool> readDetails(Core::Instant until);
     void onReadToEnd(Core::Instant sentAt);
     void logCaughtUp() const;
     void requestRead();
@@ -85,6 +93,7 @@
     std::set<Supervision::Wakeup *> m_waiters;
     bool m_isStopping = false;
     bool m_isInSnapshot = false;
+    bool m_isDetailed = false;
     /// Of the current snapshot, or of the last one.
     SnapshotBytes m_snapshotBytes;
     /// When the first page of the current or last snapshot was applied; the epoch before.
--- a/include/LibSite/LogFollower.h
+++ b/include/LibSite/LogFollower.h
@@ -21,6 +21,11 @@
     /// True if what the sink holds must stay until a new snapshot is complete. Otherwise it gets
     /// the records of a snapshot page by page, as they arrive.
     virtual bool mustKeepFormerCopy() const { return true; }
+    /// True for the keys of records without which the sink is of use already; in the order of keys
+    /// they come last.
+    virtual bool isDetail(const std::string &) const { return false; }
+    /// A record of the snapshot that comes after endSnapshot(), while the log is being followed.
+    virtual void applyDetail(const LoggedRecord &record) { apply(record); }
     /// The newest record of every key follows, up to `endSnapshot()`. Keys that aren't among them
     /// no longer exist. Called again without `endSnapshot()` if a snapshot had to be given up.
     virtual void beginSnapshot() = 0;
@@ -30,6 +35,9 @@
 
 /// Keeps a sink in step with a topic: passes on a snapshot with the newest record of each key, and
 /// then the records that are appended.
+///
+/// The first snapshot ends before the pages that hold nothing but details. Those are read by
+/// readDetails(), in turns with the log, so that a node can serve before it has them.
 class LogFollower
 {
 public:
@@ -42,8 +50,16 @@
     /// \throws Core::Error if the log can't be read; after a HistoryLostError the next calls read
     /// a new snapshot.
     boost::asio::awaitable<bool> readOnce(std::int64_t waitMs);
-    /// True until all pages of a snapshot have been read.
+    /// True until the pages of a snapshot have been read, except those with details only.
     bool needsSnapshot() const { return !m_hasSnapshot; }
+    /// True if pages with details remain to be read, and can be read now.
+    bool needsDetails() const { return m_hasSnapshot && m_areDetailsMissing; }
+    /// True once the sink has got all details. It keeps them while a new snapshot is read.
+    bool hasDetails() const { return m_hasDetails; }
+    /// Reads the next page of details; needsDetails() must be true, and no other call may be in
+    /// progress: then the page is at least as new as all that was passed on before.
+    /// \throws Core::Error if the log can't be read.
+    boost::asio::awaitable<void> readDetails();
 
     /// Number of records read of the current snapshot, or of the last one.
     std::size_t snapshotSize() const { return m_snapshotSize; }
@@ -58,6 +74,8 @@
     void takeSnapshotRecords(std::vector<LoggedRecord> records);
     boost::asio::awaitable<LogPage> readPage(std::int64_t waitMs);
     void endSnapshot();
+    /// Notes the last key of the page. Returns true if no page of the snapshot follows.
+    bool advance(const NewestRecordsPage &page);
     void applyPage(const LogPage &page);
     void discardSnapshot();
     /// Logs, at most once a second, a read that took long or ended before the end of the log.
@@ -72,8 +90,11 @@
     bool m_appliesPages = false;
     /// Records of the unfinished snapshot that haven't been applied.
     std::vector<LoggedRecord> m_snapshot;
-    /// The last key of the unfinished snapshot that was read.
+    /// The last key of the snapshot that was read.
     std::string m_afterKey;
+    /// Pages with details remain to be read.
+    bool m_areDetailsMissing = false;
+    bool m_hasDetails = false;
     /// The log's end offset as of the snapshot's first page; -1 before that page.
     std::int64_t m_endAtSnapshotStart = -1;
     std::size_t m_snapshotSize = 0;
--- a/include/LibSite/RecordWriter.h
+++ b/include/LibSite/RecordWriter.h
@@ -27,25 +27,27 @@
 public:
     RecordWriter(SiteState &state, KeyedLog &log, const boost::asio::any_io_executor &executor);
 
-    /// Retries until \p deadline (steady clock). A retry may write the record a second time, which
-    /// must have no further effect.
-    boost::asio::awaitable<WriteOutcome> write(Jobs::StoredRecord record, Core::Instant deadline);
+    /// Writes all the records or none. Retries until \p deadline (steady clock). A retry may write
+    /// the records a second time, which must have no further effect.
+    boost::asio::awaitable<WriteOutcome> write(std::vector<Jobs::StoredRecord> records,
+                                               Core::Instant deadline);
 
 private:
     struct PendingWrite
     {
-        Jobs::StoredRecord record;
+        std::vector<Jobs::StoredRecord> records;
         Core::Instant deadline;
         Supervision::Wakeup wakeup;
         WriteOutcome outcome = WriteOutcome::NotWritten;
         bool isDecided = false;
-        /// An append that contained the record wasn't answered.
+        /// An append that contained the records wasn't answered.
         bool isInDoubt = false;
     };
     using Batch = std::list<std::shared_ptr<PendingWrite>>;
 
     boost::asio::awaitable<void> writePending();
     boost::asio::awaitable<void> writeBatch(Batch &batch);
+    static bool isAnyTooLarge(const std::vector<Jobs::StoredRecord> &records);
     Batch takeBatch();
     void decide(PendingWrite &pending, WriteOutcome outcome);
 
