--- a/Libraries/LibJob/JobSchedulerTakeovers.cpp
+++ b/Libraries/LibJob/JobSchedulerTakeovers.cpp
@@ -131,14 +131,6 @@
     return end;
 }
 
-void JobScheduler::reserveForWaiting(const WaitingStep &waiting, int index, const TimePoint &now)
-{
-    const bool isSoon
-        = now.instant + SchedulerSettings::reservationTime >= formerRunsEndAt(*waiting.job);
-    if (waiting.isOverdue && isSoon)
-        reserveForOverdue(waiting, index, now);
-}
-
 void JobScheduler::forgetWorker(const WorkerState &worker)
 {
     const Core::VmId &id = worker.info().id;
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -305,16 +305,13 @@
     bool awaitsFormerRun(OwnedJob &job, const TaskState &task, Core::Instant now);
     /// When such runs of the job have ended at the latest.
     Core::Instant formerRunsEndAt(const OwnedJob &job) const;
-    /// Reserves capacity for an overdue task that can start soon, once no former run of it can
-    /// exist and that is durable.
-    void reserveForWaiting(const WaitingStep &waiting, int index, const TimePoint &now);
     /// Once the leases of the former owner have ended, its jobs wait for no worker any more.
     void settleFormerLeases(const TimePoint &now);
     /// Nothing runs any more on a worker that has left, so no job's record needs to name it: a job
     /// waits after each takeover for the workers that its record names.
     void forgetWorker(const WorkerState &worker);
 
-    // Interruptions of long-running tasks.
+    // Capacity for interrupted long-running tasks; see CapacityReservations.
     /// Plans the overdue steps that the pass has planned already once more, if capacity has become
     /// free since: otherwise the steps behind them would take it.
     void planOverdueAgain(const TimePoint &now);
@@ -333,6 +330,11 @@
     /// Releases the reservations that lead to no place for their task any more.
     void releaseUselessReservations(const TimePoint &now);
     bool isReservationUseful(const TaskName &name, const TimePoint &now);
+    /// Reserves capacity for an overdue task that can start soon, once no former run of it can
+    /// exist and that is durable.
+    void reserveForWaiting(const WaitingStep &waiting, int index, const TimePoint &now);
+
+    // Interruptions of long-running tasks.
     /// Logs why long-running tasks don't run that have been away for a long time, whatever they
     /// wait for: one line for each step, about the task that has been away for the longest time.
     void logInterruptions(const TimePoint &now);
