Tests: Take a job's end from its new record in the simulation of an owner's load

Ruled out: that the owner bears less: with the record read, all 44 checks pass, at the bounds that they had. Change: OwnerLoadSimulation::noteRecord reads EndedJob. Measured: TestOwnerLoad passes, 44 of 44.

--- a/Tests/OwnerLoad/OwnerLoadSimulation.cpp
+++ b/Tests/OwnerLoad/OwnerLoadSimulation.cpp
@@ -295,10 +295,10 @@
 
 void OwnerLoadSimulation::noteRecord(const JobRecord &record)
 {
-    const auto *progress = std::get_if<ProgressRecord>(&record);
-    if (!progress || progress->progress.state != JobState::Completed)
+    const auto *ended = std::get_if<EndedJob>(&record);
+    if (!ended || ended->state != JobState::Completed)
         return;
-    const auto found = m_jobs.find(progress->id);
+    const auto found = m_jobs.find(ended->id);
     if (found != m_jobs.end() && found->second.shownAt == Core::Instant())
         found->second.shownAt = m_now;
 }
