--- a/Libraries/LibJob/JobRecord.cpp
+++ b/Libraries/LibJob/JobRecord.cpp
@@ -587,6 +587,8 @@
 
 bool isSchedulingDetail(const std::string &key)
 {
+    // Submissions and lists of workers; `q/`, from which nodes tell that a job was accepted, comes
+    // before them.
     return key >= "s/";
 }
 
--- a/Libraries/LibJob/JobTable.cpp
+++ b/Libraries/LibJob/JobTable.cpp
@@ -41,6 +41,7 @@
     entry.isAccepted = true;
     entry.submission.id = accepted.id;
     entry.submission.queue.id = accepted.queue;
+    // Any number above 0 makes the job count as scheduled.
     entry.submission.spec.repeatCount = accepted.isScheduled ? 1 : 0;
 }
 
--- a/include/LibJob/Commands.h
+++ b/include/LibJob/Commands.h
@@ -42,7 +42,8 @@
     std::int64_t leaseDeadlineMs = 0;
     FencingToken token = 0;
     bool isOfGang = false;
-    /// The task belongs to one of the most urgent queues.
+    /// The task belongs to one of the most urgent queues, or is a long-running one that was
+    /// interrupted.
     bool isUrgent = false;
 
     bool operator==(const StartCommand &) const = default;
--- a/include/LibJob/JobRecord.h
+++ b/include/LibJob/JobRecord.h
@@ -108,8 +108,8 @@
     bool operator==(const LeaseSuspension &) const = default;
 };
 
-/// A job has ended and nothing of it runs any more. What is left of its records is its final state;
-/// the rest is deleted. Written by the owner.
+/// A job has ended and nothing of it runs any more, as far as the owner knows. What is left of its
+/// records is its final state; the rest is deleted. Written by the owner.
 struct EndedJob
 {
     JobId id;
--- a/include/LibJob/SchedulerSettings.h
+++ b/include/LibJob/SchedulerSettings.h
@@ -39,7 +39,7 @@
     /// Interval between renewals of a worker that doesn't answer.
     Core::Duration unresponsiveRenewalInterval = std::chrono::milliseconds(400);
     /// How long a worker that failed a task, or rejected or didn't answer a start, gets no further
-    /// task.
+    /// task; after a failed one, overdue long-running tasks excepted.
     Core::Duration failureBackoff = std::chrono::milliseconds(300);
     /// How long a worker gets no further task after several failures without a success in between.
     Core::Duration quarantine = std::chrono::seconds(6);
