--- a/Libraries/LibJob/PlanningPass.cpp
+++ b/Libraries/LibJob/PlanningPass.cpp
@@ -8,9 +8,6 @@
 
 namespace Jobs {
 
-/// Long-running tasks whose interruptions began within this time were interrupted at about the same
-/// time.
-static constexpr Core::Duration sameInterruption = std::chrono::seconds(1);
 /// Number of large jobs that are started before the others of their priority.
 static constexpr std::size_t maxLargeJobsFirst = 2;
 
@@ -101,15 +98,9 @@
         if (waiting.isOverdue)
             overdue.push_back(std::move(waiting));
     }
-    // Of those that were interrupted at about the same time, the ones that need least come first:
-    // more of them run sooner.
-    const auto key = [](const WaitingStep &waiting) {
-        return std::tuple(waiting.awaySince.time_since_epoch() / sameInterruption,
-                          waiting.job->spec(waiting.step).need.milliCores, waiting.awaySince);
-    };
     std::stable_sort(overdue.begin(), overdue.end(),
-                     [&key](const WaitingStep &left, const WaitingStep &right) {
-                         return key(left) < key(right);
+                     [](const WaitingStep &left, const WaitingStep &right) {
+                         return left.awaySince < right.awaySince;
                      });
     m_overdueCount = overdue.size();
     m_steps.insert(m_steps.begin(), overdue.begin(), overdue.end());
--- a/include/LibJob/PlanningPass.h
+++ b/include/LibJob/PlanningPass.h
@@ -57,8 +57,7 @@
 /// Steps come in the order of their ranks, except that a few large jobs come before the others of
 /// their priority, so that small jobs can't starve them. Before all of them come the steps with
 /// overdue tasks, for these tasks only, those that have been interrupted for the longest time
-/// before others, and of those that were interrupted at about the same time the ones that need the
-/// fewest processors.
+/// before others.
 class PlanningPass
 {
 public:
