--- a/Libraries/LibSite/JobFollower.cpp
+++ b/Libraries/LibSite/JobFollower.cpp
@@ -107,11 +107,10 @@
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(Core::steadyNow()
                                                                                - m_snapshotBeganAt);
     LOG4CXX_INFO(partLogger,
-                 "event=caught-up jobs=" << jobs.size() << " ended_with_submission=" << ended
-                                         << " offset=" << m_follower.nextOffset()
-                                         << " snapshot_records=" << m_follower.snapshotSize() << ' '
-                                         << m_snapshotBytes
-                                         << " since_first_page_ms=" << elapsed.count());
+                 "event=caught-up jobs="
+                     << jobs.size() << " ended=" << ended << " offset=" << m_follower.nextOffset()
+                     << " snapshot_records=" << m_follower.snapshotSize() << ' ' << m_snapshotBytes
+                     << " since_first_page_ms=" << elapsed.count());
 }
 
 void JobFollower::onReadAnswered()
