--- a/Libraries/LibJob/PlanningPass.cpp
+++ b/Libraries/LibJob/PlanningPass.cpp
@@ -96,7 +96,7 @@
     for (WaitingStep waiting : m_steps) {
         noteOverdue(waiting, now);
         if (waiting.isOverdue)
-            overdue.push_back(std::move(waiting));
+            overdue.push_back(waiting);
     }
     std::stable_sort(overdue.begin(), overdue.end(),
                      [](const WaitingStep &left, const WaitingStep &right) {
