LibSite: Count with unbound commands of an owner of a former version

Cause: during a rolling upgrade the former owner may be of a version whose starts and leases reach a worker's next process. Its claim doesn't say so, and its recorded suspensions don't count with it.

Ruled out: taking every owner for one of a former version, which makes each takeover wait 3 s longer on sites whose workers grant leases of 10 s.

Change: a claim says that the owner's commands are bound to processes ("b"). After one that doesn't, the next owner counts with the longest lease that a worker grants, from a second after the last proof, and doesn't shorten that by suspensions; its own claim and release carry the same bound on, so that the owner after it waits as long. A start of such an owner that is carried out up to 12 s late isn't covered: that would keep every lasting task of a silent worker away for 22 s at each upgrade.

--- a/Libraries/LibJob/JobRecord.cpp
+++ b/Libraries/LibJob/JobRecord.cpp
@@ -474,6 +474,8 @@
     value["r"] = claim.isReleased;
     if (claim.maxLeaseAfterProofMs != 0)
         value["l"] = Json::Int64(claim.maxLeaseAfterProofMs);
+    if (claim.areCommandsBound)
+        value["b"] = true;
     return { ownerKey, Core::Json::write(value) };
 }
 
@@ -565,7 +567,8 @@
             return OwnerClaim { Core::Json::stringMember(value, "n"),
                                 requiredNumberUpTo(value, "t", maxTerm),
                                 Core::Json::booleanMember(value, "r"),
-                                numberUpTo(value["l"], maxAmount, "l") };
+                                numberUpTo(value["l"], maxAmount, "l"),
+                                value.isMember("b") && Core::Json::booleanMember(value, "b") };
         if (isJobKey && key[0] == 'q')
             return decodeAcceptedJob(id, value);
         if (isJobKey && key[0] == 's')
--- a/Libraries/LibSite/OwnerElection.cpp
+++ b/Libraries/LibSite/OwnerElection.cpp
@@ -82,9 +82,26 @@
     const Jobs::SchedulerSettings &settings = m_state.settings.scheduler;
     // A claim of a former version doesn't bound its leases: the owner renewed them until its
     // ownership was no longer proven.
-    if (claim.maxLeaseAfterProofMs == 0)
-        return settings.ownershipProofTimeout + settings.lease;
-    return std::chrono::milliseconds(claim.maxLeaseAfterProofMs);
+    const Core::Duration granted = claim.maxLeaseAfterProofMs == 0
+        ? settings.ownershipProofTimeout + settings.lease
+        : std::chrono::milliseconds(claim.maxLeaseAfterProofMs);
+    // The last start may have reached a worker's next process, which grants what it can for a
+    // deadline on another clock.
+    return claim.areCommandsBound
+        ? granted
+        : std::max(granted, settings.startDeliveryTime + settings.maxLease);
+}
+
+Jobs::OwnerClaim OwnerElection::makeClaim(const std::optional<Jobs::OwnerClaim> &former) const
+{
+    const std::int64_t term = former ? former->term + 1 : 0;
+    Jobs::OwnerClaim claim = m_state.settings.claim(term, false);
+    // Leases of an owner of a former version may outlast this one's.
+    const bool isOfFormerVersion = former && !former->areCommandsBound;
+    if (isOfFormerVersion)
+        claim.maxLeaseAfterProofMs
+            = std::max(claim.maxLeaseAfterProofMs, inMilliseconds(longestLeaseOf(*former)));
+    return claim;
 }
 
 Jobs::Ownership OwnerElection::makeOwnership(const std::optional<Jobs::OwnerClaim> &former,
@@ -103,7 +120,9 @@
     ownership.formerLeasesEndAt = Core::suspendAwareNow() - sinceFormerOwnerSeen
         + settings.longestOnOwnersClock(longestLeaseOf(*former));
     ownership.areFormerStartsRecorded = former->maxLeaseAfterProofMs != 0;
-    ownership.formerLeaseEnds = m_state.leaseSuspensions.leaseEnds(former->term, settings);
+    // An owner of a former version doesn't know what a worker's next process has taken over.
+    if (former->areCommandsBound)
+        ownership.formerLeaseEnds = m_state.leaseSuspensions.leaseEnds(former->term, settings);
     return ownership;
 }
 
@@ -114,12 +133,8 @@
     if (!isCurrent || !isClaimable())
         co_return false;
     const std::optional<Jobs::OwnerClaim> former = m_state.ownerMonitor.claim();
-    const std::int64_t term = former ? former->term + 1 : 0;
     const Core::Instant provenAt = Core::suspendAwareNow();
-    Jobs::OwnerClaim claim = m_state.settings.claim(term, false);
-    // Leases of an owner of a former version may outlast this one's.
-    if (former && former->maxLeaseAfterProofMs == 0)
-        claim.maxLeaseAfterProofMs = inMilliseconds(longestLeaseOf(*former));
+    const Jobs::OwnerClaim claim = makeClaim(former);
     std::vector<Jobs::StoredRecord> records = Jobs::encodeRecord(claim);
     std::string failure;
     try {
@@ -131,9 +146,9 @@
     // Whatever the outcome of the append, the log shows whose claim is valid.
     const bool isRead = co_await m_follower.refresh(Core::steadyNow() + refreshTimeout);
     const bool isOurs
-        = m_state.ownerMonitor.isOwner() && m_state.ownerMonitor.claim()->term == term;
+        = m_state.ownerMonitor.isOwner() && m_state.ownerMonitor.claim()->term == claim.term;
     LOG4CXX_INFO(partLogger,
-                 "event=claim term=" << term << " won=" << isOurs
+                 "event=claim term=" << claim.term << " won=" << isOurs
                                      << " former=" << (former ? former->node : "none")
                                      << " reason=\"" << failure << '"');
     if (!isRead || !isOurs)
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -437,7 +437,12 @@
 
 asio::awaitable<void> OwnerSession::writeRelease()
 {
-    const Jobs::OwnerClaim claim = m_state.settings.claim(m_ownership.term, true);
+    Jobs::OwnerClaim claim = m_state.settings.claim(m_ownership.term, true);
+    // The claim may count on leases of an owner before this one.
+    const std::optional<Jobs::OwnerClaim> &last = m_state.ownerMonitor.claim();
+    if (last && last->term == claim.term)
+        claim.maxLeaseAfterProofMs
+            = std::max(claim.maxLeaseAfterProofMs, last->maxLeaseAfterProofMs);
     const std::vector<Jobs::StoredRecord> records = Jobs::encodeRecord(claim);
     const bool isWritten = co_await appendOnce(records);
     LOG4CXX_INFO(partLogger, "event=release term=" << m_ownership.term << " written=" << isWritten);
--- a/include/LibJob/JobRecord.h
+++ b/include/LibJob/JobRecord.h
@@ -82,6 +82,9 @@
     /// How long after the owner's last append the leases that it grants may end, in milliseconds on
     /// a worker's clock. 0 in a claim of a version that doesn't say so.
     std::int64_t maxLeaseAfterProofMs = 0;
+    /// A worker's next process carries out no start, and extends no lease, that the owner has meant
+    /// for its former one. False in a claim of a version that doesn't say so.
+    bool areCommandsBound = false;
 
     bool operator==(const OwnerClaim &) const = default;
 };
--- a/include/LibSite/OwnerElection.h
+++ b/include/LibSite/OwnerElection.h
@@ -45,6 +45,8 @@
     /// How long after the last append of the claim's owner leases of it may end, on a worker's
     /// clock.
     Core::Duration longestLeaseOf(const Jobs::OwnerClaim &claim) const;
+    /// The record with which this node claims the jobs after \p former.
+    Jobs::OwnerClaim makeClaim(const std::optional<Jobs::OwnerClaim> &former) const;
 
     SiteState &m_state;
     KeyedLog &m_log;
--- a/include/LibSite/SiteSettings.h
+++ b/include/LibSite/SiteSettings.h
@@ -28,7 +28,7 @@
     {
         const auto maxLease
             = std::chrono::duration_cast<std::chrono::milliseconds>(scheduler.maxLeaseAfterProof);
-        return { nodeName, term, isReleased, maxLease.count() };
+        return { nodeName, term, isReleased, maxLease.count(), true };
     }
 };
 
