--- a/Libraries/LibSite/SiteMetrics.cpp
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -70,6 +70,10 @@
           counters(m_registry, "lagoonford_acknowledgements_withheld_total",
                    "Renewals that were sent without their acknowledgement of ended runs")
               .Add({}))
+    , m_processQuestions(counters(m_registry, "lagoonford_worker_process_questions_total",
+                                  "Questions which process of a worker answers, before a start or "
+                                  "a lease on a new connection")
+                             .Add({}))
     , m_ownerLag(gauge(m_registry, "lagoonford_owner_lag_seconds",
                        "How late the owner's work with workers ran at most in the last second"))
 {
@@ -157,6 +161,11 @@
     return static_cast<std::int64_t>(m_withheldAcknowledgements.Value());
 }
 
+void SiteMetrics::countProcessQuestion()
+{
+    m_processQuestions.Increment();
+}
+
 void SiteMetrics::setOwnerLag(double seconds)
 {
     m_ownerLag.Set(seconds);
--- a/Tests/platform/TestCommandsForProcesses.cpp
+++ b/Tests/platform/TestCommandsForProcesses.cpp
@@ -73,6 +73,12 @@
         REQUIRE(renewalsUnderWay == 0);
         return lastReport;
     }
+    bool hasCountedQuestions(int count) const
+    {
+        const std::string line
+            = "lagoonford_worker_process_questions_total " + std::to_string(count) + '\n';
+        return metrics.text().find(line) != std::string::npos;
+    }
     /// Whether a process has received a lease deadline.
     bool hasLease(std::int64_t processStartUnixMs) const
     {
@@ -104,6 +110,7 @@
         {
             CHECK(site.start(former) == Jobs::StartOutcome::Started);
             CHECK(site.worker.renewals().size() == 1);
+            CHECK(site.hasCountedQuestions(1));
         }
     }
     SECTION("several at once, each over a connection of its own")
@@ -169,6 +176,7 @@
               == std::vector<Renewal> { { former, 0, 0 }, { former, 0, leaseDeadlineMs } });
         REQUIRE(site.renew(former, leaseDeadlineMs));
         CHECK(site.worker.renewals().size() == 3);
+        CHECK(site.hasCountedQuestions(1));
     }
     SECTION("not the next one, whose report the caller gets instead")
     {
--- a/include/LibSite/SiteMetrics.h
+++ b/include/LibSite/SiteMetrics.h
@@ -49,6 +49,8 @@
     void countWithheldAcknowledgement();
     /// How many have been counted.
     std::int64_t withheldAcknowledgements() const;
+    /// Counts a question which process of a worker answers, before a start or a lease.
+    void countProcessQuestion();
     /// Sets how late the owner's work with workers ran at most in the last second; 0 on other
     /// nodes.
     void setOwnerLag(double seconds);
@@ -77,6 +79,7 @@
     prometheus::Gauge &m_workerConnections;
     prometheus::Counter &m_refusedWorkerCalls;
     prometheus::Counter &m_withheldAcknowledgements;
+    prometheus::Counter &m_processQuestions;
     prometheus::Gauge &m_ownerLag;
 };
 
