--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -89,6 +89,8 @@
     /// Closes the idle connections that haven't answered since \p began: whatever silenced or broke
     /// another one may have done the same to them.
     void closeUnansweredSince(Core::Instant began);
+    /// Closes the idle connections to other processes: these have ended.
+    void closeOthersThan(ServerProcess process);
 
     asio::any_io_executor m_executor;
     asio::ip::tcp::endpoint m_endpoint;
@@ -257,6 +259,17 @@
         if (idle.connection->number() == connection)
             idle.process = process;
     }
+    closeOthersThan(process);
+}
+
+void Client::Pool::closeOthersThan(ServerProcess process)
+{
+    std::erase_if(m_idle, [&](const IdleConnection &idle) {
+        const bool isToOther = idle.process && idle.process != process;
+        if (isToOther)
+            m_budget->removeIdle(idle.position);
+        return isToOther;
+    });
 }
 
 bool Client::Pool::hasIdleConnectionTo(ServerProcess process) const
--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -147,9 +147,7 @@
         unlisted.erase(state.get());
         if (info.processStartUnixMs != 0 && state->processStartUnixMs() != 0
             && info.processStartUnixMs > state->processStartUnixMs()) {
-            // Only a report can show which runs still exist; this requests one immediately.
-            state->setNextRenewalAt(now.instant);
-            state->setReconciled(false);
+            awaitReport(*state, now);
         }
         if (!startsDraining)
             continue;
@@ -175,6 +173,13 @@
     }
 }
 
+void JobScheduler::awaitReport(WorkerState &worker, const TimePoint &now)
+{
+    // Only a report can show which runs still exist; this requests one immediately.
+    worker.setNextRenewalAt(now.instant);
+    worker.setReconciled(false);
+}
+
 void JobScheduler::rememberEndedJob(const JobId &id, std::int64_t endedUnixMs)
 {
     const bool isNew = m_endedIds.insert(id).second;
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -181,9 +181,10 @@
     // replaced owner. Only a proof of ownership after the first contact shows that no newer owner
     // had fenced this one off before the restart.
     worker.beginIncarnation(processStartUnixMs, now.instant);
-    // A command for the former incarnation may have reached this one, with a deadline on the former
-    // one's clock.
-    const Core::Duration lease = worker.hasRestarted() ? m_settings.maxLease : m_settings.lease;
+    // A command that an owner of a former version has sent to the former incarnation may have
+    // reached this one, with a deadline on the former one's clock.
+    const bool mayHaveLongLease = worker.hasRestarted() || !m_ownership.areFormerCommandsBound;
+    const Core::Duration lease = mayHaveLongLease ? m_settings.maxLease : m_settings.lease;
     worker.extendLatestLeaseEnd(now.instant + m_settings.longestOnOwnersClock(lease));
     m_needsProof = true;
 }
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -194,14 +194,14 @@
         worker.noteRefusal(now.instant);
     if (outcome == StartOutcome::OldRun)
         task->lastRun += 1;
-    // Nothing was sent, so no run has ended, and the task is interrupted for as long as it was. The
-    // same if nobody knows whether the start reached a process that has ended since.
+    // Nothing was sent, so no run has ended, and the task is interrupted for as long as it was.
     if (outcome == StartOutcome::Withheld || outcome == StartOutcome::NotSent
         || outcome == StartOutcome::OtherProcess)
         setPhase(run, RunPhase::Planned, now);
-    // The next process's report tells which other runs were lost.
-    if (outcome == StartOutcome::OtherProcess)
-        worker.renewBy(now.instant);
+    const bool isOutdated = outcome == StartOutcome::OtherProcess
+        && worker.processStartUnixMs() == command.processStartUnixMs;
+    if (isOutdated)
+        awaitReport(worker, now);
     removeRun(*job, command.task);
     if (outcome == StartOutcome::OtherIncarnation)
         onOtherIncarnation(command.worker, command.address, now);
--- a/Libraries/LibSite/OwnerElection.cpp
+++ b/Libraries/LibSite/OwnerElection.cpp
@@ -89,18 +89,23 @@
     // deadline on another clock.
     return claim.areCommandsBound
         ? granted
-        : std::max(granted, settings.startDeliveryTime + settings.maxLease);
+        : std::max(granted,
+                   settings.ownershipProofTimeout + settings.startDeliveryTime + settings.maxLease);
 }
 
 Jobs::OwnerClaim OwnerElection::makeClaim(const std::optional<Jobs::OwnerClaim> &former) const
 {
+    const Jobs::SchedulerSettings &settings = m_state.settings.scheduler;
     const std::int64_t term = former ? former->term + 1 : 0;
     Jobs::OwnerClaim claim = m_state.settings.claim(term, false);
-    // Leases of an owner of a former version may outlast this one's.
-    const bool isOfFormerVersion = former && !former->areCommandsBound;
-    if (isOfFormerVersion)
-        claim.maxLeaseAfterProofMs
-            = std::max(claim.maxLeaseAfterProofMs, inMilliseconds(longestLeaseOf(*former)));
+    if (!former)
+        return claim;
+    // Leases of owners of a former version may outlast this one's, also if others came between.
+    const Core::Duration longest = longestLeaseOf(*former);
+    const Core::Duration remaining = m_state.ownerMonitor.lastOwnerWriteAt()
+        + settings.longestOnOwnersClock(longest) - Core::steadyNow();
+    if (remaining > settings.longestOnOwnersClock(settings.maxLeaseAfterProof))
+        claim.maxLeaseAfterProofMs = inMilliseconds(std::min(longest, remaining));
     return claim;
 }
 
@@ -120,6 +125,7 @@
     ownership.formerLeasesEndAt = Core::suspendAwareNow() - sinceFormerOwnerSeen
         + settings.longestOnOwnersClock(longestLeaseOf(*former));
     ownership.areFormerStartsRecorded = former->maxLeaseAfterProofMs != 0;
+    ownership.areFormerCommandsBound = former->areCommandsBound;
     // An owner of a former version doesn't know what a worker's next process has taken over.
     if (former->areCommandsBound)
         ownership.formerLeaseEnds = m_state.leaseSuspensions.leaseEnds(former->term, settings);
--- a/Libraries/LibSite/OwnerSessionCalls.cpp
+++ b/Libraries/LibSite/OwnerSessionCalls.cpp
@@ -7,9 +7,6 @@
 
 namespace asio = boost::asio;
 
-/// A start with less time left isn't sent: without an answer the task would have to wait until it
-/// is known that it doesn't run.
-static constexpr Core::Duration minStartTime = std::chrono::milliseconds(500);
 /// Time for a worker's answer, on top of the time that the renewal allows the worker to wait.
 static constexpr Core::Duration renewalTimeout = std::chrono::milliseconds(1000);
 
@@ -21,7 +18,7 @@
 {
     Jobs::StartOutcome outcome = Jobs::StartOutcome::Withheld;
     const Core::Instant began = Core::steadyNow();
-    const bool isInTime = command.isOfGang || began < deadline - minStartTime;
+    const bool isInTime = command.isOfGang || began < deadline - WorkerGateway::minStartTime;
     if (isOwnershipProven() && !m_isOver && isInTime) {
         m_loadLog.loop().noteStart();
         outcome = co_await m_workers.start(command, deadline);
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -552,7 +552,7 @@
         if (m_workers[target]->info().id != command.worker)
             return StartOutcome::OtherIncarnation;
         if (!isReceived(command, target))
-            return StartOutcome::OtherProcess;
+            return chance(0.5) ? StartOutcome::OtherProcess : StartOutcome::Unknown;
         SimulatedWorker::Run work;
         work.endsAtMs = m_nowMs
             + (isLongRunning(command.payload) ? longRunningMs
--- a/Tests/LibJob/TestRestartedWorkers.cpp
+++ b/Tests/LibJob/TestRestartedWorkers.cpp
@@ -184,7 +184,7 @@
     }
 }
 
-TEST_CASE("Each safety mechanism against commands for a worker's former process is necessary",
+TEST_CASE("Where commands reach a worker's next process, each other safety mechanism is necessary",
           "[guards]")
 {
     SECTION("acknowledgements that reach whichever process is there")
--- a/Tests/LibJob/TestTakeoversAfterRestarts.cpp
+++ b/Tests/LibJob/TestTakeoversAfterRestarts.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <random>
 #include <string>
+#include <vector>
 
 using namespace Jobs;
 
@@ -14,6 +15,7 @@
 /// Simulations for each seed.
 constexpr std::uint32_t simulations = 3;
 constexpr std::size_t workers = 6;
+constexpr int lastingTasks = 5;
 /// No invariant is violated.
 const std::string none;
 
@@ -50,14 +52,19 @@
     {
     }
 
-    /// Returns the violated invariant.
-    const std::string &violation()
+    /// Returns the violated invariant, or that a task doesn't run once the faults have stopped.
+    std::string violation()
     {
         m_world.claim(0);
         submit();
         // Longer than any lease, so that a deadline on the former clock is far off on the next one.
         m_world.run(between(11'000, 14'000));
         disturb();
+        m_world.stopFaults();
+        m_world.claim(m_owner);
+        m_world.run(15'000);
+        if (m_world.violation().empty() && !areAllRunning())
+            return "a long-running task doesn't run";
         return m_world.violation();
     }
 
@@ -69,10 +76,22 @@
     bool isPicked(int inHundred) { return between(1, 100) <= inHundred; }
     void submit()
     {
-        m_world.submit(simulatedJob({ 5 }, JobWorld::longRunningPayload));
+        m_lasting.push_back(
+            m_world.submit(simulatedJob({ lastingTasks }, JobWorld::longRunningPayload)));
         m_world.submit(simulatedJob({ 2 }));
     }
 
+    bool areAllRunning() const
+    {
+        for (const JobId &job : m_lasting) {
+            for (int index = 0; index < lastingTasks; ++index) {
+                if (m_world.awayMs({ job, 0, 0, index }) > 0)
+                    return false;
+            }
+        }
+        return true;
+    }
+
     void disturb()
     {
         stepClocks();
@@ -147,6 +166,7 @@
     std::mt19937 m_random;
     JobWorld m_world;
     std::size_t m_owner = 0;
+    std::vector<JobId> m_lasting;
 };
 
 /// Returns the first violated invariant in the simulations of a seed.
--- a/Tests/platform/RestartingWorker.cpp
+++ b/Tests/platform/RestartingWorker.cpp
@@ -81,7 +81,8 @@
         if (error || !m_connections.contains(socket))
             break;
         note(std::string(request.target()), request.body());
-        if (std::exchange(m_restartsOnNextCall, false)) {
+        const bool isLast = m_callsUntilRestart > 0 && --m_callsUntilRestart == 0;
+        if (isLast) {
             restart();
             break;
         }
--- a/Tests/platform/RestartingWorker.h
+++ b/Tests/platform/RestartingWorker.h
@@ -24,7 +24,9 @@
     std::int64_t processStartUnixMs() const { return m_processStartUnixMs; }
     void restart();
     /// The process ends when it has received the next call, and another one starts.
-    void restartOnNextCall() { m_restartsOnNextCall = true; }
+    void restartOnNextCall() { restartOnCall(1); }
+    /// The process ends when it has received so many further calls, and another one starts.
+    void restartOnCall(int call) { m_callsUntilRestart = call; }
     /// The next call breaks its connection; the process goes on.
     void breakNextConnection() { m_breaksNextConnection = true; }
     /// The next renewal gets no answer until answerHeld() is called.
@@ -57,7 +59,8 @@
     std::int64_t m_processStartUnixMs = 1000;
     std::vector<Renewal> m_renewals;
     std::vector<std::int64_t> m_starts;
-    bool m_restartsOnNextCall = false;
+    /// 0 if the process goes on.
+    int m_callsUntilRestart = 0;
     bool m_breaksNextConnection = false;
     bool m_holdsNextRenewal = false;
     bool m_holdsAnswer = false;
--- a/include/LibHttp/Client.h
+++ b/include/LibHttp/Client.h
@@ -121,8 +121,9 @@
     /// Core::OutcomeUnknownError if bytes were sent and no complete answer arrived.
     boost::asio::awaitable<Answer> exchange(Request request, Core::Instant deadline);
 
-    /// An answer on this connection has shown which process the server is. A connection that isn't
-    /// idle any more is left alone.
+    /// An answer on this connection has shown which process the server is. The former ones have
+    /// ended, so idle connections to them are closed. A connection that isn't idle any more is left
+    /// alone.
     void noteProcess(ConnectionNumber connection, ServerProcess process);
     /// True if a request that requires the process can be sent now.
     bool hasIdleConnectionTo(ServerProcess process) const;
--- a/include/LibJob/Commands.h
+++ b/include/LibJob/Commands.h
@@ -118,12 +118,13 @@
     Refused,
     /// Another worker, or the worker under another ID, answers at the address.
     OtherIncarnation,
-    /// Another process of the worker answers. The one that the command was meant for has ended, and
-    /// with it the run, if that was started.
+    /// Another process of the worker answers: the one that the command was meant for has ended.
+    /// Nothing was sent.
     OtherProcess,
     /// The command is malformed or can't be executed.
     Invalid,
-    /// No answer in time: the task may be running, or may still be started.
+    /// No answer in time, or none before another process of the worker answered: the task may be
+    /// running, or may still be started. Says nothing about what ended the process.
     Unknown,
     /// The connection ended before the answer: the task may be running, or may still be started.
     Interrupted,
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -61,6 +61,9 @@
     /// False if the former owner was of a version that doesn't write JobWorkers::startedTasks: what
     /// the records tell may be outdated.
     bool areFormerStartsRecorded = true;
+    /// False if commands of the former owner may have taken effect in a worker's process for which
+    /// they weren't meant.
+    bool areFormerCommandsBound = true;
     /// When the claim was sent to the store.
     Core::Instant provenAt = {};
 
@@ -232,6 +235,9 @@
     {
         return m_provenAt + m_settings.longestOnOwnersClock(m_settings.maxLeaseAfterProof);
     }
+    /// Another process of the worker has shown than the one that has reported: nothing starts there
+    /// before its report.
+    void awaitReport(WorkerState &worker, const TimePoint &now);
     void beginContact(WorkerState &worker, std::int64_t processStartUnixMs, const TimePoint &now);
     /// Logs that another process of the worker has reported under its ID.
     void noteRestart(const WorkerState &worker, const WorkerReport &report);
--- a/include/LibJob/TaskRun.h
+++ b/include/LibJob/TaskRun.h
@@ -41,8 +41,8 @@
     std::int64_t neededCommit = 0;
     /// The worker rejects the start command after this time, since its lease deadline has passed.
     Core::Instant startDeadline = {};
-    /// Until a report lists the run, another process than the one that the start command was meant
-    /// for may have carried it out, under a lease that ends by this time. The epoch afterwards.
+    /// Until a report lists the run, its lease is taken to end by this time, the longest that the
+    /// worker grants from the latest delivery of the start command on. The epoch afterwards.
     Core::Instant longestLeaseEnd = {};
     /// The run belongs to one of the most urgent queues; see JobScheduler::isUrgent().
     bool isUrgent = false;
--- a/include/LibSite/WorkerGateway.h
+++ b/include/LibSite/WorkerGateway.h
@@ -5,6 +5,7 @@
 #include <LibJob/Commands.h>
 #include <LibJob/WorkerReport.h>
 
+#include <chrono>
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
@@ -23,6 +24,10 @@
 class WorkerGateway
 {
 public:
+    /// A start with less time left isn't sent: without an answer the task would have to wait until
+    /// it is known that it doesn't run.
+    static constexpr Core::Duration minStartTime = std::chrono::milliseconds(500);
+
     WorkerGateway() = default;
     WorkerGateway(const WorkerGateway &) = delete;
     WorkerGateway &operator=(const WorkerGateway &) = delete;
