Tests: Give the tests of bound calls one fixture

Ruled out: TestOtherIncarnation as a third user; its workers are LoopbackWorkers and its calls have another kind of result.

Change: RestartingWorkerFixture has the worker, the client and the renewals. Each test adds what it alone needs; all checks and limits of time are the same.

Not run under sanitizers.

--- a/Tests/platform/TestAcknowledgements.cpp
+++ b/Tests/platform/TestAcknowledgements.cpp
@@ -1,57 +1,29 @@
-#include "PlatformWorkerClient.h"
-#include "RestartingWorker.h"
+#include "RestartingWorkerFixture.h"
 
-#include <LibCore/SteadyClock.h>
-
-#include <boost/asio/co_spawn.hpp>
 #include <catch2/catch.hpp>
 
-#include <optional>
-
-namespace asio = boost::asio;
+#include <string>
+#include <vector>
 
 namespace {
 
-constexpr std::size_t connections = 16;
-constexpr Core::Duration callTime = std::chrono::seconds(2);
 constexpr std::int64_t acknowledged = 12;
 
 using Renewals = std::vector<RestartingWorker::Renewal>;
 
-struct OneWorker
+Jobs::RenewCommand renewal(std::int64_t acknowledgedEnd, std::int64_t processStartUnixMs)
 {
-    asio::io_context context;
-    RestartingWorker worker { context };
-    Site::SiteMetrics metrics;
-    Adapter::PlatformWorkerClient client { context.get_executor(), connections, metrics };
-    std::optional<Jobs::WorkerReport> lastReport;
-    int callsUnderWay = 0;
+    Jobs::RenewCommand command;
+    command.acknowledgedEnd = acknowledgedEnd;
+    command.processStartUnixMs = processStartUnixMs;
+    return command;
+}
 
-    void beginRenewal(std::int64_t acknowledgedEnd, std::int64_t processStartUnixMs)
-    {
-        Jobs::RenewCommand command;
-        command.address = worker.address();
-        command.acknowledgedEnd = acknowledgedEnd;
-        command.processStartUnixMs = processStartUnixMs;
-        ++callsUnderWay;
-        asio::co_spawn(context, client.renew(std::move(command), Core::steadyNow() + callTime),
-                       [this](const std::exception_ptr &failure, Jobs::WorkerReport report) {
-                           --callsUnderWay;
-                           if (!failure)
-                               lastReport = std::move(report);
-                       });
-    }
-    void finishCalls(int except = 0)
-    {
-        for (int i = 0; i < 500 && callsUnderWay > except; ++i)
-            context.run_for(std::chrono::milliseconds(10));
-        REQUIRE(callsUnderWay == except);
-    }
+struct OneWorker : RestartingWorkerFixture
+{
     Jobs::WorkerReport renew(std::int64_t acknowledgedEnd, std::int64_t processStartUnixMs)
     {
-        lastReport.reset();
-        beginRenewal(acknowledgedEnd, processStartUnixMs);
-        finishCalls();
+        reportFor(renewal(acknowledgedEnd, processStartUnixMs));
         REQUIRE(lastReport);
         return *lastReport;
     }
@@ -116,14 +88,14 @@
     {
         site.renew(0, 0);
         site.worker.holdNextRenewal();
-        site.beginRenewal(0, former);
+        site.beginRenewal(renewal(0, former));
         while (site.worker.renewals().size() < 2)
             site.context.run_for(std::chrono::milliseconds(1));
-        site.beginRenewal(acknowledged, former);
-        site.finishCalls(1);
+        site.beginRenewal(renewal(acknowledged, former));
+        site.finishRenewals(1);
         CHECK(site.lastReport->acknowledgedEnd == 0);
         site.worker.answerHeld();
-        site.finishCalls();
+        site.finishRenewals();
         CHECK(site.renew(acknowledged, former).acknowledgedEnd == acknowledged);
     }
 }
--- a/Tests/platform/TestCommandsForProcesses.cpp
+++ b/Tests/platform/TestCommandsForProcesses.cpp
@@ -1,5 +1,4 @@
-#include "PlatformWorkerClient.h"
-#include "RestartingWorker.h"
+#include "RestartingWorkerFixture.h"
 
 #include <LibCore/SteadyClock.h>
 
@@ -7,27 +6,21 @@
 #include <catch2/catch.hpp>
 
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace asio = boost::asio;
 
 namespace {
 
-constexpr std::size_t connections = 16;
-constexpr Core::Duration callTime = std::chrono::seconds(2);
 constexpr std::int64_t leaseDeadlineMs = 500'000;
 
 using Renewal = RestartingWorker::Renewal;
 using Starts = std::vector<std::int64_t>;
 
-struct OneWorker
+struct OneWorker : RestartingWorkerFixture
 {
-    asio::io_context context;
-    RestartingWorker worker { context };
-    Site::SiteMetrics metrics;
-    Adapter::PlatformWorkerClient client { context.get_executor(), connections, metrics };
     std::vector<Jobs::StartOutcome> outcomes;
-    std::optional<Jobs::WorkerReport> lastReport;
-    std::size_t renewalsUnderWay = 0;
 
     void beginStart(std::int64_t processStartUnixMs)
     {
@@ -57,21 +50,9 @@
                                             std::int64_t deadlineMs)
     {
         Jobs::RenewCommand command;
-        command.address = worker.address();
         command.processStartUnixMs = processStartUnixMs;
         command.leaseDeadlineMs = deadlineMs;
-        lastReport.reset();
-        ++renewalsUnderWay;
-        asio::co_spawn(context, client.renew(std::move(command), Core::steadyNow() + callTime),
-                       [this](const std::exception_ptr &failure, Jobs::WorkerReport report) {
-                           --renewalsUnderWay;
-                           if (!failure)
-                               lastReport = std::move(report);
-                       });
-        for (int i = 0; i < 500 && renewalsUnderWay > 0; ++i)
-            context.run_for(std::chrono::milliseconds(10));
-        REQUIRE(renewalsUnderWay == 0);
-        return lastReport;
+        return reportFor(std::move(command));
     }
     /// Whether a process has received a lease deadline.
     bool hasLease(std::int64_t processStartUnixMs) const
