LibJob: Take 421 for a process's end only where it was heard

Cause: onOtherIncarnation() compared the address of the 421 only with the listed one. The worker there rightly answers 421, which says nothing about the process that this owner has heard elsewhere; its runs were abandoned and started again at once.

Ruled out: requiring that this owner has heard the process at all. A new owner would have to wait for a worker that has been replaced (TestIncarnations "A new owner doesn't wait for a worker whose other incarnation has answered"). Where nothing was heard, the listed address counts as before.

Change: a worker's state keeps the address at which it answered last. A 421 from another one makes the worker silent: it is asked until it answers, and its runs end with their lease at the latest.

"A worker is asked again after a start that another worker has answered" is a guard for the new branch; it passes on the code before, too.

--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -39,7 +39,7 @@
             command.waitMs = worker->hasIsolatedRun()
                 ? 0
                 : std::chrono::duration_cast<milliseconds>(renewalWait(*worker)).count();
-        worker->setRenewing(true);
+        worker->noteRenewalSent();
         worker->setAnswerDueAt(now.instant + milliseconds(command.waitMs)
                                + m_settings.overdueAnswer);
         renewals.push_back(std::move(command));
@@ -77,6 +77,14 @@
     WorkerState *worker = findWorkerState(id);
     if (!worker || worker->info().address != address)
         return;
+    // The entry may name another worker's address. The process that was heard elsewhere may run on,
+    // and is asked until it answers.
+    if (!worker->mayBeAt(address)) {
+        if (!worker->isUnresponsive())
+            noteSilence(*worker, now);
+        worker->markUnresponsive(now.instant);
+        return;
+    }
     worker->markReplaced(now.instant);
     // The jobs outlive the removal of their runs, so that `lost` tells which tasks to look at.
     const std::vector<StartedRun> lost = startedRuns(*worker);
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -207,6 +207,7 @@
 void WorkerState::noteAnswer(Core::Instant now)
 {
     m_lastAnswerAt = now;
+    m_answeredAddress = m_renewalAddress;
     m_isAsked = false;
     m_isUnresponsive = false;
     m_unresponsiveSince = {};
@@ -255,6 +256,12 @@
     notifyRenewalObserver();
 }
 
+void WorkerState::noteRenewalSent()
+{
+    m_renewalAddress = m_info.address;
+    setRenewing(true);
+}
+
 void WorkerState::setNextRenewalAt(Core::Instant at)
 {
     m_nextRenewalAt = at;
--- a/Tests/LibJob/SchedulerFixture.cpp
+++ b/Tests/LibJob/SchedulerFixture.cpp
@@ -187,6 +187,18 @@
     m_scheduler.setWorkers(m_workers, m_now);
 }
 
+void SchedulerFixture::listAt(const Core::VmId &worker, const std::string &address,
+                              std::int64_t processStartUnixMs)
+{
+    for (WorkerInfo &info : m_workers) {
+        if (info.id != worker)
+            continue;
+        info.address = address;
+        info.processStartUnixMs = processStartUnixMs;
+    }
+    m_scheduler.setWorkers(m_workers, m_now);
+}
+
 void SchedulerFixture::setCapacity(const Core::VmId &worker, std::int64_t milliCores)
 {
     for (WorkerInfo &info : m_workers) {
--- a/Tests/LibJob/SchedulerFixture.h
+++ b/Tests/LibJob/SchedulerFixture.h
@@ -45,6 +45,9 @@
     /// The store's list shows another worker at the address of \p worker, which it also still
     /// shows.
     void listSuccessor(const Core::VmId &worker);
+    /// The store's list shows an entry under the worker's ID that names another address and start.
+    void listAt(const Core::VmId &worker, const std::string &address,
+                std::int64_t processStartUnixMs);
     /// The store's list shows another capacity of the worker.
     void setCapacity(const Core::VmId &worker, std::int64_t milliCores);
     void setStoreReachable(bool isReachable);
--- a/Tests/LibJob/TestIncarnations.cpp
+++ b/Tests/LibJob/TestIncarnations.cpp
@@ -103,6 +103,66 @@
     CHECK(owner.runForTwoSeconds().empty());
 }
 
+TEST_CASE("Tasks that run aren't started again because another worker answers at an address where "
+          "theirs was never heard")
+{
+    Site owner;
+    const std::vector<StartCommand> starts = owner.runForTwoSeconds();
+    REQUIRE(starts.size() == 1);
+    const StartCommand &start = starts.front();
+    const Core::VmId &worker = start.worker;
+    const std::string wrongAddress = Site::other(worker).text();
+    const std::vector<RunningEntry> running { { start.task, start.run, "", 50, 0 } };
+    owner.report(worker, {}, running);
+    const std::int64_t listedStart = GENERATE(0, 1, 2, 1'000'000'000'000);
+    owner.listAt(worker, wrongAddress, listedStart);
+    owner.answerAsOtherIncarnation(worker, wrongAddress);
+    CHECK(owner.runForTwoSeconds().empty());
+
+    SECTION("they run on when their worker is heard again")
+    {
+        owner.listAt(worker, start.address, 1);
+        CHECK(owner.isRenewalDue(worker));
+        owner.report(worker, {}, running);
+        CHECK(owner.runForTwoSeconds().empty());
+        CHECK(owner.stops().empty());
+        CHECK(owner.state() == JobState::Running);
+    }
+    SECTION("they are started elsewhere when their lease has ended")
+    {
+        std::vector<StartCommand> restarts;
+        for (int i = 0; i < 3 && restarts.empty(); ++i) {
+            owner.answerAsOtherIncarnation(worker, wrongAddress);
+            restarts = owner.runForTwoSeconds();
+        }
+        REQUIRE(restarts.size() == 1);
+        CHECK(restarts.front().worker == Site::other(worker));
+    }
+    SECTION("they are started elsewhere at once when another incarnation answers at their worker's "
+            "own address")
+    {
+        owner.listAt(worker, start.address, 1);
+        owner.answerAsOtherIncarnation(worker, start.address);
+        const std::vector<StartCommand> restarts = owner.runForTwoSeconds();
+        REQUIRE(restarts.size() == 1);
+        CHECK(restarts.front().worker == Site::other(worker));
+    }
+}
+
+TEST_CASE("A worker is asked again after a start that another worker has answered")
+{
+    Site owner;
+    const Core::VmId &worker = SchedulerFixture::first;
+    const std::string &wrongAddress = SchedulerFixture::second.text();
+    owner.listAt(worker, wrongAddress, 1);
+    owner.answerStarts(StartOutcome::OtherIncarnation);
+    bool wasStartedThere = false;
+    for (const StartCommand &start : owner.runForTwoSeconds())
+        wasStartedThere |= start.worker == worker;
+    REQUIRE(wasStartedThere);
+    CHECK(owner.isRenewalDue(worker));
+}
+
 TEST_CASE("A new owner doesn't wait for a worker whose other incarnation has answered")
 {
     Successor owner;
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -132,7 +132,7 @@
     void onRenewalFailed(const Core::VmId &worker, RenewalFailure failure, const TimePoint &now);
     /// Another incarnation answered a command that was sent to \p address for \p worker, which
     /// therefore has ended with all its runs. Says nothing if the worker has another address by
-    /// now.
+    /// now, or if its process has answered this owner at another one.
     void onOtherIncarnation(const Core::VmId &worker, const std::string &address,
                             const TimePoint &now);
     void onStartOutcome(const StartCommand &command, StartOutcome outcome, const TimePoint &now);
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -173,6 +173,12 @@
     Core::Instant lastAnswerAt() const { return m_lastAnswerAt; }
     bool isUnresponsive() const { return m_isUnresponsive; }
     void noteAnswer(Core::Instant now);
+    /// True unless the process that answered last did so at another address; who answers at
+    /// \p address then shows nothing about that process.
+    bool mayBeAt(const std::string &address) const
+    {
+        return m_answeredAddress.empty() || m_answeredAddress == address;
+    }
     void markUnresponsive(Core::Instant now);
     /// When the first call failed after the last answer; the epoch if the worker answers.
     Core::Instant unresponsiveSince() const { return m_unresponsiveSince; }
@@ -255,6 +261,8 @@
     /// A renewal was sent and hasn't been answered yet.
     bool isRenewing() const { return m_isRenewing; }
     void setRenewing(bool isRenewing);
+    /// Notes that a renewal was sent to the present address.
+    void noteRenewalSent();
     /// True if a renewal should have been answered by now.
     bool isAnswerOverdue(Core::Instant now) const { return m_isRenewing && now > m_answerDueAt; }
     void setAnswerDueAt(Core::Instant at) { m_answerDueAt = at; }
@@ -332,6 +340,10 @@
     WorkerObserver *m_renewalObserver = nullptr;
     Core::Instant m_nextRenewalAt = {};
     bool m_isRenewing = false;
+    /// The address to which the latest renewal was sent.
+    std::string m_renewalAddress;
+    /// The address at which the process answered last.
+    std::string m_answeredAddress;
     Core::Instant m_answerDueAt = {};
     bool m_isListed = false;
     std::size_t m_listPosition = 0;
