--- a/Tests/platform/TestOddWorkers.cpp
+++ b/Tests/platform/TestOddWorkers.cpp
@@ -109,6 +109,40 @@
     return entries;
 }
 
+/// The good entry without one of its members, and one without several, as in review/1.
+std::vector<std::string> entriesWithMissingMember()
+{
+    std::vector<std::string> entries;
+    for (const char *member :
+         { R"("service":"s",)", R"("addr":"10.0.0.9:8080",)", R"("zone":"z",)",
+           R"("version":"v1",)", R"("slots":8,)", R"("state":"ready",)", R"("coldLeftMs":0,)",
+           R"("freeCapacity":{"cpu":16000,"memMb":32768,"gpu":0},)", R"("cpu":16000,)",
+           R"("memMb":32768,)", R"(,"gpu":0)", R"("labels":["a","r1-3"],)", R"("sequence":4,)",
+           R"(,"born":17)" })
+        entries.push_back(changed(member, ""));
+    entries.push_back(
+        R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","state":"ready",)"
+        R"("freeCapacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"]})");
+    return entries;
+}
+
+/// The members that say nothing that this system uses show whether a worker has written the entry.
+std::vector<std::string> entriesWithUnusedMemberOfOddType()
+{
+    std::vector<std::string> entries;
+    for (const char *version : { "7", "null", "true", "[]", "{}" })
+        entries.push_back(changed(R"("version":"v1")", std::string(R"("version":)") + version));
+    for (const char *number : { R"("7")", "null", "true", "[]", "{}" }) {
+        entries.push_back(changed(R"("slots":8)", std::string(R"("slots":)") + number));
+        entries.push_back(changed(R"("coldLeftMs":0)", std::string(R"("coldLeftMs":)") + number));
+        entries.push_back(changed(R"("sequence":4)", std::string(R"("sequence":)") + number));
+    }
+    entries.push_back(changed(R"("gpu":0)", R"("gpu":null)"));
+    entries.push_back(changed(R"(["a","r1-3"])", "null"));
+    entries.push_back(changed(R"("born":17)", R"("born":null)"));
+    return entries;
+}
+
 std::vector<std::string> unreadableEntries()
 {
     std::vector<std::string> entries { "\xff\xfe", std::string(1000, '\0'),
@@ -221,12 +255,32 @@
     {
         checkAll(entriesOfOddTypes());
     }
+    SECTION("with a member missing")
+    {
+        checkAll(entriesWithMissingMember());
+    }
+    SECTION("with a member of another type that isn't used")
+    {
+        checkAll(entriesWithUnusedMemberOfOddType());
+    }
     SECTION("cut short, too long or not text")
     {
         checkAll(unreadableEntries());
     }
 }
 
+TEST_CASE("An entry of a worker may have further members, no labels and fractions of a millisecond")
+{
+    Followed followed;
+    for (const std::string &entry :
+         { changed(R"("state":"ready")", R"("state":"draining","remainingMs":900)"),
+           changed(R"("coldLeftMs":0)", R"("coldLeftMs":1500.5)"),
+           changed(R"(["a","r1-3"])", "[]") }) {
+        INFO(entry);
+        CHECK(followed.idsAfter("odd", entry) == neighboursAndOdd);
+    }
+}
+
 TEST_CASE("A key that can't be a worker's id names no worker")
 {
     Followed followed;
