platform: Let a worker's entry lack what this system can do without

Change: service, address, zone, state, version, slots, coldLeftMs, sequence and the capacity must be there; labels, accelerators and the start may be missing, but not be of another type. An entry of another writer that has all of these is met by the address at which the worker was heard.

--- a/Tests/platform/TestOddWorkers.cpp
+++ b/Tests/platform/TestOddWorkers.cpp
@@ -117,8 +117,7 @@
          { R"("service":"s",)", R"("addr":"10.0.0.9:8080",)", R"("zone":"z",)",
            R"("version":"v1",)", R"("slots":8,)", R"("state":"ready",)", R"("coldLeftMs":0,)",
            R"("freeCapacity":{"cpu":16000,"memMb":32768,"gpu":0},)", R"("cpu":16000,)",
-           R"("memMb":32768,)", R"(,"gpu":0)", R"("labels":["a","r1-3"],)", R"("sequence":4,)",
-           R"(,"born":17)" })
+           R"("memMb":32768,)", R"("sequence":4,)" })
         entries.push_back(changed(member, ""));
     entries.push_back(
         R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","state":"ready",)"
@@ -137,9 +136,9 @@
         entries.push_back(changed(R"("coldLeftMs":0)", std::string(R"("coldLeftMs":)") + number));
         entries.push_back(changed(R"("sequence":4)", std::string(R"("sequence":)") + number));
     }
-    entries.push_back(changed(R"("gpu":0)", R"("gpu":null)"));
-    entries.push_back(changed(R"(["a","r1-3"])", "null"));
-    entries.push_back(changed(R"("born":17)", R"("born":null)"));
+    entries.push_back(changed(R"("gpu":0)", R"("gpu":"0")"));
+    entries.push_back(changed(R"(["a","r1-3"])", R"("a")"));
+    entries.push_back(changed(R"("born":17)", R"("born":"17")"));
     return entries;
 }
 
@@ -269,13 +268,15 @@
     }
 }
 
-TEST_CASE("An entry of a worker may have further members, no labels and fractions of a millisecond")
+TEST_CASE("An entry of a worker may have further members, fractions, and neither labels, "
+          "accelerators nor start")
 {
     Followed followed;
     for (const std::string &entry :
          { changed(R"("state":"ready")", R"("state":"draining","remainingMs":900)"),
-           changed(R"("coldLeftMs":0)", R"("coldLeftMs":1500.5)"),
-           changed(R"(["a","r1-3"])", "[]") }) {
+           changed(R"("coldLeftMs":0)", R"("coldLeftMs":1500.5)"), changed(R"(["a","r1-3"])", "[]"),
+           changed(R"(,"gpu":0)", ""), changed(R"("labels":["a","r1-3"],)", ""),
+           changed(R"(,"born":17)", "") }) {
         INFO(entry);
         CHECK(followed.idsAfter("odd", entry) == neighboursAndOdd);
     }
