LibJob: Let a job that is deleted leave the whole planning pass

Cause: a pass may plan overdue steps again that it has planned already (passedOverdue()), but PlanningPass::leave() removed a job only from the steps that were still to come. A job with an interrupted task that was cancelled, and whose end became durable while the pass waited (for the start window or the next call), was read after it had been deleted.

Change: leave() clears all steps of the job.

--- a/Libraries/LibJob/PlanningPass.cpp
+++ b/Libraries/LibJob/PlanningPass.cpp
@@ -129,9 +129,10 @@
 
 void PlanningPass::leave(const OwnedJob &job)
 {
-    for (std::size_t i = m_next; i < m_steps.size(); ++i) {
-        if (m_steps[i].job == &job)
-            m_steps[i].job = nullptr;
+    // Steps that were planned already may be planned again; see passedOverdue().
+    for (WaitingStep &waiting : m_steps) {
+        if (waiting.job == &job)
+            waiting.job = nullptr;
     }
 }
 
--- a/Tests/LibJob/TestPlanningPass.cpp
+++ b/Tests/LibJob/TestPlanningPass.cpp
@@ -109,6 +109,24 @@
     CHECK(Pass::rest(pass) == "cebabcde");
 }
 
+TEST_CASE("A pass has come to an interrupted step, which may be planned once more")
+{
+    Pass jobs;
+    const WaitingStep interrupted = jobs.interrupted("a", now - std::chrono::seconds(5));
+    PlanningPass pass({ interrupted, jobs.waiting("b", 0) }, now);
+    CHECK(pass.passedOverdue().empty());
+    pass.advance();
+    REQUIRE(pass.passedOverdue().size() == 1);
+    CHECK(pass.passedOverdue().front().job == interrupted.job);
+
+    SECTION("Not once its job is about to be deleted")
+    {
+        pass.leave(*interrupted.job);
+        CHECK(pass.passedOverdue().empty());
+        CHECK(Pass::rest(pass) == "b-");
+    }
+}
+
 TEST_CASE("A step that doesn't wait any more is told")
 {
     Pass jobs;
