LibJob: Keep capacity for interrupted tasks from long-running ones that never ran

Cause, traced: while the lost workers' leases run out, 55 long-running tasks that had never run were started, 188 cores, on what other long-running tasks had left (250 to 450 cores beside long-running tasks, of 7,080, under 2.5 on nearly every worker). Unlike short tasks they keep it for good, so at 32.5 s some 200 interrupted tasks came back to a site without room. Reservations, made from 2 s before the last lease ends on, can't prevent it: 36 of the 55 were started before, and a worker is looked for every 200 ms, so what becomes free in between goes to whoever is planned first.

Change: the scheduler knows the interrupted tasks without a reservation. Before a long-running task runs for the first time, the worker chosen for it is reserved for such a task that could use it, and another one is chosen. On a site with room each finds a place. Short tasks are kept from capacity no earlier than before, but for what a first run would have taken.

Tests: the new case of TestRoomForInterrupted fails without the change in both sections in which a job leaves capacity (4 checks), passes with it; all of TestLibJob passes (111 cases).

--- a/Libraries/LibJob/JobSchedulerReservations.cpp
+++ b/Libraries/LibJob/JobSchedulerReservations.cpp
@@ -33,14 +33,50 @@
     if (m_reservations.isFull() || m_reservations.contains(request.task))
         return true;
     WorkerState *worker = m_chooser.chooseToReserve(m_listed, request);
-    if (!worker)
+    if (!worker) {
+        m_withoutReservation.insert(request.task);
         return false;
-    m_reservations.reserve(request.task, request.step->need, *worker);
+    }
+    reserve(*worker, request);
+    return true;
+}
+
+void JobScheduler::reserve(WorkerState &worker, const PlacementRequest &request)
+{
+    m_withoutReservation.erase(request.task);
+    m_reservations.reserve(request.task, request.step->need, worker);
     note(request.task, "reserve",
-         "worker=" + worker->info().id.text()
+         "worker=" + worker.info().id.text()
              + " milli_cores=" + std::to_string(request.step->need.milliCores)
-             + " free=" + std::to_string(worker->freeResources().milliCores));
-    return true;
+             + " free=" + std::to_string(worker.freeResources().milliCores));
+}
+
+bool JobScheduler::isWithoutReservation(const TaskName &name)
+{
+    OwnedJob *job = findJob(name.job);
+    const TaskState *task = job && !job->isOver() ? job->findTask(name) : nullptr;
+    const bool isInterrupted
+        = task && !job->isTaskDone(name) && (!task->run || task->run->worker->isUnresponsive());
+    return isInterrupted && !m_reservations.contains(name);
+}
+
+bool JobScheduler::reserveBeforeFirstRun(WorkerState &worker, const TimePoint &now)
+{
+    for (const TaskName &name : m_withoutReservation) {
+        if (m_reservations.isFull() || isReservationWorkUsedUp())
+            return false;
+        m_planningWork += workPerStep;
+        if (!isWithoutReservation(name))
+            continue;
+        const WaitingStep waiting
+            = waitingStep(*findJob(name.job), name.occurrence, name.step, now);
+        const PlacementRequest request = placementRequest(waiting, name.index, now);
+        if (!m_chooser.isReservationUseful(worker, request))
+            continue;
+        reserve(worker, request);
+        return true;
+    }
+    return false;
 }
 
 void JobScheduler::reserveForOverdue(const WaitingStep &waiting, int first, const TimePoint &now)
@@ -67,15 +103,15 @@
 void JobScheduler::reserveForRunsInDoubt(const TimePoint &now)
 {
     for (const auto &[id, worker] : m_workers) {
-        const bool endsSoon
-            = now.instant + SchedulerSettings::reservationTime >= worker->latestLeaseEnd();
-        if (worker->isUnresponsive() && !worker->runs().empty() && endsSoon)
+        if (worker->isUnresponsive() && !worker->runs().empty())
             reserveForRunsOn(*worker, now);
     }
 }
 
 void JobScheduler::reserveForRunsOn(const WorkerState &worker, const TimePoint &now)
 {
+    const bool endsSoon
+        = now.instant + SchedulerSettings::reservationTime >= worker.latestLeaseEnd();
     for (const TaskName &name : worker.runs()) {
         OwnedJob *job = findJob(name.job);
         const bool isLongRunning = job && !job->isOver() && job->spec(name.step).isLongRunning
@@ -84,6 +120,11 @@
             return;
         if (!isLongRunning || m_reservations.contains(name))
             continue;
+        // A short task would have ended by then.
+        if (!endsSoon) {
+            m_withoutReservation.insert(name);
+            continue;
+        }
         OwnedStep &step
             = job->occurrences().at(name.occurrence)[static_cast<std::size_t>(name.step)];
         if (now.instant < step.nextReservationAt)
@@ -112,6 +153,8 @@
         if (!isReservationUseful(name, now))
             m_reservations.release(name);
     }
+    std::erase_if(m_withoutReservation,
+                  [this](const TaskName &name) { return !isWithoutReservation(name); });
 }
 
 void JobScheduler::reserveForWaiting(const WaitingStep &waiting, int index, const TimePoint &now)
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -390,6 +390,11 @@
     const TaskName name { job.id(), waiting.occurrence, waiting.step, index };
     const PlacementRequest request = placementRequest(waiting, index, now);
     WorkerState *worker = m_chooser.choose(request);
+    const bool isFirstRun
+        = request.step->isLongRunning && job.findTask(name)->awaySince == Core::Instant();
+    // Another long-running task would keep the capacity for good.
+    while (worker && isFirstRun && reserveBeforeFirstRun(*worker, now))
+        worker = m_chooser.choose(request);
     if (!worker) {
         logWaitReason(waiting, request, now);
         return TaskPlan::NoWorker;
--- a/Tests/LibJob/TestRoomForInterrupted.cpp
+++ b/Tests/LibJob/TestRoomForInterrupted.cpp
@@ -108,6 +108,57 @@
     JobWorld m_world;
 };
 
+/// Workers of which each but the empty ones runs a long-running task of another job that nearly
+/// fills it.
+class FilledSite
+{
+public:
+    explicit FilledSite(std::size_t emptyWorkers)
+        : m_world(1, {}, DisabledGuard::None, lifeWith(filledWorkers + emptyWorkers))
+    {
+        m_world.claim(0);
+        for (std::size_t i = 0; i < filledWorkers; ++i)
+            m_tasks.push_back(submitLongRunning());
+        constexpr std::int64_t startMs = 2000;
+        m_world.run(startMs);
+    }
+
+    JobWorld &world() { return m_world; }
+    const std::vector<TaskName> &tasks() const { return m_tasks; }
+    TaskName submitLongRunning()
+    {
+        constexpr std::int64_t milliCores = 3000;
+        JobSpec spec;
+        spec.payload = JobWorld::longRunningPayload;
+        StepSpec step = SchedulerFixture::step(1, milliCores);
+        step.isLongRunning = true;
+        spec.steps = { step };
+        return { m_world.submit(spec), 0, 0, 0 };
+    }
+    /// Crashes the worker of the task for good.
+    void loseWorkerOf(const TaskName &task)
+    {
+        std::size_t index = 0;
+        while (!m_world.worker(index).running().contains(task))
+            ++index;
+        m_world.crashWorker(index);
+    }
+
+private:
+    static constexpr std::size_t filledWorkers = 3;
+
+    static WorkerLife lifeWith(std::size_t workerCount)
+    {
+        WorkerLife life;
+        life.workerCount = workerCount;
+        life.refusesCallsWhileDown = true;
+        return life;
+    }
+
+    JobWorld m_world;
+    std::vector<TaskName> m_tasks;
+};
+
 } // namespace
 
 static void checkSites(std::uint32_t firstSeed, std::uint32_t lastSeed)
@@ -131,6 +182,70 @@
     checkSites(1, seeds);
 }
 
+TEST_CASE("A long-running task that has never run, while another one is interrupted", "[room]")
+{
+    // The last lease of the interrupted task ends soon, so capacity is looked for already.
+    constexpr std::int64_t leaseEndsSoonMs = 5200;
+    constexpr std::int64_t startMs = 500;
+    constexpr std::int64_t backMs = 6000;
+
+    SECTION("The site is full")
+    {
+        FilledSite site(0);
+        const TaskName interrupted = site.tasks()[0];
+        site.loseWorkerOf(interrupted);
+        const TaskName neverRun = site.submitLongRunning();
+        site.world().run(leaseEndsSoonMs);
+        REQUIRE(site.world().awayMs(interrupted) >= leaseEndsSoonMs);
+
+        SECTION("What another job leaves then is kept for the interrupted task")
+        {
+            site.world().cancel(site.tasks()[1].job);
+            site.world().run(backMs);
+            CHECK(site.world().awayMs(interrupted) == 0);
+            CHECK(site.world().startsOf(neverRun) == 0);
+
+            SECTION("The other one gets what is left after that")
+            {
+                site.world().cancel(site.tasks()[2].job);
+                site.world().run(backMs);
+                CHECK(site.world().awayMs(interrupted) == 0);
+                CHECK(site.world().startsOf(neverRun) == 1);
+            }
+        }
+        SECTION("Nothing is kept for a task whose job is cancelled")
+        {
+            site.world().cancel(interrupted.job);
+            site.world().cancel(site.tasks()[1].job);
+            site.world().run(backMs);
+            CHECK(site.world().startsOf(neverRun) == 1);
+        }
+    }
+    SECTION("The site is full, and the last lease ends only seconds later")
+    {
+        FilledSite site(0);
+        const TaskName interrupted = site.tasks()[0];
+        site.loseWorkerOf(interrupted);
+        const TaskName neverRun = site.submitLongRunning();
+        site.world().run(startMs);
+        site.world().cancel(site.tasks()[1].job);
+        site.world().run(2 * backMs);
+        CHECK(site.world().awayMs(interrupted) == 0);
+        CHECK(site.world().startsOf(neverRun) == 0);
+    }
+    SECTION("Two workers are empty, so nothing is held back")
+    {
+        FilledSite site(2);
+        site.loseWorkerOf(site.tasks()[0]);
+        site.world().run(leaseEndsSoonMs);
+        const TaskName neverRun = site.submitLongRunning();
+        site.world().run(startMs);
+        CHECK(site.world().startsOf(neverRun) == 1);
+        site.world().run(backMs);
+        CHECK(site.world().awayMs(site.tasks()[0]) == 0);
+    }
+}
+
 TEST_CASE("Crowded sites with other seeds", "[.room]")
 {
     // Run: JOB_WORLD_SEED=13 JOB_WORLD_SEEDS=200 TestLibJob "[.room]"
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -318,16 +318,23 @@
     /// Reserves capacity for the overdue tasks of the step from index \p first on.
     void reserveForOverdue(const WaitingStep &waiting, int first, const TimePoint &now);
     /// Reserves capacity for the long-running tasks on workers that don't answer and whose last
-    /// lease ends soon.
+    /// lease ends soon; until then, only first runs of others are kept from taking it.
     void reserveForRunsInDoubt(const TimePoint &now);
     void reserveForRunsOn(const WorkerState &worker, const TimePoint &now);
     /// Returns false if there is no worker that is worth a reservation. Does nothing if the task
     /// has a reservation, or if there may be no further one.
     bool reserve(const PlacementRequest &request);
+    void reserve(WorkerState &worker, const PlacementRequest &request);
+    /// True if the task is interrupted and has no reservation.
+    bool isWithoutReservation(const TaskName &name);
+    /// Reserves capacity of the worker, on which a long-running task would now run for the first
+    /// time, for an interrupted task without a reservation. Returns false if none can use it.
+    bool reserveBeforeFirstRun(WorkerState &worker, const TimePoint &now);
     /// Reservations, and overdue tasks in a pass that has planned them already, may use half of the
     /// work of a call, so that each call also advances the pass.
     bool isReservationWorkUsedUp() const { return planningWork() >= maxPlanningWork / 2; }
-    /// Releases the reservations that lead to no place for their task any more.
+    /// Releases the reservations that lead to no place for their task any more, and forgets the
+    /// tasks that need none any more.
     void releaseUselessReservations(const TimePoint &now);
     bool isReservationUseful(const TaskName &name, const TimePoint &now);
     /// Reserves capacity for an overdue task that can start soon, once no former run of it can
@@ -518,6 +525,9 @@
     ImageTable m_images;
     ThrottleController m_throttleController;
     CapacityReservations m_reservations;
+    /// The interrupted tasks for which no worker is worth a reservation, as of the last search, or
+    /// for which it is too early to keep capacity from short tasks; as of the last pass.
+    std::set<TaskName> m_withoutReservation;
     CapacityIndex m_capacityIndex;
     WorkerChooser m_chooser { m_throttleController.slowdownModel(), m_reservations,
                               m_capacityIndex };
