--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -235,8 +235,8 @@
     {
         return m_provenAt + m_settings.longestOnOwnersClock(m_settings.maxLeaseAfterProof);
     }
-    /// Another process of the worker has shown than the one that has reported: nothing starts there
-    /// before its report.
+    /// The process that has reported was followed by another one: nothing starts on the worker
+    /// before that one's report.
     void awaitReport(WorkerState &worker, const TimePoint &now);
     void beginContact(WorkerState &worker, std::int64_t processStartUnixMs, const TimePoint &now);
     /// Logs that another process of the worker has reported under its ID.
