LibJob: Add customers to the catalogue and to the records of jobs

Cause: a site with customers needs to know whose a job is, on every node and after the job has ended. Weighed: a record of its own for the customer, which would need a third record in each submission's append. Records of former versions stay readable, and jobs without a customer are written as before.

--- a/Libraries/LibJob/JobRecord.cpp
+++ b/Libraries/LibJob/JobRecord.cpp
@@ -29,6 +29,18 @@
 /// Bounds the terms of owners. Run numbers are a multiple of the term.
 static constexpr std::int64_t maxTerm = maxAmount;
 
+/// Adds the customer of a job, if it has one.
+static void encodeCustomer(const Core::CustomerId &customer, Json::Value &value)
+{
+    if (!customer.isEmpty())
+        value["cu"] = customer.text();
+}
+
+static Core::CustomerId decodeCustomer(const Json::Value &value)
+{
+    return Core::CustomerId(value["cu"].asString());
+}
+
 /// The value of a whole number from 0 to \p max, or 0 if it is absent. \throws Core::FormatError
 static std::int64_t numberUpTo(const Json::Value &value, std::int64_t max, const char *what)
 {
@@ -134,6 +146,7 @@
     value["qf"] = submission.queue.stretch;
     value["qx"] = Json::Int64(submission.queue.objectiveBaseMs);
     value["t"] = Json::Int64(submission.submittedUnixMs);
+    encodeCustomer(submission.customer, value);
     value["p"] = submission.spec.payload;
     value["s"] = Json::Value(Json::arrayValue);
     for (const StepSpec &step : submission.spec.steps)
@@ -157,6 +170,7 @@
     submission.queue.stretch = value["qf"].asDouble();
     submission.queue.objectiveBaseMs = value["qx"].asInt64();
     submission.submittedUnixMs = requiredNumberUpTo(value, "t", maxNumber);
+    submission.customer = decodeCustomer(value);
     submission.spec.payload = Core::Json::stringMember(value, "p");
     std::int64_t tasks = 0;
     for (const Json::Value &step : Core::Json::arrayMember(value, "s")) {
@@ -177,12 +191,14 @@
     value["q"] = accepted.queue.text();
     if (accepted.isScheduled)
         value["r"] = true;
+    encodeCustomer(accepted.customer, value);
     return { "q/" + accepted.id.text(), Core::Json::write(value) };
 }
 
 static AcceptedJob decodeAcceptedJob(const JobId &id, const Json::Value &value)
 {
-    return { id, QueueId(Core::Json::stringMember(value, "q")), value["r"].asBool() };
+    return { id, QueueId(Core::Json::stringMember(value, "q")), value["r"].asBool(),
+             decodeCustomer(value) };
 }
 
 static Json::Value encodeRuns(const std::set<std::int64_t> &runs)
@@ -380,6 +396,7 @@
     value["s"] = static_cast<int>(progress.state);
     if (progress.isFinal()) {
         value["t"] = Json::Int64(progress.endedUnixMs);
+        encodeCustomer(record.customer, value);
     }
     for (const auto &[occurrence, steps] : progress.occurrences) {
         Json::Value &list = value["o"][std::to_string(occurrence)];
@@ -461,6 +478,7 @@
             steps.push_back(decodeStepProgress(step));
     }
     progress.endedOccurrences = decodeEnded(value);
+    record.customer = decodeCustomer(value);
     for (const Json::Value &worker : value["w"])
         record.workers.insert(Core::VmId(worker.asString()));
     return record;
@@ -511,6 +529,7 @@
     ProgressRecord final { ended.id, {} };
     final.progress.state = ended.state;
     final.progress.endedUnixMs = ended.endedUnixMs;
+    final.customer = ended.customer;
     std::vector<StoredRecord> records { { "q/" + id, "" }, { "s/" + id, "" }, { "w/" + id, "" } };
     if (ended.state == JobState::Cancelled)
         records.push_back({ "c/" + id, "" });
@@ -525,7 +544,7 @@
     if (const auto *submission = std::get_if<Submission>(&record))
         return { encode(*submission),
                  encode(AcceptedJob { submission->id, submission->queue.id,
-                                      submission->spec.isScheduled() }) };
+                                      submission->spec.isScheduled(), submission->customer }) };
     if (const auto *accepted = std::get_if<AcceptedJob>(&record))
         return { encode(*accepted) };
     if (const auto *cancellation = std::get_if<Cancellation>(&record))
--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -243,7 +243,7 @@
 {
     OwnedJob *job = findJob(id);
     endEarly(*job, JobState::Failed, now);
-    ProgressRecord record { id, job->recordedProgress() };
+    ProgressRecord record { id, job->recordedProgress(), {}, job->submission().customer };
     record.progress.occurrences.clear();
     record.progress.endedOccurrences = {};
     return record;
@@ -266,7 +266,8 @@
         commit.records.emplace_back(*committedWorkers);
     }
     if (std::exchange(job.isDirty, false))
-        commit.records.emplace_back(ProgressRecord { job.id(), job.recordedProgress() });
+        commit.records.emplace_back(
+            ProgressRecord { job.id(), job.recordedProgress(), {}, job.submission().customer });
 }
 
 void JobScheduler::addEndToCommit(OwnedJob &job, Commit &commit)
@@ -275,8 +276,8 @@
     job.isDirty = false;
     job.hasNewWorkers = false;
     m_committing[job.id()];
-    commit.records.emplace_back(
-        EndedJob { job.id(), job.progress().state, job.progress().endedUnixMs });
+    commit.records.emplace_back(EndedJob { job.id(), job.progress().state,
+                                           job.progress().endedUnixMs, job.submission().customer });
 }
 
 Commit JobScheduler::takeCommit()
--- a/Libraries/LibJob/JobTable.cpp
+++ b/Libraries/LibJob/JobTable.cpp
@@ -41,6 +41,7 @@
     entry.isAccepted = true;
     entry.submission.id = accepted.id;
     entry.submission.queue.id = accepted.queue;
+    entry.submission.customer = accepted.customer;
     // Any number above 0 makes the job count as scheduled.
     entry.submission.spec.repeatCount = accepted.isScheduled ? 1 : 0;
 }
@@ -54,21 +55,23 @@
     return entry.progress && entry.progress->isFinal() ? nullptr : &entry;
 }
 
-void JobTable::applyEnd(const JobId &id, JobState state, std::int64_t endedUnixMs)
+void JobTable::applyEnd(const EndedJob &ended)
 {
-    m_withoutSubmission.erase(id);
-    JobEntry &entry = m_jobs[id];
+    m_withoutSubmission.erase(ended.id);
+    JobEntry &entry = m_jobs[ended.id];
     entry = {};
-    entry.submission.id = id;
+    entry.submission.id = ended.id;
+    entry.submission.customer = ended.customer;
     entry.progress.emplace();
-    entry.progress->state = state;
-    entry.progress->endedUnixMs = endedUnixMs;
+    entry.progress->state = ended.state;
+    entry.progress->endedUnixMs = ended.endedUnixMs;
 }
 
 void JobTable::applyProgress(const ProgressRecord &record)
 {
     if (record.progress.isFinal()) {
-        applyEnd(record.id, record.progress.state, record.progress.endedUnixMs);
+        applyEnd(
+            { record.id, record.progress.state, record.progress.endedUnixMs, record.customer });
         return;
     }
     JobEntry *entry = openEntry(record.id);
@@ -90,7 +93,7 @@
     } else if (const auto *progress = std::get_if<ProgressRecord>(&record)) {
         applyProgress(*progress);
     } else if (const auto *ended = std::get_if<EndedJob>(&record)) {
-        applyEnd(ended->id, ended->state, ended->endedUnixMs);
+        applyEnd(*ended);
     } else if (const auto *workers = std::get_if<JobWorkers>(&record)) {
         if (JobEntry *entry = openEntry(workers->id)) {
             entry->workers = workers->workers;
@@ -119,6 +122,16 @@
     return isKnown ? std::optional(found->second.state()) : std::nullopt;
 }
 
+Core::CustomerId JobTable::customerOf(const JobId &id) const
+{
+    const JobEntry *entry = find(id);
+    if (entry)
+        return entry->submission.customer;
+    const auto found = m_withoutSubmission.find(id);
+    return found == m_withoutSubmission.end() ? Core::CustomerId()
+                                              : found->second.submission.customer;
+}
+
 std::int64_t JobTable::waitingCount(const QueueId &queue) const
 {
     const auto isWaiting = [&queue](const auto &job) {
--- a/include/LibCore/Identifier.h
+++ b/include/LibCore/Identifier.h
@@ -41,6 +41,8 @@
 using TaskId = Identifier<struct TaskTag>;
 /// A quota holder: a club at Compás Lector, a firm at Kopīgā.
 using TeamId = Identifier<struct TeamTag>;
+/// A customer in the catalogue of a site; empty for work that belongs to none.
+using CustomerId = Identifier<struct CustomerTag>;
 /// A kind of task that rules refer to, such as `reminder` or `roster`.
 using TaskClassId = Identifier<struct TaskClassTag>;
 using RequestId = Identifier<struct RequestTag>;
--- a/include/LibJob/Catalogue.h
+++ b/include/LibJob/Catalogue.h
@@ -1,10 +1,14 @@
 #pragma once
 
+#include <LibCore/Identifier.h>
+#include <LibCore/Resources.h>
 #include <LibJob/JobSpec.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace Jobs {
@@ -24,10 +28,45 @@
     /// The time objective of a job is `stretch` times its critical path plus `objectiveBaseMs`.
     double stretch = 1;
     std::int64_t objectiveBaseMs = 0;
+    /// Calls to the queue need no key, even if the site has customers.
+    bool allowsAnonymous = false;
 
     bool operator==(const Queue &) const = default;
 };
 
+/// A secret that shows for which customer a call is made. It can't be written to a stream, so that
+/// it doesn't get into a log line, a metric or an error by accident.
+class ApiKey
+{
+public:
+    explicit ApiKey(std::string secret)
+        : m_secret(std::move(secret))
+    {
+    }
+
+    const std::string &secret() const { return m_secret; }
+
+    bool operator==(const ApiKey &) const = default;
+
+private:
+    std::string m_secret;
+};
+
+/// A customer, as the operators configure it.
+struct Customer
+{
+    Core::CustomerId id;
+    std::vector<ApiKey> keys;
+    /// The customer's share of the capacity relative to that of others, and the number of jobs per
+    /// second that it may submit before its jobs come after those of others.
+    double weight = 1;
+    /// What the customer's tasks may request together on all workers; 0 in a dimension for no
+    /// limit.
+    Core::Resources limit;
+
+    bool operator==(const Customer &) const = default;
+};
+
 /// A pool of workers that tasks of a queue run on.
 struct Service
 {
@@ -58,6 +97,8 @@
     std::int64_t version = 0;
     std::vector<Queue> queues;
     std::vector<Service> services;
+    /// Nothing if the site has no customers: then calls need no key.
+    std::optional<std::vector<Customer>> customers;
     CallerLimits limits;
 
     /// Returns the queue of \p host with the longest `basePath` that prefixes \p path, or null if
--- a/include/LibJob/JobRecord.h
+++ b/include/LibJob/JobRecord.h
@@ -16,11 +16,13 @@
 struct Submission
 {
     JobId id;
-    /// The queue's configuration at the time of acceptance. The store doesn't keep its `host` and
-    /// `basePath`.
+    /// The queue's configuration at the time of acceptance. The store doesn't keep its `host`,
+    /// `basePath` and `allowsAnonymous`.
     Queue queue;
     JobSpec spec;
     std::int64_t submittedUnixMs = 0;
+    /// Empty if the job belongs to no customer, or was accepted by a version without customers.
+    Core::CustomerId customer = {};
 
     bool operator==(const Submission &) const = default;
 };
@@ -33,6 +35,8 @@
     QueueId queue;
     /// See JobSpec::isScheduled().
     bool isScheduled = false;
+    /// See Submission::customer.
+    Core::CustomerId customer = {};
 
     bool operator==(const AcceptedJob &) const = default;
 };
@@ -52,6 +56,8 @@
     JobProgress progress;
     /// Workers that a record of an earlier version names in place of a JobWorkers record.
     WorkerIds workers = {};
+    /// See Submission::customer. Recorded with a final progress only: the submission is deleted.
+    Core::CustomerId customer = {};
 
     bool operator==(const ProgressRecord &) const = default;
 };
@@ -119,6 +125,8 @@
     JobState state = JobState::Completed;
     /// When the job ended, in Unix milliseconds.
     std::int64_t endedUnixMs = 0;
+    /// See Submission::customer.
+    Core::CustomerId customer = {};
 
     bool operator==(const EndedJob &) const = default;
 };
--- a/include/LibJob/JobTable.h
+++ b/include/LibJob/JobTable.h
@@ -9,12 +9,13 @@
 
 namespace Jobs {
 
-/// The combined records of one job. Of a job with a final progress only that and the ID are kept,
-/// whatever other records the store still has: nothing follows from them any more.
+/// The combined records of one job. Of a job with a final progress only that, the ID and the
+/// customer are kept, whatever other records the store still has: nothing follows from them any
+/// more.
 struct JobEntry
 {
-    /// Only the ID is meaningful once the progress is final. While only an AcceptedJob has been
-    /// read, only what that tells.
+    /// Only the ID and the customer are meaningful once the progress is final. While only an
+    /// AcceptedJob has been read, only what that tells.
     Submission submission;
     std::optional<JobProgress> progress;
     /// The only workers that may have received a start command for a task of the job.
@@ -48,6 +49,8 @@
     /// progress of the job: a cancellation alone doesn't tell whether the job had ended before.
     /// Returns nothing if none of them has been read.
     std::optional<JobState> findState(const JobId &id) const;
+    /// The customer of a job whose state is known; empty if the job belongs to none.
+    Core::CustomerId customerOf(const JobId &id) const;
     const std::unordered_map<JobId, JobEntry> &jobs() const { return m_jobs; }
     /// Returns how many jobs of \p queue are still queued. Scheduled jobs don't count.
     std::int64_t waitingCount(const QueueId &queue) const;
@@ -64,7 +67,7 @@
     void applySubmission(const Submission &submission);
     void applyAccepted(const AcceptedJob &accepted);
     void applyProgress(const ProgressRecord &record);
-    void applyEnd(const JobId &id, JobState state, std::int64_t endedUnixMs);
+    void applyEnd(const EndedJob &ended);
     /// Returns the entry to which a further record of the job belongs; null once its progress is
     /// final.
     JobEntry *openEntry(const JobId &id);
