--- a/Libraries/LibJob/JobRecord.cpp
+++ b/Libraries/LibJob/JobRecord.cpp
@@ -58,6 +58,24 @@
     return numberUpTo(object[name], max, name);
 }
 
+/// Returns processors, memory and accelerators in turn.
+static Json::Value encodeAmount(const Core::Resources &amount)
+{
+    Json::Value value(Json::arrayValue);
+    value.append(Json::Int64(amount.milliCores));
+    value.append(Json::Int64(amount.mebibytes));
+    value.append(Json::Int64(amount.accelerators));
+    return value;
+}
+
+static Core::Resources decodeAmount(const Json::Value &value)
+{
+    if (value.isNull())
+        return {};
+    return { numberUpTo(value[0], maxNumber, "ru"), numberUpTo(value[1], maxNumber, "ru"),
+             numberUpTo(value[2], maxNumber, "ru") };
+}
+
 static Json::Value encodeStep(const StepSpec &step)
 {
     Json::Value value(Json::objectValue);
@@ -397,6 +415,8 @@
     if (progress.isFinal()) {
         value["t"] = Json::Int64(progress.endedUnixMs);
         encodeCustomer(record.customer, value);
+        if (record.remainingUse != Core::Resources())
+            value["ru"] = encodeAmount(record.remainingUse);
     }
     for (const auto &[occurrence, steps] : progress.occurrences) {
         Json::Value &list = value["o"][std::to_string(occurrence)];
@@ -479,6 +499,7 @@
     }
     progress.endedOccurrences = decodeEnded(value);
     record.customer = decodeCustomer(value);
+    record.remainingUse = decodeAmount(value["ru"]);
     for (const Json::Value &worker : value["w"])
         record.workers.insert(Core::VmId(worker.asString()));
     return record;
@@ -530,6 +551,7 @@
     final.progress.state = ended.state;
     final.progress.endedUnixMs = ended.endedUnixMs;
     final.customer = ended.customer;
+    final.remainingUse = ended.remainingUse;
     std::vector<StoredRecord> records { { "q/" + id, "" }, { "s/" + id, "" }, { "w/" + id, "" } };
     if (ended.state == JobState::Cancelled)
         records.push_back({ "c/" + id, "" });
--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -90,6 +90,7 @@
 {
     m_catalogue = catalogue;
     m_urgentPriority = mostUrgentPriority(catalogue);
+    setCustomers(catalogue);
     m_needsPass = true;
 }
 
@@ -194,6 +195,7 @@
         return;
     if (entry.progress && entry.progress->isFinal()) {
         rememberEndedJob(id, entry.progress->endedUnixMs);
+        noteRemainingUse(entry.submission.customer, entry.remainingUse);
         return;
     }
     JobPtr &job = m_jobs[id];
@@ -210,6 +212,7 @@
     if (job->hasLongRunningSteps())
         m_longRunning.insert(id);
     m_order.noteJob(entry.submission.queue.id, job->totalWork());
+    job->isInExcess = isBeyondRate(entry.submission);
     beginDueOccurrences(*job, now);
     // No task starts before the first progress is recorded.
     if (entry.progress)
@@ -243,7 +246,9 @@
 {
     OwnedJob *job = findJob(id);
     endEarly(*job, JobState::Failed, now);
-    ProgressRecord record { id, job->recordedProgress(), {}, job->submission().customer };
+    ProgressRecord record {
+        id, job->recordedProgress(), {}, job->submission().customer, remainingUse(*job)
+    };
     record.progress.occurrences.clear();
     record.progress.endedOccurrences = {};
     return record;
@@ -265,9 +270,14 @@
         committedWorkers = job.workersRecord();
         commit.records.emplace_back(*committedWorkers);
     }
-    if (std::exchange(job.isDirty, false))
-        commit.records.emplace_back(
-            ProgressRecord { job.id(), job.recordedProgress(), {}, job.submission().customer });
+    if (!std::exchange(job.isDirty, false))
+        return;
+    ProgressRecord record { job.id(), job.recordedProgress() };
+    if (job.isOver()) {
+        record.customer = job.submission().customer;
+        record.remainingUse = remainingUse(job);
+    }
+    commit.records.emplace_back(std::move(record));
 }
 
 void JobScheduler::addEndToCommit(OwnedJob &job, Commit &commit)
@@ -277,7 +287,8 @@
     job.hasNewWorkers = false;
     m_committing[job.id()];
     commit.records.emplace_back(EndedJob { job.id(), job.progress().state,
-                                           job.progress().endedUnixMs, job.submission().customer });
+                                           job.progress().endedUnixMs, job.submission().customer,
+                                           remainingUse(job) });
 }
 
 Commit JobScheduler::takeCommit()
@@ -325,6 +336,7 @@
             = job->isOver() && !job->isDirty && !job->hasNewWorkers && !job->hasRuns();
         if (isFinished) {
             rememberEndedJob(id, job->progress().endedUnixMs);
+            noteRemainingUse(job->submission().customer, unseenUse(*job));
             m_scheduled.erase(id);
             m_longRunning.erase(id);
             m_pass.leave(*job);
--- a/Libraries/LibJob/JobSchedulerInterruptions.cpp
+++ b/Libraries/LibJob/JobSchedulerInterruptions.cpp
@@ -85,6 +85,8 @@
         return WaitReason::Commit;
     if (job.crashHistory(name).isSuspect() && !maySuspectStart(job))
         return WaitReason::OtherSuspects;
+    if (!m_customerLedger.mayStart(job.submission().customer, job.spec(name.step).need))
+        return WaitReason::CustomerLimit;
     return isStartWindowFull() ? WaitReason::StartWindow : WaitReason::NoWorker;
 }
 
@@ -133,6 +135,8 @@
             + " workers=" + std::to_string(job.unreconciledWorkers.size()) + " ends_in_ms="
             + std::to_string(
                    std::chrono::ceil<milliseconds>(formerRunsEndAt(job) - now.instant).count());
+    if (reason == WaitReason::CustomerLimit)
+        return text + ' ' + explainLimit(job);
     if (reason != WaitReason::NoWorker)
         return text;
     const PlacementRequest request = placementRequest(waiting, index, now);
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -278,6 +278,9 @@
     }
     const StepSpec &spec = job->spec(entry.task.step);
     Core::Resources need = spec.need;
+    const Core::CustomerId &customer = job->submission().customer;
+    if (!customer.isEmpty())
+        use.byCustomer[customer] = use.byCustomer[customer] + need;
     if (spec.isBestEffort)
         need.milliCores = 0;
     use.requested = use.requested + need;
--- a/Libraries/LibJob/JobSchedulerReservations.cpp
+++ b/Libraries/LibJob/JobSchedulerReservations.cpp
@@ -57,7 +57,7 @@
     const TaskState *task = job && !job->isOver() ? job->findTask(name) : nullptr;
     const bool isInterrupted
         = task && !job->isTaskDone(name) && (!task->run || task->run->worker->isUnresponsive());
-    return isInterrupted && !m_reservations.contains(name);
+    return isInterrupted && !m_reservations.contains(name) && isWithinLimit(*job, name);
 }
 
 bool JobScheduler::reserveBeforeFirstRun(WorkerState &worker, const TimePoint &now)
@@ -139,7 +139,7 @@
 {
     OwnedJob *job = findJob(name.job);
     const TaskState *task = job && !job->isOver() ? job->findTask(name) : nullptr;
-    if (!task || (task->run && !task->run->worker->isUnresponsive()))
+    if (!task || (task->run && !task->run->worker->isUnresponsive()) || !isWithinLimit(*job, name))
         return false;
     WorkerState &worker = *m_reservations.workerOf(name);
     const WaitingStep waiting = waitingStep(*job, name.occurrence, name.step, now);
--- a/Libraries/LibJob/JobSchedulerRuns.cpp
+++ b/Libraries/LibJob/JobSchedulerRuns.cpp
@@ -26,6 +26,7 @@
     m_pendingStarts += task.run->isStartPending() ? 1 : 0;
     task.run->sentAt = now.instant;
     task.lastRun = std::max(task.lastRun, number);
+    m_customerLedger.add(job.submission().customer, spec.need);
     worker.addRun(name, spec, job.images[static_cast<std::size_t>(name.step)]);
     job.refresh(name.occurrence);
     ++m_runs;
@@ -78,6 +79,7 @@
     else if (task->run->phase == RunPhase::Uncertain && task->awaySince == Core::Instant())
         task->awaySince = task->run->sentAt;
     task->run->worker->removeRun(name, spec, image);
+    m_customerLedger.remove(job.submission().customer, spec.need);
     m_pendingStarts -= task->run->isStartPending() ? 1 : 0;
     task->run->worker->urgentRuns -= task->run->isUrgent ? 1 : 0;
     task->run.reset();
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -79,6 +79,7 @@
         beginDueOccurrences(*m_jobs.at(id), now);
     if (m_areStartsHeld)
         return;
+    refreshCustomers(now);
     m_pass = PlanningPass(waitingSteps(now), now.instant);
     m_nextPassAt = now.instant + minPassInterval
         + std::min<Core::Duration>(m_pass.size() * passIntervalPerStep, maxPassInterval);
@@ -95,6 +96,8 @@
     while (!m_pass.isOver() && !isPlanningWorkUsedUp() && !isStartWindowFull()) {
         const WaitingStep waiting = m_pass.next();
         m_planningWork += workPerStep;
+        if (waiting.isStillWaiting() && postponeAboveShare(waiting))
+            continue;
         if (waiting.isStillWaiting())
             planWaitingStep(waiting, now);
         // A step that a bound has interrupted is continued by the next call.
@@ -176,6 +179,8 @@
     if (!areUnseen && areLost)
         abandonUnknownRuns(job, occurrence);
     noteReadySteps(job, occurrence, now);
+    if (areUnseen)
+        m_customerLedger.addOtherUse(job.submission().customer, unseenUse(job, occurrence));
 }
 
 TaskState *JobScheduler::findReportedTask(OwnedJob &job, const TaskName &name, const TimePoint &now)
@@ -227,6 +232,7 @@
     const Core::Instant due = dueAt(job, occurrence, now);
     WaitingStep waiting;
     waiting.rank = m_order.rank(job, occurrence, step, queue, due, now.instant);
+    waiting.rank.isAboveShare = isAboveShare(job);
     waiting.job = &job;
     waiting.occurrence = occurrence;
     waiting.step = step;
@@ -277,6 +283,10 @@
         // that those after it may.
         if (!m_isStoreReachable && !job.isTaskDurable(waiting.step, index))
             return false;
+        // All tasks of the step request the same. That the customer is at its limit says nothing
+        // about other tasks with this demand.
+        if (!mayCustomerStart(waiting, index, now))
+            return true;
         // Whether a suspect finds a worker says nothing about other tasks.
         if (job.crashHistory(name).isSuspect()) {
             planSuspect(waiting, index, nextRunNumber(step.tasks[i]), now);
@@ -304,7 +314,7 @@
         = job.occurrences().at(waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
     const auto size = static_cast<int>(step.tasks.size());
     // A member that still runs will end without the others; then all members start together.
-    if (step.waitingCount < size)
+    if (step.waitingCount < size || !mayCustomerStart(waiting, 0, now))
         return false;
     for (int index = 0; index < size; ++index) {
         const TaskState &task = step.tasks[static_cast<std::size_t>(index)];
@@ -414,17 +424,25 @@
     return TaskPlan::Planned;
 }
 
-void JobScheduler::logWaitReason(const WaitingStep &waiting, const PlacementRequest &request,
-                                 const TimePoint &now)
+bool JobScheduler::isWaitLoggedNow(const WaitingStep &waiting, const TimePoint &now)
 {
     OwnedStep &step
         = waiting.job->occurrences().at(waiting.occurrence)[static_cast<std::size_t>(waiting.step)];
-    const auto waited = std::chrono::duration_cast<milliseconds>(now.instant - waiting.rank.dueAt);
-    if (waited < minExplainedWait || now.instant < step.explainedAt + explanationInterval)
+    const bool isLogged = now.instant >= waiting.rank.dueAt + minExplainedWait
+        && now.instant >= step.explainedAt + explanationInterval;
+    if (isLogged)
+        step.explainedAt = now.instant;
+    return isLogged;
+}
+
+void JobScheduler::logWaitReason(const WaitingStep &waiting, const PlacementRequest &request,
+                                 const TimePoint &now)
+{
+    if (!isWaitLoggedNow(waiting, now))
         return;
-    step.explainedAt = now.instant;
+    const auto waited = std::chrono::duration_cast<milliseconds>(now.instant - waiting.rank.dueAt);
     note(request.task, "wait",
-         "due_ms_ago=" + std::to_string(waited.count())
+         explainOrder(waiting) + "due_ms_ago=" + std::to_string(waited.count())
              + " milli_cores=" + std::to_string(request.step->need.milliCores)
              + " mebibytes=" + std::to_string(request.step->need.mebibytes) + " label="
              + request.step->requiredLabel + ' ' + m_chooser.explain(m_listed, request));
--- a/Libraries/LibJob/JobTable.cpp
+++ b/Libraries/LibJob/JobTable.cpp
@@ -1,6 +1,7 @@
 #include <LibJob/JobTable.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace Jobs {
 
@@ -62,6 +63,7 @@
     entry = {};
     entry.submission.id = ended.id;
     entry.submission.customer = ended.customer;
+    entry.remainingUse = ended.remainingUse;
     entry.progress.emplace();
     entry.progress->state = ended.state;
     entry.progress->endedUnixMs = ended.endedUnixMs;
@@ -70,8 +72,8 @@
 void JobTable::applyProgress(const ProgressRecord &record)
 {
     if (record.progress.isFinal()) {
-        applyEnd(
-            { record.id, record.progress.state, record.progress.endedUnixMs, record.customer });
+        applyEnd({ record.id, record.progress.state, record.progress.endedUnixMs, record.customer,
+                   record.remainingUse });
         return;
     }
     JobEntry *entry = openEntry(record.id);
@@ -132,6 +134,19 @@
                                               : found->second.submission.customer;
 }
 
+std::vector<const JobEntry *> JobTable::jobsInOrderOfSubmission() const
+{
+    std::vector<const JobEntry *> entries;
+    entries.reserve(m_jobs.size());
+    for (const auto &[id, entry] : m_jobs)
+        entries.push_back(&entry);
+    std::sort(entries.begin(), entries.end(), [](const JobEntry *left, const JobEntry *right) {
+        return std::tie(left->submission.submittedUnixMs, left->submission.id)
+            < std::tie(right->submission.submittedUnixMs, right->submission.id);
+    });
+    return entries;
+}
+
 std::int64_t JobTable::waitingCount(const QueueId &queue) const
 {
     const auto isWaiting = [&queue](const auto &job) {
--- a/Libraries/LibJob/PlanningPass.cpp
+++ b/Libraries/LibJob/PlanningPass.cpp
@@ -67,8 +67,9 @@
     std::stable_sort(m_steps.begin(), m_steps.end(),
                      [](const WaitingStep &left, const WaitingStep &right) {
                          const auto key = [](const WaitingStep &waiting) {
-                             return std::tuple(waiting.rank.isTooLate, waiting.rank.priority,
-                                               !waiting.isPutFirst);
+                             const StartRank &rank = waiting.rank;
+                             return std::tuple(rank.isInExcess, rank.isTooLate, rank.priority,
+                                               rank.isAboveShare, !waiting.isPutFirst);
                          };
                          return key(left) < key(right);
                      });
--- a/Libraries/LibJob/StartOrder.cpp
+++ b/Libraries/LibJob/StartOrder.cpp
@@ -54,6 +54,7 @@
                            Core::Instant dueAt, Core::Instant now) const
 {
     StartRank rank;
+    rank.isInExcess = job.isInExcess;
     rank.priority = queue.priority;
     rank.dueAt = dueAt;
     // A long-running task has value for as long as it runs, so it is never late. It occupies
--- a/Libraries/LibJob/WaitReason.cpp
+++ b/Libraries/LibJob/WaitReason.cpp
@@ -15,6 +15,8 @@
         return "commit";
     case WaitReason::OtherSuspects:
         return "other-suspects";
+    case WaitReason::CustomerLimit:
+        return "customer-limit";
     case WaitReason::StartWindow:
         return "start-window";
     case WaitReason::NoWorker:
--- a/Libraries/LibPlacement/QuotaLedger.cpp
+++ b/Libraries/LibPlacement/QuotaLedger.cpp
@@ -21,11 +21,6 @@
              std::max<std::int64_t>(0, resources.accelerators) };
 }
 
-double fraction(std::int64_t used, std::int64_t capacity)
-{
-    return capacity > 0 ? static_cast<double>(used) / static_cast<double>(capacity) : 0.0;
-}
-
 } // namespace
 
 void QuotaLedger::setRules(const Rules::RuleSet &rules, int failureDomains)
@@ -98,10 +93,7 @@
     if (found == m_teams.end())
         return 0.0;
     const TeamState &state = found->second;
-    const double share = std::max({ fraction(state.used.milliCores, m_capacity.milliCores),
-                                    fraction(state.used.mebibytes, m_capacity.mebibytes),
-                                    fraction(state.used.accelerators, m_capacity.accelerators) });
-    return share / state.weight;
+    return Core::dominantShare(state.used, m_capacity) / state.weight;
 }
 
 } // namespace Placement
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -86,8 +86,8 @@
     const LoopMeter::Work work(m_loadLog.loop(), "load-state");
     onOperatorChange();
     const Jobs::TimePoint moment = now();
-    for (const auto &[id, entry] : m_state.table.jobs())
-        m_scheduler.addJob(entry, moment);
+    for (const Jobs::JobEntry *entry : m_state.table.jobsInOrderOfSubmission())
+        m_scheduler.addJob(*entry, moment);
     LOG4CXX_INFO(partLogger,
                  "event=own term=" << m_ownership.term << " token=" << m_ownership.token
                                    << " jobs=" << m_state.table.jobs().size());
@@ -299,7 +299,8 @@
     const CopyTimes copies { m_state.catalogueFreshness.completeAsOf(),
                              m_state.tableFreshness.completeAsOf(),
                              m_workerFollower.completeAsOf() };
-    const bool areHeld = areCopiesTooOldForStarts(copies, m_provenAt, m_state.settings.drainTime);
+    const bool areHeld = areCopiesTooOldForStarts(copies, m_provenAt, m_state.settings.drainTime,
+                                                  m_scheduler.hasCustomerLimits());
     if (areHeld != m_areStartsHeld) {
         const Core::Instant now = Core::suspendAwareNow();
         LOG4CXX_WARN(partLogger,
--- a/Libraries/LibSite/StartHold.cpp
+++ b/Libraries/LibSite/StartHold.cpp
@@ -6,6 +6,9 @@
 
 /// A failure domain that was taken out of service must get no more starts after 5 s at the latest.
 static constexpr Core::Duration maxOperatorsLag = std::chrono::seconds(3);
+/// The corresponding limit on a site whose customers have limits: a lowered one must hold after 3
+/// s. The difference covers the age of the last append and the transit time of a start command.
+static constexpr Core::Duration maxOperatorsLagWithLimits = std::chrono::milliseconds(2200);
 /// The corresponding limit for the job records: a cancelled job must get no more starts after 3 s.
 static constexpr Core::Duration maxJobsLag = std::chrono::seconds(2);
 /// The corresponding limit for the workers' records is the drain time less this margin, which
@@ -17,7 +20,7 @@
 static constexpr Core::Duration minWorkersLagLimit = std::chrono::milliseconds(700);
 
 bool areCopiesTooOldForStarts(const CopyTimes &copies, Core::Instant provenAt,
-                              Core::Duration drainTime)
+                              Core::Duration drainTime, bool hasCustomerLimits)
 {
     const auto isOld
         = [provenAt](std::optional<Core::Instant> completeAsOf, Core::Duration maxLag) {
@@ -25,7 +28,9 @@
           };
     const Core::Duration maxWorkersLag
         = std::max(drainTime - startMarginOnDrainingWorker, minWorkersLagLimit);
-    return isOld(copies.operators, maxOperatorsLag) || isOld(copies.jobs, maxJobsLag)
+    const Core::Duration maxCatalogueLag
+        = hasCustomerLimits ? maxOperatorsLagWithLimits : maxOperatorsLag;
+    return isOld(copies.operators, maxCatalogueLag) || isOld(copies.jobs, maxJobsLag)
         || isOld(copies.workers, maxWorkersLag);
 }
 
--- a/include/LibCore/Resources.h
+++ b/include/LibCore/Resources.h
@@ -38,6 +38,10 @@
     }
 };
 
+/// The largest fraction that \p used is of any dimension of \p capacity; a dimension without
+/// capacity doesn't count.
+double dominantShare(const Resources &used, const Resources &capacity);
+
 std::ostream &operator<<(std::ostream &stream, const Resources &resources);
 
 } // namespace Core
--- a/include/LibJob/JobRecord.h
+++ b/include/LibJob/JobRecord.h
@@ -58,6 +58,9 @@
     WorkerIds workers = {};
     /// See Submission::customer. Recorded with a final progress only: the submission is deleted.
     Core::CustomerId customer = {};
+    /// What the runs of a job with a final progress still request while they are being stopped.
+    /// Until they have ended it counts toward the customer's limit.
+    Core::Resources remainingUse = {};
 
     bool operator==(const ProgressRecord &) const = default;
 };
@@ -127,6 +130,9 @@
     std::int64_t endedUnixMs = 0;
     /// See Submission::customer.
     Core::CustomerId customer = {};
+    /// What tasks request of which the owner doesn't know whether they run; see
+    /// ProgressRecord::remainingUse.
+    Core::Resources remainingUse = {};
 
     bool operator==(const EndedJob &) const = default;
 };
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -5,6 +5,8 @@
 #include <LibJob/Catalogue.h>
 #include <LibJob/Commands.h>
 #include <LibJob/Commit.h>
+#include <LibJob/CustomerLedger.h>
+#include <LibJob/CustomerShares.h>
 #include <LibJob/DecisionLog.h>
 #include <LibJob/ImageTable.h>
 #include <LibJob/JobTable.h>
@@ -146,6 +148,10 @@
     /// Estimate of the unused processors, in thousandths of a core over all listed workers.
     /// Negative if best-effort tasks compete with each other.
     std::int64_t idleMilliCores() const;
+    /// True if a customer has a limit: then the age of the catalogue bounds starts more tightly.
+    bool hasCustomerLimits() const { return m_customerLedger.hasLimits(); }
+    /// What the customers use, and their limits.
+    const CustomerLedger &customerLedger() const { return m_customerLedger; }
     /// Returns null if the worker is unknown.
     const WorkerState *findWorker(const Core::VmId &id) const;
 
@@ -254,10 +260,43 @@
     /// Asks the worker for a report, and returns true, if WorkerChooser::isUnheard().
     static bool askIfUnheard(const PlacementRequest &request, WorkerState &worker);
     PlacementRequest placementRequest(const WaitingStep &waiting, int index, const TimePoint &now);
+    /// True if the step has waited for so long that the reason is logged now, which is noted.
+    static bool isWaitLoggedNow(const WaitingStep &waiting, const TimePoint &now);
     /// Logs why no worker accepts a task that has waited a long time.
     void logWaitReason(const WaitingStep &waiting, const PlacementRequest &request,
                        const TimePoint &now);
 
+    // Customers: limits, and the order of waiting steps under contention.
+    void setCustomers(const Catalogue &catalogue);
+    /// Takes a token of the customer's bucket for the job. True if there was none.
+    bool isBeyondRate(const Submission &submission);
+    /// Computes anew, for a pass, what the customers may use beside the known runs, and which of
+    /// them share the capacity.
+    void refreshCustomers(const TimePoint &now);
+    /// What the customers may use beside the known runs: runs that a former owner may have started
+    /// and nobody has reported, unwanted runs, and those of ended jobs.
+    CustomerLedger::Amounts otherUse(const TimePoint &now);
+    /// What the tasks request that a former owner may have started and that have no run here.
+    static Core::Resources unseenUse(const OwnedJob &job);
+    static Core::Resources unseenUse(const OwnedJob &job, int occurrence);
+    /// What a job that is over may still use.
+    static Core::Resources remainingUse(const OwnedJob &job);
+    /// Counts \p use until the leases of the former owner have ended.
+    void noteRemainingUse(const Core::CustomerId &customer, const Core::Resources &use);
+    bool isAboveShare(const OwnedJob &job) const;
+    /// Puts a step whose customer has risen above its share during the pass behind those of others.
+    /// Returns false if there is no need to.
+    bool postponeAboveShare(const WaitingStep &waiting);
+    /// True if the customer's limit lets a task without a run start.
+    bool isWithinLimit(OwnedJob &job, const TaskName &name) const;
+    /// Whether the customer's limit lets the task start, or the gang; logs it if not.
+    bool mayCustomerStart(const WaitingStep &waiting, int index, const TimePoint &now);
+    /// The customer with its use and limit, as `key=value` pairs.
+    std::string explainLimit(const OwnedJob &job) const;
+    /// Why the step comes after those of other customers, as `key=value` pairs that end with a
+    /// space; empty if it doesn't.
+    static std::string explainOrder(const WaitingStep &waiting);
+
     // Takeovers: what a former owner has left on workers that don't answer.
     /// When the former owner's last lease on the worker ends at the latest.
     Core::Instant formerLeaseEnd(const Core::VmId &worker) const;
@@ -494,6 +533,12 @@
     /// The priority of the most urgent queues; none if all queues have the same.
     std::optional<int> m_urgentPriority;
     StartOrder m_order;
+    /// The catalogue has, or had, customers.
+    bool m_hasCustomers = false;
+    CustomerLedger m_customerLedger;
+    CustomerShares m_customerShares;
+    /// What runs of ended jobs may still use that a former owner started.
+    CustomerLedger::Amounts m_remainingUse;
     ImageTable m_images;
     ThrottleController m_throttleController;
     CapacityReservations m_reservations;
--- a/include/LibJob/JobTable.h
+++ b/include/LibJob/JobTable.h
@@ -9,9 +9,9 @@
 
 namespace Jobs {
 
-/// The combined records of one job. Of a job with a final progress only that, the ID and the
-/// customer are kept, whatever other records the store still has: nothing follows from them any
-/// more.
+/// The combined records of one job. Of a job with a final progress only that, the ID, the customer
+/// and the remaining use are kept, whatever other records the store still has: nothing follows from
+/// them any more.
 struct JobEntry
 {
     /// Only the ID and the customer are meaningful once the progress is final. While only an
@@ -23,6 +23,8 @@
     /// See JobWorkers::startedTasks.
     std::vector<int> startedTasks = {};
     bool isCancelled = false;
+    /// See ProgressRecord::remainingUse.
+    Core::Resources remainingUse = {};
     /// The job was accepted: its submission or its AcceptedJob has been read.
     bool isAccepted = false;
 
@@ -52,6 +54,9 @@
     /// The customer of a job whose state is known; empty if the job belongs to none.
     Core::CustomerId customerOf(const JobId &id) const;
     const std::unordered_map<JobId, JobEntry> &jobs() const { return m_jobs; }
+    /// The rates of customers depend on the order in which jobs were submitted. The pointers are
+    /// valid until a record is applied.
+    std::vector<const JobEntry *> jobsInOrderOfSubmission() const;
     /// Returns how many jobs of \p queue are still queued. Scheduled jobs don't count.
     std::int64_t waitingCount(const QueueId &queue) const;
 
--- a/include/LibJob/OwnedJob.h
+++ b/include/LibJob/OwnedJob.h
@@ -158,6 +158,8 @@
     /// or replaced yet.
     std::set<Core::VmId> unreconciledWorkers;
     JobTiming timing { 0, Core::Instant() };
+    /// The job is beyond its customer's rate of submission; see CustomerShares.
+    bool isInExcess = false;
     /// When this owner learned of the job's end, or decided it; the epoch before.
     Core::Instant endKnownAt = {};
     /// A commit that records the end has become durable.
--- a/include/LibJob/StartOrder.h
+++ b/include/LibJob/StartOrder.h
@@ -22,9 +22,13 @@
 /// Sort key of a step in the order of starts; lower ranks start first.
 struct StartRank
 {
+    /// The job is beyond its customer's rate of submission.
+    bool isInExcess = false;
     /// The step's timeliness is `TooLate`.
     bool isTooLate = false;
     int priority = 0;
+    /// The job's customer uses more than its share of the capacity.
+    bool isAboveShare = false;
     Timeliness timeliness = Timeliness::OnTime;
     /// Remaining core-milliseconds per unit of the job's weight; 0 for steps that can't be on time,
     /// very large for long-running ones.
@@ -38,7 +42,9 @@
 /// priority, so that an urgent step that is a little late doesn't wait for all steps of all queues.
 /// Among equal priorities come first the steps that can still be on time, those with the least work
 /// per weight before others, so that a burst of large jobs delays few; then the late ones by due
-/// time. Steps whose job has no value left come after all others.
+/// time. Steps whose job has no value left come after all others, and after these the steps of jobs
+/// beyond their customer's rate. Customers that use more than their share come after others of the
+/// same priority.
 class StartOrder
 {
 public:
--- a/include/LibJob/WaitReason.h
+++ b/include/LibJob/WaitReason.h
@@ -16,6 +16,8 @@
     /// The task may have crashed a worker, and runs by itself once others of which this is true
     /// have had their turn.
     OtherSuspects,
+    /// The customer's tasks request as much as its limit permits.
+    CustomerLimit,
     /// Too many starts haven't been answered yet.
     StartWindow,
     /// No worker can take the task.
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -47,8 +47,10 @@
 struct UnwantedUse
 {
     int runs = 0;
-    /// What those of known jobs request.
+    /// What those of known jobs request; best-effort tasks count without processors.
     Core::Resources requested;
+    /// What those of known jobs request by customer; best-effort tasks count with processors.
+    std::map<Core::CustomerId, Core::Resources> byCustomer;
     /// There are runs of jobs that this owner doesn't know, so their requests aren't known either.
     bool isPartlyUnknown = false;
 
--- a/include/LibSite/StartHold.h
+++ b/include/LibSite/StartHold.h
@@ -22,7 +22,8 @@
 /// meanwhile. While the store answers no node nothing can be forbidden, and starts continue.
 ///
 /// \p drainTime is how long a worker that announces its leaving may still get starts.
+/// \p hasCustomerLimits is true if the operators may have lowered a customer's limit.
 bool areCopiesTooOldForStarts(const CopyTimes &copies, Core::Instant provenAt,
-                              Core::Duration drainTime);
+                              Core::Duration drainTime, bool hasCustomerLimits = false);
 
 } // namespace Site
