LibSite, platform: Authenticate callers by their customers' keys (no tests yet)

Cause: a site with customers must answer only calls with the key of one, and keep the jobs of customers apart. Ruled out: checking keys on the owner (no answers without one), comparing with each key (grows with the customers). Not measured; tests follow.

--- a/Libraries/LibSite/JobRequestService.cpp
+++ b/Libraries/LibSite/JobRequestService.cpp
@@ -49,9 +49,16 @@
 }
 
 asio::awaitable<SubmitOutcome> JobRequestService::submit(Jobs::Submission submission,
-                                                         Core::Instant deadline)
+                                                         Core::Instant deadline, Caller caller)
 {
     const Jobs::JobId id = submission.id;
+    submission.customer = caller.customer;
+    if (!maySee(id, caller)) {
+        LOG4CXX_INFO(partLogger,
+                     "event=submit job=" << id << " customer=" << caller.customer
+                                         << " outcome=conflict");
+        co_return SubmitOutcome::Conflict;
+    }
     if (isKnown(id)) {
         LOG4CXX_INFO(partLogger, "event=submit job=" << id << " outcome=known");
         co_return SubmitOutcome::Accepted;
@@ -67,8 +74,12 @@
     const auto elapsedMs
         = std::chrono::duration_cast<std::chrono::milliseconds>(Core::steadyNow() - startedAt);
     LOG4CXX_INFO(partLogger,
-                 "event=submit job=" << id << " queue=" << submission.queue.id << " outcome="
-                                     << outcomeText(outcome) << " ms=" << elapsedMs.count());
+                 "event=submit job=" << id << " queue=" << submission.queue.id << " customer="
+                                     << caller.customer << " outcome=" << outcomeText(outcome)
+                                     << " ms=" << elapsedMs.count());
+    // Another customer's submission may have come first, at another node.
+    if (outcome == WriteOutcome::Written && !maySee(id, caller))
+        co_return SubmitOutcome::Conflict;
     if (outcome == WriteOutcome::Written)
         co_return SubmitOutcome::Accepted;
     co_return outcome == WriteOutcome::Unknown ? SubmitOutcome::Unknown : SubmitOutcome::Refused;
@@ -80,13 +91,20 @@
     return m_state.isLeaving ? refreshDeadline(deadline) : deadline - responseMargin;
 }
 
-asio::awaitable<CancelOutcome> JobRequestService::cancel(Jobs::JobId id, Core::Instant deadline)
+asio::awaitable<CancelOutcome> JobRequestService::cancel(Jobs::JobId id, Core::Instant deadline,
+                                                         Caller caller)
 {
     if (!isKnown(id)) {
         const bool isRead = co_await m_follower.awaitState(id, readDeadline(deadline));
         if (!isKnown(id))
             co_return isRead ? CancelOutcome::NoSuchJob : CancelOutcome::Refused;
     }
+    if (!maySee(id, caller)) {
+        LOG4CXX_INFO(partLogger,
+                     "event=cancel job=" << id << " customer=" << caller.customer
+                                         << " outcome=other-customer");
+        co_return CancelOutcome::NoSuchJob;
+    }
     const Jobs::Cancellation cancellation { id };
     std::vector<Jobs::StoredRecord> records = Jobs::encodeRecord(cancellation);
     const WriteOutcome outcome
@@ -97,7 +115,8 @@
     co_return outcome == WriteOutcome::Unknown ? CancelOutcome::Unknown : CancelOutcome::Refused;
 }
 
-asio::awaitable<JobLookup> JobRequestService::find(Jobs::JobId id, Core::Instant deadline)
+asio::awaitable<JobLookup> JobRequestService::find(Jobs::JobId id, Core::Instant deadline,
+                                                   Caller caller)
 {
     std::optional<Jobs::JobState> state = m_state.table.findState(id);
     // The owner's table is the most recent one.
@@ -114,6 +133,12 @@
     else if (!isAuthoritative)
         isFresh = co_await m_follower.awaitState(id, readDeadline(deadline));
     state = m_state.table.findState(id);
+    if (state && !maySee(id, caller)) {
+        LOG4CXX_INFO(partLogger,
+                     "event=find job=" << id << " customer=" << caller.customer
+                                       << " outcome=other-customer");
+        co_return JobLookup { FindOutcome::NoSuchJob, Jobs::JobState::Queued };
+    }
     if (state)
         co_return JobLookup { FindOutcome::Found, *state };
     LOG4CXX_INFO(partLogger,
--- a/Libraries/LibSite/OperatorFollower.cpp
+++ b/Libraries/LibSite/OperatorFollower.cpp
@@ -146,9 +146,12 @@
     if (m_state.catalogue && m_state.catalogue->version >= catalogue.version)
         return;
     m_state.catalogue = catalogue;
-    LOG4CXX_INFO(partLogger,
-                 "event=catalogue version=" << catalogue.version
-                                            << " queues=" << catalogue.queues.size());
+    m_state.keys = KeyDirectory(catalogue.customers.value_or(std::vector<Jobs::Customer>()));
+    LOG4CXX_INFO(
+        partLogger,
+        "event=catalogue version="
+            << catalogue.version << " queues=" << catalogue.queues.size() << " customers="
+            << (catalogue.customers ? std::to_string(catalogue.customers->size()) : "none"));
 }
 
 void OperatorFollower::apply(const LoggedRecord &record)
--- a/Libraries/LibSite/SiteMetrics.cpp
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -30,6 +30,8 @@
                           "Callers' requests on jobs by kind and outcome"))
     , m_requestSeconds(histograms(m_registry, "lagoonford_job_request_seconds",
                                   "Time to answer callers' requests on jobs"))
+    , m_customerRequests(counters(m_registry, "lagoonford_customer_requests_total",
+                                  "Requests by customer and class of status"))
     , m_storeCalls(counters(m_registry, "lagoonford_store_calls_total",
                             "Calls to the platform's store by kind and outcome"))
     , m_storeSeconds(histograms(m_registry, "lagoonford_store_call_seconds",
@@ -86,6 +88,23 @@
     m_requestSeconds.Add({ { "request", request } }, latencyBuckets).Observe(seconds);
 }
 
+const std::string &SiteMetrics::customerLabel(const std::string &customer)
+{
+    static const std::string otherCustomers = "other";
+    if (m_customerLabels.size() < maxCustomerLabels)
+        return *m_customerLabels.insert(customer).first;
+    return m_customerLabels.contains(customer) ? customer : otherCustomers;
+}
+
+void SiteMetrics::countCustomerRequest(const std::string &customer, unsigned status)
+{
+    if (customer.empty())
+        return;
+    const std::string statusClass = std::to_string(status / 100) + "xx";
+    m_customerRequests.Add({ { "customer", customerLabel(customer) }, { "status", statusClass } })
+        .Increment();
+}
+
 void SiteMetrics::countStoreCall(const std::string &call, const std::string &outcome,
                                  double seconds)
 {
--- a/Meta/setup.sh
+++ b/Meta/setup.sh
@@ -5,7 +5,7 @@
 packages=(
     build-essential ca-certificates ccache clang-format clang-tidy cmake curl git ninja-build pkg-config
     libbenchmark-dev libboost-dev libboost-system-dev libcurl4-openssl-dev libinih-dev libjsoncpp-dev
-    libjsonrpccpp-dev liblog4cxx-dev libmimalloc-dev librapidcheck-dev libtclap-dev libtrompeloeil-cpp-dev libxxhash-dev
+    libjsonrpccpp-dev liblog4cxx-dev libmimalloc-dev librapidcheck-dev libsodium-dev libtclap-dev libtrompeloeil-cpp-dev libxxhash-dev
     prometheus-cpp-dev rapidjson-dev catch2 valgrind zlib1g-dev
 )
 
--- a/include/LibSite/JobRequestService.h
+++ b/include/LibSite/JobRequestService.h
@@ -2,6 +2,7 @@
 
 #include <LibJob/Catalogue.h>
 #include <LibJob/JobSpec.h>
+#include <LibSite/Authentication.h>
 #include <LibSite/JobFollower.h>
 #include <LibSite/RecordWriter.h>
 #include <LibSite/SiteState.h>
@@ -18,6 +19,8 @@
     Refused,
     /// The submission may have been written.
     Unknown,
+    /// Another customer's job has the ID; the submission wasn't written.
+    Conflict,
 };
 
 enum class CancelOutcome {
@@ -60,7 +63,8 @@
 };
 
 /// Handles callers' requests on jobs, on any node of a site. An accepted submission or cancellation
-/// is in the store, and every reported state is durable. Deadlines are on the steady clock.
+/// is in the store, and every reported state is durable. Deadlines are on the steady clock. A job
+/// that the caller may not see is treated like one that doesn't exist, except that its ID is taken.
 class JobRequestService
 {
 public:
@@ -68,13 +72,21 @@
 
     /// True if this node's copy of the job records, which may be incomplete, tells of the job.
     bool isKnown(const Jobs::JobId &id) const { return m_state.table.findState(id).has_value(); }
+    /// The job belongs to the caller's customer.
     boost::asio::awaitable<SubmitOutcome> submit(Jobs::Submission submission,
-                                                 Core::Instant deadline);
-    boost::asio::awaitable<CancelOutcome> cancel(Jobs::JobId id, Core::Instant deadline);
-    boost::asio::awaitable<JobLookup> find(Jobs::JobId id, Core::Instant deadline);
+                                                 Core::Instant deadline, Caller caller = {});
+    boost::asio::awaitable<CancelOutcome> cancel(Jobs::JobId id, Core::Instant deadline,
+                                                 Caller caller = {});
+    boost::asio::awaitable<JobLookup> find(Jobs::JobId id, Core::Instant deadline,
+                                           Caller caller = {});
     boost::asio::awaitable<WaitingCount> countWaiting(Jobs::QueueId queue, Core::Instant deadline);
 
 private:
+    /// True if nothing known of the job keeps the caller from seeing it.
+    bool maySee(const Jobs::JobId &id, const Caller &caller) const
+    {
+        return caller.maySee(m_state.table.customerOf(id));
+    }
     /// Deadline of a read of the store without which a request can't be answered.
     Core::Instant readDeadline(Core::Instant deadline) const;
 
--- a/include/LibSite/SiteMetrics.h
+++ b/include/LibSite/SiteMetrics.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -23,6 +24,9 @@
 
     /// \p request is submit, find, cancel, waiting or other; \p outcome is the HTTP status.
     void countRequest(const std::string &request, const std::string &outcome, double seconds);
+    /// Counts a request of a customer by the class of its HTTP status; does nothing for an empty
+    /// name. Customers beyond the first `maxCustomerLabels` are counted together as `other`.
+    void countCustomerRequest(const std::string &customer, unsigned status);
     /// \p call is append, read or newest; \p outcome is ok, refused, unknown or not-sent.
     void countStoreCall(const std::string &call, const std::string &outcome, double seconds);
     /// Counts a successful read of the log. \p topic is jobs, operators or workers; \p seconds is
@@ -59,9 +63,17 @@
     std::string text() const;
 
 private:
+    /// Bounds the series of metrics by customer.
+    static constexpr std::size_t maxCustomerLabels = 512;
+
+    /// The label that stands for the customer.
+    const std::string &customerLabel(const std::string &customer);
+
     prometheus::Registry m_registry;
     prometheus::Family<prometheus::Counter> &m_requests;
     prometheus::Family<prometheus::Histogram> &m_requestSeconds;
+    prometheus::Family<prometheus::Counter> &m_customerRequests;
+    std::set<std::string> m_customerLabels;
     prometheus::Family<prometheus::Counter> &m_storeCalls;
     prometheus::Family<prometheus::Histogram> &m_storeSeconds;
     prometheus::Family<prometheus::Histogram> &m_readSeconds;
--- a/include/LibSite/SiteSettings.h
+++ b/include/LibSite/SiteSettings.h
@@ -20,6 +20,11 @@
     Jobs::OwnerMonitorSettings ownerMonitor;
     /// Once a worker has reported for this long that it is draining, no task may start on it.
     Core::Duration drainTime = std::chrono::seconds(2);
+    /// How long a customer's key that may have been taken away still works for calls on known jobs
+    /// while this node can't read the operators' records.
+    Core::Duration revocationTime = std::chrono::seconds(5);
+    /// Such a key works no longer than it takes other changes of the catalogue to be in force.
+    bool isRevocationStrict = false;
 
     bool operator==(const SiteSettings &) const = default;
 
--- a/include/LibSite/SiteState.h
+++ b/include/LibSite/SiteState.h
@@ -7,6 +7,7 @@
 #include <LibJob/LeaseSuspensions.h>
 #include <LibJob/OwnerMonitor.h>
 #include <LibSite/CopyFreshness.h>
+#include <LibSite/KeyDirectory.h>
 #include <LibSite/SiteMetrics.h>
 #include <LibSite/SiteSettings.h>
 #include <LibSite/StoreHealth.h>
@@ -56,6 +57,8 @@
     Jobs::RecordedSuspensions leaseSuspensions;
     /// Empty until a version of the catalogue has been read.
     std::optional<Jobs::Catalogue> catalogue;
+    /// The keys of the catalogue's customers.
+    KeyDirectory keys;
     /// Freshness of `catalogue` and `outOfService`.
     CopyFreshness catalogueFreshness { maxCatalogueAge };
     std::set<Core::FailureDomainId> outOfService;
