LibJob: Stop wide steps at their customer's share, and test the shares

Cause: the shares had no tests. Reviewing them showed: a step was planned whole, so a wide one took all room before other customers' steps; the places of large jobs were counted by priority alone, and a joining step didn't overtake large jobs in excess; each postponed step was inserted among all others (linear in their number, for each of thousands); one submission through a VM whose clock is ahead left the customer without tokens until the other clocks reached it; skipped steps had no log line; a customer that became ready during a pass didn't count in the shares; an overdue task was logged as waiting for its place. Ruled out: setting the bucket's clock back (a customer that alternates between two VMs gets tokens without end); sorting the pass again for each customer that rises above its share (up to 500 sorts a pass).

--- a/Libraries/LibJob/CustomerShares.cpp
+++ b/Libraries/LibJob/CustomerShares.cpp
@@ -1,6 +1,7 @@
 #include <LibJob/CustomerShares.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Jobs {
 
@@ -29,9 +30,7 @@
         return true;
     const double rate = weightOf(customer);
     const double size = std::max(1.0, rate * bucketSeconds);
-    Bucket &bucket = m_buckets[customer];
-    if (bucket.filledUnixMs == 0)
-        bucket = { size, unixMs };
+    Bucket &bucket = m_buckets.try_emplace(customer, Bucket { size, unixMs }).first->second;
     // The clocks of the VMs differ, so a later submission may seem to be earlier.
     if (unixMs > bucket.filledUnixMs) {
         const double seconds
@@ -46,12 +45,18 @@
     return true;
 }
 
-void CustomerShares::beginPass(const std::set<Core::CustomerId> &sharing,
-                               const Core::Resources &capacity)
+void CustomerShares::beginPass(std::set<Core::CustomerId> sharing, const Core::Resources &capacity)
 {
     m_capacity = capacity;
+    m_sharing = std::move(sharing);
     m_totalWeight = 0;
-    for (const Core::CustomerId &customer : sharing)
+    for (const Core::CustomerId &customer : m_sharing)
+        m_totalWeight += weightOf(customer);
+}
+
+void CustomerShares::addSharing(const Core::CustomerId &customer)
+{
+    if (!customer.isEmpty() && m_sharing.insert(customer).second)
         m_totalWeight += weightOf(customer);
 }
 
--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -212,7 +212,7 @@
     if (job->hasLongRunningSteps())
         m_longRunning.insert(id);
     m_order.noteJob(entry.submission.queue.id, job->totalWork());
-    job->isInExcess = isBeyondRate(entry.submission);
+    noteExcess(*job, entry.progress.has_value(), now);
     beginDueOccurrences(*job, now);
     // No task starts before the first progress is recorded.
     if (entry.progress)
--- a/Libraries/LibJob/JobSchedulerCustomers.cpp
+++ b/Libraries/LibJob/JobSchedulerCustomers.cpp
@@ -1,9 +1,15 @@
 #include <LibJob/JobScheduler.h>
 
+#include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Jobs {
 
+/// Bounds the lines on steps that come after those of others and are skipped since no worker has
+/// room: a busy customer may have thousands of them.
+static constexpr Core::Duration orderLogInterval = std::chrono::milliseconds(1000);
+
 static void addTo(CustomerLedger::Amounts &amounts, const Core::CustomerId &customer,
                   const Core::Resources &use)
 {
@@ -21,10 +27,20 @@
     m_customerShares.setCustomers(customers);
 }
 
-bool JobScheduler::isBeyondRate(const Submission &submission)
+bool JobScheduler::isBeyondRate(const Submission &submission, const TimePoint &now)
 {
-    return m_hasCustomers
-        && !m_customerShares.takeToken(submission.customer, submission.submittedUnixMs);
+    // A time ahead of this clock comes from a VM whose clock is wrong. It would fill the bucket,
+    // and then nothing would until the clocks of the others reach it.
+    const std::int64_t submittedUnixMs = std::min(submission.submittedUnixMs, now.unixMs);
+    return m_hasCustomers && !m_customerShares.takeToken(submission.customer, submittedUnixMs);
+}
+
+void JobScheduler::noteExcess(OwnedJob &job, bool hasProgress, const TimePoint &now)
+{
+    job.isInExcess = isBeyondRate(job.submission(), now);
+    // A former owner has counted the jobs that have progress.
+    if (job.isInExcess && !hasProgress)
+        m_log.noteJobInExcess(job.id(), job.submission().customer);
 }
 
 void JobScheduler::refreshCustomers(const TimePoint &now)
@@ -43,7 +59,7 @@
     Core::Resources capacity;
     for (const WorkerState *worker : m_listed)
         capacity = capacity + worker->info().capacity;
-    m_customerShares.beginPass(sharing, capacity);
+    m_customerShares.beginPass(std::move(sharing), capacity);
 }
 
 CustomerLedger::Amounts JobScheduler::otherUse(const TimePoint &now)
@@ -120,16 +136,25 @@
         && m_customerShares.isAboveShare(customer, m_customerLedger.used(customer));
 }
 
-bool JobScheduler::postponeAboveShare(const WaitingStep &waiting)
+bool JobScheduler::hasRisenAboveShare(const WaitingStep &waiting) const
 {
-    if (waiting.isOverdue || waiting.rank.isAboveShare || !isAboveShare(*waiting.job))
-        return false;
-    WaitingStep postponed = waiting;
-    postponed.rank.isAboveShare = true;
-    postponed.isPutFirst = false;
-    m_pass.advance();
-    m_pass.join(postponed);
-    return true;
+    return m_hasCustomers && waiting.job && !waiting.isOverdue && !waiting.rank.isAboveShare
+        && isAboveShare(*waiting.job);
+}
+
+void JobScheduler::logPlaceInOrder(const WaitingStep &waiting, const TimePoint &now)
+{
+    const std::string order = explainOrder(waiting);
+    if (order.empty())
+        return;
+    Core::Instant &loggedAt = m_orderLoggedAt[waiting.job->submission().customer];
+    if (now.instant < loggedAt + orderLogInterval || !isWaitLoggedNow(waiting, now))
+        return;
+    loggedAt = now.instant;
+    const auto waited
+        = std::chrono::duration_cast<std::chrono::milliseconds>(now.instant - waiting.rank.dueAt);
+    note({ waiting.job->id(), waiting.occurrence, waiting.step, 0 }, "wait",
+         order + "due_ms_ago=" + std::to_string(waited.count()));
 }
 
 bool JobScheduler::isWithinLimit(OwnedJob &job, const TaskName &name) const
@@ -178,7 +203,8 @@
 
 std::string JobScheduler::explainOrder(const WaitingStep &waiting)
 {
-    if (!waiting.rank.isInExcess && !waiting.rank.isAboveShare)
+    // An overdue task keeps its place before all others.
+    if (waiting.isOverdue || (!waiting.rank.isInExcess && !waiting.rank.isAboveShare))
         return {};
     return std::string("reason=") + (waiting.rank.isInExcess ? "customer-excess" : "customer-share")
         + " customer=" + waiting.job->submission().customer.text() + ' ';
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -96,13 +96,20 @@
     while (!m_pass.isOver() && !isPlanningWorkUsedUp() && !isStartWindowFull()) {
         const WaitingStep waiting = m_pass.next();
         m_planningWork += workPerStep;
-        if (waiting.isStillWaiting() && postponeAboveShare(waiting))
+        if (hasRisenAboveShare(waiting)) {
+            m_pass.postponeAboveShare();
             continue;
+        }
         if (waiting.isStillWaiting())
             planWaitingStep(waiting, now);
         // A step that a bound has interrupted is continued by the next call.
         if (isPlanningWorkUsedUp() || isStartWindowFull())
             break;
+        // Its first tasks may have taken the rest of the customer's share.
+        if (hasRisenAboveShare(waiting) && waiting.isStillWaiting()) {
+            m_pass.postponeAboveShare();
+            continue;
+        }
         m_pass.advance();
         // The next time of a scheduled job may begin once tasks of the former ones have a place.
         if (waiting.job)
@@ -117,8 +124,10 @@
     const StepSpec &spec = waiting.job->spec(waiting.step);
     // An overdue task may start where others may not.
     const bool isHopeless = !waiting.isOverdue && m_pass.isRejected(demandOf(waiting, now));
-    if (isHopeless)
+    if (isHopeless) {
+        logPlaceInOrder(waiting, now);
         return;
+    }
     const bool isPlaced = planStep(waiting, now);
     const bool isUnconstrained = spec.requiredLabel.empty() && spec.maxPerWorker == 0
         && !spec.isGang && m_isStoreReachable;
@@ -206,6 +215,7 @@
         job.timing.noteReady(index, now.instant);
         if (m_pass.isOver() || step.waitingCount == 0)
             continue;
+        m_customerShares.addSharing(job.submission().customer);
         m_pass.join(waitingStep(job, occurrence, index, now));
     }
 }
@@ -283,6 +293,9 @@
         // that those after it may.
         if (!m_isStoreReachable && !job.isTaskDurable(waiting.step, index))
             return false;
+        // A wide step mustn't take the room of a whole pass before the steps of other customers.
+        if (hasRisenAboveShare(waiting))
+            return true;
         // All tasks of the step request the same. That the customer is at its limit says nothing
         // about other tasks with this demand.
         if (!mayCustomerStart(waiting, index, now))
--- a/Libraries/LibJob/PlanningPass.cpp
+++ b/Libraries/LibJob/PlanningPass.cpp
@@ -1,6 +1,7 @@
 #include <LibJob/PlanningPass.h>
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <set>
 #include <tuple>
@@ -19,6 +20,18 @@
         < std::tie(right.job->id(), right.occurrence, right.step);
 }
 
+/// Large jobs are put first among the steps with the same key.
+static std::tuple<bool, int, bool> sideOf(const StartRank &rank)
+{
+    return { rank.isInExcess, rank.priority, rank.isAboveShare };
+}
+
+/// Steps that differ in this compare by it alone; steps that are equal in it may be put first.
+static auto classOf(const StartRank &rank)
+{
+    return std::tuple(rank.isInExcess, rank.isTooLate, rank.priority, rank.isAboveShare);
+}
+
 bool WaitingStep::isStillWaiting() const
 {
     if (!job || job->isOver())
@@ -56,20 +69,19 @@
         return std::tie(left->rank.dueAt, left->job->id())
             < std::tie(right->rank.dueAt, right->job->id());
     });
-    std::map<int, std::set<JobId>> first;
+    // Large jobs in excess, or of customers above their share, don't take the places of others.
+    std::map<std::tuple<bool, int, bool>, std::set<JobId>> first;
     for (const WaitingStep *waiting : large) {
-        std::set<JobId> &ofPriority = first[waiting->rank.priority];
-        if (ofPriority.size() < maxLargeJobsFirst)
-            ofPriority.insert(waiting->job->id());
+        std::set<JobId> &ofSide = first[sideOf(waiting->rank)];
+        if (ofSide.size() < maxLargeJobsFirst)
+            ofSide.insert(waiting->job->id());
     }
     for (WaitingStep &waiting : m_steps)
-        waiting.isPutFirst = first[waiting.rank.priority].contains(waiting.job->id());
+        waiting.isPutFirst = first[sideOf(waiting.rank)].contains(waiting.job->id());
     std::stable_sort(m_steps.begin(), m_steps.end(),
                      [](const WaitingStep &left, const WaitingStep &right) {
                          const auto key = [](const WaitingStep &waiting) {
-                             const StartRank &rank = waiting.rank;
-                             return std::tuple(rank.isInExcess, rank.isTooLate, rank.priority,
-                                               rank.isAboveShare, !waiting.isPutFirst);
+                             return std::pair(classOf(waiting.rank), !waiting.isPutFirst);
                          };
                          return key(left) < key(right);
                      });
@@ -117,11 +129,56 @@
     return passed;
 }
 
+bool PlanningPass::isPostponedNext() const
+{
+    if (m_nextPostponed >= m_postponed.size())
+        return false;
+    if (m_next >= m_steps.size())
+        return true;
+    const WaitingStep &other = m_steps[m_next];
+    const WaitingStep &postponed = m_postponed[m_nextPostponed];
+    // A deleted job has no place in the order; its step is passed at once.
+    if (!other.job || !postponed.job)
+        return other.job != nullptr;
+    if (other.isOverdue)
+        return false;
+    if (other.isPutFirst)
+        return classOf(postponed.rank) < classOf(other.rank);
+    return isBefore(postponed, other);
+}
+
+const WaitingStep &PlanningPass::next() const
+{
+    return isPostponedNext() ? m_postponed[m_nextPostponed] : m_steps[m_next];
+}
+
+void PlanningPass::advance()
+{
+    ++(isPostponedNext() ? m_nextPostponed : m_next);
+}
+
+void PlanningPass::postponeAboveShare()
+{
+    WaitingStep postponed = next();
+    advance();
+    postponed.rank.isAboveShare = true;
+    postponed.isPutFirst = false;
+    // Steps are postponed nearly in their order, so the place is near the end.
+    auto place = m_postponed.end();
+    const auto first = m_postponed.begin() + static_cast<std::ptrdiff_t>(m_nextPostponed);
+    const auto isBehind = [&postponed](const WaitingStep &other) {
+        return !other.job || isBefore(postponed, other);
+    };
+    while (place != first && isBehind(*std::prev(place)))
+        --place;
+    m_postponed.insert(place, postponed);
+}
+
 void PlanningPass::join(const WaitingStep &joining)
 {
     const auto isPlace = [&joining](const WaitingStep &other) {
-        const bool mayOvertake = !other.isOverdue
-            && (!other.isPutFirst || joining.rank.priority < other.rank.priority);
+        const bool mayOvertake
+            = !other.isOverdue && (!other.isPutFirst || sideOf(joining.rank) < sideOf(other.rank));
         return mayOvertake && other.job && isBefore(joining, other);
     };
     const auto rest = m_steps.begin() + static_cast<std::ptrdiff_t>(m_next);
@@ -131,9 +188,11 @@
 void PlanningPass::leave(const OwnedJob &job)
 {
     // Steps that were planned already may be planned again; see passedOverdue().
-    for (WaitingStep &waiting : m_steps) {
-        if (waiting.job == &job)
-            waiting.job = nullptr;
+    for (std::vector<WaitingStep> *steps : { &m_steps, &m_postponed }) {
+        for (WaitingStep &waiting : *steps) {
+            if (waiting.job == &job)
+                waiting.job = nullptr;
+        }
     }
 }
 
--- a/Libraries/LibSite/OwnerDecisionLog.cpp
+++ b/Libraries/LibSite/OwnerDecisionLog.cpp
@@ -50,6 +50,15 @@
     LOG4CXX_INFO(partLogger, "event=" << event << ' ' << kind << '=' << subject << ' ' << inputs);
 }
 
+void OwnerDecisionLog::noteJobInExcess(const Jobs::JobId &job, const Core::CustomerId &customer)
+{
+    if (m_isClosed)
+        return;
+    m_metrics.countJobInExcess(customer.text());
+    LOG4CXX_INFO(detailLogger,
+                 "event=job-in-excess job=" << job.text() << " customer=" << customer.text());
+}
+
 static double inSeconds(Core::Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
--- a/Libraries/LibSite/SiteMetrics.cpp
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -32,6 +32,8 @@
                                   "Time to answer callers' requests on jobs"))
     , m_customerRequests(counters(m_registry, "lagoonford_customer_requests_total",
                                   "Requests by customer and class of status"))
+    , m_jobsInExcess(counters(m_registry, "lagoonford_customer_jobs_in_excess_total",
+                              "Jobs beyond their customer's rate of submission"))
     , m_storeCalls(counters(m_registry, "lagoonford_store_calls_total",
                             "Calls to the platform's store by kind and outcome"))
     , m_storeSeconds(histograms(m_registry, "lagoonford_store_call_seconds",
@@ -105,6 +107,11 @@
         .Increment();
 }
 
+void SiteMetrics::countJobInExcess(const std::string &customer)
+{
+    m_jobsInExcess.Add({ { "customer", customerLabel(customer) } }).Increment();
+}
+
 void SiteMetrics::countStoreCall(const std::string &call, const std::string &outcome,
                                  double seconds)
 {
--- a/Tests/LibJob/SchedulerFixture.cpp
+++ b/Tests/LibJob/SchedulerFixture.cpp
@@ -56,6 +56,32 @@
     m_scheduler.addJob(*m_table.find(JobId(id)), m_now);
 }
 
+void SchedulerFixture::submitFor(const std::string &customer, const StepSpec &step,
+                                 const std::string &id, int priority, std::int64_t aheadMs)
+{
+    constexpr int attemptLimit = 3;
+    Submission ofCustomer = submission(id, step, attemptLimit);
+    ofCustomer.customer = Core::CustomerId(customer);
+    ofCustomer.queue.id = QueueId("queue-" + std::to_string(priority));
+    ofCustomer.queue.priority = priority;
+    ofCustomer.submittedUnixMs += aheadMs;
+    m_table.apply(ofCustomer);
+    m_scheduler.addJob(*m_table.find(JobId(id)), m_now);
+}
+
+void SchedulerFixture::setCustomers(const std::map<std::string, double> &weights)
+{
+    Catalogue catalogue;
+    catalogue.customers.emplace();
+    for (const auto &[name, weight] : weights) {
+        Customer customer;
+        customer.id = Core::CustomerId(name);
+        customer.weight = weight;
+        catalogue.customers->push_back(customer);
+    }
+    m_scheduler.setCatalogue(catalogue);
+}
+
 void SchedulerFixture::readSubmissionAgain(const StepSpec &step, const std::string &id)
 {
     constexpr int attemptLimit = 3;
@@ -79,8 +105,8 @@
     m_now = former.m_now;
     m_table = former.m_table;
     m_processStarts = former.m_processStarts;
-    for (const auto &[id, entry] : m_table.jobs())
-        m_scheduler.addJob(entry, m_now);
+    for (const JobEntry *entry : m_table.jobsInOrderOfSubmission())
+        m_scheduler.addJob(*entry, m_now);
 }
 
 void SchedulerFixture::report(const Core::VmId &worker, const std::vector<EndedEntry> &ended,
--- a/Tests/LibJob/SchedulerFixture.h
+++ b/Tests/LibJob/SchedulerFixture.h
@@ -17,6 +17,12 @@
     explicit SchedulerFixture(const Jobs::Ownership &ownership);
 
     void submit(const Jobs::StepSpec &step, const std::string &id = "job");
+    /// Submits a job of a customer to a queue of the given priority. The clock of the VM that takes
+    /// it is \p aheadMs ahead.
+    void submitFor(const std::string &customer, const Jobs::StepSpec &step, const std::string &id,
+                   int priority = 0, std::int64_t aheadMs = 0);
+    /// The operators configure these customers with these weights.
+    void setCustomers(const std::map<std::string, double> &weights);
     /// Reads the submission of a job again, as it was before any progress was recorded.
     void readSubmissionAgain(const Jobs::StepSpec &step, const std::string &id = "job");
     /// Adds a running job as a former owner has recorded it: both workers may have received starts.
@@ -71,6 +77,10 @@
     const std::vector<Jobs::ThrottleCommand> &throttles() const { return m_throttles; }
     /// All stop commands of runForTwoSeconds(), in order.
     const std::vector<Jobs::StopCommand> &stops() const { return m_stops; }
+    /// How many jobs the owner has noted as being in excess, by customer.
+    const std::map<Core::CustomerId, int> &jobsInExcess() const { return m_log.jobsInExcess; }
+    /// What the log says of waiting tasks, in order.
+    const std::vector<std::string> &waitLines() const { return m_log.waitLines; }
     int recordsWritten() const { return m_recordsWritten; }
     /// Those of recordsWritten() that name the workers of a job.
     int workerRecordsWritten() const { return m_workerRecordsWritten; }
@@ -91,10 +101,21 @@
                                 Jobs::EndKind kind);
 
 private:
-    class NullLog final : public Jobs::DecisionLog
+    class CustomerLog final : public Jobs::DecisionLog
     {
     public:
-        void note(std::string_view, std::string_view, std::string_view) override { }
+        void note(std::string_view, std::string_view event, std::string_view inputs) override
+        {
+            if (event == "wait")
+                waitLines.emplace_back(inputs);
+        }
+        void noteJobInExcess(const Jobs::JobId &, const Core::CustomerId &customer) override
+        {
+            ++jobsInExcess[customer];
+        }
+
+        std::vector<std::string> waitLines;
+        std::map<Core::CustomerId, int> jobsInExcess;
     };
 
     /// The running and ended runs that reportAll() reports for a worker.
@@ -112,7 +133,7 @@
 
     static constexpr std::int64_t capacityMilliCores = 4000;
 
-    NullLog m_log;
+    CustomerLog m_log;
     std::vector<Jobs::WorkerInfo> m_workers;
     Jobs::TimePoint m_now { Core::Instant(std::chrono::seconds(10)), 10'000 };
     Jobs::JobScheduler m_scheduler;
--- a/Tests/LibJob/TestPlanningPass.cpp
+++ b/Tests/LibJob/TestPlanningPass.cpp
@@ -47,6 +47,15 @@
         return step;
     }
 
+    const OwnedJob *job(const std::string &id) const
+    {
+        for (const auto &job : m_jobs) {
+            if (job->id() == JobId(id))
+                return job.get();
+        }
+        return nullptr;
+    }
+
     static std::string rest(PlanningPass pass)
     {
         std::string ids;
@@ -173,3 +182,137 @@
         CHECK_FALSE(pass.isRejected(other));
     }
 }
+
+TEST_CASE("Large jobs of customers in excess or above their share don't take the places of others")
+{
+    // Guards against places of large jobs that are counted by priority alone.
+    Pass jobs;
+    std::vector<WaitingStep> steps;
+    for (const char *id : { "e", "f", "g", "h", "y", "z" }) {
+        steps.push_back(jobs.waiting(id, 1));
+        steps.back().isLarge = true;
+        steps.back().rank.isInExcess = *id == 'e' || *id == 'f';
+        steps.back().rank.isAboveShare = *id == 'g' || *id == 'h';
+        // The due time decides between large jobs only.
+        steps.back().rank.dueAt = now + std::chrono::seconds(*id);
+    }
+    steps.push_back(jobs.waiting("a", 1));
+    PlanningPass pass(steps, now);
+    CHECK(Pass::rest(pass) == "yzaghef");
+}
+
+TEST_CASE("A joining step comes before the large jobs of customers that come after its own")
+{
+    // Guards against large jobs in excess that no later step of the same priority may overtake.
+    Pass jobs;
+    WaitingStep excess = jobs.waiting("e", 1);
+    excess.rank.isInExcess = true;
+    excess.isLarge = true;
+    WaitingStep above = jobs.waiting("f", 2);
+    above.rank.isAboveShare = true;
+    above.isLarge = true;
+    WaitingStep large = jobs.waiting("g", 2);
+    large.isLarge = true;
+    PlanningPass pass({ excess, above, large }, now);
+    CHECK(Pass::rest(pass) == "gfe");
+    pass.join(jobs.waiting("a", 2));
+    CHECK(Pass::rest(pass) == "gafe");
+    pass.join(jobs.waiting("b", 3));
+    CHECK(Pass::rest(pass) == "gafbe");
+}
+
+TEST_CASE("An overdue step of a job in excess and above the share comes first")
+{
+    // Guards against an order by customer that moves overdue steps.
+    Pass jobs;
+    WaitingStep overdue = jobs.interrupted("z", now - std::chrono::seconds(60));
+    overdue.rank.isInExcess = true;
+    overdue.rank.isAboveShare = true;
+    PlanningPass pass({ jobs.waiting("a", 0), overdue }, now);
+    CHECK(Pass::rest(pass) == "zaz");
+}
+
+TEST_CASE("A postponed step comes behind those of its priority within their shares")
+{
+    Pass jobs;
+    PlanningPass pass(
+        { jobs.waiting("a", 1), jobs.waiting("b", 1), jobs.waiting("c", 1), jobs.waiting("d", 2) },
+        now);
+    // Guards against a postponed step that is lost, comes too late, or comes twice.
+    pass.postponeAboveShare();
+    CHECK(Pass::rest(pass) == "bcad");
+    pass.postponeAboveShare();
+    CHECK(Pass::rest(pass) == "cabd");
+
+    SECTION("and before a step of its kind that joins with a higher rank")
+    {
+        WaitingStep above = jobs.waiting("e", 1);
+        above.rank.isAboveShare = true;
+        pass.join(above);
+        CHECK(Pass::rest(pass) == "cabed");
+        pass.join(jobs.waiting("f", 1));
+        CHECK(Pass::rest(pass) == "cfabed");
+    }
+    SECTION("and is skipped once its job is deleted")
+    {
+        pass.leave(*jobs.job("a"));
+        CHECK(Pass::rest(pass) == "-cbd");
+        pass.advance();
+        pass.postponeAboveShare();
+        CHECK(Pass::rest(pass) == "bcd");
+    }
+    SECTION("and may be the last one of the pass")
+    {
+        for (const char *id : { "c", "a", "b" }) {
+            CHECK(pass.next().job->id().text() == id);
+            pass.advance();
+        }
+        pass.postponeAboveShare();
+        CHECK_FALSE(pass.isOver());
+        CHECK(Pass::rest(pass) == "d");
+        pass.advance();
+        CHECK(pass.isOver());
+    }
+}
+
+TEST_CASE("A large job that is postponed comes behind the large ones above their share")
+{
+    // Guards against a postponed job that is put first although the pass has chosen others.
+    Pass jobs;
+    WaitingStep large = jobs.waiting("a", 1);
+    large.isLarge = true;
+    WaitingStep above = jobs.waiting("b", 1);
+    above.rank.isAboveShare = true;
+    above.isLarge = true;
+    PlanningPass pass({ large, above, jobs.waiting("c", 1) }, now);
+    pass.postponeAboveShare();
+    CHECK(Pass::rest(pass) == "cba");
+}
+
+TEST_CASE("Thousands of steps of one customer are postponed once each, in their order")
+{
+    // Guards against a pass that postpones without end.
+    constexpr int count = 5000;
+    Pass jobs;
+    std::vector<WaitingStep> steps;
+    std::string order;
+    for (int i = 0; i < count; ++i) {
+        const std::string id = std::to_string(10'000 + i);
+        steps.push_back(jobs.waiting(id, i / 1000));
+        order += id;
+    }
+    PlanningPass pass(steps, now);
+    std::string planned;
+    int postponed = 0;
+    while (!pass.isOver() && postponed <= count) {
+        if (!pass.next().rank.isAboveShare) {
+            ++postponed;
+            pass.postponeAboveShare();
+            continue;
+        }
+        planned += pass.next().job->id().text();
+        pass.advance();
+    }
+    CHECK(postponed == count);
+    CHECK(planned == order);
+}
--- a/include/LibJob/CustomerShares.h
+++ b/include/LibJob/CustomerShares.h
@@ -26,7 +26,9 @@
     bool takeToken(const Core::CustomerId &customer, std::int64_t unixMs);
 
     /// Sets which customers share \p capacity: those that use or want a part of it.
-    void beginPass(const std::set<Core::CustomerId> &sharing, const Core::Resources &capacity);
+    void beginPass(std::set<Core::CustomerId> sharing, const Core::Resources &capacity);
+    /// The customer shares the capacity, too, from now until the next pass.
+    void addSharing(const Core::CustomerId &customer);
     /// True if the customer's dominant share of the capacity exceeds its part of the weights.
     bool isAboveShare(const Core::CustomerId &customer, const Core::Resources &used) const;
 
@@ -34,7 +36,7 @@
     struct Bucket
     {
         double tokens = 0;
-        /// When `tokens` was computed; 0 for a bucket that is full.
+        /// When `tokens` was computed.
         std::int64_t filledUnixMs = 0;
     };
 
@@ -43,6 +45,7 @@
     std::unordered_map<Core::CustomerId, double> m_weights;
     std::unordered_map<Core::CustomerId, Bucket> m_buckets;
     Core::Resources m_capacity;
+    std::set<Core::CustomerId> m_sharing;
     /// Of the customers that share the capacity.
     double m_totalWeight = 0;
 };
--- a/include/LibJob/DecisionLog.h
+++ b/include/LibJob/DecisionLog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Identifier.h>
 #include <LibCore/Time.h>
 #include <LibJob/JobSpec.h>
 #include <LibJob/TaskName.h>
@@ -47,6 +48,9 @@
         note(worker, event, inputs);
     }
 
+    /// A new job is beyond its customer's rate of submission.
+    virtual void noteJobInExcess(const JobId & /*job*/, const Core::CustomerId & /*customer*/) { }
+
     /// A worker has confirmed the start of a task, which had been able to start for \p waited.
     virtual void noteStarted(const QueueId & /*queue*/, int /*step*/, Core::Duration /*waited*/) { }
 
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -269,7 +269,10 @@
     // Customers: limits, and the order of waiting steps under contention.
     void setCustomers(const Catalogue &catalogue);
     /// Takes a token of the customer's bucket for the job. True if there was none.
-    bool isBeyondRate(const Submission &submission);
+    bool isBeyondRate(const Submission &submission, const TimePoint &now);
+    /// Decides whether the new job is in excess. \p hasProgress says that a former owner has
+    /// decided it, too.
+    void noteExcess(OwnedJob &job, bool hasProgress, const TimePoint &now);
     /// Computes anew, for a pass, what the customers may use beside the known runs, and which of
     /// them share the capacity.
     void refreshCustomers(const TimePoint &now);
@@ -284,9 +287,12 @@
     /// Counts \p use until the leases of the former owner have ended.
     void noteRemainingUse(const Core::CustomerId &customer, const Core::Resources &use);
     bool isAboveShare(const OwnedJob &job) const;
-    /// Puts a step whose customer has risen above its share during the pass behind those of others.
-    /// Returns false if there is no need to.
-    bool postponeAboveShare(const WaitingStep &waiting);
+    /// True if the step comes before those of other customers in the pass, and its customer has
+    /// risen above its share since.
+    bool hasRisenAboveShare(const WaitingStep &waiting) const;
+    /// Logs that a step without room comes after those of others, if it does; one step of each
+    /// customer at a time.
+    void logPlaceInOrder(const WaitingStep &waiting, const TimePoint &now);
     /// True if the customer's limit lets a task without a run start.
     bool isWithinLimit(OwnedJob &job, const TaskName &name) const;
     /// Whether the customer's limit lets the task start, or the gang; logs it if not.
@@ -537,6 +543,8 @@
     bool m_hasCustomers = false;
     CustomerLedger m_customerLedger;
     CustomerShares m_customerShares;
+    /// When the place of a step of the customer in the order was logged last.
+    std::map<Core::CustomerId, Core::Instant> m_orderLoggedAt;
     /// What runs of ended jobs may still use that a former owner started.
     CustomerLedger::Amounts m_remainingUse;
     ImageTable m_images;
--- a/include/LibJob/PlanningPass.h
+++ b/include/LibJob/PlanningPass.h
@@ -66,10 +66,17 @@
 
     /// The number of steps, planned ones included.
     std::size_t size() const { return m_steps.size(); }
-    bool isOver() const { return m_next >= m_steps.size(); }
+    bool isOver() const
+    {
+        return m_next >= m_steps.size() && m_nextPostponed >= m_postponed.size();
+    }
     /// The step to plan now; the pass must not be over.
-    const WaitingStep &next() const { return m_steps[m_next]; }
-    void advance() { ++m_next; }
+    const WaitingStep &next() const;
+    void advance();
+    /// Puts the step to plan now behind those of its priority whose customers are within their
+    /// shares, since its customer has risen above its share. The step must not be overdue, nor have
+    /// been postponed already.
+    void postponeAboveShare();
     /// The overdue steps that were planned already and still wait.
     std::vector<WaitingStep> passedOverdue() const;
     /// Inserts a step that can start from now on, by its rank, behind those that were planned.
@@ -86,9 +93,16 @@
 private:
     void putLargeJobsFirst();
     void putOverdueFirst(Core::Instant now);
+    /// True if the next step is one of those that were postponed.
+    bool isPostponedNext() const;
 
     std::vector<WaitingStep> m_steps;
     std::size_t m_next = 0;
+    /// The postponed steps in the order of their ranks. They are kept apart from the others: a busy
+    /// customer may have thousands of them, and each insertion among the others takes time in
+    /// proportion to their number.
+    std::vector<WaitingStep> m_postponed;
+    std::size_t m_nextPostponed = 0;
     /// The overdue steps are the first ones.
     std::size_t m_overdueCount = 0;
     std::vector<Demand> m_rejected;
--- a/include/LibSite/OwnerDecisionLog.h
+++ b/include/LibSite/OwnerDecisionLog.h
@@ -23,6 +23,7 @@
     void noteInterruption(const Jobs::TaskName &task, std::string_view inputs) override;
     void noteWorker(std::string_view worker, std::string_view event,
                     std::string_view inputs) override;
+    void noteJobInExcess(const Jobs::JobId &job, const Core::CustomerId &customer) override;
     void noteStarted(const Jobs::QueueId &queue, int step, Core::Duration waited) override;
     void noteEndKnown(const Jobs::QueueId &queue, int step, Core::Duration unwatched) override;
     void noteEndDurable(Core::Duration after) override;
--- a/include/LibSite/SiteMetrics.h
+++ b/include/LibSite/SiteMetrics.h
@@ -27,6 +27,8 @@
     /// Counts a request of a customer by the class of its HTTP status; does nothing for an empty
     /// name. Customers beyond the first `maxCustomerLabels` are counted together as `other`.
     void countCustomerRequest(const std::string &customer, unsigned status);
+    /// Counts a job beyond the rate of submission of a customer, by customer in the same way.
+    void countJobInExcess(const std::string &customer);
     /// \p call is append, read or newest; \p outcome is ok, refused, unknown or not-sent.
     void countStoreCall(const std::string &call, const std::string &outcome, double seconds);
     /// Counts a successful read of the log. \p topic is jobs, operators or workers; \p seconds is
@@ -73,6 +75,7 @@
     prometheus::Family<prometheus::Counter> &m_requests;
     prometheus::Family<prometheus::Histogram> &m_requestSeconds;
     prometheus::Family<prometheus::Counter> &m_customerRequests;
+    prometheus::Family<prometheus::Counter> &m_jobsInExcess;
     std::set<std::string> m_customerLabels;
     prometheus::Family<prometheus::Counter> &m_storeCalls;
     prometheus::Family<prometheus::Histogram> &m_storeSeconds;
