LibJob: Count unwanted and unseen runs of customers in more cases, and test limits

Cause: a review of the limits found customers that could exceed them: the unwanted runs of a job stopped counting once its end was durable; they weren't part of the final progress; runs that a report revealed during a pass counted only in the next one; a former owner's runs of occurrences that hadn't begun here didn't count; starts that waited for a commit were sent after a limit had been lowered. Jobs also waited though there was room: reservations of a task whose former run counts already were released in each pass, unwanted runs on a silent worker counted after its leases had ended, and reservations were made beyond a limit. Ruled out: counting a job's remaining use until all workers have answered instead of until the leases have ended (they may still be stopping runs). Change: workers keep the unwanted runs of customers by task; what counts is computed anew when a report changes it; planned runs of a customer above its limit are discarded; a gang above the whole limit says so in its line.

--- a/Libraries/LibJob/CustomerLedger.cpp
+++ b/Libraries/LibJob/CustomerLedger.cpp
@@ -9,8 +9,8 @@
 {
     for (const Customer &customer : customers)
         m_accounts[customer.id].limit = customer.limit;
-    m_hasLimits = std::any_of(m_accounts.begin(), m_accounts.end(), [](const auto &entry) {
-        return entry.second.limit != Core::Resources();
+    m_hasLimits = std::any_of(customers.begin(), customers.end(), [](const Customer &customer) {
+        return customer.limit != Core::Resources();
     });
 }
 
@@ -98,6 +98,18 @@
     return !account || holdsInEachDimension(account->used(), need, account->limit, isWithin);
 }
 
+bool CustomerLedger::exceedsWholeLimit(const Core::CustomerId &customer,
+                                       const Core::Resources &amount) const
+{
+    const Account *account = find(customer);
+    return account && !holdsInEachDimension({}, amount, account->limit, isWithin);
+}
+
+bool CustomerLedger::isAboveLimit(const Core::CustomerId &customer) const
+{
+    return exceedsWholeLimit(customer, used(customer));
+}
+
 CustomerLedger::Amounts CustomerLedger::usedByCustomer() const
 {
     Amounts amounts;
--- a/Libraries/LibJob/JobScheduler.cpp
+++ b/Libraries/LibJob/JobScheduler.cpp
@@ -164,8 +164,10 @@
     settleDoubtsByList(now);
     askReplacedWorkers(now);
     for (auto it = m_workers.begin(); it != m_workers.end();) {
-        const bool isForgotten
-            = !it->second->isListed() && it->second->runs().empty() && !it->second->isRenewing();
+        const bool mayRunUnwanted = !it->second->unwantedUse().ofCustomers.empty()
+            && now.instant <= it->second->latestLeaseEnd();
+        const bool isForgotten = !it->second->isListed() && it->second->runs().empty()
+            && !it->second->isRenewing() && !mayRunUnwanted;
         if (isForgotten) {
             m_reservations.forget(*it->second);
             forgetWorker(*it->second);
@@ -219,6 +221,7 @@
         job->noteFormerRuns(std::min(now.instant, dueAt(*job, 0, now)));
     markDirty(*job);
     m_needsPass = true;
+    m_isOtherUseOutdated |= !entry.workers.empty();
     if (entry.isCancelled)
         cancelJob(id, now);
 }
@@ -336,7 +339,7 @@
             = job->isOver() && !job->isDirty && !job->hasNewWorkers && !job->hasRuns();
         if (isFinished) {
             rememberEndedJob(id, job->progress().endedUnixMs);
-            noteRemainingUse(job->submission().customer, unseenUse(*job));
+            noteRemainingUse(job->submission().customer, unseenUse(*job, now.unixMs));
             m_scheduled.erase(id);
             m_longRunning.erase(id);
             m_pass.leave(*job);
--- a/Libraries/LibJob/JobSchedulerCustomers.cpp
+++ b/Libraries/LibJob/JobSchedulerCustomers.cpp
@@ -1,6 +1,7 @@
 #include <LibJob/JobScheduler.h>
 
 #include <set>
+#include <utility>
 
 namespace Jobs {
 
@@ -19,6 +20,11 @@
     const std::vector<Customer> customers = catalogue.customers.value_or(std::vector<Customer>());
     m_customerLedger.setCustomers(customers);
     m_customerShares.setCustomers(customers);
+    // A start that waits for a commit would be sent after the limit has been lowered.
+    for (const auto &[id, job] : m_jobs) {
+        if (m_customerLedger.isAboveLimit(job->submission().customer))
+            discardPlannedRuns(*job);
+    }
 }
 
 bool JobScheduler::isBeyondRate(const Submission &submission)
@@ -31,7 +37,8 @@
 {
     if (!m_hasCustomers)
         return;
-    m_customerLedger.setOtherUse(otherUse(now));
+    m_isOtherUseOutdated = true;
+    refreshOtherUse(now);
     std::set<Core::CustomerId> sharing;
     for (const auto &[customer, use] : m_customerLedger.usedByCustomer())
         sharing.insert(customer);
@@ -46,17 +53,26 @@
     m_customerShares.beginPass(sharing, capacity);
 }
 
+void JobScheduler::refreshOtherUse(const TimePoint &now)
+{
+    if (m_hasCustomers && std::exchange(m_isOtherUseOutdated, false))
+        m_customerLedger.setOtherUse(otherUse(now));
+}
+
 CustomerLedger::Amounts JobScheduler::otherUse(const TimePoint &now)
 {
     CustomerLedger::Amounts amounts;
     for (const auto &[id, worker] : m_workers) {
-        for (const auto &[customer, use] : worker->unwantedUse().byCustomer)
-            addTo(amounts, customer, use);
+        // A process that was replaced, or whose leases have ended, runs nothing any more.
+        if (worker->isReplaced() || now.instant > worker->latestLeaseEnd())
+            continue;
+        for (const auto &[task, use] : worker->unwantedUse().ofCustomers)
+            addTo(amounts, use.customer, use.need);
     }
     for (const auto &[id, job] : m_jobs) {
         const Core::CustomerId &customer = job->submission().customer;
         if (!customer.isEmpty() && awaitsReconciliation(*job, now.instant))
-            addTo(amounts, customer, unseenUse(*job));
+            addTo(amounts, customer, unseenUse(*job, now.unixMs));
     }
     if (m_areFormerLeasesSettled)
         m_remainingUse.clear();
@@ -65,20 +81,47 @@
     return amounts;
 }
 
-Core::Resources JobScheduler::unseenUse(const OwnedJob &job)
+/// True while tasks of the job may run on workers that haven't answered this owner.
+static bool hasUnansweredWorkers(const OwnedJob &job)
 {
-    Core::Resources use;
+    return !job.unreconciledWorkers.empty() || job.hasLostUnseenRuns;
+}
+
+Core::Resources JobScheduler::unseenUse(const OwnedJob &job, std::int64_t unixMs)
+{
+    Core::Resources use = unseenUseAhead(job, unixMs);
     for (const auto &[occurrence, steps] : job.occurrences())
-        use = use + unseenUse(job, occurrence);
+        use = use + unseenUseOfOccurrence(job, occurrence);
     return use;
 }
 
-Core::Resources JobScheduler::unseenUse(const OwnedJob &job, int occurrence)
+Core::Resources JobScheduler::unseenUseAhead(const OwnedJob &job, std::int64_t unixMs)
+{
+    Core::Resources use;
+    const JobSpec &spec = job.submission().spec;
+    if (!hasUnansweredWorkers(job) || !spec.isScheduled())
+        return use;
+    Core::Resources ofOccurrence;
+    for (const StepSpec &step : spec.steps) {
+        for (int i = 0; i < step.taskCount; ++i)
+            ofOccurrence = ofOccurrence + step.need;
+    }
+    std::size_t ahead = 0;
+    for (int i = 0; i < spec.occurrenceCount() && spec.dueUnixMs(i) <= unixMs; ++i) {
+        if (!job.isOccurrenceAhead(i))
+            continue;
+        use = use + ofOccurrence;
+        if (++ahead == OwnedJob::maxBegunOccurrences)
+            break;
+    }
+    return use;
+}
+
+Core::Resources JobScheduler::unseenUseOfOccurrence(const OwnedJob &job, int occurrence)
 {
     Core::Resources use;
     const auto found = job.occurrences().find(occurrence);
-    const bool isAwaited = !job.unreconciledWorkers.empty() || job.hasLostUnseenRuns;
-    if (!isAwaited || found == job.occurrences().end())
+    if (!hasUnansweredWorkers(job) || found == job.occurrences().end())
         return use;
     const std::vector<OwnedStep> &steps = found->second;
     for (std::size_t step = 0; step < steps.size(); ++step) {
@@ -93,9 +136,16 @@
     return use;
 }
 
-Core::Resources JobScheduler::remainingUse(const OwnedJob &job)
+Core::Resources JobScheduler::remainingUse(const OwnedJob &job) const
 {
-    Core::Resources use = unseenUse(job);
+    Core::Resources use;
+    if (job.submission().customer.isEmpty())
+        return use;
+    use = unseenUse(job, job.progress().endedUnixMs);
+    for (const auto &[id, worker] : m_workers) {
+        for (const auto &[task, unwanted] : worker->unwantedUse().ofCustomers)
+            use = task.job == job.id() ? use + unwanted.need : use;
+    }
     for (const auto &[occurrence, steps] : job.occurrences()) {
         for (std::size_t step = 0; step < steps.size(); ++step) {
             for (const TaskState &task : steps[step].tasks) {
@@ -132,12 +182,44 @@
     return true;
 }
 
+bool JobScheduler::countsAlready(const OwnedJob &job, const TaskState &task)
+{
+    return task.run || (task.mayRunUnseen && hasUnansweredWorkers(job));
+}
+
 bool JobScheduler::isWithinLimit(OwnedJob &job, const TaskName &name) const
 {
-    // A run in doubt counts already, and its successor will take its place.
+    // The successor of a run in doubt will take its place.
     const TaskState *task = job.findTask(name);
-    return (task && task->run)
-        || m_customerLedger.mayStart(job.submission().customer, job.spec(name.step).need);
+    return (task && countsAlready(job, *task)) || fitsInLimit(job, name.step);
+}
+
+Core::Resources JobScheduler::neededAtOnce(const OwnedJob &job, int step)
+{
+    const StepSpec &spec = job.spec(step);
+    Core::Resources need = spec.need;
+    for (int i = 1; spec.isGang && i < spec.taskCount; ++i)
+        need = need + spec.need;
+    return need;
+}
+
+bool JobScheduler::fitsInLimit(const OwnedJob &job, int step) const
+{
+    const Core::CustomerId &customer = job.submission().customer;
+    if (customer.isEmpty())
+        return true;
+    const Core::Resources need = neededAtOnce(job, step);
+    return job.spec(step).isGang ? m_customerLedger.mayStartTogether(customer, need)
+                                 : m_customerLedger.mayStart(customer, need);
+}
+
+bool JobScheduler::fitsInLimitWith(const OwnedJob &job, int step,
+                                   const Core::Resources &toBeUsed) const
+{
+    if (toBeUsed == Core::Resources())
+        return fitsInLimit(job, step);
+    return m_customerLedger.mayStartTogether(job.submission().customer,
+                                             job.spec(step).need + toBeUsed);
 }
 
 bool JobScheduler::mayCustomerStart(const WaitingStep &waiting, int index, const TimePoint &now)
@@ -146,20 +228,21 @@
     const Core::CustomerId &customer = job.submission().customer;
     if (customer.isEmpty())
         return true;
-    const StepSpec &spec = job.spec(waiting.step);
-    Core::Resources need = spec.need;
-    for (int i = 1; spec.isGang && i < spec.taskCount; ++i)
-        need = need + spec.need;
-    const bool mayStart = spec.isGang ? m_customerLedger.mayStartTogether(customer, need)
-                                      : m_customerLedger.mayStart(customer, need);
+    const bool mayStart = fitsInLimit(job, waiting.step);
     if (!mayStart && isWaitLoggedNow(waiting, now)) {
         const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
             now.instant - waiting.rank.dueAt);
+        const Core::Resources need = neededAtOnce(job, waiting.step);
+        const bool isGang = job.spec(waiting.step).isGang;
         note({ job.id(), waiting.occurrence, waiting.step, index }, "wait",
              std::string("reason=") + waitReasonText(WaitReason::CustomerLimit)
-                 + " due_ms_ago=" + std::to_string(waited.count()) + " milli_cores="
-                 + std::to_string(need.milliCores) + " mebibytes=" + std::to_string(need.mebibytes)
-                 + (spec.isGang ? " gang=1 " : " ") + explainLimit(job));
+                 + " due_ms_ago=" + std::to_string(waited.count())
+                 + " milli_cores=" + std::to_string(need.milliCores)
+                 + " mebibytes=" + std::to_string(need.mebibytes) + (isGang ? " gang=1" : "")
+                 + (isGang && m_customerLedger.exceedsWholeLimit(customer, need)
+                        ? " exceeds_whole_limit=1 "
+                        : " ")
+                 + explainLimit(job));
     }
     return mayStart;
 }
--- a/Libraries/LibJob/JobSchedulerInterruptions.cpp
+++ b/Libraries/LibJob/JobSchedulerInterruptions.cpp
@@ -85,7 +85,7 @@
         return WaitReason::Commit;
     if (job.crashHistory(name).isSuspect() && !maySuspectStart(job))
         return WaitReason::OtherSuspects;
-    if (!m_customerLedger.mayStart(job.submission().customer, job.spec(name.step).need))
+    if (!fitsInLimit(job, name.step))
         return WaitReason::CustomerLimit;
     return isStartWindowFull() ? WaitReason::StartWindow : WaitReason::NoWorker;
 }
--- a/Libraries/LibJob/JobSchedulerReports.cpp
+++ b/Libraries/LibJob/JobSchedulerReports.cpp
@@ -159,6 +159,7 @@
         if (!isWanted)
             stopUnwantedRun(*worker, entry, unwanted);
     }
+    m_isOtherUseOutdated |= worker->unwantedUse().ofCustomers != unwanted.ofCustomers;
     worker->setUnwantedUse(unwanted);
     if (isComplete)
         removeMissingRuns(*worker, report, sentAt);
@@ -271,6 +272,10 @@
                                           entry.run, worker.token() });
     ++use.runs;
     const OwnedJob *job = findJob(entry.task.job);
+    // The job may be forgotten once its end is durable, while the worker still stops the run.
+    const auto former = worker.unwantedUse().ofCustomers.find(entry.task);
+    if (!job && former != worker.unwantedUse().ofCustomers.end())
+        use.ofCustomers.insert(*former);
     const auto step = static_cast<std::size_t>(entry.task.step);
     if (!job || step >= job->submission().spec.steps.size()) {
         use.isPartlyUnknown = true;
@@ -280,7 +285,7 @@
     Core::Resources need = spec.need;
     const Core::CustomerId &customer = job->submission().customer;
     if (!customer.isEmpty())
-        use.byCustomer[customer] = use.byCustomer[customer] + need;
+        use.ofCustomers.insert_or_assign(entry.task, CustomerUse { customer, need });
     if (spec.isBestEffort)
         need.milliCores = 0;
     use.requested = use.requested + need;
--- a/Libraries/LibJob/JobSchedulerReservations.cpp
+++ b/Libraries/LibJob/JobSchedulerReservations.cpp
@@ -88,11 +88,19 @@
     const StepSpec &spec = job.spec(waiting.step);
     if (!spec.isLongRunning || spec.isBestEffort || now.instant < step.nextReservationAt)
         return;
+    Core::Resources toBeUsed;
     for (int index = first; index < static_cast<int>(step.tasks.size()); ++index) {
         if (m_reservations.isFull() || isReservationWorkUsedUp())
             return;
-        if (!step.tasks[static_cast<std::size_t>(index)].isOverdue(now.instant))
+        const TaskState &task = step.tasks[static_cast<std::size_t>(index)];
+        if (!task.isOverdue(now.instant))
             continue;
+        // Capacity that is reserved beyond the customer's limit would be of use to nobody.
+        if (!countsAlready(job, task)) {
+            if (!fitsInLimitWith(job, waiting.step, toBeUsed))
+                continue;
+            toBeUsed = toBeUsed + spec.need;
+        }
         if (reserve(placementRequest(waiting, index, now)))
             continue;
         step.nextReservationAt = now.instant + reservationRetryInterval;
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -92,6 +92,7 @@
 
 void JobScheduler::continuePass(const TimePoint &now)
 {
+    refreshOtherUse(now);
     planOverdueAgain(now);
     while (!m_pass.isOver() && !isPlanningWorkUsedUp() && !isStartWindowFull()) {
         const WaitingStep waiting = m_pass.next();
@@ -180,7 +181,8 @@
         abandonUnknownRuns(job, occurrence);
     noteReadySteps(job, occurrence, now);
     if (areUnseen)
-        m_customerLedger.addOtherUse(job.submission().customer, unseenUse(job, occurrence));
+        m_customerLedger.addOtherUse(job.submission().customer,
+                                     unseenUseOfOccurrence(job, occurrence));
 }
 
 TaskState *JobScheduler::findReportedTask(OwnedJob &job, const TaskName &name, const TimePoint &now)
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -101,7 +101,16 @@
     m_events.emplace(m_nowMs + delayMs, std::move(action));
 }
 
-JobId JobWorld::submit(const JobSpec &spec, int attemptLimit)
+void JobWorld::setCustomers(const std::vector<Customer> &customers)
+{
+    m_catalogue.customers = customers;
+    for (const auto &node : m_nodes) {
+        if (node->scheduler)
+            node->scheduler->setCatalogue(m_catalogue);
+    }
+}
+
+JobId JobWorld::submit(const JobSpec &spec, int attemptLimit, const Core::CustomerId &customer)
 {
     Submission submission;
     submission.id = JobId("job" + std::to_string(m_submitted++));
@@ -110,6 +119,7 @@
     submission.queue.attemptLimit = attemptLimit;
     submission.queue.stretch = m_stretch;
     submission.spec = spec;
+    submission.customer = customer;
     submission.submittedUnixMs = m_nowMs;
     m_table.apply(submission);
     m_submissions.emplace(submission.id, submission);
@@ -174,8 +184,7 @@
     ++node.generation;
     m_lastOwnerWriteMs = m_nowMs;
     m_claimedAtMs = m_nowMs;
-    Catalogue catalogue;
-    node.scheduler->setCatalogue(catalogue);
+    node.scheduler->setCatalogue(m_catalogue);
     for (const auto &[id, entry] : m_table.jobs())
         node.scheduler->addJob(entry, now(node));
     node.scheduler->setWorkers(listedWorkers(), now(node));
@@ -226,8 +235,14 @@
         depose(pending.node);
         return;
     }
-    for (const JobRecord &record : pending.commit.records) {
+    for (JobRecord record : pending.commit.records) {
         checkRecords(record);
+        if (m_disabledGuard == DisabledGuard::RemainingUse) {
+            if (auto *progress = std::get_if<ProgressRecord>(&record))
+                progress->remainingUse = {};
+            if (auto *ended = std::get_if<EndedJob>(&record))
+                ended->remainingUse = {};
+        }
         m_table.apply(record);
         const auto *suspension = std::get_if<LeaseSuspension>(&record);
         const bool isRead = suspension
--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -55,6 +55,8 @@
     AcknowledgedProcess,
     /// Starts and leases do so, and a worker's next process gets the same token as its former one.
     ProcessToken,
+    /// The record of an ended job doesn't tell what its runs still request.
+    RemainingUse,
 };
 
 /// Returns a job whose steps have the given numbers of tasks and run one after the other. The
@@ -99,7 +101,11 @@
              const WorkerLife &life = {});
     ~JobWorld();
 
-    Jobs::JobId submit(const Jobs::JobSpec &spec, int attemptLimit = 3);
+    Jobs::JobId submit(const Jobs::JobSpec &spec, int attemptLimit = 3,
+                       const Core::CustomerId &customer = {});
+    /// Sets the customers of the catalogue, for the present owner and the next ones. From then on
+    /// each start is checked against the limit of its customer.
+    void setCustomers(const std::vector<Jobs::Customer> &customers);
     /// Sets Jobs::Queue::stretch for jobs that are submitted from now on.
     void setStretch(double stretch) { m_stretch = stretch; }
     void cancel(const Jobs::JobId &id);
@@ -241,6 +247,9 @@
     /// the capacity that it has or had shortly before.
     void checkCapacity(std::size_t worker, const Jobs::TaskName &started);
     std::int64_t requestedMilliCores(std::size_t worker) const;
+    /// Checks that what really runs of the customer's tasks on the workers that are up doesn't
+    /// request more than 1.1 times its limit and one task.
+    void checkLimit(const Jobs::TaskName &started);
     std::int64_t capacityOf(std::size_t worker) const;
     std::int64_t needOf(const Jobs::TaskName &task) const;
     void publishCapacity(std::size_t worker);
@@ -305,6 +314,7 @@
     int m_submitted = 0;
     /// The store keeps no submission of a job that has ended.
     std::map<Jobs::JobId, Jobs::Submission> m_submissions;
+    Jobs::Catalogue m_catalogue;
     double m_stretch = Jobs::Queue().stretch;
     std::string m_violation;
 };
--- a/Tests/LibJob/JobWorldCalls.cpp
+++ b/Tests/LibJob/JobWorldCalls.cpp
@@ -109,6 +109,7 @@
         if (outcome == StartOutcome::Started && !wasRunning) {
             noteStart(command.task);
             checkCapacity(target, command.task);
+            checkLimit(command.task);
         }
         const bool crashes = command.task.index == 0 && isCrashing(command.payload);
         if (outcome == StartOutcome::Started && !wasRunning && crashes)
--- a/Tests/LibJob/JobWorldChecks.cpp
+++ b/Tests/LibJob/JobWorldChecks.cpp
@@ -184,6 +184,29 @@
              + m_workers[index]->info().id.text());
 }
 
+void JobWorld::checkLimit(const TaskName &started)
+{
+    constexpr std::int64_t percentAllowed = 110;
+    const Core::CustomerId &customer = m_submissions.at(started.job).customer;
+    if (customer.isEmpty() || !m_catalogue.customers)
+        return;
+    const auto found
+        = std::find_if(m_catalogue.customers->begin(), m_catalogue.customers->end(),
+                       [&customer](const Customer &other) { return other.id == customer; });
+    if (found == m_catalogue.customers->end() || found->limit.milliCores == 0)
+        return;
+    std::int64_t requested = 0;
+    for (const auto &worker : m_workers) {
+        if (!worker->isUp())
+            continue;
+        for (const auto &[task, run] : worker->running())
+            requested += m_submissions.at(task.job).customer == customer ? needOf(task) : 0;
+    }
+    if (100 * (requested - needOf(started)) > percentAllowed * found->limit.milliCores)
+        fail("a start exceeds the limit of " + customer.text() + ": " + started.text() + " with "
+             + std::to_string(requested) + " of " + std::to_string(found->limit.milliCores));
+}
+
 void JobWorld::checkRuns()
 {
     std::map<TaskName, int> counts;
--- a/Tests/LibJob/SchedulerFixture.cpp
+++ b/Tests/LibJob/SchedulerFixture.cpp
@@ -45,6 +45,7 @@
     submission.queue.stretch = unreachableStretch;
     submission.spec.steps = { step };
     submission.submittedUnixMs = m_now.unixMs;
+    submission.customer = m_customer;
     m_steps.insert_or_assign(submission.id, step);
     return submission;
 }
@@ -171,6 +172,28 @@
     }
 }
 
+void SchedulerFixture::cancel(const std::string &id)
+{
+    m_scheduler.cancelJob(JobId(id), m_now);
+}
+
+void SchedulerFixture::setCustomers(const std::vector<Customer> &customers)
+{
+    Catalogue catalogue;
+    catalogue.customers = customers;
+    m_scheduler.setCatalogue(catalogue);
+}
+
+std::string SchedulerFixture::lastNote(const std::string &job, const std::string &event) const
+{
+    std::string found;
+    for (const auto &[key, inputs] : m_log.lines) {
+        if (key.first.rfind(job + ".", 0) == 0 && key.second == event)
+            found = inputs;
+    }
+    return found;
+}
+
 void SchedulerFixture::cancel()
 {
     m_scheduler.cancelJob(JobId("job"), m_now);
--- a/Tests/LibJob/SchedulerFixture.h
+++ b/Tests/LibJob/SchedulerFixture.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 /// A scheduler with two workers that answer only when a test tells them to.
@@ -52,6 +53,13 @@
     void setCapacity(const Core::VmId &worker, std::int64_t milliCores);
     void setStoreReachable(bool isReachable);
     void cancel();
+    void cancel(const std::string &id);
+    /// Sets the customers of the catalogue.
+    void setCustomers(const std::vector<Jobs::Customer> &customers);
+    /// The jobs that are submitted from now on belong to the customer; empty for none.
+    void submitFor(const Core::CustomerId &customer) { m_customer = customer; }
+    /// The inputs of the last decision of this name on a task of the job; empty if there is none.
+    std::string lastNote(const std::string &job, const std::string &event) const;
     /// Sets the workers' answer to start commands.
     void answerStarts(Jobs::StartOutcome outcome) { m_startOutcome = outcome; }
     /// Runs a planning pass; nothing becomes durable.
@@ -91,10 +99,16 @@
                                 Jobs::EndKind kind);
 
 private:
-    class NullLog final : public Jobs::DecisionLog
+    /// Keeps the last line on each task and event.
+    class LastLines final : public Jobs::DecisionLog
     {
     public:
-        void note(std::string_view, std::string_view, std::string_view) override { }
+        void note(std::string_view task, std::string_view event, std::string_view inputs) override
+        {
+            lines[{ std::string(task), std::string(event) }] = std::string(inputs);
+        }
+
+        std::map<std::pair<std::string, std::string>, std::string> lines;
     };
 
     /// The running and ended runs that reportAll() reports for a worker.
@@ -112,7 +126,8 @@
 
     static constexpr std::int64_t capacityMilliCores = 4000;
 
-    NullLog m_log;
+    LastLines m_log;
+    Core::CustomerId m_customer;
     std::vector<Jobs::WorkerInfo> m_workers;
     Jobs::TimePoint m_now { Core::Instant(std::chrono::seconds(10)), 10'000 };
     Jobs::JobScheduler m_scheduler;
--- a/include/LibJob/CustomerLedger.h
+++ b/include/LibJob/CustomerLedger.h
@@ -20,7 +20,7 @@
     /// Replaces limits and weights. A customer that isn't among \p customers any more keeps its
     /// limit: its remaining jobs go on.
     void setCustomers(const std::vector<Customer> &customers);
-    /// True if any customer has a limit.
+    /// True if one of the customers that were set last has a limit.
     bool hasLimits() const { return m_hasLimits; }
 
     /// A run was planned or adopted, or is known to be gone.
@@ -42,8 +42,20 @@
     /// The same for tasks that start together: they fit in the limit or don't start.
     bool mayStartTogether(const Core::CustomerId &customer, const Core::Resources &need) const;
 
+    /// True if \p amount wouldn't fit in the limit even if the customer used nothing else.
+    bool exceedsWholeLimit(const Core::CustomerId &customer, const Core::Resources &amount) const;
+    /// True if the customer uses more than its limit, as after the limit was lowered.
+    bool isAboveLimit(const Core::CustomerId &customer) const;
+
     /// The customers that use something, with what they use.
     Amounts usedByCustomer() const;
+    /// Calls \p visit(id, used, limit) for each known customer.
+    template<typename Visitor>
+    void forEachCustomer(const Visitor &visit) const
+    {
+        for (const auto &[customer, account] : m_accounts)
+            visit(customer, account.used(), account.limit);
+    }
 
 private:
     struct Account
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -277,18 +277,32 @@
     /// and nobody has reported, unwanted runs, and those of ended jobs.
     CustomerLedger::Amounts otherUse(const TimePoint &now);
     /// What the tasks request that a former owner may have started and that have no run here.
-    static Core::Resources unseenUse(const OwnedJob &job);
-    static Core::Resources unseenUse(const OwnedJob &job, int occurrence);
+    static Core::Resources unseenUse(const OwnedJob &job, std::int64_t unixMs);
+    static Core::Resources unseenUseOfOccurrence(const OwnedJob &job, int occurrence);
+    /// The same for the occurrences that were due at \p unixMs and haven't begun here: the former
+    /// owner may have begun more of them.
+    static Core::Resources unseenUseAhead(const OwnedJob &job, std::int64_t unixMs);
     /// What a job that is over may still use.
-    static Core::Resources remainingUse(const OwnedJob &job);
+    Core::Resources remainingUse(const OwnedJob &job) const;
+    /// Computes anew what counts beside the known runs if a report or a job has changed it since
+    /// the pass began.
+    void refreshOtherUse(const TimePoint &now);
     /// Counts \p use until the leases of the former owner have ended.
     void noteRemainingUse(const Core::CustomerId &customer, const Core::Resources &use);
     bool isAboveShare(const OwnedJob &job) const;
     /// Puts a step whose customer has risen above its share during the pass behind those of others.
     /// Returns false if there is no need to.
     bool postponeAboveShare(const WaitingStep &waiting);
-    /// True if the customer's limit lets a task without a run start.
+    /// True if the customer's use includes what the task requests: it has a run, or may run unseen.
+    static bool countsAlready(const OwnedJob &job, const TaskState &task);
+    /// True if the customer's limit lets the task start, or if the task counts already.
     bool isWithinLimit(OwnedJob &job, const TaskName &name) const;
+    /// What starts together with a task of the step: the task, or its whole gang.
+    static Core::Resources neededAtOnce(const OwnedJob &job, int step);
+    /// True if the customer's limit lets a task of the step start, or the gang.
+    bool fitsInLimit(const OwnedJob &job, int step) const;
+    /// The same for a further task of the step, beside others that request \p toBeUsed.
+    bool fitsInLimitWith(const OwnedJob &job, int step, const Core::Resources &toBeUsed) const;
     /// Whether the customer's limit lets the task start, or the gang; logs it if not.
     bool mayCustomerStart(const WaitingStep &waiting, int index, const TimePoint &now);
     /// The customer with its use and limit, as `key=value` pairs.
@@ -539,6 +553,8 @@
     CustomerShares m_customerShares;
     /// What runs of ended jobs may still use that a former owner started.
     CustomerLedger::Amounts m_remainingUse;
+    /// What counts beside the known runs has grown since it was computed.
+    bool m_isOtherUseOutdated = false;
     ImageTable m_images;
     ThrottleController m_throttleController;
     CapacityReservations m_reservations;
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -43,14 +43,23 @@
     bool operator==(const ServingForecast &) const = default;
 };
 
+/// What a run requests of its customer's limit; best-effort tasks count with their processors.
+struct CustomerUse
+{
+    Core::CustomerId customer;
+    Core::Resources need;
+
+    bool operator==(const CustomerUse &) const = default;
+};
+
 /// The capacity that unwanted runs use on a worker until they have ended.
 struct UnwantedUse
 {
     int runs = 0;
     /// What those of known jobs request; best-effort tasks count without processors.
     Core::Resources requested;
-    /// What those of known jobs request by customer; best-effort tasks count with processors.
-    std::map<Core::CustomerId, Core::Resources> byCustomer;
+    /// Those of customers, also while their job is forgotten.
+    std::map<TaskName, CustomerUse> ofCustomers;
     /// There are runs of jobs that this owner doesn't know, so their requests aren't known either.
     bool isPartlyUnknown = false;
 
