LibJob: Test that occurrences which the next owner hasn't begun count

Cause: a former owner may have begun more occurrences of a scheduled job than the next one begins at first, and these had no test. Ended occurrences are skipped when they are counted, since a job may have many.

--- a/Libraries/LibJob/JobSchedulerCustomers.cpp
+++ b/Libraries/LibJob/JobSchedulerCustomers.cpp
@@ -107,7 +107,8 @@
             ofOccurrence = ofOccurrence + step.need;
     }
     std::size_t ahead = 0;
-    for (int i = 0; i < spec.occurrenceCount() && spec.dueUnixMs(i) <= unixMs; ++i) {
+    const int first = job.progress().endedOccurrences.firstAbsentFrom(0);
+    for (int i = first; i < spec.occurrenceCount() && spec.dueUnixMs(i) <= unixMs; ++i) {
         if (!job.isOccurrenceAhead(i))
             continue;
         use = use + ofOccurrence;
--- a/Tests/LibJob/TestCustomerLimits.cpp
+++ b/Tests/LibJob/TestCustomerLimits.cpp
@@ -370,6 +370,36 @@
     CHECK(countExceeded(DisabledGuard::RemainingUse) > 0);
 }
 
+TEST_CASE("The next owner counts occurrences that it hasn't begun", "[customers]")
+{
+    // It begins only a few at first, while the former owner has begun all that are due.
+    for (std::uint32_t seed = 1; seed <= 30; ++seed) {
+        WorkerLife life;
+        life.workerCount = 8;
+        JobWorld world(seed, {}, DisabledGuard::None, life);
+        world.setCustomers({ customer(small, 10 * core) });
+        world.claim(0);
+        JobSpec scheduled = simulatedJob({ 2 }, JobWorld::longRunningPayload);
+        scheduled.repeatCount = 10;
+        scheduled.firstDueUnixMs = world.nowMs();
+        scheduled.intervalMs = 1;
+        const JobId lasting = world.submit(scheduled, 3, small);
+        world.run(3000);
+        REQUIRE(world.runningCount() == 20);
+        world.submit(simulatedJob({ 16 }), 3, small);
+        world.run(500);
+        world.kill(0);
+        for (std::size_t worker = 0; worker < 6; ++worker)
+            world.partitionWorker(1, worker, 4000);
+        world.run(1700);
+        world.claim(1);
+        world.run(6000);
+        INFO("seed " << seed << ": " << world.violation());
+        CHECK(world.violation().empty());
+        CHECK(world.startsOf({ lasting, 0, 0, 0 }) >= 1);
+    }
+}
+
 TEST_CASE("Jobs of customers with limits all end once the faults stop", "[customers]")
 {
     for (std::uint32_t seed = 1; seed <= 40; ++seed) {
