--- a/Tests/LibJob/SchedulerFixture.h
+++ b/Tests/LibJob/SchedulerFixture.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 /// A scheduler with two workers that answer only when a test tells them to.
@@ -21,8 +22,8 @@
     /// it is \p aheadMs ahead.
     void submitFor(const std::string &customer, const Jobs::StepSpec &step, const std::string &id,
                    int priority = 0, std::int64_t aheadMs = 0);
-    /// The operators configure these customers with these weights.
-    void setCustomers(const std::map<std::string, double> &weights);
+    /// Sets the customers of the catalogue with their weights.
+    void setWeights(const std::map<std::string, double> &weights);
     /// Reads the submission of a job again, as it was before any progress was recorded.
     void readSubmissionAgain(const Jobs::StepSpec &step, const std::string &id = "job");
     /// Adds a running job as a former owner has recorded it: both workers may have received starts.
@@ -58,6 +59,13 @@
     void setCapacity(const Core::VmId &worker, std::int64_t milliCores);
     void setStoreReachable(bool isReachable);
     void cancel();
+    void cancel(const std::string &id);
+    /// Sets the customers of the catalogue.
+    void setCustomers(const std::vector<Jobs::Customer> &customers);
+    /// The jobs that are submitted from now on belong to the customer; empty for none.
+    void submitFor(const Core::CustomerId &customer) { m_customer = customer; }
+    /// The inputs of the last decision of this name on a task of the job; empty if there is none.
+    std::string lastNote(const std::string &job, const std::string &event) const;
     /// Sets the workers' answer to start commands.
     void answerStarts(Jobs::StartOutcome outcome) { m_startOutcome = outcome; }
     /// Runs a planning pass; nothing becomes durable.
@@ -101,11 +109,13 @@
                                 Jobs::EndKind kind);
 
 private:
-    class CustomerLog final : public Jobs::DecisionLog
+    /// Keeps the last line on each task and event, the lines on waiting, and counts jobs in excess.
+    class RecordedDecisions final : public Jobs::DecisionLog
     {
     public:
-        void note(std::string_view, std::string_view event, std::string_view inputs) override
+        void note(std::string_view task, std::string_view event, std::string_view inputs) override
         {
+            lines[{ std::string(task), std::string(event) }] = std::string(inputs);
             if (event == "wait")
                 waitLines.emplace_back(inputs);
         }
@@ -114,6 +124,7 @@
             ++jobsInExcess[customer];
         }
 
+        std::map<std::pair<std::string, std::string>, std::string> lines;
         std::vector<std::string> waitLines;
         std::map<Core::CustomerId, int> jobsInExcess;
     };
@@ -133,7 +144,8 @@
 
     static constexpr std::int64_t capacityMilliCores = 4000;
 
-    CustomerLog m_log;
+    RecordedDecisions m_log;
+    Core::CustomerId m_customer;
     std::vector<Jobs::WorkerInfo> m_workers;
     Jobs::TimePoint m_now { Core::Instant(std::chrono::seconds(10)), 10'000 };
     Jobs::JobScheduler m_scheduler;
--- a/Tests/LibJob/TestCustomerOrder.cpp
+++ b/Tests/LibJob/TestCustomerOrder.cpp
@@ -21,7 +21,7 @@
         : fixture({ term, 0, Core::Instant() })
     {
         if (!weights.empty())
-            fixture.setCustomers(weights);
+            fixture.setWeights(weights);
     }
 
     void reportIdle()
