LibSite, platform: Close gaps in the isolation of customers

A customer's POST with the ID of another customer's job was written if the node hadn't read the job yet, also at the node that had just accepted it.

Ruled out: reading the jobs only if the copy is over 2 s old; a test then met a second submission that was written right after the first one.

Change: a submission by a customer for an unknown job reads the jobs first, for at most 0.3 s; without that read, a copy that is at most 2 s old decides. Until a record that names the customer has been read, isolated callers get 503. Sites without customers take none of these paths.

The cost of a request wasn't measured.

--- a/Libraries/LibJob/JobTable.cpp
+++ b/Libraries/LibJob/JobTable.cpp
@@ -134,6 +134,12 @@
                                               : found->second.submission.customer;
 }
 
+bool JobTable::tellsCustomer(const JobId &id) const
+{
+    const auto found = m_withoutSubmission.find(id);
+    return m_jobs.contains(id) || (found != m_withoutSubmission.end() && found->second.isAccepted);
+}
+
 std::vector<const JobEntry *> JobTable::jobsInOrderOfSubmission() const
 {
     std::vector<const JobEntry *> entries;
--- a/Libraries/LibSite/JobRequestService.cpp
+++ b/Libraries/LibSite/JobRequestService.cpp
@@ -38,6 +38,12 @@
 {
 }
 
+/// Names the customer in a log line, with a leading space; empty for an anonymous caller.
+static std::string customerField(const Caller &caller)
+{
+    return caller.customer.isEmpty() ? "" : " customer=" + caller.customer.text();
+}
+
 static Core::Instant writeDeadline(Core::Instant deadline)
 {
     return std::min(deadline - responseMargin, Core::steadyNow() + maxWriteTime);
@@ -53,18 +59,24 @@
 {
     const Jobs::JobId id = submission.id;
     submission.customer = caller.customer;
+    bool isRead = true;
+    if (caller.isIsolated)
+        isRead = co_await readForIsolation(id, caller, deadline);
     if (!maySee(id, caller)) {
         LOG4CXX_INFO(partLogger,
-                     "event=submit job=" << id << " customer=" << caller.customer
-                                         << " outcome=conflict");
+                     "event=submit job=" << id << customerField(caller) << " outcome=conflict");
         co_return SubmitOutcome::Conflict;
     }
-    if (isKnown(id)) {
-        LOG4CXX_INFO(partLogger, "event=submit job=" << id << " outcome=known");
+    if (isKnown(id) && isCustomerKnown(id, caller)) {
+        LOG4CXX_INFO(partLogger,
+                     "event=submit job=" << id << customerField(caller) << " outcome=known");
         co_return SubmitOutcome::Accepted;
     }
-    if (!m_state.health.isReachable()) {
-        LOG4CXX_INFO(partLogger, "event=submit job=" << id << " outcome=refused reason=store-lost");
+    if (!isRead || !m_state.health.isReachable()) {
+        LOG4CXX_INFO(partLogger,
+                     "event=submit job=" << id << customerField(caller)
+                                         << " outcome=refused reason="
+                                         << (isRead ? "store-lost" : "old-table"));
         co_return SubmitOutcome::Refused;
     }
     const Core::Instant startedAt = Core::steadyNow();
@@ -74,8 +86,8 @@
     const auto elapsedMs
         = std::chrono::duration_cast<std::chrono::milliseconds>(Core::steadyNow() - startedAt);
     LOG4CXX_INFO(partLogger,
-                 "event=submit job=" << id << " queue=" << submission.queue.id << " customer="
-                                     << caller.customer << " outcome=" << outcomeText(outcome)
+                 "event=submit job=" << id << " queue=" << submission.queue.id
+                                     << customerField(caller) << " outcome=" << outcomeText(outcome)
                                      << " ms=" << elapsedMs.count());
     // Another customer's submission may have come first, at another node.
     if (outcome == WriteOutcome::Written && !maySee(id, caller))
@@ -85,6 +97,17 @@
     co_return outcome == WriteOutcome::Unknown ? SubmitOutcome::Unknown : SubmitOutcome::Refused;
 }
 
+asio::awaitable<bool> JobRequestService::readForIsolation(Jobs::JobId id, Caller caller,
+                                                          Core::Instant deadline)
+{
+    const bool isTold = isKnown(id) && isCustomerKnown(id, caller);
+    // Without the store, the submission is refused in any case.
+    if (isTold || !m_state.health.isReachable())
+        co_return true;
+    const bool isRead = co_await m_follower.refresh(refreshDeadline(deadline));
+    co_return isRead || m_state.tableFreshness.isCurrent(Core::suspendAwareNow());
+}
+
 Core::Instant JobRequestService::readDeadline(Core::Instant deadline) const
 {
     // A node that is shutting down has no time for a long read.
@@ -99,9 +122,13 @@
         if (!isKnown(id))
             co_return isRead ? CancelOutcome::NoSuchJob : CancelOutcome::Refused;
     }
+    if (!isCustomerKnown(id, caller))
+        co_await m_follower.refresh(readDeadline(deadline));
+    if (!isCustomerKnown(id, caller))
+        co_return CancelOutcome::Refused;
     if (!maySee(id, caller)) {
         LOG4CXX_INFO(partLogger,
-                     "event=cancel job=" << id << " customer=" << caller.customer
+                     "event=cancel job=" << id << customerField(caller)
                                          << " outcome=other-customer");
         co_return CancelOutcome::NoSuchJob;
     }
@@ -109,7 +136,9 @@
     std::vector<Jobs::StoredRecord> records = Jobs::encodeRecord(cancellation);
     const WriteOutcome outcome
         = co_await m_writer.write(std::move(records), deadline - responseMargin);
-    LOG4CXX_INFO(partLogger, "event=cancel job=" << id << " outcome=" << outcomeText(outcome));
+    LOG4CXX_INFO(partLogger,
+                 "event=cancel job=" << id << customerField(caller)
+                                     << " outcome=" << outcomeText(outcome));
     if (outcome == WriteOutcome::Written)
         co_return CancelOutcome::Cancelled;
     co_return outcome == WriteOutcome::Unknown ? CancelOutcome::Unknown : CancelOutcome::Refused;
@@ -135,21 +164,22 @@
     state = m_state.table.findState(id);
     if (state && !maySee(id, caller)) {
         LOG4CXX_INFO(partLogger,
-                     "event=find job=" << id << " customer=" << caller.customer
-                                       << " outcome=other-customer");
+                     "event=find job=" << id << customerField(caller) << " outcome=other-customer");
         co_return JobLookup { FindOutcome::NoSuchJob, Jobs::JobState::Queued };
     }
-    if (state)
+    if (state && !isCustomerKnown(id, caller))
+        isFresh = false;
+    else if (state)
         co_return JobLookup { FindOutcome::Found, *state };
     LOG4CXX_INFO(partLogger,
-                 "event=find job=" << id
+                 "event=find job=" << id << customerField(caller)
                                    << " outcome=" << (isFresh ? "no-such-job" : "unavailable"));
     co_return JobLookup { isFresh ? FindOutcome::NoSuchJob : FindOutcome::Unavailable,
                           Jobs::JobState::Queued };
 }
 
 asio::awaitable<WaitingCount> JobRequestService::countWaiting(Jobs::QueueId queue,
-                                                              Core::Instant deadline)
+                                                              Core::Instant deadline, Caller caller)
 {
     const CopyFreshness &freshness = m_state.tableFreshness;
     if (!freshness.isCurrent(Core::suspendAwareNow()))
@@ -158,7 +188,7 @@
     const bool isCurrent = freshness.isCurrent(now);
     const std::int64_t count = m_state.table.waitingCount(queue);
     LOG4CXX_INFO(partLogger,
-                 "event=waiting queue=" << queue << " count=" << count
+                 "event=waiting queue=" << queue << customerField(caller) << " count=" << count
                                         << " outcome=" << (isCurrent ? "counted" : "unavailable")
                                         << " table_age_ms="
                                         << formatAgeMs(freshness.completeAsOf(), now)
--- a/include/LibJob/JobTable.h
+++ b/include/LibJob/JobTable.h
@@ -53,6 +53,10 @@
     std::optional<JobState> findState(const JobId &id) const;
     /// The customer of a job whose state is known; empty if the job belongs to none.
     Core::CustomerId customerOf(const JobId &id) const;
+    /// True if a record that names the job's customer, if it has one, has been read: the
+    /// submission, the acceptance or the end of the job. The progress of an open job doesn't name
+    /// it.
+    bool tellsCustomer(const JobId &id) const;
     const std::unordered_map<JobId, JobEntry> &jobs() const { return m_jobs; }
     /// The rates of customers depend on the order in which jobs were submitted. The pointers are
     /// valid until a record is applied.
--- a/include/LibSite/JobRequestService.h
+++ b/include/LibSite/JobRequestService.h
@@ -19,7 +19,7 @@
     Refused,
     /// The submission may have been written.
     Unknown,
-    /// Another customer's job has the ID; the submission wasn't written.
+    /// Another customer's job has the ID; the submission doesn't count.
     Conflict,
 };
 
@@ -79,7 +79,8 @@
                                                  Caller caller = {});
     boost::asio::awaitable<JobLookup> find(Jobs::JobId id, Core::Instant deadline,
                                            Caller caller = {});
-    boost::asio::awaitable<WaitingCount> countWaiting(Jobs::QueueId queue, Core::Instant deadline);
+    boost::asio::awaitable<WaitingCount> countWaiting(Jobs::QueueId queue, Core::Instant deadline,
+                                                      Caller caller = {});
 
 private:
     /// True if nothing known of the job keeps the caller from seeing it.
@@ -87,6 +88,18 @@
     {
         return caller.maySee(m_state.table.customerOf(id));
     }
+    /// True if the copy of the job records tells which customer a known job belongs to, or if the
+    /// caller needn't be isolated. While the copy is read for the first time, the progress of a job
+    /// is read before the record that names its customer.
+    bool isCustomerKnown(const Jobs::JobId &id, const Caller &caller) const
+    {
+        return !caller.isIsolated || m_state.tableFreshness.wasEverComplete()
+            || m_state.table.tellsCustomer(id);
+    }
+    /// Reads the job records before a submission by an isolated caller, since another customer's
+    /// job may have the ID. Returns false if the read failed and the copy isn't current.
+    boost::asio::awaitable<bool> readForIsolation(Jobs::JobId id, Caller caller,
+                                                  Core::Instant deadline);
     /// Deadline of a read of the store without which a request can't be answered.
     Core::Instant readDeadline(Core::Instant deadline) const;
 
