LibCore: Check the limits on a client's JSON before decoding it

Cause: a body of legal size with 131,000 values takes some 100 bytes for each once decoded; a number of 256 KiB is parsed as well.

The records of the store, which may be larger, are parsed as before.

--- a/Libraries/LibCore/Json.cpp
+++ b/Libraries/LibCore/Json.cpp
@@ -4,6 +4,7 @@
 #include <json/reader.h>
 #include <json/writer.h>
 
+#include <algorithm>
 #include <memory>
 
 namespace Core::Json {
@@ -25,6 +26,70 @@
     return builder;
 }
 
+namespace {
+
+/// Counts what decoding a text would take, without decoding it.
+class LimitScanner
+{
+public:
+    void scan(std::string_view text)
+    {
+        bool isInString = false;
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            const char character = text[i];
+            if (isInString) {
+                if (character == '\\')
+                    ++i;
+                isInString = character != '"';
+                continue;
+            }
+            isInString = character == '"';
+            countOutsideString(character);
+        }
+    }
+
+    std::size_t values() const { return m_values; }
+    std::size_t maxDepth() const { return m_maxDepth; }
+    std::size_t maxWordLength() const { return m_maxWordLength; }
+
+private:
+    void countOutsideString(char character)
+    {
+        static constexpr std::string_view punctuation = "\",:[]{} \t\r\n";
+        const bool isWord = punctuation.find(character) == std::string_view::npos;
+        m_wordLength = isWord ? m_wordLength + 1 : 0;
+        m_maxWordLength = std::max(m_maxWordLength, m_wordLength);
+        const bool isOpening = character == '[' || character == '{';
+        const bool isClosing = character == ']' || character == '}';
+        if (isOpening || character == ',')
+            ++m_values;
+        if (isOpening)
+            m_maxDepth = std::max(m_maxDepth, ++m_depth);
+        if (isClosing && m_depth > 0)
+            --m_depth;
+    }
+
+    std::size_t m_values = 1;
+    std::size_t m_depth = 0;
+    std::size_t m_maxDepth = 0;
+    std::size_t m_wordLength = 0;
+    std::size_t m_maxWordLength = 0;
+};
+
+} // namespace
+
+void checkLimits(std::string_view text, const std::string &peer, const ClientLimits &limits)
+{
+    LimitScanner scanner;
+    scanner.scan(text);
+    if (scanner.values() > limits.values)
+        throw FormatError("parse JSON", peer, "the text has too many values");
+    if (scanner.maxDepth() > limits.depth)
+        throw FormatError("parse JSON", peer, "the text is nested too deeply");
+    if (scanner.maxWordLength() > limits.wordLength)
+        throw FormatError("parse JSON", peer, "the text has too long a number");
+}
+
 ::Json::Value parse(std::string_view text, const std::string &peer)
 {
     if (text.size() > maximumTextBytes)
