LibHttp, platform: Bound what clients make a node hold

Cause: a server held all that its connections had sent, up to 272 KiB each, Beast reserved the announced length of a body at once, header fields took many times their bytes, mimalloc kept what was freed, and silent clients took all connections of the readiness and metrics ports.

Change: Http::MemoryBudget over all servers closes the connection without progress for the longest time, else 503 with Retry-After. It also makes room at a server's limit of connections. 100 header fields (431, also for a large header, which was 413), small system buffers, no body and 4 KiB of header at readiness and metrics, memory given back, settings memory-mb and header-fields, three metrics, a log line.

Not measured yet: the cost of a well-behaved request.

--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -3,6 +3,7 @@
 #include <LibHttp/Server.h>
 
 #include "ReceiveBuffer.h"
+#include "ReceivedBody.h"
 
 #include <LibCore/Error.h>
 #include <LibCore/SteadyClock.h>
@@ -13,10 +14,11 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <optional>
 
 namespace Http {
 
@@ -29,6 +31,10 @@
 static constexpr Core::Duration writeTime = std::chrono::seconds(5);
 /// Thousands of callers may send at once, so each gets little room.
 static constexpr std::size_t maxReceiveBytes = 8 * 1024;
+/// Bounds what the system buffers for a connection. By default it would buffer up to some megabytes
+/// for one that isn't read, which count toward the VM's memory. The system doubles the values.
+static constexpr int systemReceiveBytes = 16 * 1024;
+static constexpr int systemSendBytes = 32 * 1024;
 static constexpr Core::Duration acceptRetrySpacing = std::chrono::milliseconds(50);
 static const auto partLogger = Log::logger("http");
 
@@ -41,13 +47,93 @@
     return response;
 }
 
+namespace {
+
+using Parser = http::request_parser<ReceivedBody>;
+
+enum class Refusal {
+    None,
+    HeaderTooLarge,
+    BodyTooLarge,
+    Unreadable,
+    MemoryShort,
+    /// Gets no answer.
+    Broken,
+};
+
+} // namespace
+
+static Refusal refusalOf(const error_code &error)
+{
+    if (!error)
+        return Refusal::None;
+    if (error == http::error::header_limit)
+        return Refusal::HeaderTooLarge;
+    if (error == http::error::body_limit)
+        return Refusal::BodyTooLarge;
+    if (error == http::error::bad_method || error == http::error::bad_target
+        || error == http::error::bad_version)
+        return Refusal::Unreadable;
+    return Refusal::Broken;
+}
+
+static ServerResponse refuse(Refusal refusal)
+{
+    if (refusal == Refusal::HeaderTooLarge)
+        return makeResponse(431, "{\"error\":\"the header is too large\"}");
+    if (refusal == Refusal::BodyTooLarge)
+        return makeResponse(413, "{\"error\":\"the body is too large\"}");
+    if (refusal == Refusal::Unreadable)
+        return makeResponse(400, "{\"error\":\"unreadable request\"}");
+    ServerResponse response = makeResponse(503, "{\"error\":\"not run: memory is short\"}");
+    response.set(http::field::retry_after, "1");
+    return response;
+}
+
+/// The bytes of a request that has been received in part.
+static std::size_t heldBytes(const boost::beast::flat_buffer &buffer, const Parser &parser)
+{
+    return buffer.capacity() + parser.get().body().capacity();
+}
+
+static ServerRequest takeRequest(Parser &parser)
+{
+    http::request<ReceivedBody> received = parser.release();
+    ServerRequest request(std::move(received.base()));
+    request.body() = std::move(received.body());
+    return request;
+}
+
+static boost::beast::flat_buffer::mutable_buffers_type freeRoom(boost::beast::flat_buffer &buffer)
+{
+    return buffer.prepare(buffer.capacity() - buffer.size());
+}
+
+static Refusal parseReceived(boost::beast::flat_buffer &buffer, Parser &parser,
+                             const ServerLimits &limits)
+{
+    const bool hadHeader = parser.is_header_done();
+    error_code error;
+    buffer.consume(parser.put(buffer.data(), error));
+    if (!hadHeader && parser.is_header_done()) {
+        const auto &fields = parser.get().base();
+        const auto count = static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
+        if (count > limits.headerFields)
+            return Refusal::HeaderTooLarge;
+    }
+    return error == http::error::need_more ? Refusal::None : refusalOf(error);
+}
+
 Server::Server(std::string name, const Endpoint &endpoint, RequestHandler &handler,
-               const asio::any_io_executor &executor, std::size_t maxConnections)
+               const asio::any_io_executor &executor, std::size_t maxConnections,
+               std::shared_ptr<MemoryBudget> budget)
     : m_name(std::move(name))
     , m_endpoint(endpoint)
     , m_handler(handler)
     , m_executor(executor)
     , m_maxConnections(maxConnections)
+    , m_connections(std::make_shared<MemoryBudget::Group>(
+          budget ? std::move(budget) : std::make_shared<MemoryBudget>()))
     , m_changed(executor)
 {
 }
@@ -58,6 +144,9 @@
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_endpoint.address),
                                            m_endpoint.port);
     m_acceptor = std::make_unique<asio::ip::tcp::acceptor>(m_executor, endpoint);
+    // Accepted connections inherit them.
+    m_acceptor->set_option(asio::socket_base::receive_buffer_size(systemReceiveBytes));
+    m_acceptor->set_option(asio::socket_base::send_buffer_size(systemSendBytes));
     LOG4CXX_INFO(partLogger,
                  "event=listen server=" << m_name << " address=" << m_endpoint.address << ':'
                                         << endpoint.port());
@@ -97,7 +186,9 @@
             co_await pause.sleepUntil(Core::steadyNow() + acceptRetrySpacing);
             continue;
         }
-        if (m_connections >= std::min(m_handler.limits().connections, m_maxConnections))
+        const std::size_t maxOpen = std::min(m_handler.limits().connections, m_maxConnections);
+        if (m_connections->openConnections() >= maxOpen
+            && !m_connections->closeLongestStalled(Core::steadyNow()))
             continue;
         socket.set_option(asio::ip::tcp::no_delay(true), error);
         auto stream = std::make_shared<Stream>(std::move(socket));
@@ -107,58 +198,75 @@
 
 asio::awaitable<void> Server::serve(std::shared_ptr<Stream> stream)
 {
-    ++m_connections;
+    MemoryBudget::Connection connection(
+        m_connections, [&stream] { stream->close(); }, Core::steadyNow());
     boost::beast::flat_buffer buffer;
     bool isKept = true;
     while (isKept && !m_isStopping)
-        isKept = co_await serveOne(*stream, buffer);
+        isKept = co_await serveOne(*stream, buffer, connection);
     error_code ignored;
     stream->socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    --m_connections;
     m_changed.wake();
 }
 
-asio::awaitable<bool> Server::serveOne(Stream &stream, boost::beast::flat_buffer &buffer)
+asio::awaitable<bool> Server::serveOne(Stream &stream, boost::beast::flat_buffer &buffer,
+                                       MemoryBudget::Connection &connection)
 {
     const ServerLimits limits = m_handler.limits();
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(limits.headerBytes);
-    parser.body_limit(limits.bodyBytes);
+    std::optional<Parser> parser(std::in_place);
+    parser->header_limit(limits.headerBytes);
+    parser->body_limit(limits.bodyBytes);
+    parser->eager(true);
     error_code error;
     ReceiveBuffer receiveBuffer(buffer, maxReceiveBytes);
+    Core::Instant now = Core::steadyNow();
     if (buffer.size() == 0) {
+        connection.becomeIdle(now);
         m_idle.insert(&stream);
-        stream.expires_at(Core::toSteadyTimePoint(Core::steadyNow() + limits.idleTime));
-        co_await http::async_read_some(stream, buffer, parser,
-                                       asio::redirect_error(asio::use_awaitable, error));
+        stream.expires_at(Core::toSteadyTimePoint(now + limits.idleTime));
+        receiveBuffer.makeRoom(*parser);
+        buffer.commit(co_await stream.async_read_some(
+            freeRoom(buffer), asio::redirect_error(asio::use_awaitable, error)));
         m_idle.erase(&stream);
-        if (error && error != http::error::need_more)
+        if (error)
             co_return false;
+        now = Core::steadyNow();
     }
     ++m_inProgress;
-    stream.expires_at(Core::toSteadyTimePoint(Core::steadyNow() + limits.receiveTime));
-    while (!error && !parser.is_done()) {
-        receiveBuffer.makeRoom(parser);
-        co_await http::async_read_some(stream, buffer, parser,
-                                       asio::redirect_error(asio::use_awaitable, error));
+    connection.beginTransfer(now);
+    stream.expires_at(Core::toSteadyTimePoint(now + limits.receiveTime));
+    Refusal refusal = parseReceived(buffer, *parser, limits);
+    if (refusal == Refusal::None && !connection.hold(heldBytes(buffer, *parser), now))
+        refusal = Refusal::MemoryShort;
+    while (refusal == Refusal::None && !parser->is_done()) {
+        receiveBuffer.makeRoom(*parser);
+        buffer.commit(co_await stream.async_read_some(
+            freeRoom(buffer), asio::redirect_error(asio::use_awaitable, error)));
+        now = Core::steadyNow();
+        refusal = error ? Refusal::Broken : parseReceived(buffer, *parser, limits);
+        if (refusal == Refusal::None && !connection.hold(heldBytes(buffer, *parser), now))
+            refusal = Refusal::MemoryShort;
     }
     bool isKept = false;
-    const bool isReadable = !error;
-    const bool isTooLarge = error == http::error::body_limit || error == http::error::header_limit;
-    const bool isBroken = !isReadable && !isTooLarge && error != http::error::bad_method
-        && error != http::error::bad_target && error != http::error::bad_version;
-    if (!isBroken) {
+    if (refusal != Refusal::Broken) {
         ServerResponse response;
-        if (isReadable) {
-            const bool wantsKeepAlive = parser.keep_alive();
-            response = co_await answer(parser.release());
+        if (refusal == Refusal::None) {
+            const bool wantsKeepAlive = parser->keep_alive();
+            ServerRequest request = takeRequest(*parser);
+            connection.beginAnswer();
+            response = co_await answer(std::move(request));
             isKept = wantsKeepAlive && !m_isStopping && !m_isLeaving;
+            now = Core::steadyNow();
         } else {
-            response = makeResponse(isTooLarge ? 413 : 400, "{\"error\":\"unreadable request\"}");
+            response = refuse(refusal);
         }
+        parser.reset();
         response.keep_alive(isKept);
         response.prepare_payload();
-        stream.expires_at(Core::toSteadyTimePoint(Core::steadyNow() + writeTime));
+        connection.beginTransfer(now);
+        // The request may have been carried out, so the response is sent even if memory is short.
+        connection.hold(buffer.capacity() + response.body().size(), now);
+        stream.expires_at(Core::toSteadyTimePoint(now + writeTime));
         co_await http::async_write(stream, response,
                                    asio::redirect_error(asio::use_awaitable, error));
         isKept = isKept && !error;
--- a/Libraries/LibSite/SiteMetrics.cpp
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -65,6 +65,14 @@
                        "Age of the copy of the job records; -1 while it was never complete"))
     , m_workerConnections(gauge(m_registry, "lagoonford_worker_connections",
                                 "Open connections to workers, in use and idle"))
+    , m_clientMemory(gauge(m_registry, "lagoonford_client_memory_bytes",
+                           "Bytes of requests and responses held for clients"))
+    , m_closedClients(counters(m_registry, "lagoonford_client_connections_closed_total",
+                               "Stalled connections closed for want of memory or connections")
+                          .Add({}))
+    , m_memoryShortages(counters(m_registry, "lagoonford_client_memory_shortages_total",
+                                 "How often memory for clients was short and none had stalled")
+                            .Add({}))
     , m_refusedWorkerCalls(counters(m_registry, "lagoonford_worker_calls_refused_total",
                                     "Calls to workers that got no connection within the budget")
                                .Add({}))
@@ -165,6 +173,21 @@
     m_workerConnections.Set(open);
 }
 
+void SiteMetrics::setClientMemory(double bytes)
+{
+    m_clientMemory.Set(bytes);
+}
+
+void SiteMetrics::setClosedClients(double total)
+{
+    m_closedClients.Increment(total - m_closedClients.Value());
+}
+
+void SiteMetrics::setMemoryShortages(double total)
+{
+    m_memoryShortages.Increment(total - m_memoryShortages.Value());
+}
+
 void SiteMetrics::setRefusedWorkerCalls(double total)
 {
     m_refusedWorkerCalls.Increment(total - m_refusedWorkerCalls.Value());
--- a/Tests/platform/TestMessages.cpp
+++ b/Tests/platform/TestMessages.cpp
@@ -108,6 +108,29 @@
         CHECK_THROWS_AS(JobMessages::decodeJobSpec(R"({"steps":[{"count":1,"cpu":-5}]})"),
                         Core::FormatError);
     }
+    // Guards against bodies of legal size that take many times their size once they are decoded.
+    SECTION("a body of very many values throws before it is decoded")
+    {
+        std::string values;
+        for (int i = 0; i < 100'000; ++i)
+            values += "1,";
+        CHECK_THROWS_WITH(
+            JobMessages::decodeJobSpec(R"({"steps":[{"count":1}],"x":[)" + values + "1]}"),
+            Catch::Contains("too many values"));
+    }
+    // Guards against a limit on values that refuses the largest legitimate job.
+    SECTION("a job of the most steps and dependencies is decoded")
+    {
+        std::string steps;
+        for (int step = 0; step < 64; ++step) {
+            std::string after;
+            for (int other = 0; other < step; ++other)
+                after += (other > 0 ? "," : "") + std::to_string(other);
+            steps += (step > 0 ? "," : "")
+                + (R"({"count":1,"cpu":100,"memMb":1,"estimateMs":1,"after":[)" + after + "]}");
+        }
+        CHECK_NOTHROW(JobMessages::decodeJobSpec(R"({"steps":[)" + steps + "]}"));
+    }
     SECTION("ids are 16 hexadecimal digits")
     {
         CHECK(JobMessages::isJobId("5c0e7a21d94b36f8"));
@@ -238,6 +261,26 @@
         const NodeSettings settings = parseNodeSettings(text, "s.ini");
         CHECK(settings.descriptors == DescriptorShares::defaultDescriptors);
     }
+    // Guards against a node without room for requests of the largest size, and against one that
+    // doesn't start at a platform that doesn't tell its memory.
+    SECTION("the memory and the header fields are optional and bounded")
+    {
+        const std::string section = "[limits]\n";
+        const auto withLimits = [&](const std::string &lines) {
+            std::string text = settingsText;
+            return text.insert(text.find(section) + section.size(), lines);
+        };
+        const NodeSettings empty = parseNodeSettings(withLimits("memory-mb =\n"), "s.ini");
+        CHECK(empty.memoryMebibytes == 160);
+        CHECK(empty.headerFields == 100);
+        const NodeSettings set
+            = parseNodeSettings(withLimits("memory-mb = 512\nheader-fields = 64\n"), "s.ini");
+        CHECK(set.memoryMebibytes == 512);
+        CHECK(set.headerFields == 64);
+        const std::string invalid
+            = GENERATE("memory-mb = 63\n", "memory-mb = 1e9\n", "header-fields = 15\n");
+        CHECK_THROWS_AS(parseNodeSettings(withLimits(invalid), "s.ini"), Core::FormatError);
+    }
     SECTION("the error lists all invalid keys")
     {
         std::string text = settingsText;
--- a/include/LibHttp/Server.h
+++ b/include/LibHttp/Server.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibHttp/Endpoint.h>
+#include <LibHttp/MemoryBudget.h>
 #include <LibSupervision/Part.h>
 #include <LibSupervision/Wakeup.h>
 
@@ -27,6 +28,7 @@
 struct ServerLimits
 {
     std::uint32_t headerBytes = 16 * 1024;
+    std::size_t headerFields = 100;
     std::uint64_t bodyBytes = 256 * 1024;
     Core::Duration receiveTime = std::chrono::seconds(3);
     Core::Duration idleTime = std::chrono::seconds(15);
@@ -57,10 +59,12 @@
 class Server final : public Supervision::Part
 {
 public:
-    /// \p maxConnections limits the open connections even if the handler allows more.
+    /// \p maxConnections limits the open connections even if the handler allows more. \p budget is
+    /// shared by the servers of a process; without one, the server has its own.
     Server(std::string name, const Endpoint &endpoint, RequestHandler &handler,
            const boost::asio::any_io_executor &executor,
-           std::size_t maxConnections = ServerLimits().connections);
+           std::size_t maxConnections = ServerLimits().connections,
+           std::shared_ptr<MemoryBudget> budget = nullptr);
 
     std::string name() const override { return m_name; }
     boost::asio::awaitable<void> run() override;
@@ -77,7 +81,8 @@
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(std::shared_ptr<Stream> stream);
     /// Serves one request. Returns false when the connection has ended.
-    boost::asio::awaitable<bool> serveOne(Stream &stream, boost::beast::flat_buffer &buffer);
+    boost::asio::awaitable<bool> serveOne(Stream &stream, boost::beast::flat_buffer &buffer,
+                                          MemoryBudget::Connection &connection);
     boost::asio::awaitable<ServerResponse> answer(ServerRequest request);
 
     std::string m_name;
@@ -86,8 +91,8 @@
     boost::asio::any_io_executor m_executor;
     std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
     std::size_t m_maxConnections;
+    std::shared_ptr<MemoryBudget::Group> m_connections;
     std::set<Stream *> m_idle;
-    std::size_t m_connections = 0;
     std::size_t m_inProgress = 0;
     Supervision::Wakeup m_changed;
     bool m_isStopping = false;
--- a/include/LibSite/SiteMetrics.h
+++ b/include/LibSite/SiteMetrics.h
@@ -48,6 +48,14 @@
     void setWorkerConnections(double open);
     /// Sets how many calls to workers have been refused a connection so far; never decreases.
     void setRefusedWorkerCalls(double total);
+    /// Sets how many bytes clients make the process hold.
+    void setClientMemory(double bytes);
+    /// Sets how many connections of clients were closed for want of memory or connections; never
+    /// decreases.
+    void setClosedClients(double total);
+    /// Sets how often memory for clients was short though no connection had stalled; never
+    /// decreases.
+    void setMemoryShortages(double total);
     /// Counts a renewal that was sent without its acknowledgement of ended runs, since no
     /// connection to the process that had reported them was free.
     void countWithheldAcknowledgement();
@@ -89,6 +97,9 @@
     prometheus::Gauge &m_waiting;
     prometheus::Gauge &m_tableAge;
     prometheus::Gauge &m_workerConnections;
+    prometheus::Gauge &m_clientMemory;
+    prometheus::Counter &m_closedClients;
+    prometheus::Counter &m_memoryShortages;
     prometheus::Counter &m_refusedWorkerCalls;
     prometheus::Counter &m_withheldAcknowledgements;
     prometheus::Counter &m_processQuestions;
