LibSite, platform: Forward records to the owner while the store is slow (no tests of the faults yet)

At 80 times the usual latency each node's own appends fill the store's queue, so that the owner's commits are refused. A node now gives its records to the owner after a slow or failed append; the owner writes them with its commits. Records that can't be durable by their deadline are refused at once. Compiled; tests not run yet.

--- a/Libraries/LibJob/JobRecord.cpp
+++ b/Libraries/LibJob/JobRecord.cpp
@@ -515,6 +515,8 @@
         value["l"] = Json::Int64(claim.maxLeaseAfterProofMs);
     if (claim.areCommandsBound)
         value["b"] = true;
+    if (!claim.address.empty())
+        value["a"] = claim.address;
     return { ownerKey, Core::Json::write(value) };
 }
 
@@ -609,7 +611,9 @@
                                 requiredNumberUpTo(value, "t", maxTerm),
                                 Core::Json::booleanMember(value, "r"),
                                 numberUpTo(value["l"], maxAmount, "l"),
-                                value.isMember("b") && Core::Json::booleanMember(value, "b") };
+                                value.isMember("b") && Core::Json::booleanMember(value, "b"),
+                                value.isMember("a") ? Core::Json::stringMember(value, "a")
+                                                    : std::string() };
         if (isJobKey && key[0] == 'q')
             return decodeAcceptedJob(id, value);
         if (isJobKey && key[0] == 's')
--- a/Libraries/LibSite/FencedAppend.cpp
+++ b/Libraries/LibSite/FencedAppend.cpp
@@ -8,9 +8,6 @@
 
 namespace asio = boost::asio;
 
-/// The append is sent again if it isn't answered within this time.
-static constexpr Core::Duration repetitionDelay = std::chrono::milliseconds(300);
-
 FencedAppend::FencedAppend(KeyedLog &log, const asio::any_io_executor &executor,
                            std::vector<Jobs::StoredRecord> records, FencedWriter writer)
     : m_log(log)
@@ -25,7 +22,8 @@
     return m_isAnswered || m_isRejected || m_openCalls == 0;
 }
 
-asio::awaitable<FencedAppend::Receipt> FencedAppend::send(Spawn spawn, Core::Instant deadline)
+asio::awaitable<FencedAppend::Receipt>
+FencedAppend::send(Spawn spawn, Core::Duration repetitionDelay, Core::Instant deadline)
 {
     // The answer to a repetition may be the stored one of the first call, so it proves no more.
     const Core::Instant firstSentAt = Core::suspendAwareNow();
--- a/Libraries/LibSite/JobRequestService.cpp
+++ b/Libraries/LibSite/JobRequestService.cpp
@@ -63,7 +63,7 @@
         LOG4CXX_INFO(partLogger, "event=submit job=" << id << " outcome=known");
         co_return SubmitOutcome::Accepted;
     }
-    if (!m_state.health.isReachable()) {
+    if (!m_writer.canWrite()) {
         LOG4CXX_INFO(partLogger, "event=submit job=" << id << " outcome=refused reason=store-lost");
         co_return SubmitOutcome::Refused;
     }
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -16,7 +16,6 @@
 
 namespace asio = boost::asio;
 
-static constexpr Core::Duration appendTimeout = std::chrono::milliseconds(900);
 static constexpr Core::Duration appendRetryDelay = std::chrono::milliseconds(100);
 /// Changes that become due within this time share an append.
 static constexpr Core::Duration commitInterval = std::chrono::milliseconds(20);
@@ -52,9 +51,11 @@
     , m_provenAt(ownership.provenAt)
     , m_nextHeartbeatAt(ownership.provenAt + heartbeatInterval)
     , m_loadLog(state.metrics, Core::steadyNow())
+    , m_groupCommit(executor, m_appendPace, [this] { m_wakeup.wake(); })
 {
     loadState();
     m_state.owner = this;
+    m_state.groupCommit = &m_groupCommit;
     m_follower.wake();
 }
 
@@ -63,9 +64,17 @@
     m_follower.forgetSent();
     if (m_state.owner == this)
         m_state.owner = nullptr;
+    closeGroupCommit();
     m_background->close();
 }
 
+void OwnerSession::closeGroupCommit()
+{
+    m_groupCommit.close();
+    if (m_state.groupCommit == &m_groupCommit)
+        m_state.groupCommit = nullptr;
+}
+
 Jobs::TimePoint OwnerSession::now() const
 {
     return { Core::suspendAwareNow(), Core::unixMillisecondsNow() };
@@ -125,6 +134,7 @@
         return;
     m_isOver = true;
     m_decisionLog.close();
+    closeGroupCommit();
     if (m_state.owner == this)
         m_state.owner = nullptr;
     LOG4CXX_WARN(partLogger,
@@ -138,6 +148,7 @@
 {
     m_isReleasing = true;
     m_decisionLog.close();
+    closeGroupCommit();
     m_wakeup.wake();
 }
 
@@ -315,7 +326,8 @@
 
 void OwnerSession::spawnCommit()
 {
-    const bool isDue = m_scheduler.needsCommit() || Core::suspendAwareNow() >= m_nextHeartbeatAt;
+    const bool isDue = m_scheduler.needsCommit() || m_groupCommit.isWaiting()
+        || Core::suspendAwareNow() >= m_nextHeartbeatAt;
     if (!m_isCommitting && isDue)
         beginCommit();
 }
@@ -361,22 +373,33 @@
 
 asio::awaitable<void> OwnerSession::commit()
 {
-    Jobs::Commit commit = m_scheduler.takeCommit();
-    const AppendBatches batches = encodeCommit(std::move(commit.records));
-    bool isWritten = true;
-    for (const std::vector<Jobs::StoredRecord> &batch : batches.batches()) {
-        isWritten = co_await appendUntilWritten(batch);
-        if (!isWritten)
-            break;
-    }
+    const bool isWritten = co_await writeCommit(m_scheduler.takeCommit());
+    m_groupCommit.finish(isWritten);
     if (isWritten) {
-        confirm(commit.number);
         Supervision::Wakeup pause(m_executor);
         co_await pause.sleepUntil(Core::steadyNow() + commitInterval);
     }
     m_isCommitting = false;
 }
 
+asio::awaitable<bool> OwnerSession::writeCommit(Jobs::Commit commit)
+{
+    AppendBatches batches = encodeCommit(std::move(commit.records));
+    const std::size_t ownBatches = batches.batches().size();
+    for (std::vector<Jobs::StoredRecord> &group : m_groupCommit.take())
+        batches.add(std::move(group));
+    std::size_t writtenBatches = 0;
+    for (const std::vector<Jobs::StoredRecord> &batch : batches.batches()) {
+        const bool isWritten = co_await appendUntilWritten(batch);
+        if (!isWritten)
+            co_return false;
+        ++writtenBatches;
+        if (writtenBatches == ownBatches)
+            confirm(commit.number);
+    }
+    co_return true;
+}
+
 void OwnerSession::confirm(std::int64_t commitNumber)
 {
     const LoopMeter::Work work(m_loadLog.loop(), "committed");
@@ -410,9 +433,12 @@
     const auto append = std::make_shared<FencedAppend>(m_log, m_executor, records, writer);
     const FencedAppend::Spawn spawnCall
         = [this](asio::awaitable<void> call) { spawn(std::move(call)); };
+    const Core::Instant beganAt = Core::steadyNow();
+    m_appendPace.begin(beganAt);
     try {
-        const FencedAppend::Receipt receipt
-            = co_await append->send(spawnCall, Core::steadyNow() + appendTimeout);
+        const FencedAppend::Receipt receipt = co_await append->send(
+            spawnCall, m_appendPace.repetitionDelay(), beganAt + m_appendPace.timeLimit());
+        noteCommitted();
         m_provenAt = receipt.sentAt;
         m_scheduler.noteProven(receipt.sentAt);
         // A claim takes the offset of its own record, and so a higher token than these records'.
@@ -430,12 +456,25 @@
         m_nextSequence = error.expected();
     } catch (const Core::Error &error) {
         LOG4CXX_WARN(partLogger, "event=commit-failed reason=\"" << error.what() << '"');
+        m_state.metrics.countFailedCommit();
         if (m_state.health.noteFailure(Core::steadyNow()))
             LOG4CXX_WARN(partLogger, "event=lost dependency=store");
     }
+    m_appendPace.end(Core::steadyNow());
     co_return false;
 }
 
+void OwnerSession::noteCommitted()
+{
+    const Core::Instant now = Core::steadyNow();
+    m_appendPace.end(now);
+    if (m_lastCommittedAt)
+        m_longestCommitGap = std::max(m_longestCommitGap, now - *m_lastCommittedAt);
+    m_lastCommittedAt = now;
+    const std::chrono::duration<double> gap = m_longestCommitGap;
+    m_state.metrics.setLongestCommitGap(gap.count());
+}
+
 asio::awaitable<void> OwnerSession::writeRelease()
 {
     Jobs::OwnerClaim claim = m_state.settings.claim(m_ownership.term, true);
--- a/Libraries/LibSite/RecordWriter.cpp
+++ b/Libraries/LibSite/RecordWriter.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/SteadyClock.h>
 #include <LibLog/Logging.h>
 #include <LibSite/AppendBatches.h>
+#include <LibSite/GroupCommit.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -16,12 +17,24 @@
 /// How long one append may take before it is retried.
 static constexpr Core::Duration appendTimeout = std::chrono::milliseconds(900);
 static constexpr Core::Duration retryDelay = std::chrono::milliseconds(100);
+/// How long the owner may take for forwarded records: two appends of a slow store, and its commit.
+static constexpr Core::Duration forwardTimeout = std::chrono::milliseconds(1500);
+static constexpr Core::Duration probeTimeout = std::chrono::milliseconds(300);
+/// Time that a probe leaves for forwarding. The owner has reported a latency below 50 ms.
+static constexpr Core::Duration forwardReserve = std::chrono::milliseconds(500);
 static const auto partLogger = Log::essentialLogger("writer");
 
-RecordWriter::RecordWriter(SiteState &state, KeyedLog &log, const asio::any_io_executor &executor)
+static std::int64_t inMilliseconds(Core::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+RecordWriter::RecordWriter(SiteState &state, KeyedLog &log, const asio::any_io_executor &executor,
+                           RecordForwarder *forwarder)
     : m_state(state)
     , m_log(log)
     , m_executor(executor)
+    , m_forwarder(forwarder)
 {
 }
 
@@ -39,7 +52,7 @@
 asio::awaitable<WriteOutcome> RecordWriter::write(std::vector<Jobs::StoredRecord> records,
                                                   Core::Instant deadline)
 {
-    if (isAnyTooLarge(records))
+    if (isAnyTooLarge(records) || !isAdmitted(deadline))
         co_return WriteOutcome::NotWritten;
     const auto pending = std::make_shared<PendingWrite>(
         PendingWrite { std::move(records), deadline, Supervision::Wakeup(m_executor) });
@@ -60,6 +73,32 @@
     pending.wakeup.wake();
 }
 
+void RecordWriter::decideAll(Batch &batch, WriteOutcome outcome)
+{
+    for (const auto &pending : batch)
+        decide(*pending, outcome);
+    batch.clear();
+}
+
+void RecordWriter::giveUp(PendingWrite &pending)
+{
+    decide(pending, pending.isInDoubt ? WriteOutcome::Unknown : WriteOutcome::NotWritten);
+}
+
+std::vector<Jobs::StoredRecord> RecordWriter::recordsOf(const Batch &batch)
+{
+    std::vector<Jobs::StoredRecord> records;
+    for (const auto &pending : batch)
+        records.insert(records.end(), pending->records.begin(), pending->records.end());
+    return records;
+}
+
+void RecordWriter::markInDoubt(const Batch &batch)
+{
+    for (const auto &pending : batch)
+        pending->isInDoubt = true;
+}
+
 RecordWriter::Batch RecordWriter::takeBatch()
 {
     Batch batch;
@@ -77,58 +116,246 @@
     return batch;
 }
 
-asio::awaitable<void> RecordWriter::writeBatch(Batch &batch)
+std::string RecordWriter::findOwner() const
 {
-    std::vector<Jobs::StoredRecord> records;
+    if (m_state.groupCommit != nullptr)
+        return m_state.settings.nodeName;
+    const std::optional<Jobs::OwnerClaim> &claim = m_state.ownerMonitor.claim();
+    if (m_forwarder == nullptr || !claim || claim->isReleased || m_state.ownerMonitor.isOwner())
+        return {};
+    return claim->address;
+}
+
+WriteRoute::Choice RecordWriter::chooseRoute(Core::Instant now) const
+{
+    return m_route.choose(findOwner(), now);
+}
+
+bool RecordWriter::canWrite() const
+{
+    return m_state.health.isReachable() || m_route.isOwnerReachable(findOwner(), Core::steadyNow());
+}
+
+AppendQueue RecordWriter::queueAhead(Core::Instant now) const
+{
+    const WriteRoute::Choice choice = chooseRoute(now);
+    std::size_t records = 0;
+    std::size_t bytes = 0;
+    for (const auto &pending : m_pending) {
+        records += pending->records.size();
+        for (const Jobs::StoredRecord &record : pending->records)
+            bytes += sizeInBytes(record);
+    }
+    AppendQueue queue;
+    queue.latency = m_route.latency(choice.path);
+    if (m_beganAt)
+        queue.inFlightFor = now - *m_beganAt;
+    queue.fullAppends = std::max(records / maxRecordsPerAppend, bytes / maxBytesPerAppend);
+    queue.pause = choice.notBefore - now;
+    return queue;
+}
+
+bool RecordWriter::isAdmitted(Core::Instant deadline)
+{
+    const Core::Instant now = Core::steadyNow();
+    const AppendQueue queue = queueAhead(now);
+    if (isDurableWithin(queue, deadline - now))
+        return true;
+    LOG4CXX_INFO(partLogger,
+                 "event=write-refused reason=deadline latency_ms="
+                     << inMilliseconds(queue.latency)
+                     << " ahead_ms=" << inMilliseconds(drainTime(queue))
+                     << " left_ms=" << inMilliseconds(deadline - now));
+    return false;
+}
+
+std::int64_t RecordWriter::retryAfterSeconds() const
+{
+    const Core::Instant now = Core::steadyNow();
+    return Site::retryAfterSeconds(std::max(drainTime(queueAhead(now)), m_ownerDrainedAt - now));
+}
+
+asio::awaitable<void> RecordWriter::writeBatch(Batch &batch, WriteRoute::Path path)
+{
+    const Core::Instant now = Core::steadyNow();
     Core::Instant latestDeadline = {};
+    Core::Instant earliestDeadline = Core::Instant::max();
     for (const auto &pending : batch) {
-        records.insert(records.end(), pending->records.begin(), pending->records.end());
         latestDeadline = std::max(latestDeadline, pending->deadline);
+        earliestDeadline = std::min(earliestDeadline, pending->deadline);
+    }
+    const bool hasTimeForProbe = now + probeTimeout + forwardReserve < earliestDeadline;
+    m_beganAt = now;
+    if (path == WriteRoute::Path::Direct) {
+        co_await appendBatch(batch, std::min(latestDeadline, now + appendTimeout));
+    } else if (path == WriteRoute::Path::Probe && hasTimeForProbe) {
+        m_route.noteProbe(now);
+        co_await appendBatch(batch, now + probeTimeout);
+    } else {
+        co_await forwardBatch(batch, std::min(latestDeadline, now + forwardTimeout));
     }
-    const Core::Instant began = Core::steadyNow();
-    const Core::Instant deadline = std::min(latestDeadline, began + appendTimeout);
+    m_beganAt.reset();
+    logRoute();
+}
+
+void RecordWriter::noteAppendFailure(Core::Instant beganAt)
+{
+    const Core::Instant now = Core::steadyNow();
+    m_route.noteDirectFailure(now - beganAt, now);
+    if (m_state.health.noteFailure(now))
+        LOG4CXX_WARN(partLogger, "event=lost dependency=store");
+}
+
+asio::awaitable<void> RecordWriter::appendBatch(Batch &batch, Core::Instant deadline)
+{
+    const Core::Instant beganAt = Core::steadyNow();
     try {
-        co_await m_log.append(std::move(records), deadline);
-        for (const auto &pending : batch)
-            decide(*pending, WriteOutcome::Written);
-        batch.clear();
-        if (m_state.health.noteSuccess(Core::steadyNow()))
+        co_await m_log.append(recordsOf(batch), deadline);
+        decideAll(batch, WriteOutcome::Written);
+        const Core::Instant now = Core::steadyNow();
+        m_route.noteDirect(now - beganAt, now);
+        if (m_state.health.noteSuccess(now))
             LOG4CXX_INFO(partLogger, "event=regained dependency=store");
         co_return;
     } catch (const Core::OutcomeUnknownError &error) {
         LOG4CXX_WARN(partLogger,
                      "event=append-unknown records=" << batch.size() << " reason=\"" << error.what()
                                                      << '"');
-        for (const auto &pending : batch)
-            pending->isInDoubt = true;
+        m_state.metrics.countFailedAppend("unanswered");
+        markInDoubt(batch);
     } catch (const Core::Error &error) {
         LOG4CXX_WARN(partLogger,
                      "event=append-refused records=" << batch.size() << " reason=\"" << error.what()
                                                      << '"');
+        m_state.metrics.countFailedAppend("refused");
+    }
+    noteAppendFailure(beganAt);
+}
+
+asio::awaitable<void> RecordWriter::forwardBatch(Batch &batch, Core::Instant deadline)
+{
+    const std::string owner = findOwner();
+    std::vector<Jobs::StoredRecord> records = recordsOf(batch);
+    const std::size_t recordCount = records.size();
+    ForwardResult result;
+    if (m_state.groupCommit != nullptr)
+        result = co_await m_state.groupCommit->write(std::move(records), deadline);
+    else
+        result = co_await m_forwarder->forward(owner, std::move(records), deadline);
+    m_state.metrics.countForwarded(forwardOutcomeText(result.outcome), recordCount);
+    if (result.outcome != ForwardOutcome::Written)
+        LOG4CXX_WARN(partLogger,
+                     "event=forward-failed records="
+                         << recordCount << " owner=" << owner
+                         << " outcome=" << forwardOutcomeText(result.outcome)
+                         << " latency_ms=" << inMilliseconds(result.latency));
+    applyForwardResult(batch, owner, result);
+}
+
+void RecordWriter::applyForwardResult(Batch &batch, const std::string &owner,
+                                      const ForwardResult &result)
+{
+    const Core::Instant now = Core::steadyNow();
+    switch (result.outcome) {
+    case ForwardOutcome::Written:
+        m_route.noteOwnerAnswer(result.latency);
+        decideAll(batch, WriteOutcome::Written);
+        break;
+    case ForwardOutcome::Refused:
+        m_route.noteOwnerAnswer(result.latency);
+        m_ownerDrainedAt = now + result.drainTime;
+        for (const auto &pending : batch)
+            giveUp(*pending);
+        batch.clear();
+        break;
+    case ForwardOutcome::Unknown:
+        m_route.noteOwnerAnswer(result.latency);
+        markInDoubt(batch);
+        break;
+    case ForwardOutcome::NoAnswer:
+        markInDoubt(batch);
+        m_route.noteOwnerUnreachable(owner, now);
+        break;
+    case ForwardOutcome::NotOwner:
+    case ForwardOutcome::NotSent:
+        m_route.noteOwnerUnreachable(owner, now);
+        break;
+    }
+}
+
+static const char *routeReason(const WriteRoute &route)
+{
+    if (route.isDirect())
+        return "fast";
+    return route.hasFailed() ? "failed" : "slow";
+}
+
+void RecordWriter::logRoute()
+{
+    const std::string owner = findOwner();
+    // Without an owner to forward to, the node goes on appending by itself.
+    const bool isDirect = m_route.isDirect() || owner.empty();
+    if (m_wasDirect == isDirect)
+        return;
+    m_wasDirect = isDirect;
+    LOG4CXX_INFO(partLogger,
+                 "event=" << (m_wasDirect ? "writes-direct" : "writes-forwarded")
+                          << " reason=" << routeReason(m_route) << " latency_ms="
+                          << inMilliseconds(m_route.latency(WriteRoute::Path::Direct))
+                          << " owner_latency_ms="
+                          << inMilliseconds(m_route.latency(WriteRoute::Path::Forward))
+                          << " owner=" << (owner.empty() ? "none" : owner));
+}
+
+void RecordWriter::refuseLate(Core::Instant notBefore)
+{
+    const Core::Duration latency = m_route.latency(WriteRoute::Path::Direct);
+    Batch kept;
+    while (!m_pending.empty()) {
+        const std::shared_ptr<PendingWrite> pending = m_pending.front();
+        if (notBefore + latency > pending->deadline) {
+            giveUp(*pending);
+            m_pending.pop_front();
+        } else {
+            kept.splice(kept.end(), m_pending, m_pending.begin());
+        }
+    }
+    m_pending = std::move(kept);
+}
+
+void RecordWriter::retryOrDecide(const Batch &batch, Core::Instant now)
+{
+    // A retry has no effect on a record that was written, even if it arrives late, so records with
+    // time left are retried.
+    for (const auto &pending : batch) {
+        if (now + retryDelay < pending->deadline)
+            m_pending.push_back(pending);
+        else
+            giveUp(*pending);
     }
-    if (m_state.health.noteFailure(Core::steadyNow()))
-        LOG4CXX_WARN(partLogger, "event=lost dependency=store");
 }
 
 asio::awaitable<void> RecordWriter::writePending()
 {
     Supervision::Wakeup pause(m_executor);
     while (!m_pending.empty()) {
+        if (!m_state.health.isReachable())
+            m_route.noteStoreLost();
+        const Core::Instant now = Core::steadyNow();
+        const WriteRoute::Choice choice = chooseRoute(now);
+        if (choice.notBefore > now) {
+            refuseLate(choice.notBefore);
+            // The owner may be reachable again before that.
+            co_await pause.sleepUntil(std::min(choice.notBefore, now + retryDelay));
+            continue;
+        }
         Batch batch = takeBatch();
-        co_await writeBatch(batch);
+        co_await writeBatch(batch, choice.path);
         if (batch.empty())
             continue;
-        // A retry has no effect on a record that was written, even if it arrives late, so records
-        // with time left are retried.
-        const Core::Instant now = Core::steadyNow();
-        for (const auto &pending : batch) {
-            if (now + retryDelay < pending->deadline)
-                m_pending.push_back(pending);
-            else
-                decide(*pending,
-                       pending->isInDoubt ? WriteOutcome::Unknown : WriteOutcome::NotWritten);
-        }
-        co_await pause.sleepUntil(now + retryDelay);
+        const Core::Instant failedAt = Core::steadyNow();
+        retryOrDecide(batch, failedAt);
+        co_await pause.sleepUntil(failedAt + retryDelay);
     }
     m_isWriting = false;
 }
--- a/Libraries/LibSite/SiteMetrics.cpp
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -78,9 +78,40 @@
                              .Add({}))
     , m_ownerLag(gauge(m_registry, "lagoonford_owner_lag_seconds",
                        "How late the owner's work with workers ran at most in the last second"))
+    , m_failedAppends(counters(m_registry, "lagoonford_failed_appends_total",
+                               "Appends of callers' records that were refused or not answered"),
+                      "outcome")
+    , m_forwardedRecords(counters(m_registry, "lagoonford_forwarded_records_total",
+                                  "Callers' records that were sent to the owner, by outcome"),
+                         "outcome")
+    , m_failedCommits(counters(m_registry, "lagoonford_failed_commits_total",
+                               "Appends of the owner that were refused or not answered")
+                          .Add({}))
+    , m_longestCommitGap(gauge(m_registry, "lagoonford_longest_commit_gap_seconds",
+                               "Longest time between two appends of the node's last ownership"))
 {
 }
 
+void SiteMetrics::countFailedAppend(std::string_view outcome)
+{
+    m_failedAppends.at(outcome).Increment();
+}
+
+void SiteMetrics::countForwarded(std::string_view outcome, std::size_t records)
+{
+    m_forwardedRecords.at(outcome).Increment(static_cast<double>(records));
+}
+
+void SiteMetrics::countFailedCommit()
+{
+    m_failedCommits.Increment();
+}
+
+void SiteMetrics::setLongestCommitGap(double seconds)
+{
+    m_longestCommitGap.Set(seconds);
+}
+
 void SiteMetrics::countRequest(const std::string &request, const std::string &outcome,
                                double seconds)
 {
--- a/include/LibJob/JobRecord.h
+++ b/include/LibJob/JobRecord.h
@@ -94,6 +94,9 @@
     /// A worker's next process carries out no start, and extends no lease, that the owner has meant
     /// for its former one. False in a claim of a version that doesn't say so.
     bool areCommandsBound = false;
+    /// Where the owner accepts other nodes' records, as IP:PORT; empty if it doesn't, and in a
+    /// claim of a version that doesn't say so.
+    std::string address = {};
 
     bool operator==(const OwnerClaim &) const = default;
 };
--- /dev/null
+++ b/include/LibSite/AppendPace.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <optional>
+
+namespace Site {
+
+/// The latency of the owner's appends, and the limits that follow from it. Instants are on the
+/// steady clock.
+class AppendPace
+{
+public:
+    void begin(Core::Instant now);
+    /// The append was answered, or has failed.
+    void end(Core::Instant now);
+
+    /// The recent latency: the larger of the last one and half of the former value, so that one
+    /// fast append doesn't hide a slow period.
+    Core::Duration latency() const { return m_latency; }
+    /// How long the append in flight has been unanswered; nothing if there is none.
+    std::optional<Core::Duration> inFlightFor(Core::Instant now) const;
+    /// An append that isn't answered within this time is sent again.
+    Core::Duration repetitionDelay() const;
+    /// An append that isn't answered within this time has failed.
+    Core::Duration timeLimit() const;
+
+private:
+    Core::Duration m_latency = {};
+    std::optional<Core::Instant> m_beganAt;
+};
+
+} // namespace Site
--- a/include/LibSite/FencedAppend.h
+++ b/include/LibSite/FencedAppend.h
@@ -33,9 +33,11 @@
         std::int64_t offset = 0;
     };
 
-    /// A call that isn't answered when this returns goes on without effect on this object's owner.
+    /// The append is sent again if it isn't answered within \p repetitionDelay. A call that isn't
+    /// answered when this returns goes on without effect on this object's owner.
     /// \throws Core::Error as KeyedLog::appendFenced() if no call succeeds before \p deadline.
-    boost::asio::awaitable<Receipt> send(Spawn spawn, Core::Instant deadline);
+    boost::asio::awaitable<Receipt> send(Spawn spawn, Core::Duration repetitionDelay,
+                                         Core::Instant deadline);
 
 private:
     /// \p self lives on until the call has ended.
--- a/include/LibSite/JobRequestService.h
+++ b/include/LibSite/JobRequestService.h
@@ -79,6 +79,8 @@
                                                  Caller caller = {});
     boost::asio::awaitable<JobLookup> find(Jobs::JobId id, Core::Instant deadline,
                                            Caller caller = {});
+    /// How many seconds a caller whose submission or cancellation was refused should wait.
+    std::int64_t retryAfterSeconds() const { return m_writer.retryAfterSeconds(); }
     boost::asio::awaitable<WaitingCount> countWaiting(Jobs::QueueId queue, Core::Instant deadline);
 
 private:
--- a/include/LibSite/OwnerSession.h
+++ b/include/LibSite/OwnerSession.h
@@ -3,7 +3,9 @@
 #include <LibCore/SteadyClock.h>
 #include <LibJob/JobScheduler.h>
 #include <LibSite/AppendBatches.h>
+#include <LibSite/AppendPace.h>
 #include <LibSite/BackgroundQueue.h>
+#include <LibSite/GroupCommit.h>
 #include <LibSite/JobFollower.h>
 #include <LibSite/KeyedLog.h>
 #include <LibSite/OwnerDecisionLog.h>
@@ -20,6 +22,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace Site {
@@ -78,6 +81,12 @@
     /// commit without records becomes a heartbeat.
     AppendBatches encodeCommit(std::vector<Jobs::JobRecord> records);
     boost::asio::awaitable<void> commit();
+    /// Writes the commit, and behind it in the same or a further append the records of callers.
+    boost::asio::awaitable<bool> writeCommit(Jobs::Commit commit);
+    /// From now on other nodes' records are refused.
+    void closeGroupCommit();
+    /// Notes that an append has succeeded.
+    void noteCommitted();
     /// Tells the scheduler that the commit is written.
     void confirm(std::int64_t commitNumber);
     /// Retries until the records are written. Returns false if the session ended before.
@@ -143,6 +152,11 @@
     /// When the next append is due although there is nothing to write, on the suspend-aware clock.
     Core::Instant m_nextHeartbeatAt;
     OwnerLoadLog m_loadLog;
+    AppendPace m_appendPace;
+    GroupCommit m_groupCommit;
+    /// When the last append succeeded, on the steady clock; nothing before the first one.
+    std::optional<Core::Instant> m_lastCommittedAt;
+    Core::Duration m_longestCommitGap = {};
     /// When the probe of ordinary work was or is due, on the steady clock.
     Core::Instant m_ordinaryProbeDueAt = Core::steadyNow();
     /// The lesser of the last two delays of that probe; see Jobs::OverloadPolicy. It stays until
--- a/include/LibSite/SiteMetrics.h
+++ b/include/LibSite/SiteMetrics.h
@@ -55,6 +55,15 @@
     std::int64_t withheldAcknowledgements() const;
     /// Counts a question which process of a worker answers, before a start or a lease.
     void countProcessQuestion();
+    /// Counts a failed append of callers' records at this node; \p outcome is refused or
+    /// unanswered.
+    void countFailedAppend(std::string_view outcome);
+    /// Counts callers' records that were sent to the owner.
+    void countForwarded(std::string_view outcome, std::size_t records);
+    /// Counts an append of the owner that was refused or not answered.
+    void countFailedCommit();
+    /// Sets the longest time between two successful appends of this node's last term as the owner.
+    void setLongestCommitGap(double seconds);
     /// Sets how late the owner's work with workers ran at most in the last second; 0 on other
     /// nodes.
     void setOwnerLag(double seconds);
@@ -93,6 +102,10 @@
     prometheus::Counter &m_withheldAcknowledgements;
     prometheus::Counter &m_processQuestions;
     prometheus::Gauge &m_ownerLag;
+    CountersByLabel m_failedAppends;
+    CountersByLabel m_forwardedRecords;
+    prometheus::Counter &m_failedCommits;
+    prometheus::Gauge &m_longestCommitGap;
 };
 
 } // namespace Site
--- a/include/LibSite/SiteSettings.h
+++ b/include/LibSite/SiteSettings.h
@@ -25,6 +25,9 @@
     Core::Duration revocationTime = std::chrono::seconds(5);
     /// Such a key works no longer than it takes other changes of the catalogue to be in force.
     bool isRevocationStrict = false;
+    /// Where this node accepts other nodes' records, as IP:PORT; empty if it neither accepts nor
+    /// forwards any.
+    std::string peerAddress = {};
 
     bool operator==(const SiteSettings &) const = default;
 
@@ -33,7 +36,7 @@
     {
         const auto maxLease
             = std::chrono::duration_cast<std::chrono::milliseconds>(scheduler.maxLeaseAfterProof);
-        return { nodeName, term, isReleased, maxLease.count(), true };
+        return { nodeName, term, isReleased, maxLease.count(), true, peerAddress };
     }
 };
 
--- a/include/LibSite/SiteState.h
+++ b/include/LibSite/SiteState.h
@@ -17,6 +17,8 @@
 
 namespace Site {
 
+class GroupCommit;
+
 /// Is notified of changes in a node's view of its site.
 class SiteObserver
 {
@@ -68,6 +70,8 @@
     bool isLeaving = false;
     /// The session that schedules the jobs; null unless this node owns them.
     SiteObserver *owner = nullptr;
+    /// Writes all nodes' records with the owner's; null unless this node owns the jobs.
+    GroupCommit *groupCommit = nullptr;
 };
 
 } // namespace Site
