--- a/Libraries/LibSite/AppendPace.cpp
+++ b/Libraries/LibSite/AppendPace.cpp
@@ -25,6 +25,14 @@
     m_beganAt.reset();
 }
 
+void AppendPace::fail(Core::Instant now)
+{
+    if (!m_beganAt)
+        return;
+    m_latency = std::max(now - *m_beganAt, m_latency);
+    m_beganAt.reset();
+}
+
 std::optional<Core::Duration> AppendPace::inFlightFor(Core::Instant now) const
 {
     if (!m_beganAt)
--- a/Libraries/LibSite/OwnerSession.cpp
+++ b/Libraries/LibSite/OwnerSession.cpp
@@ -460,7 +460,7 @@
         if (m_state.health.noteFailure(Core::steadyNow()))
             LOG4CXX_WARN(partLogger, "event=lost dependency=store");
     }
-    m_appendPace.end(Core::steadyNow());
+    m_appendPace.fail(Core::steadyNow());
     co_return false;
 }
 
--- a/Tests/LibJob/TestRecords.cpp
+++ b/Tests/LibJob/TestRecords.cpp
@@ -142,6 +142,8 @@
     CHECK(std::get<OwnerClaim>(roundTrip(bounded)) == bounded);
     const OwnerClaim bound { "node#1", 7, false, 8000, true };
     CHECK(std::get<OwnerClaim>(roundTrip(bound)) == bound);
+    const OwnerClaim reachable { "node#1", 7, false, 8000, true, "10.0.0.1:7000" };
+    CHECK(std::get<OwnerClaim>(roundTrip(reachable)) == reachable);
     const Cancellation cancellation { JobId("5c0e") };
     CHECK(std::get<Cancellation>(roundTrip(cancellation)) == cancellation);
     const OwnerClaim claim { "node#1", 7, true };
--- a/Tests/LibSite/QueueingLog.cpp
+++ b/Tests/LibSite/QueueingLog.cpp
@@ -43,8 +43,8 @@
     struct Outcome
     {
         Supervision::Wakeup wakeup;
-        std::optional<std::int64_t> offset;
-        std::exception_ptr failure;
+        std::optional<std::int64_t> offset = {};
+        std::exception_ptr failure = {};
     };
     const auto outcome = std::make_shared<Outcome>(Outcome { Supervision::Wakeup(m_executor) });
     asio::co_spawn(m_executor, std::move(work),
--- a/Tests/LibSite/TestWriteRoute.cpp
+++ b/Tests/LibSite/TestWriteRoute.cpp
@@ -144,6 +144,17 @@
     CHECK(paceAfter(900).timeLimit() == milliseconds(1500));
 }
 
+/// Guards against nodes that return to direct appends because the store refuses the owner's at once.
+TEST_CASE("A refused append of the owner doesn't count as a fast one")
+{
+    AppendPace pace = paceAfter(320);
+    for (int i = 0; i < 10; ++i) {
+        pace.begin(at(1000));
+        pace.fail(at(1001));
+    }
+    CHECK(pace.latency() == milliseconds(320));
+}
+
 TEST_CASE("One fast append doesn't hide a slow period")
 {
     AppendPace pace = paceAfter(320);
--- a/include/LibSite/AppendPace.h
+++ b/include/LibSite/AppendPace.h
@@ -12,8 +12,11 @@
 {
 public:
     void begin(Core::Instant now);
-    /// The append was answered, or has failed.
+    /// The append has succeeded.
     void end(Core::Instant now);
+    /// The append was refused or wasn't answered. A refusal may come at once, so that this never
+    /// lowers the latency.
+    void fail(Core::Instant now);
 
     /// The recent latency: the larger of the last one and half of the former value, so that one
     /// fast append doesn't hide a slow period.
