--- a/Libraries/LibSite/JobRequestService.cpp
+++ b/Libraries/LibSite/JobRequestService.cpp
@@ -72,7 +72,7 @@
                      "event=submit job=" << id << customerField(caller) << " outcome=known");
         co_return SubmitOutcome::Accepted;
     }
-    if (!isRead || !m_state.health.isReachable()) {
+    if (!isRead || !m_writer.canWrite()) {
         LOG4CXX_INFO(partLogger,
                      "event=submit job=" << id << customerField(caller)
                                          << " outcome=refused reason="
