jobs-benchmark: Measure passes over the steps of customers

Cause: nothing showed what the order by customer costs with 5,000 waiting steps; and the test on urgent work of a small customer passed without priorities, since its share alone gave it a place. Change: customersPass (workers, waiting steps, customers); the test leaves the busy customer three of four places.

--- a/Benchmarks/jobs/LoadedSite.cpp
+++ b/Benchmarks/jobs/LoadedSite.cpp
@@ -32,7 +32,7 @@
         m_workers.push_back(info.id);
         list.push_back(info);
     }
-    m_scheduler.setCatalogue({});
+    setCustomers();
     m_scheduler.setWorkers(list, m_now);
     settle();
     constexpr int tasksPerServingJob = 6;
@@ -51,6 +51,19 @@
     settle();
 }
 
+void LoadedSite::setCustomers()
+{
+    Catalogue catalogue;
+    if (m_load.customers > 0)
+        catalogue.customers.emplace();
+    for (int i = 0; i < m_load.customers; ++i) {
+        Customer customer;
+        customer.id = Core::CustomerId("customer-" + std::to_string(i));
+        catalogue.customers->push_back(customer);
+    }
+    m_scheduler.setCatalogue(catalogue);
+}
+
 void LoadedSite::submitWaiting()
 {
     const int i = m_submitted++;
@@ -67,6 +80,9 @@
 {
     Submission submission;
     submission.id = jobId(number);
+    if (m_load.customers > 0)
+        submission.customer
+            = Core::CustomerId("customer-" + std::to_string(number % m_load.customers));
     submission.queue.id = QueueId("queue-" + std::to_string(priority));
     submission.queue.service = ServiceId("service");
     submission.queue.priority = priority;
--- a/Benchmarks/jobs/LoadedSite.h
+++ b/Benchmarks/jobs/LoadedSite.h
@@ -21,6 +21,8 @@
     int servingImages = 5;
     /// Serving tasks of 7 cores per 6 workers; 24 take nearly all processors.
     int servingTasks = 24;
+    /// The jobs are those of this many customers in turn; 0 for a site without customers.
+    int customers = 0;
 };
 
 /// A scheduler whose workers are full, with jobs that wait: what a pass and a report cost then.
@@ -59,6 +61,7 @@
         void note(std::string_view, std::string_view, std::string_view) override { }
     };
 
+    void setCustomers();
     void submit(int number, const Jobs::StepSpec &step, int priority);
     void submit(const Jobs::Submission &submission);
     Jobs::Submission submission(int number, const Jobs::StepSpec &step, int priority) const;
--- a/Benchmarks/jobs/main.cpp
+++ b/Benchmarks/jobs/main.cpp
@@ -75,6 +75,16 @@
         benchmark::DoNotOptimize(site.pass());
 }
 
+/// A pass over the steps of customers. Arguments: workers, waiting steps, customers.
+static void customersPass(benchmark::State &state)
+{
+    SiteLoad load = busySite(state);
+    load.customers = static_cast<int>(state.range(2));
+    LoadedSite site(load);
+    for (auto _ : state)
+        benchmark::DoNotOptimize(site.pass());
+}
+
 /// One second of the event loop at two ends of tasks per worker.
 static void second(benchmark::State &state)
 {
@@ -161,6 +171,7 @@
 BENCHMARK(endAndPass)->Args({ 48, 100 })->Args({ 48, 500 })->Args({ 660, 500 });
 BENCHMARK(turn)->ArgsProduct({ { 66, 660, 1100 }, { 100, 2000 } });
 BENCHMARK(busyPass)->ArgsProduct({ { 66, 660, 1100 }, { 100, 500, 2000 } });
+BENCHMARK(customersPass)->ArgsProduct({ { 660 }, { 5000 }, { 0, 20, 500 } });
 BENCHMARK(second)
     ->ArgsProduct({ { 66, 660, 1100 }, { 100, 500, 2000 } })
     ->Unit(benchmark::kMillisecond);
--- a/Tests/LibJob/TestCustomerOrder.cpp
+++ b/Tests/LibJob/TestCustomerOrder.cpp
@@ -151,12 +151,14 @@
 TEST_CASE("Urgent work of a small customer starts before the batch work of a busy one")
 {
     // Guards against an order by customer that hides the priorities.
-    Site site({ { "busy", 16 }, { "small", 16 } });
+    // The busy customer's share is three of the four places, so the shares alone don't help.
+    Site site({ { "busy", 48 }, { "small", 16 } });
     site.reportIdle();
     for (const char *id : { "b0", "b1", "b2", "b3" })
         site.fixture.submitFor("busy", wide(1, 2000), id, batch);
-    site.fixture.submitFor("small", wide(1, 2000), "s0", urgent);
-    CHECK(site.starts() == "b0 b1 b2 s0");
+    for (const char *id : { "s0", "s1" })
+        site.fixture.submitFor("small", wide(1, 2000), id, urgent);
+    CHECK(site.starts() == "b0 b1 s0 s1");
 }
 
 TEST_CASE("Room that nobody else wants goes to a customer in excess and above its share")
