LibJob: Make two tests of limits fail without what they guard

The one of unwanted runs whose job is forgotten had the job's unseen runs counted as well, and the one of equal demands planned the limited customer last. Change: the workers count as answered before the job's end is durable; the limited customer's job has the least work.

--- a/Tests/LibJob/TestCustomerLimits.cpp
+++ b/Tests/LibJob/TestCustomerLimits.cpp
@@ -192,7 +192,8 @@
     letWorkersReport(site);
     site.runForTwoSeconds();
     site.submitFor(small);
-    site.submit(SchedulerFixture::step(6, core));
+    // The job with the least work is planned first.
+    site.submit(SchedulerFixture::step(3, core));
     site.submitFor(other);
     site.submit(SchedulerFixture::step(4, core), "of-other");
     site.submitFor({});
@@ -291,10 +292,15 @@
         owner.setCustomers({ customer(small, 2 * core) });
         owner.takeOver(former);
         owner.cancel("job");
-        reportStarted(owner, starts);
-        CHECK(owner.runForTwoSeconds().empty());
-        reportStarted(owner, starts);
-        CHECK(owner.runForTwoSeconds().empty());
+        const std::vector<RunningEntry> running = { { starts[0].task, starts[0].run, "", 0, 0 },
+                                                    { starts[1].task, starts[1].run, "", 0, 0 } };
+        for (int i = 0; i < 2; ++i) {
+            owner.report(SchedulerFixture::first, {}, running);
+            owner.report(SchedulerFixture::second, {});
+            // The workers count as answered before the end is durable.
+            owner.plan();
+            CHECK(owner.runForTwoSeconds().empty());
+        }
         letWorkersReport(owner);
         CHECK(owner.runForTwoSeconds().size() == 2);
     }
