LibSite: Export use and limit by customer, and test the hold of starts

Cause: operators couldn't see how near a customer is to its limit, and the 2.2 s of StartHold had no test. Ruled out: one gauge for all customers beyond 512 (it would tell nothing about any of them); they are left out. Change: lagoonford_customer_use and lagoonford_customer_limit by customer and resource, set once a second on the owner; a case of TestStartHold. The gauges have no test of their own yet.

--- a/Libraries/LibSite/OwnerLoadLog.cpp
+++ b/Libraries/LibSite/OwnerLoadLog.cpp
@@ -58,6 +58,18 @@
     const std::size_t running = scheduler.runningCount();
     const std::size_t waiting = scheduler.waitingCount();
     m_metrics.setTasks(static_cast<double>(running), static_cast<double>(waiting));
+    scheduler.customerLedger().forEachCustomer([this](const Core::CustomerId &customer,
+                                                      const Core::Resources &used,
+                                                      const Core::Resources &limit) {
+        const std::string &label = customer.text();
+        const auto set = [&](const char *resource, std::int64_t use, std::int64_t bound) {
+            m_metrics.setCustomerUse(label, resource, static_cast<double>(use),
+                                     static_cast<double>(bound));
+        };
+        set("millicores", used.milliCores, limit.milliCores);
+        set("mebibytes", used.mebibytes, limit.mebibytes);
+        set("accelerators", used.accelerators, limit.accelerators);
+    });
     LOG4CXX_INFO(detailLogger,
                  "event=load running="
                      << running << " waiting=" << waiting
--- a/Libraries/LibSite/SiteMetrics.cpp
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -16,10 +16,16 @@
     return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
 }
 
+static prometheus::Family<prometheus::Gauge> &
+gauges(prometheus::Registry &registry, const std::string &name, const std::string &help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+}
+
 static prometheus::Gauge &gauge(prometheus::Registry &registry, const std::string &name,
                                 const std::string &help)
 {
-    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+    return gauges(registry, name, help).Add({});
 }
 
 static const prometheus::Histogram::BucketBoundaries latencyBuckets
@@ -32,6 +38,10 @@
                                   "Time to answer callers' requests on jobs"))
     , m_customerRequests(counters(m_registry, "lagoonford_customer_requests_total",
                                   "Requests by customer and class of status"))
+    , m_customerUse(gauges(m_registry, "lagoonford_customer_use",
+                           "What counts toward the customer's limit, by resource"))
+    , m_customerLimit(gauges(m_registry, "lagoonford_customer_limit",
+                             "The customer's limit by resource; 0 for none"))
     , m_storeCalls(counters(m_registry, "lagoonford_store_calls_total",
                             "Calls to the platform's store by kind and outcome"))
     , m_storeSeconds(histograms(m_registry, "lagoonford_store_call_seconds",
@@ -155,6 +165,17 @@
     m_waiting.Set(waiting);
 }
 
+void SiteMetrics::setCustomerUse(const std::string &customer, const std::string &resource,
+                                 double used, double limit)
+{
+    // A gauge of several customers together would tell nothing about any of them.
+    if (customerLabel(customer) != customer)
+        return;
+    const prometheus::Labels labels { { "customer", customer }, { "resource", resource } };
+    m_customerUse.Add(labels).Set(used);
+    m_customerLimit.Add(labels).Set(limit);
+}
+
 void SiteMetrics::setTableAge(double seconds)
 {
     m_tableAge.Set(seconds);
--- a/Tests/LibSite/TestStartHold.cpp
+++ b/Tests/LibSite/TestStartHold.cpp
@@ -10,7 +10,9 @@
     const Core::Instant provenAt(std::chrono::seconds(100));
     const Core::Duration drainTime = milliseconds(4000);
     CopyTimes copies { provenAt, provenAt, provenAt };
-    const auto areHeld = [&] { return areCopiesTooOldForStarts(copies, provenAt, drainTime); };
+    bool hasCustomerLimits = false;
+    const auto areHeld
+        = [&] { return areCopiesTooOldForStarts(copies, provenAt, drainTime, hasCustomerLimits); };
     CHECK_FALSE(areHeld());
 
     SECTION("that of the operators' records after 3 s")
@@ -20,6 +22,16 @@
         copies.operators = provenAt - milliseconds(3001);
         CHECK(areHeld());
     }
+    // With 3 s, a lowered limit would be exceeded by starts that are sent 3.8 s after its
+    // acknowledgement.
+    SECTION("or after 2.2 s if customers have limits")
+    {
+        hasCustomerLimits = true;
+        copies.operators = provenAt - milliseconds(2200);
+        CHECK_FALSE(areHeld());
+        copies.operators = provenAt - milliseconds(2201);
+        CHECK(areHeld());
+    }
     SECTION("that of the jobs after 2 s")
     {
         copies.jobs = provenAt - milliseconds(2000);
--- a/include/LibSite/SiteMetrics.h
+++ b/include/LibSite/SiteMetrics.h
@@ -42,6 +42,10 @@
     void observeDurableEnd(double seconds);
     void setOwner(bool isOwner);
     void setTasks(double running, double waiting);
+    /// Sets what a customer uses of a resource (millicores, mebibytes or accelerators) and its
+    /// limit; 0 for no limit. Customers beyond the first `maxCustomerLabels` are left out.
+    void setCustomerUse(const std::string &customer, const std::string &resource, double used,
+                        double limit);
     /// Sets the age of the copy of the job records; -1 if it was never complete.
     void setTableAge(double seconds);
     /// Sets how many connections to workers are open, in use and idle.
@@ -73,6 +77,8 @@
     prometheus::Family<prometheus::Counter> &m_requests;
     prometheus::Family<prometheus::Histogram> &m_requestSeconds;
     prometheus::Family<prometheus::Counter> &m_customerRequests;
+    prometheus::Family<prometheus::Gauge> &m_customerUse;
+    prometheus::Family<prometheus::Gauge> &m_customerLimit;
     std::set<std::string> m_customerLabels;
     prometheus::Family<prometheus::Counter> &m_storeCalls;
     prometheus::Family<prometheus::Histogram> &m_storeSeconds;
