--- a/Tests/platform/TestJobApiHandler.cpp
+++ b/Tests/platform/TestJobApiHandler.cpp
@@ -1,90 +1,15 @@
-#include "JobApiHandler.h"
-#include "PlatformRecordDecoder.h"
-
-#include <LibCore/Json.h>
-#include <LibSite/QueueResolver.h>
-#include <LibSite/SiteFixture.h>
-
-#include <boost/beast/http/field.hpp>
-#include <json/value.h>
-
-#include <thread>
-
-namespace http = boost::beast::http;
+#include "JobApiFixture.h"
 
 namespace {
 
 const std::string oldQueuePath = "/old/";
 const std::string newQueuePath = "/new/";
-const std::string jobId = "5c0e7a21d94b36f8";
-
-/// A node that follows an in-memory store, with the handler of callers' requests.
-struct HandlerFixture : SiteFixture
-{
-    HandlerFixture()
-        : node(SiteSettings { "one#1", {}, {}, std::chrono::seconds(2) }, context, log, workers,
-               platformDecoder)
-        , queueResolver(node.state, node.operators)
-        , handler(node.state, queueResolver, node.jobRequests)
-    {
-        asio::co_spawn(context, node.jobs.run(), asio::detached);
-        asio::co_spawn(context, node.operators.run(), asio::detached);
-    }
-
-    /// Publishes a version of the catalogue with one queue for each path prefix.
-    void publish(int version, const std::vector<std::string> &prefixes)
-    {
-        Json::Value catalogue(Json::objectValue);
-        catalogue["version"] = version;
-        for (const std::string &prefix : prefixes) {
-            Json::Value &route = catalogue["routes"].append(Json::Value(Json::objectValue));
-            route["name"] = prefix;
-            route["host"] = "h.example";
-            route["pathPrefix"] = prefix;
-            route["service"] = "s";
-            route["priority"] = 0;
-            route["maxAttempts"] = 3;
-            route["stretch"] = 1.5;
-            route["sloMs"] = 250;
-        }
-        catalogue["services"][0]["name"] = "s";
-        catalogue["services"][0]["rejectsOverload"] = true;
-        catalogue["limits"]["headerBytes"] = 16384;
-        catalogue["limits"]["bodyBytes"] = 262144;
-        catalogue["limits"]["headerTimeoutMs"] = 3000;
-        catalogue["limits"]["idleTimeoutMs"] = 15000;
-        log.put(Topic::Operators, { "config", Core::Json::write(catalogue) });
-    }
-    Http::ServerResponse call(http::verb method, const std::string &target,
-                              const std::string &body = "")
-    {
-        Http::ServerRequest request(method, target, 11);
-        request.set(http::field::host, "h.example");
-        request.set(http::field::content_type, "application/json");
-        request.body() = body;
-        return await(handler.answer(std::move(request)));
-    }
-    /// Simulates a suspended VM: time passes, but the node runs nothing.
-    static void suspendVm(int ms) { std::this_thread::sleep_for(milliseconds(ms)); }
-    /// The status of the response to a count of waiting jobs.
-    unsigned count(const std::string &queue) { return call(http::verb::get, queue).result_int(); }
-    Http::ServerResponse submit(const std::string &queue)
-    {
-        return call(http::verb::post, queue + jobId,
-                    R"({"spec":"text","steps":[{"count":1,"cpu":500,"memMb":256}]})");
-    }
-
-    Adapter::PlatformRecordDecoder platformDecoder;
-    TestNode node;
-    QueueResolver queueResolver;
-    Adapter::JobApiHandler handler;
-};
 
 } // namespace
 
 TEST_CASE("Callers reach the queues in the published catalogue")
 {
-    HandlerFixture site;
+    JobApiFixture site;
 
     SECTION("without a catalogue, a node answers 503 with Retry-After")
     {
@@ -109,7 +34,7 @@
 /// reach the store.
 TEST_CASE("A node answers 404 for a queue only from a current catalogue")
 {
-    HandlerFixture site;
+    JobApiFixture site;
     site.publish(1, { oldQueuePath });
     site.run(100);
     REQUIRE(site.count(newQueuePath) == 404);
@@ -173,7 +98,7 @@
 /// couldn't read the catalogue.
 TEST_CASE("A node accepts jobs for a queue only from a current catalogue")
 {
-    HandlerFixture site;
+    JobApiFixture site;
     site.publish(1, { oldQueuePath, newQueuePath });
     site.run(100);
 
--- a/Tests/platform/TestMessages.cpp
+++ b/Tests/platform/TestMessages.cpp
@@ -238,6 +238,26 @@
         const NodeSettings settings = parseNodeSettings(text, "s.ini");
         CHECK(settings.descriptors == DescriptorShares::defaultDescriptors);
     }
+    SECTION("the time for which a key works without the store, and its defaults")
+    {
+        CHECK(parseNodeSettings(settingsText, "s.ini").revocationTime
+              == std::chrono::milliseconds(5000));
+        CHECK_FALSE(parseNodeSettings(settingsText, "s.ini").isRevocationStrict);
+        const auto withBounds = [](const std::string &lines) {
+            std::string text = settingsText;
+            return parseNodeSettings(text.insert(text.find("lease-ms"), lines), "s.ini");
+        };
+        const NodeSettings empty = withBounds("revoke-ms =\nstrict-revoke =\n");
+        CHECK(empty.revocationTime == std::chrono::milliseconds(5000));
+        CHECK_FALSE(empty.isRevocationStrict);
+        const NodeSettings set = withBounds("revoke-ms = 2500\nstrict-revoke = true\n");
+        CHECK(set.revocationTime == std::chrono::milliseconds(2500));
+        CHECK(set.isRevocationStrict);
+        CHECK_FALSE(withBounds("strict-revoke = false\n").isRevocationStrict);
+        for (const char *odd : { "revoke-ms = -1\n", "revoke-ms = soon\n", "revoke-ms = 600001\n",
+                                 "strict-revoke = yes\n", "strict-revoke = 1\n" })
+            CHECK_THROWS_AS(withBounds(odd), Core::FormatError);
+    }
     SECTION("the error lists all invalid keys")
     {
         std::string text = settingsText;
