platform: Refuse a list of customers that is null

Cause: a null counted as a site without customers, which is open to callers without a key. Measured: not run yet; TestCustomerEntries has the case.

--- a/Tests/platform/TestCustomerEntries.cpp
+++ b/Tests/platform/TestCustomerEntries.cpp
@@ -79,6 +79,7 @@
     {
         CHECK_THROWS_AS(decode(R"(,"tenants":{"name":"a"})"), Core::FormatError);
         CHECK_THROWS_AS(decode(R"(,"tenants":"a")"), Core::FormatError);
+        CHECK_THROWS_AS(decode(R"(,"tenants":null)"), Core::FormatError);
     }
     SECTION("every finite weight above 0 is accepted")
     {
