--- a/Tests/LibSite/TestWriteRoute.cpp
+++ b/Tests/LibSite/TestWriteRoute.cpp
@@ -144,7 +144,8 @@
     CHECK(paceAfter(900).timeLimit() == milliseconds(1500));
 }
 
-/// Guards against nodes that return to direct appends because the store refuses the owner's at once.
+/// Guards against nodes that return to direct appends because the store refuses the owner's at
+/// once.
 TEST_CASE("A refused append of the owner doesn't count as a fast one")
 {
     AppendPace pace = paceAfter(320);
--- a/Tests/platform/TestPeerRecords.cpp
+++ b/Tests/platform/TestPeerRecords.cpp
@@ -39,6 +39,8 @@
     void own() { state.groupCommit = &commits; }
     ForwardResult forward(int ms = 500)
     {
+        // The context has stopped if the server has.
+        context.restart();
         std::optional<ForwardResult> result;
         const std::string address = "127.0.0.1:" + std::to_string(port);
         asio::co_spawn(
