LibHttp: Test the refusals of a server

TestServer checks the 503 of an exhausted budget and the 431 of too many fields over a connection. A name that Beast prescribes is exempted from the naming check.

--- a/Libraries/LibHttp/ReceivedBody.h
+++ b/Libraries/LibHttp/ReceivedBody.h
@@ -21,7 +21,8 @@
 {
     using value_type = std::string;
 
-    class reader
+    /// The name is prescribed by Beast.
+    class reader // NOLINT(readability-identifier-naming)
     {
     public:
         template<bool isRequest, class Fields>
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace asio = boost::asio;
@@ -64,3 +65,54 @@
         context.run_one();
     CHECK(answers == maxConnections);
 }
+
+namespace {
+
+/// The status with which a server with the budget answers a request with the fields.
+unsigned statusOf(std::shared_ptr<Http::MemoryBudget> budget, std::size_t fieldCount)
+{
+    asio::io_context context;
+    const Http::Endpoint endpoint { "127.0.0.1", freePort(context) };
+    OkHandler handler;
+    Http::Server server("callers", endpoint, handler, context.get_executor(),
+                        Http::ServerLimits().connections, std::move(budget));
+    asio::co_spawn(context, server.run(), asio::detached);
+    Http::Client client(context.get_executor(), endpoint);
+    Http::Request request;
+    request.step = "read";
+    request.target = "/";
+    request.fields.assign(fieldCount, { "a", "b" });
+    std::optional<unsigned> status;
+    const Core::Instant deadline = Core::steadyNow() + std::chrono::seconds(2);
+    asio::co_spawn(context, client.exchange(std::move(request), deadline),
+                   [&](const std::exception_ptr &failure, const Http::Answer &answer) {
+                       status = failure ? 0 : answer.status;
+                   });
+    while (!status)
+        context.run_one();
+    return *status;
+}
+
+} // namespace
+
+// Guards against taking requests in for which there is no memory.
+TEST_CASE("A server refuses requests while its budget is exhausted")
+{
+    const auto budget = std::make_shared<Http::MemoryBudget>(4096);
+    CHECK(statusOf(budget, 1) == 200);
+    const auto group = std::make_shared<Http::MemoryBudget::Group>(budget);
+    Http::MemoryBudget::Connection other(
+        group, [] {}, Core::steadyNow());
+    other.hold(4096, Core::steadyNow());
+    CHECK(statusOf(budget, 1) == 503);
+    other.becomeIdle(Core::steadyNow());
+    CHECK(statusOf(budget, 1) == 200);
+}
+
+// Guards against headers that take many times their bytes.
+TEST_CASE("A server refuses headers of too many fields")
+{
+    // The client adds the field Host.
+    CHECK(statusOf(nullptr, Http::ServerLimits().headerFields - 1) == 200);
+    CHECK(statusOf(nullptr, Http::ServerLimits().headerFields) == 431);
+}
