--- a/Libraries/LibHttp/MemoryBudget.cpp
+++ b/Libraries/LibHttp/MemoryBudget.cpp
@@ -101,6 +101,7 @@
 
 void MemoryBudget::Connection::beginTransfer(Core::Instant now)
 {
+    m_bytesAtProgress = 0;
     enterOrder(m_group->m_transferring, now);
 }
 
@@ -109,15 +110,16 @@
     enterOrder(m_group->m_answering, now);
 }
 
-bool MemoryBudget::Connection::hold(std::size_t bytes, Core::Instant now)
+bool MemoryBudget::Connection::hold(std::size_t bytes, std::size_t transferredBytes,
+                                    Core::Instant now)
 {
     if (m_isClosed)
         return false;
     MemoryBudget &budget = *m_group->m_budget;
     budget.m_heldBytes -= std::exchange(m_heldBytes, bytes);
     budget.add(bytes);
-    if (bytes >= m_bytesAtProgress + progressBytes) {
-        m_bytesAtProgress = bytes;
+    if (transferredBytes >= m_bytesAtProgress + progressBytes) {
+        m_bytesAtProgress = transferredBytes;
         m_lastProgress = now;
         m_order->splice(m_order->end(), *m_order, m_position);
     }
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -233,18 +233,23 @@
         now = Core::steadyNow();
     }
     ++m_inProgress;
+    std::size_t receivedBytes = buffer.size();
     connection.beginTransfer(now);
     stream.expires_at(Core::toSteadyTimePoint(now + limits.receiveTime));
     Refusal refusal = parseReceived(buffer, *parser, limits);
-    if (refusal == Refusal::None && !connection.hold(heldBytes(buffer, *parser), now))
+    if (refusal == Refusal::None
+        && !connection.hold(heldBytes(buffer, *parser), receivedBytes, now))
         refusal = Refusal::MemoryShort;
     while (refusal == Refusal::None && !parser->is_done()) {
         receiveBuffer.makeRoom(*parser);
-        buffer.commit(co_await stream.async_read_some(
-            freeRoom(buffer), asio::redirect_error(asio::use_awaitable, error)));
+        const std::size_t bytes = co_await stream.async_read_some(
+            freeRoom(buffer), asio::redirect_error(asio::use_awaitable, error));
+        buffer.commit(bytes);
+        receivedBytes += bytes;
         now = Core::steadyNow();
         refusal = error ? Refusal::Broken : parseReceived(buffer, *parser, limits);
-        if (refusal == Refusal::None && !connection.hold(heldBytes(buffer, *parser), now))
+        if (refusal == Refusal::None
+            && !connection.hold(heldBytes(buffer, *parser), receivedBytes, now))
             refusal = Refusal::MemoryShort;
     }
     bool isKept = false;
@@ -265,7 +270,7 @@
         response.prepare_payload();
         connection.beginTransfer(now);
         // The request may have been carried out, so the response is sent even if memory is short.
-        connection.hold(buffer.capacity() + response.body().size(), now);
+        connection.hold(buffer.capacity() + response.body().size(), 0, now);
         stream.expires_at(Core::toSteadyTimePoint(now + writeTime));
         co_await http::async_write(stream, response,
                                    asio::redirect_error(asio::use_awaitable, error));
--- a/Libraries/LibJob/PlanningPass.cpp
+++ b/Libraries/LibJob/PlanningPass.cpp
@@ -20,14 +20,15 @@
         < std::tie(right.job->id(), right.occurrence, right.step);
 }
 
-/// Large jobs are put first among the steps with the same key.
-static std::tuple<bool, int, bool> sideOf(const StartRank &rank)
+/// Two large jobs of each group are put first. Whether a job has any value left doesn't matter:
+/// large ones have one.
+static std::tuple<bool, int, bool> largeJobGroup(const StartRank &rank)
 {
     return { rank.isInExcess, rank.priority, rank.isAboveShare };
 }
 
-/// Steps that differ in this compare by it alone; steps that are equal in it may be put first.
-static auto classOf(const StartRank &rank)
+/// The part of the order that comes before the places of large jobs.
+static auto orderClass(const StartRank &rank)
 {
     return std::tuple(rank.isInExcess, rank.isTooLate, rank.priority, rank.isAboveShare);
 }
@@ -72,16 +73,16 @@
     // Large jobs in excess, or of customers above their share, don't take the places of others.
     std::map<std::tuple<bool, int, bool>, std::set<JobId>> first;
     for (const WaitingStep *waiting : large) {
-        std::set<JobId> &ofSide = first[sideOf(waiting->rank)];
-        if (ofSide.size() < maxLargeJobsFirst)
-            ofSide.insert(waiting->job->id());
+        std::set<JobId> &ofGroup = first[largeJobGroup(waiting->rank)];
+        if (ofGroup.size() < maxLargeJobsFirst)
+            ofGroup.insert(waiting->job->id());
     }
     for (WaitingStep &waiting : m_steps)
-        waiting.isPutFirst = first[sideOf(waiting.rank)].contains(waiting.job->id());
+        waiting.isPutFirst = first[largeJobGroup(waiting.rank)].contains(waiting.job->id());
     std::stable_sort(m_steps.begin(), m_steps.end(),
                      [](const WaitingStep &left, const WaitingStep &right) {
                          const auto key = [](const WaitingStep &waiting) {
-                             return std::pair(classOf(waiting.rank), !waiting.isPutFirst);
+                             return std::pair(orderClass(waiting.rank), !waiting.isPutFirst);
                          };
                          return key(left) < key(right);
                      });
@@ -143,7 +144,7 @@
     if (other.isOverdue)
         return false;
     if (other.isPutFirst)
-        return classOf(postponed.rank) < classOf(other.rank);
+        return orderClass(postponed.rank) < orderClass(other.rank);
     return isBefore(postponed, other);
 }
 
@@ -177,8 +178,8 @@
 void PlanningPass::join(const WaitingStep &joining)
 {
     const auto isPlace = [&joining](const WaitingStep &other) {
-        const bool mayOvertake
-            = !other.isOverdue && (!other.isPutFirst || sideOf(joining.rank) < sideOf(other.rank));
+        const bool mayOvertake = !other.isOverdue
+            && (!other.isPutFirst || largeJobGroup(joining.rank) < largeJobGroup(other.rank));
         return mayOvertake && other.job && isBefore(joining, other);
     };
     const auto rest = m_steps.begin() + static_cast<std::ptrdiff_t>(m_next);
--- a/Libraries/LibSite/Authentication.cpp
+++ b/Libraries/LibSite/Authentication.cpp
@@ -18,7 +18,7 @@
         return { isCurrent ? AuthenticationOutcome::Unauthorized
                            : AuthenticationOutcome::Unavailable };
     const bool isRecentEnough
-        = isCurrent || (credentials.concernsKnownJob && catalogueAge <= limits.knownKey);
+        = isCurrent || (credentials.canCreateNothing && catalogueAge <= limits.knownKey);
     if (!isRecentEnough)
         return {};
     return { AuthenticationOutcome::Granted, { *customer, true } };
--- a/Libraries/LibSite/JobRequestService.cpp
+++ b/Libraries/LibSite/JobRequestService.cpp
@@ -72,6 +72,13 @@
                      "event=submit job=" << id << customerField(caller) << " outcome=known");
         co_return SubmitOutcome::Accepted;
     }
+    // The job is in the store, and may be the caller's.
+    if (isKnown(id)) {
+        LOG4CXX_INFO(partLogger,
+                     "event=submit job=" << id << customerField(caller)
+                                         << " outcome=unknown reason=customer-not-read");
+        co_return SubmitOutcome::Unknown;
+    }
     if (!isRead || !m_writer.canWrite()) {
         LOG4CXX_INFO(partLogger,
                      "event=submit job=" << id << customerField(caller)
@@ -101,10 +108,12 @@
                                                           Core::Instant deadline)
 {
     const bool isTold = isKnown(id) && isCustomerKnown(id, caller);
-    // Without the store, the submission is refused in any case.
-    if (isTold || !m_state.health.isReachable())
+    if (isTold)
         co_return true;
-    const bool isRead = co_await m_follower.refresh(refreshDeadline(deadline));
+    // Without the store a read would only take its time limit. The owner may still take the
+    // submission, so the copy has to be current all the same.
+    const bool isRead
+        = m_state.health.isReachable() && co_await m_follower.refresh(refreshDeadline(deadline));
     co_return isRead || m_state.tableFreshness.isCurrent(Core::suspendAwareNow());
 }
 
--- a/Libraries/LibSite/OperatorFollower.cpp
+++ b/Libraries/LibSite/OperatorFollower.cpp
@@ -146,7 +146,14 @@
     if (m_state.catalogue && m_state.catalogue->version >= catalogue.version)
         return;
     m_state.catalogue = catalogue;
-    m_state.keys = KeyDirectory(catalogue.customers.value_or(std::vector<Jobs::Customer>()));
+    if (std::optional<std::vector<Jobs::Customer>> &customers = m_state.catalogue->customers) {
+        m_state.keys = KeyDirectory(*customers);
+        // From now on only the digests are needed.
+        for (Jobs::Customer &customer : *customers)
+            customer.keys.clear();
+    } else {
+        m_state.keys = KeyDirectory();
+    }
     LOG4CXX_INFO(
         partLogger,
         "event=catalogue version="
--- a/Tests/HostileClients/TestHostileClients.cpp
+++ b/Tests/HostileClients/TestHostileClients.cpp
@@ -50,6 +50,7 @@
         constexpr int maxAttempts = 200;
         for (int i = 0; i < maxAttempts && readinessStatus() == 0; ++i)
             std::this_thread::sleep_for(20ms);
+        REQUIRE(readinessStatus() == 503);
     }
     ~NodeFixture() { std::filesystem::remove(settingsPath()); }
 
--- a/Tests/LibSite/TestAuthentication.cpp
+++ b/Tests/LibSite/TestAuthentication.cpp
@@ -38,7 +38,7 @@
         CallCredentials credentials;
         if (key != KeyKind::None)
             credentials.key = key == KeyKind::Known ? "key-a" : "key-b";
-        credentials.concernsKnownJob = call == CallKind::KnownJob;
+        credentials.canCreateNothing = call == CallKind::KnownJob;
         return Site::authenticate(catalogue, keys, queue, credentials, age, limits);
     }
 
--- a/Tests/LibSite/TestForwardedRecords.cpp
+++ b/Tests/LibSite/TestForwardedRecords.cpp
@@ -63,6 +63,24 @@
     CHECK(site.written("b") == 1);
 }
 
+/// Guards against taking the ID of another customer's job, which a node without the store can't
+/// know.
+TEST_CASE("A node without the store forwards no customer's job once its copy is old")
+{
+    ForwardingSite site;
+    site.other.link.isDown = true;
+    site.log.refusesReads = true;
+    CHECK(site.runUntil([&site] { return !site.other.node.state.health.isReachable(); }));
+    CHECK(site.runUntil([&site] {
+        return !site.other.node.state.tableFreshness.isCurrent(Core::suspendAwareNow());
+    }));
+    const Caller caller { Core::CustomerId("nord"), true };
+    const Core::Instant deadline = site.deadlineIn(2500);
+    CHECK(site.await(site.other.requests.submit(job("x"), deadline, caller))
+          == SubmitOutcome::Refused);
+    CHECK(site.written("x") == 0);
+}
+
 /// Guards against a node that stays away from a store that it reaches again, and one that asks for
 /// it with each record.
 TEST_CASE("A node whose appends failed returns to direct ones after a successful probe")
--- a/include/LibHttp/MemoryBudget.h
+++ b/include/LibHttp/MemoryBudget.h
@@ -106,8 +106,9 @@
     /// The request is being answered; the connection isn't closed meanwhile.
     void beginAnswer(Core::Instant now);
     /// Counts \p bytes instead of those counted so far, and closes other connections if the budget
-    /// is exhausted. Returns false if that wasn't enough.
-    bool hold(std::size_t bytes, Core::Instant now);
+    /// is exhausted. Returns false if that wasn't enough. \p transferredBytes is what the present
+    /// transfer has moved since it began: progress, whatever room has been allocated for it.
+    bool hold(std::size_t bytes, std::size_t transferredBytes, Core::Instant now);
 
 private:
     friend class MemoryBudget;
@@ -122,6 +123,7 @@
     std::function<void()> m_onClose;
     Core::Instant m_lastProgress;
     std::size_t m_heldBytes = 0;
+    /// What the present transfer had moved at the last progress.
     std::size_t m_bytesAtProgress = 0;
     bool m_isClosed = false;
     /// The order that the connection is in, unless it has been closed.
--- a/include/LibJob/CustomerLedger.h
+++ b/include/LibJob/CustomerLedger.h
@@ -17,7 +17,7 @@
 public:
     using Amounts = std::map<Core::CustomerId, Core::Resources>;
 
-    /// Replaces limits and weights. A customer that isn't among \p customers any more keeps its
+    /// Replaces the limits. A customer that isn't among \p customers any more keeps its
     /// limit: its remaining jobs go on.
     void setCustomers(const std::vector<Customer> &customers);
     /// True if one of the customers that were set last has a limit.
--- a/include/LibSite/Authentication.h
+++ b/include/LibSite/Authentication.h
@@ -32,7 +32,7 @@
 enum class AuthenticationOutcome {
     /// The call may be made.
     Granted,
-    /// The call needs a customer's key and has none.
+    /// The call needs a customer's key and has none, or one that no customer has.
     Unauthorized,
     /// The catalogue is too old to tell.
     Unavailable,
@@ -64,8 +64,8 @@
 {
     /// The key that the call carries; nothing if it carries none, or none that can be read.
     std::optional<std::string> key = {};
-    /// The call changes and tells nothing but the state of a job that exists already.
-    bool concernsKnownJob = false;
+    /// The call can't create a job: it reads or cancels one, or repeats a submission.
+    bool canCreateNothing = false;
 };
 
 /// Decides whether a call to \p queue may be made, and for whom. \p catalogueAge is how long ago
