--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -103,7 +103,7 @@
     const auto group = std::make_shared<Http::MemoryBudget::Group>(budget);
     Http::MemoryBudget::Connection other(
         group, [] {}, Core::steadyNow());
-    other.hold(4096, Core::steadyNow());
+    other.hold(4096, 4096, Core::steadyNow());
     CHECK(statusOf(budget, 1) == 503);
     other.becomeIdle(Core::steadyNow());
     CHECK(statusOf(budget, 1) == 200);
