review: Add case 9, tasks restart one at a time after a crash

Tasks that were on a worker when it crashed, and that no report had listed 200 ms after their start, are suspects; only one suspect of a job may run until it is cleared.

28 lasting tasks had run for 0.5 s on a worker that crashed for 3.5 s. Nothing of the program is changed.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build/review-2
-for name in long-tasks wide-gang lasting-tasks flapping-worker; do
+for name in long-tasks flapping-worker wide-gang crash-at-start lasting-tasks; do
     g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "build/review-2/$name" "review/$name.cc"
 done
