--- a/review/Site2.hh
+++ b/review/Site2.hh
@@ -70,7 +70,8 @@
     std::mutex m_mutex;
     FILE *m_file = nullptr;
 };
-inline Record g_record;
+/// Threads of connections may outlive `main()`, so nothing that they use is destroyed.
+inline Record &g_record = *new Record;
 
 // JSON, as far as the messages need it.
 
@@ -588,7 +589,7 @@
     std::mutex m_mutex;
     std::vector<RunEvent> m_events;
 };
-inline History g_history;
+inline History &g_history = *new History;
 
 /// What a task does, by the words of its job's `spec`:
 /// `work=MS` ends `done` after so long; `lasts` never ends; `failAt=MS` ends `failed` after so
@@ -643,7 +644,7 @@
     std::mutex m_mutex;
     std::map<string, Gang> m_gangs;
 };
-inline Gangs g_gangs;
+inline Gangs &g_gangs = *new Gangs;
 inline string gangOf(const string &task, std::int64_t run)
 {
     return task.substr(0, task.rfind('.')) + '#' + std::to_string(run);
@@ -956,12 +957,13 @@
     static constexpr int callerPort = 18161;
     static constexpr int readinessPort = 18167;
 
-    Node(string folder, string name, string ip, string zone, string store)
+    Node(string folder, string name, string ip, string zone, string store, string graceS)
         : m_folder(std::move(folder))
         , m_name(std::move(name))
         , m_ip(std::move(ip))
         , m_zone(std::move(zone))
         , m_store(std::move(store))
+        , m_graceS(std::move(graceS))
     {
     }
     ~Node() { kill(SIGKILL); }
@@ -977,11 +979,11 @@
                 "4100\nmemory-mb = 260\nprocessor-share = 0.25\n[link]\nmegabits-per-second = "
                 "1000.0\n[store]\naddress = %s\n[bounds]\nlease-ms = 6000\ndrain-ms = "
                 "2000\nretention-s = 120\nrevoke-ms = \nstrict-revoke = \nshutdown-s = "
-                "6\n[log]\nlevel = INFO\n",
+                "%s\n[log]\nlevel = INFO\n",
                 m_name.c_str(), m_zone.c_str(), m_ip.c_str(), callerPort, m_ip.c_str(),
-                readinessPort, m_ip.c_str(), m_store.c_str());
+                readinessPort, m_ip.c_str(), m_store.c_str(), m_graceS.c_str());
         fclose(file);
-        const string log = m_folder + '/' + m_name + ".log";
+        const string log = logPath();
         m_process = fork();
         if (m_process == 0) {
             prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -1020,12 +1022,16 @@
             && info.si_pid == 0;
     }
 
+    const string &name() const { return m_name; }
+    string logPath() const { return m_folder + '/' + m_name + ".log"; }
+
 private:
     string m_folder;
     string m_name;
     string m_ip;
     string m_zone;
     string m_store;
+    string m_graceS;
     pid_t m_process = 0;
 };
 
@@ -1074,6 +1080,8 @@
         int cores = 8;
         /// The last worker has the label `press` as well.
         bool hasPress = false;
+        /// The bound `graceS` of the settings.
+        string graceS = "6";
     };
 
     explicit Site(const Size &size)
@@ -1085,22 +1093,23 @@
             std::vector<string> labels { "a", "r1-" + std::to_string(i / 5) };
             if (size.hasPress && i == size.workers - 1)
                 labels.push_back("press");
-            m_workers.push_back(std::make_unique<Worker>(m_store, "i-" + std::to_string(i),
-                                                         ipOf(100 + i), "z-a", labels,
-                                                         size.cores));
+            m_workers.push_back(new Worker(m_store, "i-" + std::to_string(i), ipOf(100 + i),
+                                           "z-a", labels, size.cores));
             m_workers.back()->start();
         }
         for (int i = 0; i < 3; ++i) {
             m_nodes.push_back(std::make_unique<Node>(m_folder, "n" + std::to_string(i), ipOf(1 + i),
                                                      "z-a",
-                                                     ipOf(200) + ':' + std::to_string(port)));
+                                                     ipOf(200) + ':' + std::to_string(port),
+                                                     size.graceS));
             m_nodes.back()->start();
         }
     }
     ~Site()
     {
         m_nodes.clear();
-        m_workers.clear();
+        for (Worker *worker : m_workers)
+            worker->crash();
         const string command = "rm -rf " + m_folder;
         if (system(command.c_str()) != 0)
             g_record.line("the temporary folder is left");
@@ -1122,13 +1131,14 @@
     }
     Worker &worker(int index) { return *m_workers[static_cast<std::size_t>(index)]; }
     Worker &lastWorker() { return *m_workers.back(); }
-    std::vector<std::unique_ptr<Worker>> &workers() { return m_workers; }
+    const std::vector<Worker *> &workers() { return m_workers; }
+    const std::vector<std::unique_ptr<Node>> &nodes() const { return m_nodes; }
     const Node &node(int index) const { return *m_nodes[static_cast<std::size_t>(index)]; }
 
 private:
     string m_folder;
-    Store m_store;
-    std::vector<std::unique_ptr<Worker>> m_workers;
+    Store &m_store = *new Store;
+    std::vector<Worker *> m_workers;
     std::vector<std::unique_ptr<Node>> m_nodes;
 };
 
--- a/review/crash-at-start.cc
+++ b/review/crash-at-start.cc
@@ -25,9 +25,9 @@
     if (g_history.count(job, "start") != tasks)
         return 2;
     Worker *crashed = nullptr;
-    for (const auto &worker : site.workers()) {
+    for (Worker *worker : site.workers()) {
         if (!worker->runningTasks().empty())
-            crashed = worker.get();
+            crashed = worker;
     }
     if (isTrouble())
         crashed->crash();
