--- a/review/Site2.hh
+++ b/review/Site2.hh
@@ -1129,6 +1129,7 @@
         }
         return false;
     }
+    Store &store() { return m_store; }
     Worker &worker(int index) { return *m_workers[static_cast<std::size_t>(index)]; }
     Worker &lastWorker() { return *m_workers.back(); }
     const std::vector<Worker *> &workers() { return m_workers; }
