LibSite: Say on which latency the refusal of a write rests

The line event=write-refused names a latency of 4.3 s, but not what it was measured from, how old it is, and whether anything could still correct it, so the hypotheses couldn't be told apart:

1. the owner's reported latency, kept since an append that was in flight while the owner was frozen (the claim): source=owner-report, an age that grows, an admitted count that stands still; 2. the node's own append, in flight while the node itself was paused, also where the owner has never reported a latency: source=own-appends, the same; 3. a store or an owner that is really slow: a small age, as each admitted write measures again; 4. an append that is never answered: in_flight_ms grows.

Ruled out by reading: StoreHealth (its refusal says reason=store-lost).

The line now has source, age_ms, in_flight_ms and the number of admitted writes, and lagoonford_refused_writes_total counts refusals by source. For this WriteRoute keeps with each latency where and when it was measured. Nothing else changes what is decided.

--- a/Libraries/LibSite/RecordWriter.cpp
+++ b/Libraries/LibSite/RecordWriter.cpp
@@ -147,7 +147,7 @@
             bytes += sizeInBytes(record);
     }
     AppendQueue queue;
-    queue.latency = m_route.latency(choice.path);
+    queue.latency = m_route.latency(choice.path).latency;
     if (m_beganAt)
         queue.inFlightFor = now - *m_beganAt;
     queue.fullAppends = std::max(records / maxRecordsPerAppend, bytes / maxBytesPerAppend);
@@ -159,14 +159,28 @@
 {
     const Core::Instant now = Core::steadyNow();
     const AppendQueue queue = queueAhead(now);
-    if (isDurableWithin(queue, deadline - now))
+    if (isDurableWithin(queue, deadline - now)) {
+        ++m_admittedWrites;
         return true;
+    }
+    logRefusal(queue, deadline, now);
+    return false;
+}
+
+void RecordWriter::logRefusal(const AppendQueue &queue, Core::Instant deadline, Core::Instant now)
+{
+    const LatencyEstimate estimate = m_route.latency(chooseRoute(now).path);
+    m_state.metrics.countRefusedWrite(latencySourceText(estimate.source));
+    const bool isMeasured = estimate.source != LatencySource::None;
+    const std::string age
+        = isMeasured ? std::to_string(inMilliseconds(now - estimate.measuredAt)) : "never";
     LOG4CXX_INFO(partLogger,
                  "event=write-refused reason=deadline latency_ms="
-                     << inMilliseconds(queue.latency)
-                     << " ahead_ms=" << inMilliseconds(drainTime(queue))
+                     << inMilliseconds(queue.latency) << " source="
+                     << latencySourceText(estimate.source) << " age_ms=" << age << " in_flight_ms="
+                     << inMilliseconds(queue.inFlightFor.value_or(Core::Duration())) << " admitted="
+                     << m_admittedWrites << " ahead_ms=" << inMilliseconds(drainTime(queue))
                      << " left_ms=" << inMilliseconds(deadline - now));
-    return false;
 }
 
 std::int64_t RecordWriter::retryAfterSeconds() const
@@ -258,18 +272,18 @@
     const Core::Instant now = Core::steadyNow();
     switch (result.outcome) {
     case ForwardOutcome::Written:
-        m_route.noteOwnerAnswer(result.latency);
+        m_route.noteOwnerAnswer(result.latency, now);
         decideAll(batch, WriteOutcome::Written);
         break;
     case ForwardOutcome::Refused:
-        m_route.noteOwnerAnswer(result.latency);
+        m_route.noteOwnerAnswer(result.latency, now);
         m_ownerDrainedAt = now + result.drainTime;
         for (const auto &pending : batch)
             giveUp(*pending);
         batch.clear();
         break;
     case ForwardOutcome::Unknown:
-        m_route.noteOwnerAnswer(result.latency);
+        m_route.noteOwnerAnswer(result.latency, now);
         markInDoubt(batch);
         break;
     case ForwardOutcome::NoAnswer:
@@ -301,15 +315,15 @@
     LOG4CXX_INFO(partLogger,
                  "event=" << (m_wasDirect ? "writes-direct" : "writes-forwarded")
                           << " reason=" << routeReason(m_route) << " latency_ms="
-                          << inMilliseconds(m_route.latency(WriteRoute::Path::Direct))
+                          << inMilliseconds(m_route.latency(WriteRoute::Path::Direct).latency)
                           << " owner_latency_ms="
-                          << inMilliseconds(m_route.latency(WriteRoute::Path::Forward))
+                          << inMilliseconds(m_route.latency(WriteRoute::Path::Forward).latency)
                           << " owner=" << (owner.empty() ? "none" : owner));
 }
 
 void RecordWriter::refuseLate(Core::Instant notBefore)
 {
-    const Core::Duration latency = m_route.latency(WriteRoute::Path::Direct);
+    const Core::Duration latency = m_route.latency(WriteRoute::Path::Direct).latency;
     Batch kept;
     while (!m_pending.empty()) {
         const std::shared_ptr<PendingWrite> pending = m_pending.front();
--- a/Libraries/LibSite/SiteMetrics.cpp
+++ b/Libraries/LibSite/SiteMetrics.cpp
@@ -104,6 +104,10 @@
     , m_forwardedRecords(counters(m_registry, "lagoonford_forwarded_records_total",
                                   "Callers' records that were sent to the owner, by outcome"),
                          "outcome")
+    , m_refusedWrites(counters(m_registry, "lagoonford_refused_writes_total",
+                               "Callers' writes that couldn't be durable by their deadlines, by "
+                               "the source of the latency that they rest on"),
+                      "source")
     , m_failedCommits(counters(m_registry, "lagoonford_failed_commits_total",
                                "Appends of the owner that were refused or not answered")
                           .Add({}))
@@ -122,6 +126,11 @@
     m_forwardedRecords.at(outcome).Increment(static_cast<double>(records));
 }
 
+void SiteMetrics::countRefusedWrite(std::string_view source)
+{
+    m_refusedWrites.at(source).Increment();
+}
+
 void SiteMetrics::countFailedCommit()
 {
     m_failedCommits.Increment();
--- a/Libraries/LibSite/WriteRoute.cpp
+++ b/Libraries/LibSite/WriteRoute.cpp
@@ -24,11 +24,12 @@
     if (!m_isSlow || owner.empty())
         return { Path::Direct, now };
     if (!isOwnerReachable(owner, now)) {
-        const Core::Instant notBefore = m_lastDirectAt + pauseFactor * m_directLatency;
+        const Core::Instant notBefore
+            = m_directLatency.measuredAt + pauseFactor * m_directLatency.latency;
         return { Path::Direct, std::max(now, notBefore) };
     }
-    const bool isProbeDue
-        = m_needsProbe && m_ownerLatency && *m_ownerLatency < fastLatency && now >= m_nextProbeAt;
+    const bool isOwnerFast = m_ownerLatency && m_ownerLatency->latency < fastLatency;
+    const bool isProbeDue = m_needsProbe && isOwnerFast && now >= m_nextProbeAt;
     return { isProbeDue ? Path::Probe : Path::Forward, now };
 }
 
@@ -39,8 +40,7 @@
 
 void WriteRoute::noteDirect(Core::Duration latency, Core::Instant now)
 {
-    m_directLatency = latency;
-    m_lastDirectAt = now;
+    m_directLatency = { latency, LatencySource::OwnAppends, now };
     m_isSlow = latency >= slowLatency;
     if (!m_isSlow)
         m_needsProbe = false;
@@ -49,8 +49,7 @@
 void WriteRoute::noteDirectFailure(Core::Duration waited, Core::Instant now)
 {
     // A refusal may come at once and says nothing about the latency.
-    m_directLatency = std::max(m_directLatency, waited);
-    m_lastDirectAt = now;
+    m_directLatency = { std::max(m_directLatency.latency, waited), LatencySource::OwnAppends, now };
     noteStoreLost();
 }
 
@@ -60,9 +59,9 @@
     m_needsProbe = true;
 }
 
-void WriteRoute::noteOwnerAnswer(Core::Duration latency)
+void WriteRoute::noteOwnerAnswer(Core::Duration latency, Core::Instant now)
 {
-    m_ownerLatency = latency;
+    m_ownerLatency = { latency, LatencySource::OwnerReport, now };
     m_unreachableOwner.clear();
     if (latency < fastLatency && !m_needsProbe)
         m_isSlow = false;
@@ -75,7 +74,7 @@
     m_ownerLatency.reset();
 }
 
-Core::Duration WriteRoute::latency(Path path) const
+LatencyEstimate WriteRoute::latency(Path path) const
 {
     return path == Path::Forward ? m_ownerLatency.value_or(m_directLatency) : m_directLatency;
 }
--- a/Tests/LibSite/TestWriteRoute.cpp
+++ b/Tests/LibSite/TestWriteRoute.cpp
@@ -32,9 +32,9 @@
     WriteRoute route;
     route.noteDirect(milliseconds(150), at(0));
     CHECK(route.choose(owner, at(0)).path == Path::Forward);
-    route.noteOwnerAnswer(milliseconds(50));
+    route.noteOwnerAnswer(milliseconds(50), at(0));
     CHECK(route.choose(owner, at(0)).path == Path::Forward);
-    route.noteOwnerAnswer(milliseconds(49));
+    route.noteOwnerAnswer(milliseconds(49), at(0));
     CHECK(route.choose(owner, at(0)).path == Path::Direct);
 }
 
@@ -44,9 +44,9 @@
     WriteRoute route;
     route.noteDirectFailure(milliseconds(900), at(0));
     CHECK(route.choose(owner, at(0)).path == Path::Forward);
-    route.noteOwnerAnswer(milliseconds(60));
+    route.noteOwnerAnswer(milliseconds(60), at(0));
     CHECK(route.choose(owner, at(0)).path == Path::Forward);
-    route.noteOwnerAnswer(milliseconds(10));
+    route.noteOwnerAnswer(milliseconds(10), at(0));
     REQUIRE(route.choose(owner, at(0)).path == Path::Probe);
     route.noteProbe(at(0));
 
@@ -60,7 +60,7 @@
     {
         route.noteDirect(milliseconds(200), at(200));
         CHECK(route.choose(owner, at(1000)).path == Path::Forward);
-        route.noteOwnerAnswer(milliseconds(10));
+        route.noteOwnerAnswer(milliseconds(10), at(0));
         CHECK(route.choose(owner, at(1000)).path == Path::Forward);
     }
     SECTION("a fast one does")
--- a/include/LibSite/RecordWriter.h
+++ b/include/LibSite/RecordWriter.h
@@ -75,6 +75,8 @@
     WriteRoute::Choice chooseRoute(Core::Instant now) const;
     AppendQueue queueAhead(Core::Instant now) const;
     bool isAdmitted(Core::Instant deadline);
+    /// Logs and counts that a record can't be durable by \p deadline with \p queue ahead of it.
+    void logRefusal(const AppendQueue &queue, Core::Instant deadline, Core::Instant now);
     /// Decides what can't be written by its deadline if nothing is sent before \p notBefore.
     void refuseLate(Core::Instant notBefore);
     /// Decides what has no time left for another attempt and puts the rest back.
@@ -97,6 +99,8 @@
     RecordForwarder *m_forwarder;
     WriteRoute m_route;
     bool m_wasDirect = true;
+    /// How many writes have been admitted since the process started.
+    std::int64_t m_admittedWrites = 0;
     /// When the attempt in flight began; nothing if there is none.
     std::optional<Core::Instant> m_beganAt;
     /// When the owner, which has refused records, will have written what it has.
--- a/include/LibSite/SiteMetrics.h
+++ b/include/LibSite/SiteMetrics.h
@@ -74,6 +74,9 @@
     void countFailedAppend(std::string_view outcome);
     /// Counts callers' records that were sent to the owner.
     void countForwarded(std::string_view outcome, std::size_t records);
+    /// Counts a write that was refused, as it couldn't be durable by its deadline; \p source is
+    /// that of the latency on which this rests.
+    void countRefusedWrite(std::string_view source);
     /// Counts an append of the owner that was refused or not answered.
     void countFailedCommit();
     /// Sets the longest time between two successful appends of this node's last term as the owner.
@@ -124,6 +127,7 @@
     prometheus::Gauge &m_ownerLag;
     CountersByLabel m_failedAppends;
     CountersByLabel m_forwardedRecords;
+    CountersByLabel m_refusedWrites;
     prometheus::Counter &m_failedCommits;
     prometheus::Gauge &m_longestCommitGap;
 };
--- a/include/LibSite/WriteRoute.h
+++ b/include/LibSite/WriteRoute.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibSite/LatencyEstimate.h>
 
 #include <optional>
 #include <string>
@@ -38,7 +39,7 @@
     /// The store can't be reached, according to other calls.
     void noteStoreLost();
     /// The owner has answered. \p latency is that of its appends.
-    void noteOwnerAnswer(Core::Duration latency);
+    void noteOwnerAnswer(Core::Duration latency, Core::Instant now);
     void noteOwnerUnreachable(const std::string &owner, Core::Instant now);
 
     /// False while records are forwarded if that is possible.
@@ -47,15 +48,14 @@
     bool hasFailed() const { return m_needsProbe; }
     bool isOwnerReachable(const std::string &owner, Core::Instant now) const;
     /// Latency of the last direct append, or of the owner's appends if records are forwarded.
-    Core::Duration latency(Path path) const;
+    LatencyEstimate latency(Path path) const;
 
 private:
     /// The last direct append took too long, failed or wasn't answered.
     bool m_isSlow = false;
     bool m_needsProbe = false;
-    Core::Duration m_directLatency = {};
-    Core::Instant m_lastDirectAt = {};
-    std::optional<Core::Duration> m_ownerLatency;
+    LatencyEstimate m_directLatency;
+    std::optional<LatencyEstimate> m_ownerLatency;
     std::string m_unreachableOwner;
     Core::Instant m_unreachableUntil = {};
     Core::Instant m_nextProbeAt = {};
