LibSite: Let no old or paused measurement refuse writes

Cause: RecordWriter refuses what can't be durable by its deadline, by a latency that only an admitted write measures again, so a figure above every caller's deadline stayed for ever. The figure came from a pause of the process itself: the time around an append counts the pause as latency of the store. At the other nodes it was the owner's report; a node that had been paused itself had its own, which also stood in for an owner that hadn't reported yet. A due probe was judged by the figure that it was to correct.

Ruled out: a really slow store (the ages grow), an append that isn't answered (none is in flight).

Change: a refusal rests on a measurement of the last second or on an append under way, otherwise this one write is tried and the others are judged by its outcome. An append whose end is noticed 0.2 s after its deadline or later isn't measured; the owner counts it with its time limit, and its heartbeats measure again. Nothing is assumed of an owner that hasn't reported. It works since no figure can outlive the evidence for it, with an owner and without, whichever node was paused; a store that stays too slow still refuses at once, but for one caller a second and node.

--- a/Libraries/LibSite/AppendPace.cpp
+++ b/Libraries/LibSite/AppendPace.cpp
@@ -17,11 +17,16 @@
     m_beganAt = now;
 }
 
+Core::Duration AppendPace::countedTime(Core::Instant now) const
+{
+    return std::min(now - *m_beganAt, timeLimit());
+}
+
 void AppendPace::end(Core::Instant now)
 {
     if (!m_beganAt)
         return;
-    m_latency = std::max(now - *m_beganAt, m_latency / 2);
+    m_latency = std::max(countedTime(now), m_latency / 2);
     m_beganAt.reset();
 }
 
@@ -29,7 +34,7 @@
 {
     if (!m_beganAt)
         return;
-    m_latency = std::max(now - *m_beganAt, m_latency);
+    m_latency = std::max(countedTime(now), m_latency);
     m_beganAt.reset();
 }
 
--- a/Libraries/LibSite/GroupCommit.cpp
+++ b/Libraries/LibSite/GroupCommit.cpp
@@ -62,7 +62,8 @@
         co_await entry->wakeup.sleepUntil(deadline);
     if (entry->isDecided)
         co_return entry->result;
-    const Core::Duration waited = Core::steadyNow() - beganAt;
+    // If this is later than the deadline, this process was paused or busy.
+    const Core::Duration waited = std::min(Core::steadyNow(), deadline) - beganAt;
     if (entry->isTaken)
         co_return ForwardResult { ForwardOutcome::Unknown, waited, waited };
     m_waiting.remove(entry);
--- a/Libraries/LibSite/RecordWriter.cpp
+++ b/Libraries/LibSite/RecordWriter.cpp
@@ -22,6 +22,9 @@
 static constexpr Core::Duration probeTimeout = std::chrono::milliseconds(300);
 /// Time that a probe leaves for forwarding. The owner has reported a latency below 50 ms.
 static constexpr Core::Duration forwardReserve = std::chrono::milliseconds(500);
+/// A write that is tried although it isn't expected to be durable in time gets this long at least:
+/// a shorter attempt would tell nothing of the store.
+static constexpr Core::Duration minTrialTime = std::chrono::milliseconds(300);
 static const auto partLogger = Log::essentialLogger("writer");
 
 static std::int64_t inMilliseconds(Core::Duration duration)
@@ -159,12 +162,23 @@
 {
     const Core::Instant now = Core::steadyNow();
     const AppendQueue queue = queueAhead(now);
-    if (isDurableWithin(queue, deadline - now)) {
-        ++m_admittedWrites;
-        return true;
+    const bool isExpectedInTime = isDurableWithin(queue, deadline - now);
+    if (!isExpectedInTime && !isTrialDue(deadline, now)) {
+        logRefusal(queue, deadline, now);
+        return false;
     }
-    logRefusal(queue, deadline, now);
-    return false;
+    if (!isExpectedInTime)
+        LOG4CXX_INFO(partLogger, "event=write-tried latency_ms=" << inMilliseconds(queue.latency));
+    ++m_admittedWrites;
+    return true;
+}
+
+bool RecordWriter::isTrialDue(Core::Instant deadline, Core::Instant now) const
+{
+    const WriteRoute::Choice choice = chooseRoute(now);
+    const bool canBeginNow = !m_isWriting && choice.notBefore <= now;
+    return canBeginNow && now + minTrialTime <= deadline
+        && !m_route.latency(choice.path).isCurrent(now);
 }
 
 void RecordWriter::logRefusal(const AppendQueue &queue, Core::Instant deadline, Core::Instant now)
@@ -212,10 +226,14 @@
     logRoute();
 }
 
-void RecordWriter::noteAppendFailure(Core::Instant beganAt)
+void RecordWriter::noteAppendFailure(Core::Instant beganAt, Core::Instant deadline)
 {
     const Core::Instant now = Core::steadyNow();
-    m_route.noteDirectFailure(now - beganAt, now);
+    const std::optional<Core::Duration> waited = measureLatency(beganAt, deadline, now);
+    if (waited)
+        m_route.noteDirectFailure(*waited, now);
+    else
+        m_route.noteStoreLost();
     if (m_state.health.noteFailure(now))
         LOG4CXX_WARN(partLogger, "event=lost dependency=store");
 }
@@ -227,7 +245,9 @@
         co_await m_log.append(recordsOf(batch), deadline);
         decideAll(batch, WriteOutcome::Written);
         const Core::Instant now = Core::steadyNow();
-        m_route.noteDirect(now - beganAt, now);
+        const std::optional<Core::Duration> latency = measureLatency(beganAt, deadline, now);
+        if (latency)
+            m_route.noteDirect(*latency, now);
         if (m_state.health.noteSuccess(now))
             LOG4CXX_INFO(partLogger, "event=regained dependency=store");
         co_return;
@@ -243,7 +263,7 @@
                                                      << '"');
         m_state.metrics.countFailedAppend("refused");
     }
-    noteAppendFailure(beganAt);
+    noteAppendFailure(beganAt, deadline);
 }
 
 asio::awaitable<void> RecordWriter::forwardBatch(Batch &batch, Core::Instant deadline)
--- a/Libraries/LibSite/WriteRoute.cpp
+++ b/Libraries/LibSite/WriteRoute.cpp
@@ -76,7 +76,7 @@
 
 LatencyEstimate WriteRoute::latency(Path path) const
 {
-    return path == Path::Forward ? m_ownerLatency.value_or(m_directLatency) : m_directLatency;
+    return path == Path::Direct ? m_directLatency : m_ownerLatency.value_or(LatencyEstimate());
 }
 
 } // namespace Site
--- a/Tests/LibSite/ForwardingSite.h
+++ b/Tests/LibSite/ForwardingSite.h
@@ -5,6 +5,7 @@
 #include <LibSite/GroupCommit.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -17,6 +18,8 @@
     OwnerLost,
     /// The owner writes the records, and its answer is lost.
     AnswerLost,
+    /// The owner refuses the records.
+    Refused,
 };
 
 /// Hands records to nodes by their addresses.
@@ -35,17 +38,24 @@
         result.outcome = ForwardOutcome::NotSent;
         if (current == ForwardFault::Unreachable)
             co_return result;
+        result.outcome = ForwardOutcome::Refused;
+        result.latency = reportedLatency.value_or(Core::Duration());
+        if (current == ForwardFault::Refused)
+            co_return result;
         result.outcome = ForwardOutcome::NotOwner;
         GroupCommit *owner = nodes.at(address)->groupCommit;
         if (owner == nullptr)
             co_return result;
         result = co_await owner->write(std::move(records), deadline);
+        result.latency = reportedLatency.value_or(result.latency);
         if (current == ForwardFault::AnswerLost)
             result = {};
         co_return result;
     }
 
     ForwardFault fault = ForwardFault::None;
+    /// What the owner reports as its latency, in place of what it measures.
+    std::optional<Core::Duration> reportedLatency;
     int calls = 0;
     std::map<std::string, SiteState *> nodes;
 };
--- a/Tests/LibSite/TestWriteRoute.cpp
+++ b/Tests/LibSite/TestWriteRoute.cpp
@@ -1,4 +1,5 @@
 #include <LibSite/AppendPace.h>
+#include <LibSite/LatencyEstimate.h>
 #include <LibSite/WriteAdmission.h>
 #include <LibSite/WriteRoute.h>
 
@@ -165,3 +166,52 @@
     pace.end(at(404));
     CHECK(pace.latency() == milliseconds(160));
 }
+
+/// Guards against an owner that tells all nodes of seconds of latency because its own VM was paused
+/// (review/6).
+TEST_CASE("A pause of the owner's process counts as the time limit of one append at most")
+{
+    AppendPace pace = paceAfter(4300);
+    CHECK(pace.latency() == AppendPace().timeLimit());
+    pace.begin(at(5000));
+    pace.fail(at(9300));
+    CHECK(pace.latency() <= milliseconds(1500));
+
+    SECTION("heartbeats alone bring it down again")
+    {
+        for (int i = 0; i < 6; ++i) {
+            pace.begin(at(10'000 + 500 * i));
+            pace.end(at(10'004 + 500 * i));
+        }
+        CHECK(pace.latency() < milliseconds(50));
+    }
+}
+
+/// Guards against a pause of this process that counts as latency of the store (review/6).
+TEST_CASE("The end of a call that was noticed long after its deadline tells no latency")
+{
+    CHECK(measureLatency(at(0), at(900), at(4)) == milliseconds(4));
+    CHECK(measureLatency(at(0), at(900), at(905)) == milliseconds(905));
+    CHECK(measureLatency(at(0), at(900), at(4300)) == std::nullopt);
+}
+
+/// Guards against a latency that is believed for as long as no write is admitted (review/6).
+TEST_CASE("A latency is current for a second")
+{
+    WriteRoute route;
+    CHECK_FALSE(route.latency(Path::Direct).isCurrent(at(0)));
+    route.noteDirect(milliseconds(900), at(0));
+    CHECK(route.latency(Path::Direct).isCurrent(at(1000)));
+    CHECK_FALSE(route.latency(Path::Direct).isCurrent(at(1001)));
+
+    SECTION("nothing is known of an owner that hasn't reported, whatever the node has measured")
+    {
+        CHECK(route.latency(Path::Forward) == LatencyEstimate());
+    }
+    SECTION("a probe is judged by the owner's latency, since it leaves time for forwarding")
+    {
+        route.noteOwnerAnswer(milliseconds(10), at(0));
+        CHECK(route.latency(Path::Probe).latency == milliseconds(10));
+        CHECK(route.latency(Path::Direct).latency == milliseconds(900));
+    }
+}
--- a/include/LibSite/AppendPace.h
+++ b/include/LibSite/AppendPace.h
@@ -6,8 +6,8 @@
 
 namespace Site {
 
-/// The latency of the owner's appends, and the limits that follow from it. Instants are on the
-/// steady clock.
+/// The latency of the owner's appends, and the limits that follow from it. The owner's heartbeats
+/// measure it again, whatever callers request. Instants are on the steady clock.
 class AppendPace
 {
 public:
@@ -19,7 +19,8 @@
     void fail(Core::Instant now);
 
     /// The recent latency: the larger of the last one and half of the former value, so that one
-    /// fast append doesn't hide a slow period.
+    /// fast append doesn't hide a slow period. An append counts with its time limit at most: if its
+    /// end was noticed later, this process was paused or busy.
     Core::Duration latency() const { return m_latency; }
     /// How long the append in flight has been unanswered; nothing if there is none.
     std::optional<Core::Duration> inFlightFor(Core::Instant now) const;
@@ -29,6 +30,9 @@
     Core::Duration timeLimit() const;
 
 private:
+    /// How long the append in flight has taken, as far as it counts.
+    Core::Duration countedTime(Core::Instant now) const;
+
     Core::Duration m_latency = {};
     std::optional<Core::Instant> m_beganAt;
 };
--- a/include/LibSite/LatencyEstimate.h
+++ b/include/LibSite/LatencyEstimate.h
@@ -2,6 +2,8 @@
 
 #include <LibCore/Time.h>
 
+#include <optional>
+
 namespace Site {
 
 /// What a latency was measured from.
@@ -28,15 +30,32 @@
     return "unknown";
 }
 
-/// The latency that appends are expected to have, and the measurement on which that rests.
+/// The latency that appends are expected to have, and the measurement on which that rests. Only an
+/// append measures again, so an old estimate must not keep appends from being tried.
 struct LatencyEstimate
 {
+    /// An older measurement says nothing about the next append.
+    static constexpr Core::Duration maxAge = std::chrono::seconds(1);
+
     Core::Duration latency = {};
     LatencySource source = LatencySource::None;
     /// When the latency became known, on the steady clock.
     Core::Instant measuredAt = {};
 
+    /// True if the latency was measured at most `maxAge` before \p now.
+    bool isCurrent(Core::Instant now) const
+    {
+        return source != LatencySource::None && now <= measuredAt + maxAge;
+    }
+
     bool operator==(const LatencyEstimate &) const = default;
 };
 
+/// The latency of a call that began at \p beganAt and whose end was noticed at \p now. A running
+/// process notices the end of each call soon after the call's \p deadline; if it has noticed it
+/// much later, the process itself was paused, and the time says nothing about the other side:
+/// nothing.
+std::optional<Core::Duration> measureLatency(Core::Instant beganAt, Core::Instant deadline,
+                                             Core::Instant now);
+
 } // namespace Site
--- a/include/LibSite/RecordWriter.h
+++ b/include/LibSite/RecordWriter.h
@@ -40,7 +40,8 @@
 
     /// Writes all the records or none. Retries until \p deadline (steady clock). A retry may write
     /// the records a second time, which must have no further effect. Records that can't be expected
-    /// to be durable by the deadline are refused at once.
+    /// to be durable by the deadline are refused at once; but if the measurement on which this
+    /// rests is out of date, one write is tried.
     boost::asio::awaitable<WriteOutcome> write(std::vector<Jobs::StoredRecord> records,
                                                Core::Instant deadline);
     /// False if the store is out of reach and the owner can't write for this node.
@@ -68,13 +69,16 @@
     /// Like `appendBatch()`, but gives the records to the owner.
     boost::asio::awaitable<void> forwardBatch(Batch &batch, Core::Instant deadline);
     void applyForwardResult(Batch &batch, const std::string &owner, const ForwardResult &result);
-    void noteAppendFailure(Core::Instant beganAt);
+    void noteAppendFailure(Core::Instant beganAt, Core::Instant deadline);
     /// The owner to which records can be given; this node's name if it is the owner itself, and
     /// empty if there is none.
     std::string findOwner() const;
     WriteRoute::Choice chooseRoute(Core::Instant now) const;
     AppendQueue queueAhead(Core::Instant now) const;
     bool isAdmitted(Core::Instant deadline);
+    /// True if nothing under way will measure the latency again and the last measurement is old, so
+    /// that a write has to be admitted to tell whether others can be.
+    bool isTrialDue(Core::Instant deadline, Core::Instant now) const;
     /// Logs and counts that a record can't be durable by \p deadline with \p queue ahead of it.
     void logRefusal(const AppendQueue &queue, Core::Instant deadline, Core::Instant now);
     /// Decides what can't be written by its deadline if nothing is sent before \p notBefore.
--- a/include/LibSite/WriteRoute.h
+++ b/include/LibSite/WriteRoute.h
@@ -47,7 +47,8 @@
     /// True if the node's own appends have failed and none has succeeded since.
     bool hasFailed() const { return m_needsProbe; }
     bool isOwnerReachable(const std::string &owner, Core::Instant now) const;
-    /// Latency of the last direct append, or of the owner's appends if records are forwarded.
+    /// Latency of the last direct append, or of the owner's appends if records are forwarded, or
+    /// will be once a probe has failed. It may be old.
     LatencyEstimate latency(Path path) const;
 
 private:
