LibJob: Say how many isolated runs a suspect waits for

The line event=interrupted of a suspect said reason=other-suspects only, for either of two bounds: one isolated run a job, and one worker of eight with isolated runs. So it couldn't be told which of them holds a task up:

1. the bound of the job (the claim): of_job=1 while other workers would still be allowed; the time grows with the tasks of one job; 2. the bound of the site: isolating_workers over an eighth of workers, also with of_job=0; the time grows with the number of jobs; 3. room, the start window or held starts: other reasons, which had figures already.

The line now has isolating_workers, workers and of_job. Nothing that is decided changes; TestLibJob passes.

--- a/Libraries/LibJob/JobSchedulerInterruptions.cpp
+++ b/Libraries/LibJob/JobSchedulerInterruptions.cpp
@@ -120,6 +120,17 @@
         + " room_awaits_start=" + std::to_string(roomAwaitsStart);
 }
 
+std::string JobScheduler::explainIsolation(OwnedJob &job) const
+{
+    const std::vector<TaskName> doubts = doubtsOf(job);
+    const auto ofJob = std::count_if(doubts.begin(), doubts.end(), [&job](const TaskName &name) {
+        const TaskState *task = job.findTask(name);
+        return task && task->run && task->run->worker->isIsolated(name);
+    });
+    return "isolating_workers=" + std::to_string(m_isolatingWorkers)
+        + " workers=" + std::to_string(m_listed.size()) + " of_job=" + std::to_string(ofJob);
+}
+
 std::string JobScheduler::explainWait(const WaitingStep &waiting, const TaskState &task, int index,
                                       const TimePoint &now)
 {
@@ -137,6 +148,8 @@
                    std::chrono::ceil<milliseconds>(formerRunsEndAt(job) - now.instant).count());
     if (reason == WaitReason::CustomerLimit)
         return text + ' ' + explainLimit(job);
+    if (reason == WaitReason::OtherSuspects)
+        return text + ' ' + explainIsolation(job);
     if (reason != WaitReason::NoWorker)
         return text;
     const PlacementRequest request = placementRequest(waiting, index, now);
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -383,6 +383,8 @@
     /// The reason and what it is based on, as `key=value` pairs.
     std::string explainWait(const WaitingStep &waiting, const TaskState &task, int index,
                             const TimePoint &now);
+    /// How many workers have isolated runs, and how many isolated runs the job has.
+    std::string explainIsolation(OwnedJob &job) const;
     /// How many workers have room that the task doesn't get: because they are avoided, or because
     /// starts there haven't been answered yet.
     std::string explainRoom(const PlacementRequest &request);
