LibJob: Start the suspects of a job together

Cause: a guard whose delay grows with what it guards. Each suspect of a crash had an isolated start to itself: one of a job at a time, on one worker of eight at a time, 0.4 to 1 s each. But a job is given up as a whole, so that it doesn't matter which of its tasks crashes the worker.

Ruled out: room, the start window, held starts (other reasons in the line).

Change: suspects of a job start together on one worker as far as they fit. It works since the time is now that of a few groups. The bound on crashes is as before: the first crash, one in a group, one in the group of the job, which then is given up; nothing that is counted or recorded has changed, so it holds over owners as before.

--- a/Libraries/LibJob/JobSchedulerCrashes.cpp
+++ b/Libraries/LibJob/JobSchedulerCrashes.cpp
@@ -10,6 +10,8 @@
 /// If more workers than one of this many had an isolated run, a crash of several workers couldn't
 /// be told from crashes by suspects.
 static constexpr std::size_t workersPerIsolatedRun = 8;
+/// After another crash, a task that was suspected of this many isn't given up yet.
+static constexpr std::size_t maxCrashesToShare = CrashHistory::maxCrashes - 2;
 /// If one worker of five crashes for a common cause, one of this many witnesses does so too in 97
 /// cases of 100.
 static constexpr std::size_t maxWitnesses = 16;
@@ -389,28 +391,48 @@
     }
 }
 
-bool JobScheduler::maySuspectStart(OwnedJob &job) const
+WorkerState *JobScheduler::isolatedWorkerOf(OwnedJob &job) const
 {
-    if (!m_isStoreReachable || m_isolatingWorkers > m_listed.size() / workersPerIsolatedRun)
-        return false;
-    const std::vector<TaskName> doubts = doubtsOf(job);
-    return std::none_of(doubts.begin(), doubts.end(), [&job](const TaskName &name) {
-        const TaskState *task = job.findTask(name);
-        return task && task->run && task->run->worker->isIsolated(name);
-    });
+    for (auto it = m_doubts.lower_bound({ job.id(), 0, 0, 0 });
+         it != m_doubts.end() && it->job == job.id(); ++it) {
+        const TaskState *task = job.findTask(*it);
+        if (task && task->run && task->run->worker->isIsolated(*it))
+            return task->run->worker;
+    }
+    return nullptr;
+}
+
+IsolationBounds JobScheduler::isolationBounds(OwnedJob &job, const TaskName &name,
+                                              bool isOverdue) const
+{
+    const CrashHistory &history = job.crashHistory(name);
+    const std::size_t crashes = history.crashes().size() + (history.runInDoubt() ? 1 : 0);
+    IsolationBounds bounds;
+    bounds.workerOfJob = isolatedWorkerOf(job);
+    bounds.mayBegin = m_isolatingWorkers <= m_listed.size() / workersPerIsolatedRun;
+    const bool isGang = job.spec(name.step).isGang;
+    bounds.mayShare = !isGang && isOverdue && crashes <= maxCrashesToShare;
+    return bounds;
 }
 
 void JobScheduler::planSuspect(const WaitingStep &waiting, int index, std::int64_t run,
                                const TimePoint &now)
 {
     OwnedJob &job = *waiting.job;
-    if (!maySuspectStart(job))
+    // The run must be recorded as in doubt before it is sent.
+    if (!m_isStoreReachable)
         return;
     const PlacementRequest request = placementRequest(waiting, index, now);
+    if (!request.isolation.mayStart())
+        return;
     WorkerState *worker = m_chooser.choose(request);
     if (!worker) {
-        keepWorkerForSuspect(request);
-        reserveForOverdue(waiting, index, now);
+        // Workers with isolated runs are free for others again soon.
+        const bool awaitsOthers = request.isolation.workerOfJob || !request.isolation.mayBegin;
+        if (!awaitsOthers) {
+            keepWorkerForSuspect(request);
+            reserveForOverdue(waiting, index, now);
+        }
         logWaitReason(waiting, request, now);
         return;
     }
@@ -419,18 +441,18 @@
     m_planningWork += workPerTask;
     m_reservations.release(request.task);
     addRun(job, request.task, *worker, run, RunPhase::Planned, now);
-    isolateRun(job, request.task);
+    isolateRun(job, request.task, request.isolation.mayShare);
     job.notePlannedStart(waiting.step, index, worker->info().id);
     markDirty(job);
 }
 
-void JobScheduler::isolateRun(OwnedJob &job, const TaskName &name)
+void JobScheduler::isolateRun(OwnedJob &job, const TaskName &name, bool mayBeShared)
 {
     TaskRun &run = *job.findTask(name)->run;
     const WorkerInfo &worker = run.worker->info();
     if (!run.worker->hasIsolatedRun())
         ++m_isolatingWorkers;
-    run.worker->isolate(name);
+    run.worker->isolate(name, mayBeShared);
     // The start may never reach the worker, so a crash alone doesn't show that this was its cause.
     const RunInDoubt doubt { run.number, worker.id, worker.address,
                              run.worker->processStartUnixMs(), false };
--- a/Libraries/LibJob/JobSchedulerInterruptions.cpp
+++ b/Libraries/LibJob/JobSchedulerInterruptions.cpp
@@ -83,7 +83,10 @@
         return WaitReason::FormerRun;
     if (task.neededCommit > m_committed)
         return WaitReason::Commit;
-    if (job.crashHistory(name).isSuspect() && !maySuspectStart(job))
+    const bool isOverdue = job.spec(name.step).isLongRunning && task.isOverdue(now.instant);
+    const bool mayBeIsolated
+        = m_isStoreReachable && isolationBounds(job, name, isOverdue).mayStart();
+    if (job.crashHistory(name).isSuspect() && !mayBeIsolated)
         return WaitReason::OtherSuspects;
     if (!fitsInLimit(job, name.step))
         return WaitReason::CustomerLimit;
--- a/Libraries/LibJob/JobSchedulerStarts.cpp
+++ b/Libraries/LibJob/JobSchedulerStarts.cpp
@@ -339,9 +339,12 @@
         if (!mayStart)
             return false;
     }
-    const bool isSuspect
-        = job.sharedCrashHistory({ job.id(), waiting.occurrence, waiting.step, 0 }).isSuspect();
-    if (isSuspect && !maySuspectStart(job))
+    const TaskName first { job.id(), waiting.occurrence, waiting.step, 0 };
+    const bool isSuspect = job.sharedCrashHistory(first).isSuspect();
+    const IsolationBounds isolation = isolationBounds(job, first, false);
+    const bool mayBeIsolated
+        = m_isStoreReachable && isolation.mayBegin && isolation.workerOfJob == nullptr;
+    if (isSuspect && !mayBeIsolated)
         return false;
     std::int64_t run = 0;
     std::string checkpoint;
@@ -367,7 +370,7 @@
         m_reservations.release({ job.id(), waiting.occurrence, waiting.step, index });
     }
     for (int index = 0; isSuspect && index < size; ++index)
-        isolateRun(job, { job.id(), waiting.occurrence, waiting.step, index });
+        isolateRun(job, { job.id(), waiting.occurrence, waiting.step, index }, false);
     markDirty(job);
     startPlannedRuns(job, now);
     return true;
@@ -390,6 +393,8 @@
     // A run in doubt will have been away for long once that is known.
     const bool isInDoubt = task.run && task.run->worker->isUnresponsive();
     request.isOverdue = request.step->isLongRunning && (isInDoubt || task.isOverdue(now.instant));
+    if (request.isSuspect)
+        request.isolation = isolationBounds(job, name, request.isOverdue);
     request.mayOnlyUseReservation = waiting.mayOnlyUseReservations;
     request.requiresDurableWorker = !m_isStoreReachable;
     request.provenAt = m_provenAt;
--- a/Libraries/LibJob/WorkerChooser.cpp
+++ b/Libraries/LibJob/WorkerChooser.cpp
@@ -107,17 +107,27 @@
     return unreserved + m_reservations.reservedFor(request.task, worker);
 }
 
-/// A suspect may run beside starting runs of its own gang: the gang is given up as a whole.
+/// A suspect may start beside suspects of its own job and members of its own gang: a job is given
+/// up as a whole, so it doesn't matter which of them crashes the worker. Beside suspects of other
+/// jobs it may start only if none of them would be given up for another crash.
 static bool isIsolated(const WorkerState &worker, const PlacementRequest &request)
 {
-    const auto isOfGang = [&request](const TaskName &name) {
-        return request.step->isGang && name.job == request.task.job
+    if (!request.isSuspect)
+        return !worker.hasIsolatedRun() && !worker.isKeptForSuspect(request.now);
+    const IsolationBounds &isolation = request.isolation;
+    if (isolation.workerOfJob != nullptr && isolation.workerOfJob != &worker)
+        return false;
+    if (!worker.hasIsolatedRun() && !isolation.mayBegin)
+        return false;
+    const bool isShared = isolation.mayShare && worker.isIsolationShared();
+    const auto mayStartBeside = [&](const TaskName &name) {
+        const bool isOfJob = name.job == request.task.job;
+        const bool isOfGang = isOfJob && request.step->isGang
             && name.occurrence == request.task.occurrence && name.step == request.task.step;
+        return isOfGang || (worker.isIsolated(name) && (isOfJob || isShared));
     };
     const TaskNames &starting = worker.startingRuns();
-    if (request.isSuspect)
-        return std::all_of(starting.begin(), starting.end(), isOfGang);
-    return !worker.hasIsolatedRun() && !worker.isKeptForSuspect(request.now);
+    return std::all_of(starting.begin(), starting.end(), mayStartBeside);
 }
 
 Unsuitability WorkerChooser::unsuitability(WorkerState &worker,
@@ -295,6 +305,8 @@
 
 WorkerState *WorkerChooser::chooseForSuspect(const PlacementRequest &request) const
 {
+    if (WorkerState *worker = request.isolation.workerOfJob)
+        return unsuitability(*worker, request) == Unsuitability::None ? worker : nullptr;
     WorkerState *best = nullptr;
     for (const CapacityIndex::Entry &entry : withEnoughProcessors(request)) {
         ++m_looks;
--- a/Libraries/LibJob/WorkerState.cpp
+++ b/Libraries/LibJob/WorkerState.cpp
@@ -63,6 +63,12 @@
     renewBy(now);
 }
 
+void WorkerState::isolate(const TaskName &task, bool mayBeShared)
+{
+    m_isIsolationShared = mayBeShared && (!hasIsolatedRun() || m_isIsolationShared);
+    m_isolatedRuns.insert(task);
+}
+
 void WorkerState::noteSurvivedStart(const TaskName &task)
 {
     m_startingRuns.erase(task);
--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -137,6 +137,8 @@
     void removeWorker(std::size_t index);
     /// Gives up the jobs of the owner in good order, as when its VM is taken away.
     void release(std::size_t node);
+    /// Crashes a worker, which returns after WorkerLife::returnsAfterMs.
+    void crashUntilReturn(std::size_t worker);
     /// Crashes each worker with the given probability; they return after
     /// WorkerLife::returnsAfterMs.
     void crashWorkers(double share);
@@ -220,7 +222,6 @@
     std::size_t indexOf(const std::string &address) const;
     /// The start of a crashing task: its worker crashes shortly after, and returns later.
     void crashUnder(const Jobs::TaskName &task, std::size_t worker);
-    void crashUntilReturn(std::size_t worker);
     void schedule(std::int64_t delayMs, Action action);
     void noteStart(const Jobs::TaskName &task);
     /// Checks that the task wasn't started after its last attempt. A failed end counts as an
--- a/include/LibJob/JobScheduler.h
+++ b/include/LibJob/JobScheduler.h
@@ -511,13 +511,18 @@
     void countIsolatingWorkers();
     /// Chooses idle workers that are asked while there are isolated runs; see WorkerState.
     void appointWitnesses(const TimePoint &now);
-    /// False while the store is unreachable, while many workers have an isolated run, or while the
-    /// job has one: a job with several crashing tasks is given up for the first.
-    bool maySuspectStart(OwnedJob &job) const;
+    /// The worker on which suspects of the job are being started in isolation; null if there is
+    /// none.
+    WorkerState *isolatedWorkerOf(OwnedJob &job) const;
+    /// Where the task, a suspect, may start. All suspects of a job start together, since it doesn't
+    /// matter which of them crashes the worker. Long-running ones that have been away for long
+    /// start together with those of other jobs, so that the last one isn't away the longer the more
+    /// there are; but not if they would be given up for another crash.
+    IsolationBounds isolationBounds(OwnedJob &job, const TaskName &name, bool isOverdue) const;
     /// Plans the next run of a task that may crash its worker.
     void planSuspect(const WaitingStep &waiting, int index, std::int64_t run, const TimePoint &now);
     /// Isolates a planned run, which is recorded as in doubt before it is sent.
-    void isolateRun(OwnedJob &job, const TaskName &name);
+    void isolateRun(OwnedJob &job, const TaskName &name, bool mayBeShared);
     /// Keeps a worker for a suspect that fits there and waits only for starting runs.
     void keepWorkerForSuspect(const PlacementRequest &request);
 
--- a/include/LibJob/WorkerChooser.h
+++ b/include/LibJob/WorkerChooser.h
@@ -4,6 +4,7 @@
 #include <LibCore/Time.h>
 #include <LibJob/CapacityIndex.h>
 #include <LibJob/CapacityReservations.h>
+#include <LibJob/IsolationBounds.h>
 #include <LibJob/OwnedJob.h>
 #include <LibJob/SlowdownModel.h>
 #include <LibJob/Unsuitability.h>
@@ -34,6 +35,8 @@
     /// The task is suspected of crashing its workers. It runs where no other run could be the cause
     /// of a crash, and where a crash would do the least harm.
     bool isSuspect = false;
+    /// Meaningful for suspects only.
+    IsolationBounds isolation = {};
     /// The long-running task was interrupted and has been away for longer than allowed.
     bool isOverdue = false;
     /// Only the worker on which the task has a reservation comes into question.
--- a/include/LibJob/WorkerState.h
+++ b/include/LibJob/WorkerState.h
@@ -103,8 +103,10 @@
     /// Runs that are planned, or that no report has shown to have survived their start.
     const TaskNames &startingRuns() const { return m_startingRuns; }
     void noteSurvivedStart(const TaskName &task);
-    /// Until the run has survived its start, the worker gets no other one.
-    void isolate(const TaskName &task) { m_isolatedRuns.insert(task); }
+    /// Until the run has survived its start, the worker gets no other one but those of suspects of
+    /// the same job, and of other jobs if \p mayBeShared is true for all of its isolated runs.
+    void isolate(const TaskName &task, bool mayBeShared);
+    bool isIsolationShared() const { return hasIsolatedRun() && m_isIsolationShared; }
     bool hasIsolatedRun() const { return !m_isolatedRuns.empty(); }
     bool isIsolated(const TaskName &task) const { return m_isolatedRuns.contains(task); }
     /// Until \p until, the worker gets no run but that of a suspect.
@@ -303,6 +305,7 @@
     TaskNames m_runs;
     TaskNames m_startingRuns;
     TaskNames m_isolatedRuns;
+    bool m_isIsolationShared = false;
     Core::Instant m_keptForSuspectUntil = {};
     bool m_isWitness = false;
     /// Set by ask() until the worker has answered.
