--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -80,6 +80,8 @@
     std::int64_t maxLeaseMs = 6000;
     /// Minimum time that a task takes.
     std::int64_t minTaskMs = 100;
+    /// Maximum time that a task takes.
+    std::int64_t maxTaskMs = 1500;
     /// How long a worker that a task or crashWorkers() has crashed is away.
     std::int64_t returnsAfterMs = 3400;
     /// Time from the start of a crashing task to the crash of its worker.
--- a/Tests/LibJob/JobWorldCalls.cpp
+++ b/Tests/LibJob/JobWorldCalls.cpp
@@ -96,7 +96,7 @@
         SimulatedWorker::Run work;
         work.endsAtMs = m_nowMs
             + (isLongRunning(command.payload) ? longRunningMs
-                                              : randomBetween(m_life.minTaskMs, 1500));
+                                              : randomBetween(m_life.minTaskMs, m_life.maxTaskMs));
         work.endKind = chance(m_faults.failedRun) ? EndKind::Failed : EndKind::Done;
         work.hangs = chance(m_faults.hangingRun);
         const bool wasRunning = m_workers[target]->running().contains(command.task);
