--- a/Libraries/LibSite/RecordWriter.cpp
+++ b/Libraries/LibSite/RecordWriter.cpp
@@ -150,7 +150,7 @@
             bytes += sizeInBytes(record);
     }
     AppendQueue queue;
-    queue.latency = m_route.latency(choice.path).latency;
+    queue.latency = m_route.estimate(choice.path).latency;
     if (m_beganAt)
         queue.inFlightFor = now - *m_beganAt;
     queue.fullAppends = std::max(records / maxRecordsPerAppend, bytes / maxBytesPerAppend);
@@ -178,12 +178,12 @@
     const WriteRoute::Choice choice = chooseRoute(now);
     const bool canBeginNow = !m_isWriting && choice.notBefore <= now;
     return canBeginNow && now + minTrialTime <= deadline
-        && !m_route.latency(choice.path).isCurrent(now);
+        && !m_route.estimate(choice.path).isCurrent(now);
 }
 
 void RecordWriter::logRefusal(const AppendQueue &queue, Core::Instant deadline, Core::Instant now)
 {
-    const LatencyEstimate estimate = m_route.latency(chooseRoute(now).path);
+    const LatencyEstimate estimate = m_route.estimate(chooseRoute(now).path);
     m_state.metrics.countRefusedWrite(latencySourceText(estimate.source));
     const bool isMeasured = estimate.source != LatencySource::None;
     const std::string age
@@ -335,15 +335,15 @@
     LOG4CXX_INFO(partLogger,
                  "event=" << (m_wasDirect ? "writes-direct" : "writes-forwarded")
                           << " reason=" << routeReason(m_route) << " latency_ms="
-                          << inMilliseconds(m_route.latency(WriteRoute::Path::Direct).latency)
+                          << inMilliseconds(m_route.estimate(WriteRoute::Path::Direct).latency)
                           << " owner_latency_ms="
-                          << inMilliseconds(m_route.latency(WriteRoute::Path::Forward).latency)
+                          << inMilliseconds(m_route.estimate(WriteRoute::Path::Forward).latency)
                           << " owner=" << (owner.empty() ? "none" : owner));
 }
 
 void RecordWriter::refuseLate(Core::Instant notBefore)
 {
-    const Core::Duration latency = m_route.latency(WriteRoute::Path::Direct).latency;
+    const Core::Duration latency = m_route.estimate(WriteRoute::Path::Direct).latency;
     Batch kept;
     while (!m_pending.empty()) {
         const std::shared_ptr<PendingWrite> pending = m_pending.front();
--- a/Libraries/LibSite/WriteRoute.cpp
+++ b/Libraries/LibSite/WriteRoute.cpp
@@ -25,10 +25,10 @@
         return { Path::Direct, now };
     if (!isOwnerReachable(owner, now)) {
         const Core::Instant notBefore
-            = m_directLatency.measuredAt + pauseFactor * m_directLatency.latency;
+            = m_directEstimate.measuredAt + pauseFactor * m_directEstimate.latency;
         return { Path::Direct, std::max(now, notBefore) };
     }
-    const bool isOwnerFast = m_ownerLatency && m_ownerLatency->latency < fastLatency;
+    const bool isOwnerFast = m_ownerEstimate && m_ownerEstimate->latency < fastLatency;
     const bool isProbeDue = m_needsProbe && isOwnerFast && now >= m_nextProbeAt;
     return { isProbeDue ? Path::Probe : Path::Forward, now };
 }
@@ -40,7 +40,7 @@
 
 void WriteRoute::noteDirect(Core::Duration latency, Core::Instant now)
 {
-    m_directLatency = { latency, LatencySource::OwnAppends, now };
+    m_directEstimate = { latency, LatencySource::OwnAppends, now };
     m_isSlow = latency >= slowLatency;
     if (!m_isSlow)
         m_needsProbe = false;
@@ -49,7 +49,8 @@
 void WriteRoute::noteDirectFailure(Core::Duration waited, Core::Instant now)
 {
     // A refusal may come at once and says nothing about the latency.
-    m_directLatency = { std::max(m_directLatency.latency, waited), LatencySource::OwnAppends, now };
+    m_directEstimate
+        = { std::max(m_directEstimate.latency, waited), LatencySource::OwnAppends, now };
     noteStoreLost();
 }
 
@@ -61,7 +62,7 @@
 
 void WriteRoute::noteOwnerAnswer(Core::Duration latency, Core::Instant now)
 {
-    m_ownerLatency = { latency, LatencySource::OwnerReport, now };
+    m_ownerEstimate = { latency, LatencySource::OwnerReport, now };
     m_unreachableOwner.clear();
     if (latency < fastLatency && !m_needsProbe)
         m_isSlow = false;
@@ -71,12 +72,12 @@
 {
     m_unreachableOwner = owner;
     m_unreachableUntil = now + ownerRetryDelay;
-    m_ownerLatency.reset();
+    m_ownerEstimate.reset();
 }
 
-LatencyEstimate WriteRoute::latency(Path path) const
+LatencyEstimate WriteRoute::estimate(Path path) const
 {
-    return path == Path::Direct ? m_directLatency : m_ownerLatency.value_or(LatencyEstimate());
+    return path == Path::Direct ? m_directEstimate : m_ownerEstimate.value_or(LatencyEstimate());
 }
 
 } // namespace Site
--- a/Tests/LibSite/TestWriteRoute.cpp
+++ b/Tests/LibSite/TestWriteRoute.cpp
@@ -199,19 +199,19 @@
 TEST_CASE("A latency is current for a second")
 {
     WriteRoute route;
-    CHECK_FALSE(route.latency(Path::Direct).isCurrent(at(0)));
+    CHECK_FALSE(route.estimate(Path::Direct).isCurrent(at(0)));
     route.noteDirect(milliseconds(900), at(0));
-    CHECK(route.latency(Path::Direct).isCurrent(at(1000)));
-    CHECK_FALSE(route.latency(Path::Direct).isCurrent(at(1001)));
+    CHECK(route.estimate(Path::Direct).isCurrent(at(1000)));
+    CHECK_FALSE(route.estimate(Path::Direct).isCurrent(at(1001)));
 
     SECTION("nothing is known of an owner that hasn't reported, whatever the node has measured")
     {
-        CHECK(route.latency(Path::Forward) == LatencyEstimate());
+        CHECK(route.estimate(Path::Forward) == LatencyEstimate());
     }
     SECTION("a probe is judged by the owner's latency, since it leaves time for forwarding")
     {
         route.noteOwnerAnswer(milliseconds(10), at(0));
-        CHECK(route.latency(Path::Probe).latency == milliseconds(10));
-        CHECK(route.latency(Path::Direct).latency == milliseconds(900));
+        CHECK(route.estimate(Path::Probe).latency == milliseconds(10));
+        CHECK(route.estimate(Path::Direct).latency == milliseconds(900));
     }
 }
--- a/include/LibSite/LatencyEstimate.h
+++ b/include/LibSite/LatencyEstimate.h
@@ -51,10 +51,9 @@
     bool operator==(const LatencyEstimate &) const = default;
 };
 
-/// The latency of a call that began at \p beganAt and whose end was noticed at \p now. A running
-/// process notices the end of each call soon after the call's \p deadline; if it has noticed it
-/// much later, the process itself was paused, and the time says nothing about the other side:
-/// nothing.
+/// The latency of a call that began at \p beganAt and whose end was noticed at \p now. Nothing if
+/// that was long after the call's \p deadline: a running process notices the end of each call by
+/// then, so this one was paused, and the time doesn't tell how fast the other side is.
 std::optional<Core::Duration> measureLatency(Core::Instant beganAt, Core::Instant deadline,
                                              Core::Instant now);
 
--- a/include/LibSite/WriteRoute.h
+++ b/include/LibSite/WriteRoute.h
@@ -47,16 +47,16 @@
     /// True if the node's own appends have failed and none has succeeded since.
     bool hasFailed() const { return m_needsProbe; }
     bool isOwnerReachable(const std::string &owner, Core::Instant now) const;
-    /// Latency of the last direct append, or of the owner's appends if records are forwarded, or
-    /// will be once a probe has failed. It may be old.
-    LatencyEstimate latency(Path path) const;
+    /// The latency of this node's appends, or of the owner's if records are forwarded, or will be
+    /// once a probe has failed. The measurement may be old.
+    LatencyEstimate estimate(Path path) const;
 
 private:
     /// The last direct append took too long, failed or wasn't answered.
     bool m_isSlow = false;
     bool m_needsProbe = false;
-    LatencyEstimate m_directLatency;
-    std::optional<LatencyEstimate> m_ownerLatency;
+    LatencyEstimate m_directEstimate;
+    std::optional<LatencyEstimate> m_ownerEstimate;
     std::string m_unreachableOwner;
     Core::Instant m_unreachableUntil = {};
     Core::Instant m_nextProbeAt = {};
